Add core: ids, containers, resources, refusals, counters, time

One table holds each refusal's counter name, HTTP status, 'not run' and remedy, so that nothing is refused outside it.

--- /dev/null
+++ b/src/kingcuplink/core/counters.hpp
@@ -0,0 +1,97 @@
+#ifndef KINGCUPLINK_CORE_COUNTERS_HPP_INCLUDED
+#define KINGCUPLINK_CORE_COUNTERS_HPP_INCLUDED
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <kingcuplink/core/refusal.hpp>
+#include <string>
+#include <string_view>
+
+namespace kingcuplink {
+
+/*! Events that are counted besides refusals and retries. */
+enum class event : std::uint8_t {
+    request_answered,
+    request_may_have_run,
+    job_accepted,
+    task_start_sent,
+    task_start_confirmed,
+    task_start_refused,
+    task_start_unknown,
+    task_stop_sent,
+    task_ended,
+    task_lost,
+    task_requeued,
+    task_preempted,
+    lease_granted,
+    lease_refused,
+    lease_lost,
+    leadership_taken,
+    leadership_lost,
+    peer_message_sent,
+    peer_message_received,
+    peer_message_dropped,
+    peer_message_malformed,
+    peer_bytes_sent,
+    peer_bytes_received,
+    control_bytes_sent,
+    control_bytes_received,
+    document_applied,
+    document_from_peer,
+    log_read_failed,
+    log_append_failed,
+    journal_appended,
+    connection_accepted,
+    connection_discarded,
+    handover_sent,
+    handover_received,
+    count_
+};
+
+/*! Number of events. */
+inline constexpr std::size_t event_count = static_cast<std::size_t>(event::count_);
+
+/*! Counters of one process. Thread safe. */
+class counters {
+public:
+    /*! Counts a refusal. */
+    void add(refusal const reason) noexcept {
+        refusals_[static_cast<std::size_t>(reason)].fetch_add(1u, std::memory_order_relaxed);
+    }
+
+    /*! Counts a retry. */
+    void add(retry_reason const reason) noexcept {
+        retries_[static_cast<std::size_t>(reason)].fetch_add(1u, std::memory_order_relaxed);
+    }
+
+    /*! Counts an event, or an amount of it. */
+    void add(event const what, std::uint64_t const amount = 1u) noexcept {
+        events_[static_cast<std::size_t>(what)].fetch_add(amount, std::memory_order_relaxed);
+    }
+
+    /*! Returns a count. */
+    [[nodiscard]] std::uint64_t value(refusal const reason) const noexcept {
+        return refusals_[static_cast<std::size_t>(reason)].load(std::memory_order_relaxed);
+    }
+
+    /*! @copydoc value */
+    [[nodiscard]] std::uint64_t value(event const what) const noexcept {
+        return events_[static_cast<std::size_t>(what)].load(std::memory_order_relaxed);
+    }
+
+    /*! Returns all counters in the Prometheus text format. */
+    [[nodiscard]] std::string prometheus_text() const;
+
+private:
+    template<std::size_t Size>
+    using cells = std::array<std::atomic<std::uint64_t>, Size>;
+
+    cells<refusal_count> refusals_{};
+    cells<retry_reason_count> retries_{};
+    cells<event_count> events_{};
+};
+
+} // namespace kingcuplink
+
+#endif
