--- /dev/null
+++ b/src/kingcuplink/placement/run_history.cpp
@@ -0,0 +1,60 @@
+#include <algorithm>
+#include <kingcuplink/placement/run_history.hpp>
+
+namespace kingcuplink {
+
+namespace internal {
+
+constexpr std::size_t history_limit = 16'384u;
+constexpr double newest_weight = 0.3;
+constexpr double ratio_floor = 0.05;
+constexpr double ratio_ceiling = 20.0;
+
+std::string history_key(std::string_view const team, std::string_view const job) {
+    std::string key{team};
+    return key.append("/").append(job);
+}
+
+} // namespace internal
+
+void run_history::record_run(std::string_view const team, std::string_view const job, millis const declared, millis const actual) {
+    if(declared.count() <= 0) {
+        return;
+    }
+    auto const ratio = static_cast<double>(actual.count()) / static_cast<double>(declared.count());
+    auto &known = insert(team, job).run_ratio;
+    known += internal::newest_weight * (std::clamp(ratio, internal::ratio_floor, internal::ratio_ceiling) - known);
+}
+
+void run_history::record_use(std::string_view const team, std::string_view const job, resources const &used) {
+    auto &known = insert(team, job).used;
+    known = max_of(known, used);
+}
+
+millis run_history::expected_run(std::string_view const team, std::string_view const job, millis const declared) const {
+    auto const *known = find(team, job);
+    auto const ratio = known == nullptr ? 1.0 : known->run_ratio;
+    return millis{static_cast<std::int64_t>(ratio * static_cast<double>(declared.count()))};
+}
+
+resources run_history::expected_size(std::string_view const team, std::string_view const job, resources const &declared) const {
+    auto const *known = find(team, job);
+    return known == nullptr ? declared : max_of(declared, known->used);
+}
+
+run_history::entry const *run_history::find(std::string_view const team, std::string_view const job) const {
+    if(entries_.empty()) {
+        return nullptr;
+    }
+    auto const found = entries_.find(internal::history_key(team, job));
+    return found == entries_.end() ? nullptr : &found->second;
+}
+
+run_history::entry &run_history::insert(std::string_view const team, std::string_view const job) {
+    if(entries_.size() >= internal::history_limit) {
+        entries_.erase(entries_.begin());
+    }
+    return entries_[internal::history_key(team, job)];
+}
+
+} // namespace kingcuplink
