--- /dev/null
+++ b/src/kingcuplink/authority/fwd.hpp
@@ -0,0 +1,18 @@
+#ifndef KINGCUPLINK_AUTHORITY_FWD_HPP_INCLUDED
+#define KINGCUPLINK_AUTHORITY_FWD_HPP_INCLUDED
+
+namespace kingcuplink {
+
+class leadership;
+
+class hold_table;
+
+class allotment_fold;
+
+class job_book;
+
+struct job_event;
+
+} // namespace kingcuplink
+
+#endif
