--- /dev/null
+++ b/src/kingcuplink/admission/fair_queue.cpp
@@ -0,0 +1,127 @@
+#include <algorithm>
+#include <kingcuplink/admission/fair_queue.hpp>
+#include <kingcuplink/core/config.hpp>
+
+namespace kingcuplink {
+
+namespace internal {
+
+constexpr millis rate_interval{500};
+constexpr double newest_rate_weight = 0.5;
+
+} // namespace internal
+
+void fair_queue::set_limits(std::vector<team_limits> const &limits) {
+    for(auto &[name, team]: teams_) {
+        team.most_running = 0;
+    }
+    for(auto const &item: limits) {
+        auto &team = teams_[item.name];
+        team.share = item.share;
+        team.most_running = item.most_running;
+    }
+}
+
+result<fair_queue::ticket> fair_queue::push(std::string_view const name, instant const deadline, instant const now) {
+    auto const found = teams_.find(name);
+    if(found == teams_.end() || found->second.most_running == 0) {
+        return refuse(refusal::ceiling_reached, "team " + std::string{name} + " may run no request here");
+    }
+    auto &team = found->second;
+    if(team.requests.size() >= config::queued_requests_per_team) {
+        return refuse(refusal::queue_full, std::to_string(team.requests.size()) + " requests of team " + found->first + " wait");
+    }
+    auto const wait = expected_wait(name);
+    if(now + wait >= deadline) {
+        return refuse(refusal::deadline_too_short, "expected wait is " + std::to_string(wait.count()) + " ms");
+    }
+    if(team.requests.empty()) {
+        team.virtual_time = std::max(team.virtual_time, virtual_time_);
+    }
+    auto const id = ++next_ticket_;
+    team.requests.push_back({id, deadline});
+    tickets_.emplace(id, found->first);
+    return id;
+}
+
+fair_queue::team_queue *fair_queue::next_team() {
+    team_queue *best = nullptr;
+    for(auto &[name, team]: teams_) {
+        auto const is_open = !team.requests.empty() && team.running < team.most_running;
+        if(is_open && (best == nullptr || team.virtual_time < best->virtual_time)) {
+            best = &team;
+        }
+    }
+    return best;
+}
+
+std::optional<fair_queue::ticket> fair_queue::pop(instant const now) {
+    for(auto *team = next_team(); team != nullptr; team = next_team()) {
+        auto const request = team->requests.front();
+        team->requests.pop_front();
+        tickets_.erase(request.id);
+        if(request.deadline <= now) {
+            continue;
+        }
+        virtual_time_ = team->virtual_time;
+        team->virtual_time += 1.0 / static_cast<double>(team->share);
+        ++team->running;
+        ++running_;
+        return request.id;
+    }
+    return std::nullopt;
+}
+
+bool fair_queue::erase(ticket const value) {
+    auto const found = tickets_.find(value);
+    if(found == tickets_.end()) {
+        return false;
+    }
+    std::erase_if(teams_.find(found->second)->second.requests, [&](auto const &request) { return request.id == value; });
+    tickets_.erase(found);
+    return true;
+}
+
+void fair_queue::finished(std::string_view const name, instant const now) {
+    if(auto const found = teams_.find(name); found != teams_.end()) {
+        --found->second.running;
+        --running_;
+        count_service(now);
+    }
+}
+
+void fair_queue::count_service(instant const now) {
+    ++ended_;
+    auto const passed = now - interval_began_;
+    if(passed < internal::rate_interval) {
+        return;
+    }
+    auto const rate = static_cast<double>(ended_) * 1'000.0 / static_cast<double>(passed.count());
+    ended_per_second_ += internal::newest_rate_weight * (rate - ended_per_second_);
+    ended_ = 0;
+    interval_began_ = now;
+}
+
+std::size_t fair_queue::waiting() const noexcept {
+    return tickets_.size();
+}
+
+std::int64_t fair_queue::running() const noexcept {
+    return running_;
+}
+
+millis fair_queue::expected_wait(std::string_view const name) const {
+    auto const found = teams_.find(name);
+    if(found == teams_.end() || found->second.requests.empty() || ended_per_second_ <= 0.0) {
+        return millis{};
+    }
+    std::int64_t active{};
+    for(auto const &[other, team]: teams_) {
+        active += team.requests.empty() ? 0 : team.share;
+    }
+    auto const part = static_cast<double>(found->second.share) / static_cast<double>(std::max<std::int64_t>(active, 1));
+    auto const seconds = static_cast<double>(found->second.requests.size()) / (ended_per_second_ * part);
+    return millis{static_cast<std::int64_t>(seconds * 1'000.0)};
+}
+
+} // namespace kingcuplink
--- /dev/null
+++ b/src/kingcuplink/admission/fair_queue.hpp
@@ -0,0 +1,91 @@
+#ifndef KINGCUPLINK_ADMISSION_FAIR_QUEUE_HPP_INCLUDED
+#define KINGCUPLINK_ADMISSION_FAIR_QUEUE_HPP_INCLUDED
+
+#include <cstdint>
+#include <deque>
+#include <kingcuplink/core/result.hpp>
+#include <kingcuplink/core/time.hpp>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace kingcuplink {
+
+/*! Terms of a team in one entry VM. */
+struct team_limits {
+    std::string name;
+    std::int64_t share{1};
+    /*! The most requests of the team that may run at once through this entry VM. */
+    std::int64_t most_running{};
+};
+
+/*!
+ * Requests that wait for a runner: a bounded queue for each team, served in
+ * turns weighted by share. Requests that cannot be served before their deadline
+ * are refused at once. No I/O, no clock. Not thread safe.
+ */
+class fair_queue {
+public:
+    using ticket = std::uint64_t;
+
+    /*! Replaces the terms of all teams; what waits or runs stays. */
+    void set_limits(std::vector<team_limits> const &limits);
+
+    /*!
+     * Lets a request wait.
+     * @param deadline Time by which its answer is due.
+     * @return Its ticket. Refuses if the team's queue is full or the wait would pass the deadline.
+     */
+    [[nodiscard]] result<ticket> push(std::string_view team, instant deadline, instant now);
+
+    /*! Takes the request whose turn it is, and counts it as running. */
+    [[nodiscard]] std::optional<ticket> pop(instant now);
+
+    /*! Removes a request that still waits; false if it does not wait. */
+    bool erase(ticket value);
+
+    /*! Notes that a request that pop() took has ended. */
+    void finished(std::string_view team, instant now);
+
+    /*! Returns the number of requests that wait. */
+    [[nodiscard]] std::size_t waiting() const noexcept;
+
+    /*! Returns the number of requests that run. */
+    [[nodiscard]] std::int64_t running() const noexcept;
+
+    /*! Returns the wait that a new request of a team can expect. */
+    [[nodiscard]] millis expected_wait(std::string_view team) const;
+
+private:
+    struct waiting_request {
+        ticket id;
+        instant deadline;
+    };
+
+    struct team_queue {
+        std::int64_t share{1};
+        std::int64_t most_running{};
+        std::int64_t running{};
+        double virtual_time{};
+        std::deque<waiting_request> requests{};
+    };
+
+    [[nodiscard]] team_queue *next_team();
+    void count_service(instant now);
+
+    std::map<std::string, team_queue, std::less<>> teams_;
+    std::map<ticket, std::string> tickets_;
+    ticket next_ticket_{};
+    double virtual_time_{};
+    std::int64_t running_{};
+    /*! Requests that ended in the current interval, and the rate of the intervals before. */
+    std::int64_t ended_{};
+    instant interval_began_{};
+    double ended_per_second_{};
+};
+
+} // namespace kingcuplink
+
+#endif
