--- /dev/null
+++ b/src/kingcuplink/wire/peer_link.hpp
@@ -0,0 +1,75 @@
+#ifndef KINGCUPLINK_WIRE_PEER_LINK_HPP_INCLUDED
+#define KINGCUPLINK_WIRE_PEER_LINK_HPP_INCLUDED
+
+#include <functional>
+#include <kingcuplink/core/counters.hpp>
+#include <kingcuplink/wire/generated/messages.pb.h>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <zmq.hpp>
+
+namespace kingcuplink {
+
+/*!
+ * Messages to and from the other entry VMs over ZeroMQ. Sending never blocks:
+ * a message to a peer that cannot be reached, or whose queue is full, is counted
+ * and dropped. Received messages are checked before they are handed on.
+ *
+ * All methods must be called by one thread. The receiver is called by another.
+ */
+class peer_link {
+public:
+    using receiver = std::function<void(wire::envelope)>;
+
+    /*!
+     * Opens the socket on which peers are heard.
+     * @param self Name of this entry VM.
+     * @param address IP number and port to listen on.
+     * @param stats Counters; they must outlive the link.
+     * @param on_message Called for each valid message, by the link's own thread.
+     * Throws zmq::error_t if the address cannot be bound.
+     */
+    peer_link(std::string self, std::string const &address, counters &stats, receiver on_message);
+
+    /*! Closes all sockets and joins the thread. */
+    ~peer_link();
+
+    peer_link(peer_link const &) = delete;
+    peer_link &operator=(peer_link const &) = delete;
+
+    /*! Connects to a peer; nothing happens if it is connected to that address. */
+    void connect(std::string const &peer, std::string const &address);
+
+    /*! Closes the connection to a peer. */
+    void disconnect(std::string const &peer);
+
+    /*!
+     * Sends a message. Its version and sender are filled in.
+     * @return False if it was dropped.
+     */
+    bool send(std::string const &peer, wire::envelope &message);
+
+private:
+    struct connection {
+        std::string address;
+        zmq::socket_t socket;
+    };
+
+    void receive_loop();
+    void handle(zmq::message_t const &frame);
+
+    std::string self_;
+    counters &stats_;
+    receiver on_message_;
+    zmq::context_t context_;
+    zmq::socket_t inbox_;
+    std::map<std::string, connection> peers_;
+    std::thread thread_;
+};
+
+} // namespace kingcuplink
+
+#endif
