Add the daemon: document, jobs, allotments and reigns on one control thread

GCC 12 destroys aggregate temporaries twice when they are arguments of co_await: the leader ended with 'munmap_chunk(): invalid pointer' at its first start.

--- /dev/null
+++ b/src/kingcuplink/daemon/control_api.cpp
@@ -0,0 +1,280 @@
+#include <algorithm>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <glog/logging.h>
+#include <kingcuplink/admission/key_check.hpp>
+#include <kingcuplink/core/hash.hpp>
+#include <kingcuplink/core/json_reader.hpp>
+#include <kingcuplink/daemon/control_plane.hpp>
+
+namespace kingcuplink {
+
+namespace internal {
+
+using verb = boost::beast::http::verb;
+
+std::string text_in(boost::json::object const &object, std::string_view const name) {
+    auto const *value = object.if_contains(name);
+    return value == nullptr || !value->is_string() ? std::string{} : std::string{value->get_string()};
+}
+
+/*! Makes an answer of a peer's. */
+api_answer answer_of(peer_answer answer) {
+    return {.refused = std::move(answer.refused), .status = 200, .body = std::move(answer.body)};
+}
+
+/*! Returns the failure domain that a job's key begins with. */
+std::string domain_in(std::string const &key) {
+    return key.substr(0u, key.find('.'));
+}
+
+} // namespace internal
+
+boost::asio::awaitable<api_answer> control_plane::serve(api_request request) {
+    if(request.path.size() == 1u && request.path[0] == "status") {
+        co_return status();
+    }
+    if(request.path.size() >= 2u && request.path[0] == "v1") {
+        if(request.path[1] == "document") {
+            co_return co_await documents_.serve(std::move(request));
+        }
+        if(request.path[1] == "jobs") {
+            co_return co_await serve_jobs(std::move(request));
+        }
+        if(request.path[1] == "faults" && settings_.allow_faults) {
+            co_return set_faults(request);
+        }
+    }
+    co_return api_answer{.refused = problem{refusal::route_unknown, "no such route"}};
+}
+
+boost::asio::awaitable<api_answer> control_plane::serve_jobs(api_request request) {
+    auto const rules = documents_.current();
+    if(rules == nullptr) {
+        co_return api_answer{.refused = problem{refusal::no_configuration}};
+    }
+    problem failure;
+    auto team = value_of([&]() { return team_of_key(*rules, request.key); }, failure);
+    if(!team && is_operator(request.key) && request.method != internal::verb::post) {
+        team = std::string{};
+    }
+    if(!team) {
+        co_return api_answer{.refused = failure};
+    }
+    if(request.path.size() == 2u && request.method == internal::verb::post) {
+        co_return co_await submit_job(*team, request);
+    }
+    if(request.path.size() == 2u && request.method == internal::verb::get) {
+        co_return co_await list_jobs(*team);
+    }
+    auto const is_cancel = request.method == internal::verb::delete_;
+    if(request.path.size() == 3u && (is_cancel || request.method == internal::verb::get)) {
+        co_return co_await find_job(request.path[2], *team, is_cancel);
+    }
+    co_return api_answer{.refused = problem{refusal::route_unknown, "no such route"}};
+}
+
+bool control_plane::is_operator(std::string const &key) const {
+    if(key.empty()) {
+        return false;
+    }
+    auto const hash = sha256_hex(key);
+    auto const &owners = documents_.current()->owners;
+    return std::any_of(owners.begin(), owners.end(), [&](auto const &hashes) { return std::find(hashes.begin(), hashes.end(), hash) != hashes.end(); });
+}
+
+std::string control_plane::new_job_key(std::string const &domain) {
+    return domain + "." + sha256_hex(settings_.name + std::to_string(random_()) + std::to_string(random_())).substr(0u, 16u);
+}
+
+std::string control_plane::domain_for_new_jobs() const {
+    auto const now = current_time();
+    auto const &rules = *documents_.current();
+    auto const *own = find_domain(rules, settings_.failure_domain);
+    if(own != nullptr && own->state == domain_state::in) {
+        return own->name;
+    }
+    for(auto const &domain: rules.failure_domains) {
+        if(domain.state == domain_state::in && !peers_.leader_of(domain.name, now).empty()) {
+            return domain.name;
+        }
+    }
+    return {};
+}
+
+boost::asio::awaitable<api_answer> control_plane::submit_job(std::string team, api_request const &request) {
+    job_spec spec;
+    auto const rules = documents_.current();
+    auto const refused = problem_of([&]() -> result<void> {
+        BOOST_LEAF_AUTO(value, parse_json(request.body, refusal::job_malformed));
+        BOOST_LEAF_ASSIGN(spec, parse_job(value, team));
+        return check_job(spec, *rules);
+    });
+    if(refused) {
+        co_return api_answer{.refused = refused};
+    }
+    auto const domain = domain_for_new_jobs();
+    if(domain.empty()) {
+        co_return api_answer{.refused = problem{refusal::no_leader, "no failure domain takes jobs"}};
+    }
+    boost::json::object body{{"job", new_job_key(domain)}, {"team", team}, {"spec", to_json(spec)}};
+    LOG(INFO) << "jobs: submit request=" << request.request_id << " job=" << internal::text_in(body, "job") << " team=" << team;
+    auto answer = co_await ask_domain(domain, wire::CALL_JOB_SUBMIT, std::move(body));
+    answer.status = 201;
+    co_return answer;
+}
+
+boost::asio::awaitable<api_answer> control_plane::ask_domain(std::string domain, wire::call_kind const kind, boost::json::object body) {
+    if(domain == settings_.failure_domain && reign_ != nullptr) {
+        co_return co_await answer_call(kind, std::move(body));
+    }
+    auto const leader = peers_.leader_of(domain, current_time());
+    if(leader.empty()) {
+        co_return api_answer{.refused = problem{refusal::no_leader, "failure domain " + domain}};
+    }
+    co_return internal::answer_of(co_await peers_.call(leader, kind, std::move(body), config::peer_timeout));
+}
+
+boost::asio::awaitable<api_answer> control_plane::find_job(std::string key, std::string team, bool const cancel) {
+    auto const rules = documents_.current();
+    std::vector<std::string> domains{internal::domain_in(key)};
+    for(auto const &domain: rules->failure_domains) {
+        if(domain.name != domains.front()) {
+            domains.push_back(domain.name);
+        }
+    }
+    auto const kind = cancel ? wire::CALL_JOB_CANCEL : wire::CALL_JOB_GET;
+    api_answer last{.refused = problem{refusal::job_unknown, key}};
+    for(std::size_t pos{}; pos < domains.size(); ++pos) {
+        boost::json::object body{{"job", key}, {"team", team}};
+        auto answer = co_await ask_domain(domains[pos], kind, std::move(body));
+        if(answer.refused) {
+            last = answer.refused->reason == refusal::job_unknown && last.refused->reason != refusal::job_unknown ? last : answer;
+            continue;
+        }
+        auto const *object = answer.body.if_object();
+        auto const is_moved = object != nullptr && internal::text_in(*object, "state") == "moved";
+        if(!is_moved) {
+            co_return answer;
+        }
+        last = answer;
+    }
+    co_return last;
+}
+
+boost::asio::awaitable<api_answer> control_plane::list_jobs(std::string team) {
+    auto const rules = documents_.current();
+    boost::json::array jobs;
+    boost::json::array silent;
+    for(auto const &domain: rules->failure_domains) {
+        boost::json::object body{{"team", team}};
+        auto const answer = co_await ask_domain(domain.name, wire::CALL_JOB_LIST, std::move(body));
+        if(answer.refused || !answer.body.is_array()) {
+            silent.emplace_back(domain.name);
+            continue;
+        }
+        jobs.insert(jobs.end(), answer.body.get_array().begin(), answer.body.get_array().end());
+    }
+    co_return api_answer{.body = boost::json::object{{"jobs", std::move(jobs)}, {"no_answer_from", std::move(silent)}}};
+}
+
+boost::asio::awaitable<api_answer> control_plane::answer_call(wire::call_kind const kind, boost::json::object body) {
+    auto const reign = reign_;
+    if(kind == wire::CALL_BOOK) {
+        co_return api_answer{.body = jobs_.book_of(internal::text_in(body, "domain"))};
+    }
+    if(reign == nullptr) {
+        co_return api_answer{.refused = problem{refusal::no_leader, "entry VM " + settings_.name + " does not lead"}};
+    }
+    auto const key = internal::text_in(body, "job");
+    auto const team = internal::text_in(body, "team");
+    switch(kind) {
+    case wire::CALL_JOB_SUBMIT: {
+        job_spec spec;
+        auto const refused = problem_of([&]() -> result<void> { BOOST_LEAF_ASSIGN(spec, parse_job(body["spec"], team)); return {}; });
+        if(refused) {
+            co_return api_answer{.refused = refused};
+        }
+        co_return co_await reign->submit(key, std::move(spec));
+    }
+    case wire::CALL_JOB_GET:
+    case wire::CALL_JOB_CANCEL: {
+        auto answer = reign->describe(key);
+        auto const *object = answer.body.if_object();
+        if(!answer.refused && !team.empty() && (object == nullptr || internal::text_in(*object, "team") != team)) {
+            co_return api_answer{.refused = problem{refusal::job_unknown, key}};
+        }
+        if(!answer.refused && kind == wire::CALL_JOB_CANCEL && internal::text_in(*object, "state") != "moved") {
+            answer = reign->cancel(key);
+        }
+        co_return answer;
+    }
+    case wire::CALL_JOB_LIST:
+        co_return api_answer{.body = reign->list(team)};
+    case wire::CALL_ALLOTMENT: {
+        auto const *wanted = body.if_contains("wanted");
+        auto const amount = wanted == nullptr || !wanted->is_object() ? resources{} : resources_from_json(wanted->get_object());
+        co_return co_await reign->donate(team, internal::text_in(body, "to"), amount);
+    }
+    default:
+        co_return api_answer{.refused = problem{refusal::request_malformed, "unknown call"}};
+    }
+}
+
+boost::asio::awaitable<void> control_plane::handle_call(std::string peer, wire::call call) {
+    boost::system::error_code error;
+    auto body = boost::json::parse(call.json(), error);
+    api_answer answer{.refused = problem{refusal::request_malformed, "call"}};
+    if(!error && call.kind() == wire::CALL_JOB_HANDOVER && reign_ != nullptr) {
+        answer = co_await reign_->take_over_job(std::move(body));
+    } else if(!error && body.is_object()) {
+        answer = co_await answer_call(call.kind(), std::move(body.get_object()));
+    }
+    peers_.reply(peer, call.id(), {.refused = answer.refused, .body = std::move(answer.body)});
+}
+
+api_answer control_plane::status() {
+    auto const now = current_time();
+    auto const gauges = router_.gauges();
+    boost::json::object body{{"entry_vm", settings_.name}, {"failure_domain", settings_.failure_domain}};
+    body["role"] = lead_.role() == authority_role::leader ? "leader" : "standby";
+    body["leader"] = lead_.leader(now);
+    body["term"] = static_cast<std::int64_t>(lead_.term());
+    body["document_offset"] = static_cast<std::int64_t>(documents_.offset());
+    body["log_reachable"] = documents_.log_reachable(now);
+    body["cut_off"] = is_cut_off(now);
+    body["draining"] = draining_;
+    body["requests"] = boost::json::object{{"waiting", gauges.waiting}, {"running", gauges.running}, {"free_slots", gauges.free_slots}, {"usable_slots", gauges.usable_slots}, {"runners_sidelined", gauges.sidelined}};
+    boost::json::array peers;
+    for(auto const &[name, peer]: peers_.peers()) {
+        peers.push_back(boost::json::object{{"entry_vm", name}, {"failure_domain", peer.domain}, {"live", peers_.is_live(peer, now)}, {"leads", peer.leads}, {"document_offset", static_cast<std::int64_t>(peer.document_offset)}});
+    }
+    body["peers"] = std::move(peers);
+    if(reign_ != nullptr) {
+        body["reign"] = reign_->status();
+    }
+    return {.body = std::move(body)};
+}
+
+api_answer control_plane::set_faults(api_request const &request) {
+    std::set<std::string> names;
+    auto const refused = problem_of([&]() -> result<void> {
+        BOOST_LEAF_AUTO(value, parse_json(request.body, refusal::request_malformed));
+        BOOST_LEAF_AUTO(reader, json_reader::open(value, "faults", refusal::request_malformed));
+        BOOST_LEAF_AUTO(list, reader.array_or_empty("refuse"));
+        for(auto const &name: *list) {
+            if(name.is_string()) {
+                names.emplace(name.get_string());
+            }
+        }
+        return {};
+    });
+    if(refused) {
+        return {.refused = refused};
+    }
+    platform_.set_refused(names.contains("platform"));
+    peers_.refuse_peers(std::move(names));
+    return {.body = boost::json::object{{"done", true}}};
+}
+
+} // namespace kingcuplink
--- /dev/null
+++ b/src/kingcuplink/daemon/control_plane.cpp
@@ -0,0 +1,264 @@
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <glog/logging.h>
+#include <kingcuplink/core/hash.hpp>
+#include <kingcuplink/daemon/control_plane.hpp>
+#include <kingcuplink/daemon/pause.hpp>
+#include <kingcuplink/routing/slot_share.hpp>
+
+namespace kingcuplink {
+
+namespace internal {
+
+constexpr millis clock_interval{100};
+constexpr std::size_t idle_worker_connections = 4u;
+
+} // namespace internal
+
+control_plane::control_plane(boost::asio::io_context &context, daemon_settings const &settings, request_router &router, counters &stats)
+    : context_{context},
+      settings_{settings},
+      router_{router},
+      stats_{stats},
+      http_{context, stats, internal::idle_worker_connections},
+      platform_{http_, settings.platform_address},
+      workers_{http_},
+      peers_{context, settings, stats, [this](wire::envelope const &message) { handle(message); }},
+      jobs_{context, settings, platform_, peers_, stats},
+      allotments_{context, settings, platform_, stats},
+      lead_{settings.failure_domain, settings.name, current_time()},
+      documents_{context, settings, platform_, peers_, stats, [this](auto const &rules) { document_changed(rules); }},
+      random_{std::random_device{}()} {}
+
+void control_plane::start() {
+    documents_.start();
+    jobs_.on_book_changed([this]() {
+        if(reign_ != nullptr) {
+            reign_->load_book();
+        }
+    });
+    jobs_.start();
+    allotments_.start();
+    boost::asio::co_spawn(context_, heartbeat_loop(), boost::asio::detached);
+    boost::asio::co_spawn(context_, remote_heartbeat_loop(), boost::asio::detached);
+    boost::asio::co_spawn(context_, clock_loop(), boost::asio::detached);
+    boost::asio::co_spawn(context_, vm_list_loop(), boost::asio::detached);
+}
+
+void control_plane::resign() {
+    draining_ = true;
+    apply(lead_.resign());
+    send_heartbeats(true, true);
+    send_heartbeats(false, true);
+}
+
+boost::asio::io_context &control_plane::context() noexcept {
+    return context_;
+}
+
+void control_plane::handle(wire::envelope const &message) {
+    auto const &peer = message.sender();
+    switch(message.body_case()) {
+    case wire::envelope::kHeartbeat:
+        handle_heartbeat(peer, message.heartbeat());
+        break;
+    case wire::envelope::kDocumentRequest:
+        documents_.send_copy(peer);
+        break;
+    case wire::envelope::kDocumentCopy:
+        documents_.take_copy(message.document_copy().json());
+        break;
+    case wire::envelope::kMirror:
+        jobs_.take_mirror(peer, message.mirror());
+        break;
+    case wire::envelope::kMirrorAck:
+        jobs_.take_ack(peer, message.mirror_ack());
+        break;
+    case wire::envelope::kCall:
+        boost::asio::co_spawn(context_, handle_call(peer, message.call()), boost::asio::detached);
+        break;
+    case wire::envelope::kReply:
+        peers_.replied(message.reply());
+        break;
+    default:
+        stats_.add(event::peer_message_malformed);
+        break;
+    }
+}
+
+void control_plane::handle_heartbeat(std::string const &peer, wire::heartbeat const &beat) {
+    auto const now = current_time();
+    peers_.heard(peer, beat, now);
+    documents_.consider_peer(peer, beat.document_offset());
+    if(beat.domain() != settings_.failure_domain) {
+        return;
+    }
+    if(beat.farewell()) {
+        lead_.left(peer, now);
+    } else {
+        apply(lead_.heard(peer, beat.leads(), beat.term(), now));
+    }
+}
+
+void control_plane::apply(role_change const change) {
+    switch(change) {
+    case role_change::took_over:
+        stats_.add(event::leadership_taken);
+        begin_reign();
+        break;
+    case role_change::raised_term:
+        end_reign();
+        begin_reign();
+        break;
+    case role_change::stepped_down:
+        stats_.add(event::leadership_lost);
+        end_reign();
+        break;
+    case role_change::none:
+        break;
+    }
+}
+
+void control_plane::begin_reign() {
+    jobs_.set_leading(true);
+    allotments_.set_leading(true, lead_.term());
+    reign_parts const parts{context_, settings_, stats_, workers_, peers_, jobs_, allotments_, lead_};
+    reign_ = std::make_shared<domain_reign>(parts, lead_.term(), documents_.current(), [this](std::uint64_t const term) { apply(lead_.refused(term, current_time())); });
+    reign_->start();
+    reign_->update(vms_, current_time());
+    send_heartbeats(true, false);
+}
+
+void control_plane::end_reign() {
+    LOG(WARNING) << "leader: reign ends domain=" << settings_.failure_domain << " term=" << lead_.term();
+    reign_->end();
+    reign_.reset();
+    jobs_.set_leading(false);
+    allotments_.set_leading(false, 0u);
+    if(auto const leader = lead_.leader(current_time()); !leader.empty() && leader != settings_.name) {
+        jobs_.offer_book(leader);
+    }
+}
+
+void control_plane::document_changed(std::shared_ptr<document const> const &rules) {
+    peers_.update(*rules);
+    std::vector<std::string> members;
+    if(auto const *domain = find_domain(*rules, settings_.failure_domain); domain != nullptr) {
+        std::transform(domain->entry_vms.begin(), domain->entry_vms.end(), std::back_inserter(members), [](auto const &vm) { return vm.name; });
+    }
+    lead_.set_members(members);
+    if(reign_ != nullptr) {
+        reign_->update(rules);
+    }
+    publish_view();
+}
+
+boost::asio::awaitable<void> control_plane::heartbeat_loop() {
+    while(true) {
+        send_heartbeats(true, false);
+        co_await pause(context_, config::heartbeat_interval);
+    }
+}
+
+boost::asio::awaitable<void> control_plane::remote_heartbeat_loop() {
+    while(true) {
+        send_heartbeats(false, false);
+        co_await pause(context_, config::remote_heartbeat_interval);
+    }
+}
+
+void control_plane::send_heartbeats(bool const to_own_domain, bool const farewell) {
+    if(draining_ && !farewell) {
+        return;
+    }
+    auto const now = current_time();
+    wire::envelope message;
+    auto &beat = *message.mutable_heartbeat();
+    beat.set_domain(settings_.failure_domain);
+    beat.set_leads(lead_.role() == authority_role::leader);
+    beat.set_term(lead_.term());
+    beat.set_document_offset(documents_.offset());
+    beat.set_log_reachable(documents_.log_reachable(now));
+    beat.set_free_slots(router_.gauges().free_slots);
+    beat.set_draining(draining_);
+    beat.set_farewell(farewell);
+    for(auto const &[name, peer]: peers_.peers()) {
+        if((peer.domain == settings_.failure_domain) == to_own_domain) {
+            peers_.send(name, message);
+        }
+    }
+}
+
+boost::asio::awaitable<void> control_plane::clock_loop() {
+    auto last = current_time();
+    while(true) {
+        co_await pause(context_, internal::clock_interval);
+        auto const now = current_time();
+        if(now - last >= config::pause_threshold && reign_ != nullptr) {
+            reign_->paused();
+        }
+        last = now;
+        if(documents_.current() != nullptr && !draining_) {
+            apply(lead_.tick(now));
+        }
+        http_.close_old();
+        publish_view();
+    }
+}
+
+boost::asio::awaitable<void> control_plane::vm_list_loop() {
+    while(true) {
+        if(auto list = co_await platform_.vms(); list) {
+            vms_ = std::move(*list);
+            if(reign_ != nullptr) {
+                reign_->update(vms_, current_time());
+            }
+        }
+        co_await pause(context_, config::vm_list_poll);
+    }
+}
+
+bool control_plane::is_cut_off(instant const now) const {
+    return !documents_.log_reachable(now) && !peers_.hears_other_domain(now);
+}
+
+void control_plane::publish_view() {
+    auto const &rules = documents_.current();
+    if(rules == nullptr) {
+        return;
+    }
+    auto const now = current_time();
+    auto view = std::make_shared<fleet_view>();
+    view->rules = rules;
+    view->cut_off = is_cut_off(now);
+    auto const members = peers_.live_members(now, config::slot_takeover_delay);
+    std::vector<std::string> entry_vms;
+    for(auto const &domain: rules->failure_domains) {
+        for(auto const &vm: domain.entry_vms) {
+            entry_vms.push_back(vm.name);
+        }
+        if(domain.name != settings_.failure_domain) {
+            continue;
+        }
+        for(auto const &runner: domain.runners) {
+            auto const usable = domain.state == domain_state::in && !vms_.leaving.contains(runner.name);
+            view->runners.push_back({.name = runner.name, .address = runner.address, .slots = slot_share(runner.name, runner.slots, members, settings_.name), .usable = usable});
+        }
+    }
+    for(auto const &team: rules->teams) {
+        view->limits.push_back({.name = team.name, .share = team.share, .most_running = slot_share(team.name, team.request_ceiling, entry_vms, settings_.name)});
+    }
+    for(auto const &[name, peer]: peers_.peers()) {
+        auto const *domain = find_domain(*rules, peer.domain);
+        auto const takes_requests = domain != nullptr && domain->name != settings_.failure_domain && domain->state == domain_state::in;
+        if(takes_requests && !peer.draining && peers_.is_live(peer, now)) {
+            view->spill_targets.push_back({.name = name, .http_address = peer.http_address, .free_slots = peer.free_slots});
+        }
+    }
+    router_.publish(std::move(view));
+}
+
+} // namespace kingcuplink
--- /dev/null
+++ b/src/kingcuplink/daemon/domain_reign.cpp
@@ -0,0 +1,344 @@
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <glog/logging.h>
+#include <kingcuplink/daemon/domain_reign.hpp>
+#include <kingcuplink/daemon/pause.hpp>
+
+namespace kingcuplink {
+
+namespace internal {
+
+constexpr millis gather_limit{1'500};
+constexpr millis kept_timeout{2'000};
+constexpr millis recovery_poll{20};
+constexpr millis journal_retry{2'000};
+/*! Attempts that one term may number. */
+constexpr std::uint32_t attempts_per_term = 10'000u;
+
+task_state final_state_named(std::string_view const name) {
+    for(auto const state: {task_state::succeeded, task_state::failed, task_state::cancelled, task_state::may_have_run}) {
+        if(name_of(state) == name) {
+            return state;
+        }
+    }
+    return task_state::may_have_run;
+}
+
+} // namespace internal
+
+domain_reign::domain_reign(reign_parts parts, std::uint64_t const term, std::shared_ptr<document const> rules, fenced_listener on_fenced)
+    : parts_{parts}, term_{term}, rules_{std::move(rules)}, on_fenced_{std::move(on_fenced)}, began_{current_time()}, scheduler_{{.first_attempt = static_cast<std::uint32_t>(term) * internal::attempts_per_term}} {}
+
+void domain_reign::start() {
+    LOG(INFO) << "leader: reign begins domain=" << parts_.settings.failure_domain << " term=" << term_;
+    update(rules_);
+    load_book();
+    boost::asio::co_spawn(parts_.context, recover(shared_from_this()), boost::asio::detached);
+    boost::asio::co_spawn(parts_.context, run_planner(shared_from_this()), boost::asio::detached);
+    boost::asio::co_spawn(parts_.context, run_duties(shared_from_this()), boost::asio::detached);
+}
+
+void domain_reign::end() noexcept {
+    over_ = true;
+}
+
+void domain_reign::update(std::shared_ptr<document const> rules) {
+    rules_ = std::move(rules);
+    for(auto const &team: rules_->teams) {
+        scheduler_.set_team(team.name, team.share);
+    }
+    scheduler_.set_policies(rules_->policies);
+    add_workers();
+    for(auto &[name, slot]: slots_) {
+        refresh_usable(slot);
+    }
+    kicked_ = true;
+}
+
+void domain_reign::update(vm_list const &vms, instant const now) {
+    for(auto &[name, slot]: slots_) {
+        auto const is_leaving = vms.leaving.contains(name);
+        if(is_leaving && !slot.leaving) {
+            scheduler_.drain(slot.id);
+        }
+        slot.leaving = is_leaving;
+        auto const is_gone = !is_leaving && !vms.live.empty() && !vms.live.contains(name);
+        slot.gone_since = !is_gone ? instant{} : slot.gone_since == instant{} ? now : slot.gone_since;
+        refresh_usable(slot);
+    }
+}
+
+bool domain_reign::takes_work() const {
+    auto const *domain = find_domain(*rules_, parts_.settings.failure_domain);
+    return domain != nullptr && domain->state == domain_state::in;
+}
+
+boost::asio::awaitable<void> domain_reign::recover([[maybe_unused]] self_pointer self) {
+    auto const gather_end = current_time() + internal::gather_limit;
+    auto const complete = std::make_shared<std::optional<bool>>();
+    boost::asio::co_spawn(
+        parts_.context, [self, complete]() -> boost::asio::awaitable<void> { *complete = co_await self->parts_.jobs.gather(); }, boost::asio::detached);
+    while(!complete->has_value() && current_time() < gather_end) {
+        co_await pause(parts_.context, internal::recovery_poll);
+    }
+    load_book();
+    recovered_ = true;
+    kicked_ = true;
+    while(!over_ && !complete->value_or(false)) {
+        if(complete->has_value()) {
+            co_await pause(parts_.context, internal::journal_retry);
+            *complete = co_await parts_.jobs.gather();
+        } else {
+            co_await pause(parts_.context, internal::recovery_poll);
+        }
+    }
+    if(!over_) {
+        load_book();
+        journal_read_ = true;
+        kicked_ = true;
+    }
+}
+
+void domain_reign::load_book() {
+    if(over_) {
+        return;
+    }
+    for(auto const &[key, entry]: parts_.jobs.book().entries()) {
+        if(!accepting_.contains(key)) {
+            load_entry(key, entry);
+        }
+    }
+    for(auto &[name, slot]: slots_) {
+        if(!slot.unknown.empty()) {
+            slot.version = 0u;
+        }
+    }
+}
+
+void domain_reign::load_entry(std::string const &key, book_entry const &entry) {
+    auto const now = current_time();
+    auto const is_over = !entry.ended.empty() || !entry.moved_to.empty();
+    auto const known = scheduler_.job_of(key);
+    if(!entry.accepted || (is_over && !known)) {
+        if(!entry.moved_to.empty() && entry.ended.empty() && handovers_.insert(key).second) {
+            boost::asio::co_spawn(parts_.context, send_handover(shared_from_this(), key, entry.moved_to), boost::asio::detached);
+        }
+        return;
+    }
+    auto const is_new = !known || scheduler_.find(*known)->state == job_state::moved;
+    if(is_new && is_over) {
+        return;
+    }
+    auto const job = is_new ? scheduler_.submit(key, entry.spec, entry.accepted_at, true) : *known;
+    withheld_left_ = withheld_left_ || is_new;
+    auto const tasks = scheduler_.find(job)->tasks;
+    for(auto const task: tasks) {
+        auto const *record = scheduler_.find(task);
+        if(record == nullptr || record->state != task_state::withheld) {
+            continue;
+        }
+        auto const noted = entry.tasks.find(record->ordinal);
+        if(noted != entry.tasks.end() && !noted->second.final_state.empty()) {
+            scheduler_.settle(task, internal::final_state_named(noted->second.final_state), now);
+        } else if(!entry.ended.empty()) {
+            scheduler_.settle(task, task_state::cancelled, now);
+        }
+    }
+    if(entry.cancel_requested && scheduler_.find(job) != nullptr) {
+        scheduler_.cancel(job, now);
+    }
+}
+
+void domain_reign::release_withheld() {
+    auto const all_accounted = std::all_of(slots_.begin(), slots_.end(), [](auto const &item) { return item.second.accounted; });
+    if(!withheld_left_ || !recovered_ || !all_accounted) {
+        return;
+    }
+    withheld_left_ = false;
+    std::vector<job_id> const jobs(scheduler_.jobs().begin(), scheduler_.jobs().end());
+    for(auto const job: jobs) {
+        auto const *record = scheduler_.find(job);
+        if(record == nullptr || is_final(record->state)) {
+            continue;
+        }
+        if(!record->spec.repeatable && !journal_read_) {
+            withheld_left_ = true;
+            continue;
+        }
+        auto const tasks = record->tasks;
+        std::for_each(tasks.begin(), tasks.end(), [this](auto const task) { release_task(task); });
+    }
+}
+
+void domain_reign::release_task(task_id const task) {
+    auto const *record = scheduler_.find(task);
+    if(record == nullptr || record->state != task_state::withheld) {
+        return;
+    }
+    auto const now = current_time();
+    auto const job = record->job;
+    auto const &key = scheduler_.find(job)->key;
+    auto const entry = parts_.jobs.book().entries().find(key);
+    auto const noted = entry->second.tasks.find(record->ordinal);
+    auto const was_intended = noted != entry->second.tasks.end() && noted->second.attempt > 0u;
+    auto const has_proof = parts_.jobs.was_standby() && !was_intended;
+    scheduler_.release_withheld(task, !has_proof, now);
+    if(auto const *after = scheduler_.find(task); after != nullptr && is_final(after->state)) {
+        parts_.jobs.record({.kind = job_event_kind::task_final, .job = key, .ordinal = after->ordinal, .state = std::string{name_of(after->state)}});
+    }
+}
+
+void domain_reign::record_end(job_id const job) {
+    auto const *record = scheduler_.find(job);
+    if(record == nullptr || record->state == job_state::moved) {
+        return;
+    }
+    parts_.jobs.record({.kind = job_event_kind::job_ended, .job = record->key, .state = std::string{name_of(record->state)}});
+    LOG(INFO) << "leader: job ended job=" << record->key << " state=" << name_of(record->state);
+}
+
+boost::asio::awaitable<api_answer> domain_reign::submit(std::string key, job_spec spec) {
+    auto const self = shared_from_this();
+    if(auto const refused = problem_of([&]() { return check_job(spec, *rules_); }); refused) {
+        co_return api_answer{.refused = refused};
+    }
+    auto const team = scheduler_.team_of(spec.team);
+    if(team && static_cast<std::size_t>(scheduler_.find(*team)->queued_jobs) >= config::queued_jobs_per_team) {
+        co_return api_answer{.refused = problem{refusal::jobs_full, "team " + spec.team}};
+    }
+    if(!parts_.jobs.has_keeper()) {
+        co_return api_answer{.refused = problem{refusal::not_durable, "neither the log nor another entry VM takes the job"}};
+    }
+    auto const now = current_time();
+    accepting_.insert(key);
+    auto const sequence = parts_.jobs.record({.kind = job_event_kind::accepted, .job = key, .spec = spec, .at = now});
+    auto const place = co_await parts_.jobs.wait_kept(sequence, keep_rule::anywhere, internal::kept_timeout);
+    accepting_.erase(key);
+    if(over_ || place.empty()) {
+        if(!over_) {
+            parts_.jobs.record({.kind = job_event_kind::job_ended, .job = key, .state = std::string{name_of(job_state::cancelled)}});
+        }
+        co_return api_answer{.refused = problem{refusal::outcome_unknown, "job " + key + " was not confirmed in a second place"}};
+    }
+    scheduler_.submit(key, spec, now);
+    parts_.stats.add(event::job_accepted);
+    kicked_ = true;
+    co_return api_answer{.status = 201, .body = boost::json::object{{"job", key}, {"failure_domain", parts_.settings.failure_domain}, {"kept_by", place}}};
+}
+
+boost::asio::awaitable<api_answer> domain_reign::take_over_job(boost::json::value events) {
+    auto const self = shared_from_this();
+    std::uint64_t sequence{};
+    std::string key;
+    auto const refused = problem_of([&]() -> result<void> {
+        if(!events.is_array() || events.get_array().empty()) {
+            return refuse(refusal::job_malformed, "events");
+        }
+        std::vector<job_event> parsed;
+        for(auto const &value: events.get_array()) {
+            BOOST_LEAF_AUTO(item, parse_job_event(value));
+            parsed.push_back(std::move(item));
+        }
+        key = parsed.front().job;
+        accepting_.insert(key);
+        for(auto const &item: parsed) {
+            sequence = parts_.jobs.record(item);
+        }
+        return {};
+    });
+    if(refused) {
+        co_return api_answer{.refused = refused};
+    }
+    auto const place = co_await parts_.jobs.wait_kept(sequence, keep_rule::anywhere, internal::kept_timeout);
+    accepting_.erase(key);
+    if(over_ || place.empty()) {
+        co_return api_answer{.refused = problem{refusal::outcome_unknown, "job " + key}};
+    }
+    parts_.stats.add(event::handover_received);
+    auto const &entry = parts_.jobs.book().entries().at(key);
+    load_entry(key, entry);
+    if(auto const job = scheduler_.job_of(key); job) {
+        auto const tasks = scheduler_.find(*job)->tasks;
+        for(auto const task: tasks) {
+            scheduler_.release_withheld(task, false, current_time());
+        }
+    }
+    kicked_ = true;
+    co_return api_answer{.body = boost::json::object{{"job", key}}};
+}
+
+api_answer domain_reign::cancel(std::string const &key) {
+    auto const job = scheduler_.job_of(key);
+    if(!job) {
+        return {.refused = problem{refusal::job_unknown, key}};
+    }
+    if(scheduler_.cancel(*job, current_time())) {
+        parts_.jobs.record({.kind = job_event_kind::cancel_requested, .job = key});
+        kicked_ = true;
+    }
+    return describe(key);
+}
+
+api_answer domain_reign::describe(std::string const &key) const {
+    auto const job = scheduler_.job_of(key);
+    if(job && scheduler_.find(*job)->state != job_state::moved) {
+        return {.body = describe(*job)};
+    }
+    auto const &entries = parts_.jobs.book().entries();
+    auto const entry = entries.find(key);
+    if(entry == entries.end() || (!entry->second.accepted && entry->second.ended.empty())) {
+        return {.refused = problem{refusal::job_unknown, key}};
+    }
+    auto const &noted = entry->second;
+    boost::json::object body{{"job", key}, {"name", noted.spec.name}, {"team", noted.spec.team}, {"failure_domain", parts_.settings.failure_domain}};
+    body["state"] = !noted.moved_to.empty() ? "moved" : noted.ended.empty() ? "queued" : noted.ended.c_str();
+    if(!noted.moved_to.empty()) {
+        body["moved_to"] = noted.moved_to;
+    }
+    return {.body = std::move(body)};
+}
+
+boost::json::object domain_reign::describe(job_id const job) const {
+    auto const &record = *scheduler_.find(job);
+    boost::json::array tasks;
+    for(auto const task: record.tasks) {
+        auto const &item = *scheduler_.find(task);
+        boost::json::object entry{{"ordinal", item.ordinal}, {"state", name_of(item.state)}, {"attempt", item.attempt}};
+        if(auto const *worker = scheduler_.find(item.worker); worker != nullptr) {
+            entry["worker"] = worker->name;
+        }
+        tasks.push_back(std::move(entry));
+    }
+    return {{"job", record.key}, {"name", record.spec.name}, {"team", record.spec.team}, {"kind", name_of(record.spec.kind)}, {"state", name_of(record.state)}, {"reason", record.reason}, {"urgent", record.spec.urgent}, {"failure_domain", parts_.settings.failure_domain}, {"accepted_at_ms", record.accepted_at.time_since_epoch().count()}, {"first_start_ms", record.first_start.time_since_epoch().count()}, {"tasks", std::move(tasks)}};
+}
+
+boost::json::array domain_reign::list(std::string const &team) const {
+    boost::json::array jobs;
+    for(auto const job: scheduler_.jobs()) {
+        auto const &record = *scheduler_.find(job);
+        if(!team.empty() && record.spec.team != team) {
+            continue;
+        }
+        jobs.push_back(boost::json::object{{"job", record.key}, {"name", record.spec.name}, {"team", record.spec.team}, {"kind", name_of(record.spec.kind)}, {"state", name_of(record.state)}, {"tasks", record.spec.count}, {"on_workers", record.on_workers}, {"failure_domain", parts_.settings.failure_domain}});
+    }
+    return jobs;
+}
+
+boost::json::object domain_reign::status() const {
+    auto const now = current_time();
+    std::int64_t held{};
+    for(auto const &[name, slot]: slots_) {
+        held += holds_.is_held(slot.id, now) ? 1 : 0;
+    }
+    std::int64_t queued{};
+    boost::json::array teams;
+    for(auto const id: scheduler_.teams()) {
+        auto const &team = *scheduler_.find(id);
+        queued += team.queued_jobs;
+        teams.push_back(boost::json::object{{"team", team.name}, {"share", team.share}, {"in_use", to_json(team.charged)}, {"queued_jobs", team.queued_jobs}});
+    }
+    return {{"term", static_cast<std::int64_t>(term_)}, {"workers", static_cast<std::int64_t>(slots_.size())}, {"workers_held", held}, {"queued_jobs", queued}, {"running_tasks", static_cast<std::int64_t>(uses_.size())}, {"size", to_json(scheduler_.total())}, {"teams", std::move(teams)}, {"recovered", recovered_ && !withheld_left_}};
+}
+
+} // namespace kingcuplink
--- /dev/null
+++ b/src/kingcuplink/daemon/domain_reign.hpp
@@ -0,0 +1,189 @@
+#ifndef KINGCUPLINK_DAEMON_DOMAIN_REIGN_HPP_INCLUDED
+#define KINGCUPLINK_DAEMON_DOMAIN_REIGN_HPP_INCLUDED
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <kingcuplink/authority/hold_table.hpp>
+#include <kingcuplink/authority/leadership.hpp>
+#include <kingcuplink/daemon/allotment_keeper.hpp>
+#include <kingcuplink/daemon/job_keeper.hpp>
+#include <kingcuplink/gateway/control_api.hpp>
+#include <kingcuplink/placement/scheduler.hpp>
+#include <kingcuplink/platform/worker_client.hpp>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace kingcuplink {
+
+/*! What a reign needs of the daemon; all references must outlive it. */
+struct reign_parts {
+    boost::asio::io_context &context;
+    daemon_settings const &settings;
+    counters &stats;
+    worker_client &workers;
+    peer_directory &peers;
+    job_keeper &jobs;
+    allotment_keeper &allotments;
+    leadership const &lead;
+};
+
+/*!
+ * One uninterrupted time as the leader of a failure domain: it holds the workers'
+ * leases, places tasks and keeps the jobs' state. It ends for good with end().
+ * To be used by the control thread alone.
+ */
+class domain_reign : public std::enable_shared_from_this<domain_reign>, private start_gate {
+public:
+    /*! Called when a worker obeys a higher term. */
+    using fenced_listener = std::function<void(std::uint64_t term)>;
+
+    /*! Constructs a reign in a term. */
+    domain_reign(reign_parts parts, std::uint64_t term, std::shared_ptr<document const> rules, fenced_listener on_fenced);
+
+    /*! Acquires the workers and begins to place tasks. Call once. */
+    void start();
+
+    /*! Ends the reign: nothing is started or recorded any more. */
+    void end() noexcept;
+
+    /*! Takes a new document. */
+    void update(std::shared_ptr<document const> rules);
+
+    /*! Takes the list of VMs. */
+    void update(vm_list const &vms, instant now);
+
+    /*! Takes entries of the book that are not loaded yet. */
+    void load_book();
+
+    /*! Notes that the process was paused: every inventory is read again before the next start. */
+    void paused();
+
+    /*! Accepts a job and waits until it is kept in a second place. */
+    boost::asio::awaitable<api_answer> submit(std::string key, job_spec spec);
+
+    /*! Takes a job over from another failure domain. */
+    boost::asio::awaitable<api_answer> take_over_job(boost::json::value events);
+
+    /*! Cancels a job. */
+    [[nodiscard]] api_answer cancel(std::string const &key);
+
+    /*! Describes a job. */
+    [[nodiscard]] api_answer describe(std::string const &key) const;
+
+    /*! Lists the jobs of a team, or of all if the team is empty. */
+    [[nodiscard]] boost::json::array list(std::string const &team) const;
+
+    /*! Gives a part of a team's allotment to another failure domain. */
+    boost::asio::awaitable<api_answer> donate(std::string team, std::string to, resources wanted);
+
+    /*! Describes the state of the workers and queues. */
+    [[nodiscard]] boost::json::object status() const;
+
+private:
+    /*! Use of a task that the ledger of holds counts. */
+    struct counted_use {
+        worker_id worker;
+        team_id team;
+        resources amount;
+    };
+
+    /*! One worker as the leader sees it. */
+    struct worker_slot {
+        std::string name;
+        std::string address;
+        worker_id id;
+        /*! Part of the epoch below the term; it grows with each acquisition. */
+        std::uint64_t acquisitions{};
+        std::uint64_t version{};
+        bool held{};
+        /*! True once its tasks are known, or surely gone, in this reign. */
+        bool accounted{};
+        bool leaving{};
+        instant gone_since{};
+        /*! Tasks that run there and whose jobs are not known, with their use. */
+        std::map<std::pair<std::string, std::int64_t>, counted_use> unknown{};
+    };
+
+    using self_pointer = std::shared_ptr<domain_reign>;
+
+    // Leases and inventories.
+    void add_workers();
+    boost::asio::awaitable<void> run_worker(self_pointer self, std::string name);
+    boost::asio::awaitable<bool> acquire(worker_slot &slot);
+    boost::asio::awaitable<void> renew(worker_slot &slot);
+    void drop(worker_slot &slot);
+    void refresh_usable(worker_slot &slot);
+    void refused(worker_slot &slot, std::uint64_t epoch);
+    [[nodiscard]] std::uint64_t epoch_of(worker_slot const &slot) const noexcept;
+    [[nodiscard]] lease_holder holder_of(worker_slot const &slot) const;
+    void take_inventory(worker_slot &slot, lease_reply const &reply);
+    void take_changes(worker_slot &slot, lease_reply const &reply);
+    void take_task(worker_slot &slot, worker_task const &seen);
+    void take_running(worker_slot &slot, task_id task, worker_task const &seen);
+    void take_ended(task_id task, worker_task const &seen);
+    void take_unknown(worker_slot &slot, worker_task const &seen);
+    void forget_unknown(worker_slot &slot);
+    boost::asio::awaitable<void> stop_orphan(self_pointer self, std::string worker, std::string job, std::int64_t ordinal);
+    [[nodiscard]] bool is_surely_lapsed(worker_slot const &slot, instant now) const;
+    void check_lapsed(instant now);
+
+    // Jobs and their recovery.
+    boost::asio::awaitable<void> recover(self_pointer self);
+    void load_entry(std::string const &key, book_entry const &entry);
+    void release_withheld();
+    void release_task(task_id task);
+    void record_end(job_id job);
+
+    // Placement.
+    boost::asio::awaitable<void> run_planner(self_pointer self);
+    boost::asio::awaitable<void> run_duties(self_pointer self);
+    void plan();
+    boost::asio::awaitable<void> start_task(self_pointer self, task_id task);
+    boost::asio::awaitable<void> stop_task(self_pointer self, stop_order order);
+    boost::asio::awaitable<void> throttle_task(self_pointer self, task_id task);
+    boost::asio::awaitable<bool> keep_intent(std::uint64_t sequence, bool repeatable);
+    void end_task(task_id task, task_outcome outcome);
+    void count_use(task_id task);
+    void shed_excess();
+    boost::asio::awaitable<void> move_jobs(self_pointer self);
+    boost::asio::awaitable<void> send_handover(self_pointer self, std::string key, std::string to);
+    boost::asio::awaitable<void> ask_for_allotment(self_pointer self, std::string team, resources wanted);
+
+    bool permits(team_record const &team, worker_record const &worker, resources const &charge) override;
+    void started(team_record const &team, worker_record const &worker, resources const &charge) override;
+    void undone(team_record const &team, worker_record const &worker, resources const &charge) override;
+
+    [[nodiscard]] bool takes_work() const;
+    [[nodiscard]] std::string other_domain_for_jobs() const;
+    [[nodiscard]] boost::json::object describe(job_id job) const;
+
+    reign_parts parts_;
+    std::uint64_t term_;
+    std::shared_ptr<document const> rules_;
+    fenced_listener on_fenced_;
+    instant began_;
+    bool over_{};
+    bool recovered_{};
+    bool journal_read_{};
+    bool withheld_left_{true};
+    bool kicked_{};
+    scheduler scheduler_;
+    hold_table holds_;
+    std::map<std::string, worker_slot> slots_;
+    std::map<std::uint32_t, std::string> slot_names_;
+    std::map<task_id, counted_use> uses_;
+    /*! Tasks whose start was sent and is not answered. */
+    std::set<task_id> starts_in_flight_;
+    /*! Jobs that are being accepted and are not kept elsewhere yet. */
+    std::set<std::string> accepting_;
+    std::set<std::string> handovers_;
+    std::map<std::string, resources> denied_;
+    std::set<std::string> asking_;
+};
+
+} // namespace kingcuplink
+
+#endif
--- /dev/null
+++ b/src/kingcuplink/daemon/fwd.hpp
@@ -0,0 +1,22 @@
+#ifndef KINGCUPLINK_DAEMON_FWD_HPP_INCLUDED
+#define KINGCUPLINK_DAEMON_FWD_HPP_INCLUDED
+
+namespace kingcuplink {
+
+struct daemon_settings;
+
+class peer_directory;
+
+class document_keeper;
+
+class job_keeper;
+
+class allotment_keeper;
+
+class domain_reign;
+
+class control_plane;
+
+} // namespace kingcuplink
+
+#endif
