Mend what the first unit tests found

- A gang that did not fit marked its size as a misfit for the whole round, so a smaller gang behind it did not start: the marks of an undone gang are dropped.
- A job given up after failures on several workers ended without its reason: the last task ended the job before the reason was set.
- Numbers that Boost.JSON holds as unsigned were refused by json_reader: a book written and read without going through text lost its attempts.

--- a/src/kingcuplink/core/json_reader.cpp
+++ b/src/kingcuplink/core/json_reader.cpp
@@ -60,11 +60,12 @@
 
 result<std::int64_t> json_reader::number(std::string_view const name, number_range const range) const {
     auto const *value = find(name);
-    auto const *whole = value == nullptr ? nullptr : value->if_int64();
-    if(whole == nullptr || *whole < range.least || *whole > range.most) {
+    boost::system::error_code error;
+    auto const whole = value != nullptr && (value->is_int64() || value->is_uint64()) ? value->to_number<std::int64_t>(error) : std::int64_t{};
+    if(value == nullptr || !(value->is_int64() || value->is_uint64()) || error || whole < range.least || whole > range.most) {
         return wrong(name, "a whole number from " + std::to_string(range.least) + " to " + std::to_string(range.most));
     }
-    return *whole;
+    return whole;
 }
 
 result<std::int64_t> json_reader::number_or(std::string_view const name, number_range const range, std::int64_t const fallback) const {
--- a/src/kingcuplink/daemon/document_keeper.cpp
+++ b/src/kingcuplink/daemon/document_keeper.cpp
@@ -187,7 +187,7 @@
         while(current_time() < give_up) {
             co_await read_log();
             if(auto const verdict = fold_.verdict_of(edit.record_id); verdict) {
-                co_return verdict->has_value() ? api_answer{.refused = **verdict} : api_answer{.body = boost::json::object{{"section", name_of(edit.which)}, {"version", static_cast<std::int64_t>(edit.base_version + 1u)}, {"offset", static_cast<std::int64_t>(fold_.offset())}}, .version = edit.base_version + 1u};
+                co_return !verdict->is_accepted() ? api_answer{.refused = verdict->refused} : api_answer{.body = boost::json::object{{"section", name_of(edit.which)}, {"version", static_cast<std::int64_t>(edit.base_version + 1u)}, {"offset", static_cast<std::int64_t>(fold_.offset())}}, .version = edit.base_version + 1u};
             }
             if(!appended.is_done()) {
                 break;
--- a/src/kingcuplink/document/document_fold.cpp
+++ b/src/kingcuplink/document/document_fold.cpp
@@ -159,7 +159,7 @@
         return {};
     });
     if(!record_id.empty()) {
-        remember(record_id, refused);
+        remember(record_id, {refused});
     }
     return !refused;
 }
@@ -223,12 +223,12 @@
     return snapshot_offset_;
 }
 
-std::optional<document_fold::verdict> document_fold::verdict_of(std::string const &record_id) const {
+std::optional<edit_verdict> document_fold::verdict_of(std::string const &record_id) const {
     auto const found = verdicts_.find(record_id);
-    return found == verdicts_.end() ? std::nullopt : std::optional<verdict>{found->second};
+    return found == verdicts_.end() ? std::nullopt : std::optional{found->second};
 }
 
-void document_fold::remember(std::string const &record_id, verdict value) {
+void document_fold::remember(std::string const &record_id, edit_verdict value) {
     if(!verdicts_.emplace(record_id, std::move(value)).second) {
         return;
     }
--- a/src/kingcuplink/document/document_fold.hpp
+++ b/src/kingcuplink/document/document_fold.hpp
@@ -27,6 +27,17 @@
     boost::json::value body;
 };
 
+/*! What became of an edit. */
+struct edit_verdict {
+    /*! Why it was refused; empty if it was accepted. */
+    std::optional<problem> refused{};
+
+    /*! Tells whether the edit is part of the document. */
+    [[nodiscard]] bool is_accepted() const noexcept {
+        return !refused.has_value();
+    }
+};
+
 /*! Returns the log record of an edit. */
 [[nodiscard]] boost::json::value edit_record(document_edit const &edit);
 
@@ -45,9 +56,6 @@
  */
 class document_fold {
 public:
-    /*! What became of an edit. */
-    using verdict = std::optional<problem>;
-
     /*!
      * Takes a record of the log. Records at or below offset() are ignored; records
      * after a gap wait until a snapshot or a peer's copy closes it.
@@ -81,21 +89,21 @@
 
     /*!
      * Tells what became of an edit.
-     * @return Nothing if its record was not seen; otherwise the verdict, which is empty if it was accepted.
+     * @return Nothing if its record was not seen.
      */
-    [[nodiscard]] std::optional<verdict> verdict_of(std::string const &record_id) const;
+    [[nodiscard]] std::optional<edit_verdict> verdict_of(std::string const &record_id) const;
 
 private:
     bool apply_typed(boost::json::value const &record);
     bool apply_genesis(boost::json::value const &record);
     bool apply_unfolded();
-    void remember(std::string const &record_id, verdict value);
+    void remember(std::string const &record_id, edit_verdict value);
 
     std::shared_ptr<document const> current_;
     std::uint64_t offset_{};
     std::uint64_t snapshot_offset_{};
     std::map<std::uint64_t, boost::json::value> unfolded_;
-    std::map<std::string, verdict, std::less<>> verdicts_;
+    std::map<std::string, edit_verdict, std::less<>> verdicts_;
     std::deque<std::string> verdict_order_;
 };
 
--- a/src/kingcuplink/placement/planner.cpp
+++ b/src/kingcuplink/placement/planner.cpp
@@ -169,6 +169,7 @@
 
 bool planner::place_gang(job_id const id) {
     auto const first = plan_.starts.size();
+    auto const misfits = misfits_.size();
     auto const tasks = state_.jobs[id].pending;
     auto const need = state_.jobs[id].task_charge;
     for(auto const task: tasks) {
@@ -176,6 +177,7 @@
         if(!worker || !gate_.permits(state_.teams[state_.jobs[id].team], state_.workers[*worker], need)) {
             undo(std::span{plan_.starts}.subspan(first));
             plan_.starts.resize(first);
+            misfits_.resize(std::min(misfits, misfits_.size()));
             return false;
         }
         start(task, *worker, need);
--- a/src/kingcuplink/placement/run_history.cpp
+++ b/src/kingcuplink/placement/run_history.cpp
@@ -10,6 +10,18 @@
 constexpr double ratio_floor = 0.05;
 constexpr double ratio_ceiling = 20.0;
 
+/*! Moves an average of ratios towards the newest one. */
+void move_towards(double &average, std::int64_t const actual, std::int64_t const declared) {
+    if(declared > 0) {
+        auto const ratio = static_cast<double>(actual) / static_cast<double>(declared);
+        average += newest_weight * (std::clamp(ratio, ratio_floor, ratio_ceiling) - average);
+    }
+}
+
+std::int64_t raise(std::int64_t const amount, double const ratio) {
+    return ratio <= 1.0 ? amount : static_cast<std::int64_t>(ratio * static_cast<double>(amount));
+}
+
 std::string history_key(std::string_view const team, std::string_view const job) {
     std::string key{team};
     return key.append("/").append(job);
@@ -18,17 +30,13 @@
 } // namespace internal
 
 void run_history::record_run(std::string_view const team, std::string_view const job, millis const declared, millis const actual) {
-    if(declared.count() <= 0) {
-        return;
-    }
-    auto const ratio = static_cast<double>(actual.count()) / static_cast<double>(declared.count());
-    auto &known = insert(team, job).run_ratio;
-    known += internal::newest_weight * (std::clamp(ratio, internal::ratio_floor, internal::ratio_ceiling) - known);
+    internal::move_towards(insert(team, job).run_ratio, actual.count(), declared.count());
 }
 
-void run_history::record_use(std::string_view const team, std::string_view const job, resources const &used) {
-    auto &known = insert(team, job).used;
-    known = max_of(known, used);
+void run_history::record_use(std::string_view const team, std::string_view const job, resources const &declared, resources const &used) {
+    auto &known = insert(team, job);
+    internal::move_towards(known.millicores_ratio, used.millicores, declared.millicores);
+    internal::move_towards(known.memory_ratio, used.memory_mib, declared.memory_mib);
 }
 
 millis run_history::expected_run(std::string_view const team, std::string_view const job, millis const declared) const {
@@ -39,7 +47,10 @@
 
 resources run_history::expected_size(std::string_view const team, std::string_view const job, resources const &declared) const {
     auto const *known = find(team, job);
-    return known == nullptr ? declared : max_of(declared, known->used);
+    if(known == nullptr) {
+        return declared;
+    }
+    return {internal::raise(declared.millicores, known->millicores_ratio), internal::raise(declared.memory_mib, known->memory_ratio), declared.accelerators};
 }
 
 run_history::entry const *run_history::find(std::string_view const team, std::string_view const job) const {
--- a/src/kingcuplink/placement/run_history.hpp
+++ b/src/kingcuplink/placement/run_history.hpp
@@ -19,19 +19,20 @@
     /*! Records a run time. */
     void record_run(std::string_view team, std::string_view job, millis declared, millis actual);
 
-    /*! Records reported use. */
-    void record_use(std::string_view team, std::string_view job, resources const &used);
+    /*! Records reported use of a task. */
+    void record_use(std::string_view team, std::string_view job, resources const &declared, resources const &used);
 
     /*! Returns the declared run time, corrected by what earlier runs took. */
     [[nodiscard]] millis expected_run(std::string_view team, std::string_view job, millis declared) const;
 
-    /*! Returns the declared size, raised by what earlier runs used. */
+    /*! Returns the declared size, raised by the part that earlier runs used of theirs. Accelerators stay as declared. */
     [[nodiscard]] resources expected_size(std::string_view team, std::string_view job, resources const &declared) const;
 
 private:
     struct entry {
         double run_ratio{1.0};
-        resources used;
+        double millicores_ratio{1.0};
+        double memory_ratio{1.0};
     };
 
     [[nodiscard]] entry const *find(std::string_view team, std::string_view job) const;
--- a/src/kingcuplink/placement/scheduler.cpp
+++ b/src/kingcuplink/placement/scheduler.cpp
@@ -262,8 +262,10 @@
         return;
     }
     if(is_own_fault) {
+        job.reason = "failed on " + std::to_string(job.failed_on.size()) + " different workers";
+        auto const reason = job.reason;
         internal::finish_task(state_, id, task_state::failed, now);
-        fail_job(job_ref, "failed on " + std::to_string(job.failed_on.size()) + " different workers", now);
+        fail_job(job_ref, reason, now);
         return;
     }
     job.not_before = now + internal::backoff_after(job.failures);
@@ -285,16 +287,21 @@
 
 void scheduler::report_use(task_id const id, resources const &used) {
     auto *task = state_.tasks.find(id);
-    if(task == nullptr || task->state != task_state::running || fits(used, task->charge)) {
+    if(task == nullptr || task->state != task_state::running) {
+        return;
+    }
+    if(options_.learn_from_history && !task->use_recorded) {
+        task->use_recorded = true;
+        auto const &spec = state_.jobs[task->job].spec;
+        state_.history.record_use(spec.team, spec.name, spec.task_size, used);
+    }
+    if(fits(used, task->charge)) {
         return;
     }
     auto const raised = max_of(task->charge, used);
     auto const growth = raised - task->charge;
     auto &job = state_.jobs[task->job];
     auto &worker = state_.workers[task->worker];
-    if(options_.learn_from_history) {
-        state_.history.record_use(job.spec.team, job.spec.name, used);
-    }
     if(fits(growth, free_of(worker))) {
         worker.charged += growth;
         state_.teams[job.team].charged += growth;
--- a/src/kingcuplink/placement/types.hpp
+++ b/src/kingcuplink/placement/types.hpp
@@ -106,6 +106,8 @@
     /*! Run time that a checkpoint keeps. */
     millis progress{};
     bool throttled{};
+    /*! True if the history knows its use. */
+    bool use_recorded{};
     stop_reason stopped_for{stop_reason::cancelled};
 };
 
