--- /dev/null
+++ b/test/admission/admission_test.cpp
@@ -0,0 +1,134 @@
+#include "../document/sample.hpp"
+
+#include <array>
+#include <doctest/doctest.h>
+#include <kingcuplink/admission/fair_queue.hpp>
+#include <kingcuplink/admission/key_check.hpp>
+#include <kingcuplink/core/config.hpp>
+
+using namespace kingcuplink;
+using namespace kingcuplink::test;
+
+namespace {
+
+constexpr instant start{millis{1'000'000}};
+
+fair_queue make_queue() {
+    fair_queue queue;
+    queue.set_limits({{.name = "red", .share = 3, .most_running = 100}, {.name = "blue", .share = 1, .most_running = 100}});
+    return queue;
+}
+
+std::optional<problem> push(fair_queue &queue, std::string_view const team, instant const deadline, instant const now) {
+    return problem_of([&]() -> result<void> { BOOST_LEAF_CHECK(queue.push(team, deadline, now)); return {}; });
+}
+
+} // namespace
+
+TEST_CASE("a request is admitted for the team of its key alone") {
+    struct row {
+        std::string_view queue;
+        std::string_view key;
+        bool cut_off;
+        std::optional<refusal> reason;
+        std::string_view team;
+    };
+    std::array<row, 8u> const rows{{
+        {"keyed", "key-red", false, std::nullopt, "red"},
+        {"keyed", "", false, refusal::key_missing, ""},
+        {"keyed", "key-pink", false, refusal::key_unknown, ""},
+        {"keyed", "key-red", true, refusal::held_while_cut_off, ""},
+        {"open", "", false, std::nullopt, "blue"},
+        {"open", "", true, std::nullopt, "blue"},
+        {"open", "key-red", false, std::nullopt, "red"},
+        {"none", "key-red", false, refusal::queue_unknown, ""},
+    }};
+    auto const rules = sample_document();
+    for(auto const &row: rows) {
+        CAPTURE(row.queue);
+        CAPTURE(row.key);
+        problem failure;
+        auto const admitted = value_of([&]() { return admit_request(rules, row.queue, row.key, row.cut_off); }, failure);
+        CHECK(admitted.has_value() != row.reason.has_value());
+        if(admitted) {
+            CHECK(admitted->team == row.team);
+        } else {
+            CHECK(failure.reason == *row.reason);
+        }
+    }
+}
+
+TEST_CASE("a withdrawn key is refused") {
+    auto rules = sample_document();
+    rules.keys.front().withdrawn = true;
+    auto const refused = problem_of([&]() -> result<void> { BOOST_LEAF_CHECK(team_of_key(rules, "key-red")); return {}; });
+    REQUIRE(refused);
+    CHECK(refused->reason == refusal::key_withdrawn);
+}
+
+TEST_CASE("waiting requests are served in proportion to share") {
+    auto queue = make_queue();
+    std::vector<fair_queue::ticket> red;
+    for(auto count = 0; count < 200; ++count) {
+        problem failure;
+        red.push_back(*value_of([&]() { return queue.push("red", start + millis{60'000}, start); }, failure));
+        CHECK_FALSE(push(queue, "blue", start + millis{60'000}, start));
+    }
+    std::size_t served{};
+    for(auto count = 0; count < 80; ++count) {
+        auto const ticket = queue.pop(start);
+        REQUIRE(ticket);
+        served += std::find(red.begin(), red.end(), *ticket) != red.end() ? 1u : 0u;
+    }
+    CHECK(served >= 59u);
+    CHECK(served <= 61u);
+}
+
+TEST_CASE("a team runs no more than its part of the ceiling") {
+    fair_queue queue;
+    queue.set_limits({{.name = "red", .share = 1, .most_running = 2}});
+    for(auto count = 0; count < 3; ++count) {
+        CHECK_FALSE(push(queue, "red", start + millis{1'000}, start));
+    }
+    CHECK(queue.pop(start));
+    CHECK(queue.pop(start));
+    CHECK_FALSE(queue.pop(start));
+    queue.finished("red", start);
+    CHECK(queue.pop(start));
+    // A lowered ceiling holds for the next request.
+    queue.set_limits({{.name = "red", .share = 1, .most_running = 0}});
+    CHECK(push(queue, "red", start + millis{1'000}, start)->reason == refusal::ceiling_reached);
+}
+
+TEST_CASE("a queue is bounded and refuses early what could not be served in time") {
+    auto queue = make_queue();
+    for(std::size_t count{}; count < config::queued_requests_per_team; ++count) {
+        CHECK_FALSE(push(queue, "red", start + millis{1'000}, start));
+    }
+    CHECK(push(queue, "red", start + millis{1'000}, start)->reason == refusal::queue_full);
+
+    auto slow = make_queue();
+    auto now = start;
+    // Ten requests end in each second.
+    for(auto count = 0; count < 30; ++count) {
+        CHECK_FALSE(push(slow, "red", now + millis{60'000}, now));
+        REQUIRE(slow.pop(now));
+        now += millis{100};
+        slow.finished("red", now);
+    }
+    for(auto count = 0; count < 40; ++count) {
+        CHECK_FALSE(push(slow, "red", now + millis{60'000}, now));
+    }
+    CHECK(slow.expected_wait("red") > millis{2'000});
+    CHECK(push(slow, "red", now + millis{1'000}, now)->reason == refusal::deadline_too_short);
+    CHECK_FALSE(push(slow, "blue", now + millis{1'000}, now));
+}
+
+TEST_CASE("a request whose deadline passed is not served") {
+    auto queue = make_queue();
+    CHECK_FALSE(push(queue, "red", start + millis{10}, start));
+    CHECK_FALSE(push(queue, "red", start + millis{1'000}, start));
+    CHECK(queue.pop(start + millis{20}) == fair_queue::ticket{2});
+    CHECK(queue.waiting() == 0u);
+    CHECK(queue.running() == 1);
+}
--- /dev/null
+++ b/test/authority/job_book_test.cpp
@@ -0,0 +1,87 @@
+#include <algorithm>
+#include <boost/json/serialize.hpp>
+#include <doctest/doctest.h>
+#include <kingcuplink/authority/job_book.hpp>
+#include <random>
+
+using namespace kingcuplink;
+
+namespace {
+
+std::vector<job_event> sample_events() {
+    job_spec const spec{.name = "n", .team = "red", .kind = job_kind::batch, .count = 2, .task_size = {1'000, 1, 0}, .run_time = millis{10}};
+    return {
+        {.kind = job_event_kind::accepted, .job = "a.1", .spec = spec, .at = instant{millis{5}}},
+        {.kind = job_event_kind::start_intended, .job = "a.1", .ordinal = 0, .attempt = 1u, .place = "w1"},
+        {.kind = job_event_kind::start_intended, .job = "a.1", .ordinal = 0, .attempt = 2u, .place = "w2"},
+        {.kind = job_event_kind::start_intended, .job = "a.1", .ordinal = 1, .attempt = 1u, .place = "w1"},
+        {.kind = job_event_kind::task_final, .job = "a.1", .ordinal = 1, .state = "succeeded"},
+        {.kind = job_event_kind::cancel_requested, .job = "a.1"},
+        {.kind = job_event_kind::accepted, .job = "a.2", .spec = spec, .at = instant{millis{6}}},
+        {.kind = job_event_kind::moved, .job = "a.2", .place = "b", .generation = 0u},
+        {.kind = job_event_kind::job_ended, .job = "a.2", .state = "moved", .generation = 0u},
+        {.kind = job_event_kind::accepted, .job = "a.3", .spec = spec, .at = instant{millis{7}}},
+        {.kind = job_event_kind::job_ended, .job = "a.3", .state = "failed"},
+    };
+}
+
+std::string text_of(job_book const &book) {
+    std::string text;
+    for(auto const &event: book.events()) {
+        text += boost::json::serialize(to_json(event)) + "\n";
+    }
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("a book is the same whatever the order and number of its events") {
+    auto const events = sample_events();
+    job_book expected;
+    std::for_each(events.begin(), events.end(), [&](auto const &event) { expected.apply(event); });
+    CHECK(expected.entries().at("a.1").tasks.at(0).worker == "w2");
+    CHECK(expected.entries().at("a.2").moved_to == "b");
+    for(std::uint64_t seed{1}; seed <= 200u; ++seed) {
+        CAPTURE(seed);
+        std::mt19937_64 random{seed};
+        auto mixed = events;
+        mixed.insert(mixed.end(), events.begin(), events.begin() + static_cast<std::ptrdiff_t>(random() % events.size()));
+        std::shuffle(mixed.begin(), mixed.end(), random);
+        job_book book;
+        std::for_each(mixed.begin(), mixed.end(), [&](auto const &event) { book.apply(event); });
+        CHECK(text_of(book) == text_of(expected));
+    }
+}
+
+TEST_CASE("a book survives being written and read") {
+    job_book book;
+    for(auto const &event: sample_events()) {
+        book.apply(event);
+    }
+    job_book again;
+    for(auto const &event: book.events()) {
+        problem failure;
+        auto const parsed = value_of([&]() { return parse_job_event(to_json(event)); }, failure);
+        REQUIRE(parsed);
+        again.apply(*parsed);
+    }
+    CHECK(text_of(again) == text_of(book));
+}
+
+TEST_CASE("a job that comes back lives again") {
+    job_book book;
+    for(auto const &event: sample_events()) {
+        book.apply(event);
+    }
+    auto back = sample_events()[6];
+    back.generation = 1u;
+    book.apply(back);
+    auto const &entry = book.entries().at("a.2");
+    CHECK(entry.moved_to.empty());
+    CHECK(entry.ended.empty());
+    // News of its first stay does not end the second.
+    book.apply(sample_events()[8]);
+    book.apply(sample_events()[7]);
+    CHECK(entry.ended.empty());
+    CHECK(entry.moved_to.empty());
+}
--- /dev/null
+++ b/test/document/document_fold_test.cpp
@@ -0,0 +1,125 @@
+#include "sample.hpp"
+
+#include <doctest/doctest.h>
+#include <random>
+#include <vector>
+
+using namespace kingcuplink;
+using namespace kingcuplink::test;
+
+namespace {
+
+boost::json::value queues_named(std::string const &name) {
+    return boost::json::array{boost::json::object{{"name", name}}};
+}
+
+std::string first_queue(document_fold const &fold) {
+    return fold.current()->queues.front().name;
+}
+
+} // namespace
+
+TEST_CASE("of two racing edits of a section one wins and the other learns why") {
+    document_fold fold;
+    CHECK(fold.apply(1u, genesis_record("g", sample_sections())));
+    CHECK(fold.apply(2u, edit_record(sample_edit("first", section::queues, 1u, queues_named("x")))));
+    CHECK_FALSE(fold.apply(3u, edit_record(sample_edit("second", section::queues, 1u, queues_named("y")))));
+    CHECK(first_queue(fold) == "x");
+    REQUIRE(fold.verdict_of("first"));
+    CHECK(fold.verdict_of("first")->is_accepted());
+    auto const lost = fold.verdict_of("second");
+    REQUIRE(lost);
+    REQUIRE_FALSE(lost->is_accepted());
+    CHECK(lost->refused->detail == "section queues is at version 2, edit was made against 1");
+    CHECK_FALSE(fold.verdict_of("third").has_value());
+    // An edit of another section does not conflict.
+    auto policies = fold.current()->bodies[static_cast<std::size_t>(section::policies)];
+    CHECK(fold.apply(4u, edit_record(sample_edit("other", section::policies, 1u, policies))));
+}
+
+TEST_CASE("a record that was appended twice counts once") {
+    document_fold fold;
+    fold.apply(1u, genesis_record("g", sample_sections()));
+    auto const record = edit_record(sample_edit("e", section::queues, 1u, queues_named("x")));
+    CHECK(fold.apply(2u, record));
+    CHECK_FALSE(fold.apply(3u, record));
+    REQUIRE(fold.verdict_of("e"));
+    CHECK(fold.verdict_of("e")->is_accepted());
+    CHECK(fold.current()->versions[static_cast<std::size_t>(section::queues)] == 2u);
+}
+
+TEST_CASE("a second genesis changes nothing") {
+    document_fold fold;
+    fold.apply(1u, genesis_record("g", sample_sections()));
+    fold.apply(2u, edit_record(sample_edit("e", section::queues, 1u, queues_named("x"))));
+    CHECK_FALSE(fold.apply(3u, genesis_record("h", sample_sections())));
+    CHECK(first_queue(fold) == "x");
+}
+
+TEST_CASE("a genesis behind a gap does not start a document") {
+    document_fold fold;
+    CHECK_FALSE(fold.apply(5u, genesis_record("g", sample_sections())));
+    CHECK(fold.current() == nullptr);
+}
+
+TEST_CASE("a reader behind the retention waits for a snapshot and never goes back") {
+    document_fold whole;
+    whole.apply(1u, genesis_record("g", sample_sections()));
+    whole.apply(2u, edit_record(sample_edit("e2", section::queues, 1u, queues_named("two"))));
+    auto const snapshot = whole.snapshot_record();
+    auto const old_copy = whole.copy();
+    whole.apply(3u, edit_record(sample_edit("e3", section::queues, 2u, queues_named("three"))));
+    auto const last = edit_record(sample_edit("e5", section::queues, 3u, queues_named("five")));
+
+    document_fold late;
+    // Records 1 and 2 are past the retention: 3 alone means nothing.
+    CHECK_FALSE(late.apply(3u, edit_record(sample_edit("e3", section::queues, 2u, queues_named("three")))));
+    CHECK(late.current() == nullptr);
+    CHECK(late.apply(4u, snapshot));
+    CHECK(first_queue(late) == "three");
+    CHECK(late.apply(5u, last));
+    CHECK(first_queue(late) == "five");
+    CHECK(late.offset() == 5u);
+    // Neither an old snapshot nor a peer's old copy takes it back.
+    CHECK_FALSE(late.adopt(old_copy));
+    CHECK_FALSE(late.apply(4u, snapshot));
+    CHECK(first_queue(late) == "five");
+
+    document_fold with_gap;
+    with_gap.apply(1u, genesis_record("g", sample_sections()));
+    // Record 2 was never seen, so that the verdict on 5 would be a guess.
+    CHECK_FALSE(with_gap.apply(5u, last));
+    CHECK(with_gap.offset() == 1u);
+    CHECK(with_gap.adopt(late.copy()));
+    CHECK(first_queue(with_gap) == "five");
+}
+
+TEST_CASE("all readers of a log hold the same document, wherever they begin") {
+    for(std::uint64_t seed{1}; seed <= 50u; ++seed) {
+        CAPTURE(seed);
+        std::mt19937_64 random{seed};
+        document_fold writer;
+        std::vector<boost::json::value> log{genesis_record("g", sample_sections())};
+        writer.apply(1u, log.front());
+        std::uint64_t last_snapshot{};
+        for(std::uint64_t offset{2}; offset <= 40u; ++offset) {
+            auto const version = writer.current()->versions[static_cast<std::size_t>(section::queues)];
+            auto const base = random() % 3u == 0u ? version - 1u : version;
+            auto const is_snapshot = random() % 5u == 0u;
+            log.push_back(is_snapshot ? writer.snapshot_record() : edit_record(sample_edit("e" + std::to_string(offset), section::queues, base, queues_named("q" + std::to_string(offset)))));
+            last_snapshot = is_snapshot ? offset : last_snapshot;
+            writer.apply(offset, log.back());
+        }
+        for(std::uint64_t first{1}; first <= last_snapshot; ++first) {
+            document_fold reader;
+            for(auto offset = first; offset <= log.size(); ++offset) {
+                auto const before = reader.offset();
+                reader.apply(offset, log[offset - 1u]);
+                CHECK(reader.offset() >= before);
+            }
+            if(reader.current() != nullptr && reader.offset() == writer.offset()) {
+                CHECK(reader.copy() == writer.copy());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/test/wire/peer_link_test.cpp
@@ -0,0 +1,60 @@
+#include <atomic>
+#include <chrono>
+#include <doctest/doctest.h>
+#include <kingcuplink/core/config.hpp>
+#include <kingcuplink/wire/peer_link.hpp>
+#include <thread>
+
+using namespace kingcuplink;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto wait_limit = 10s;
+
+template<typename Func>
+bool comes_true(Func condition) {
+    auto const limit = std::chrono::steady_clock::now() + wait_limit;
+    while(!condition() && std::chrono::steady_clock::now() < limit) {
+        std::this_thread::sleep_for(5ms);
+    }
+    return condition();
+}
+
+} // namespace
+
+TEST_CASE("messages arrive, malformed ones are counted and dropped, unreachable peers do not block") {
+    counters stats;
+    std::atomic<int> heard{};
+    peer_link receiver{"b", "127.0.0.1:26002", stats, [&](wire::envelope const &message) {
+                           CHECK(message.sender() == "a");
+                           heard += message.heartbeat().leads() ? 1 : 0;
+                       }};
+    counters sender_stats;
+    peer_link sender{"a", "127.0.0.1:26001", sender_stats, [](wire::envelope const &) {}};
+    sender.connect("b", "127.0.0.1:26002");
+    sender.connect("nobody", "127.0.0.1:26003");
+    wire::envelope message;
+    message.mutable_heartbeat()->set_leads(true);
+    CHECK(comes_true([&]() { return sender.send("b", message); }));
+    CHECK(comes_true([&]() { return heard > 0; }));
+    CHECK_FALSE(sender.send("nobody", message));
+    CHECK_FALSE(sender.send("unknown", message));
+    CHECK(sender_stats.value(event::peer_message_dropped) >= 2u);
+
+    zmq::context_t context;
+    zmq::socket_t raw{context, zmq::socket_type::push};
+    raw.set(zmq::sockopt::linger, 1'000);
+    raw.connect("tcp://127.0.0.1:26002");
+    raw.send(zmq::str_buffer("not a message"), zmq::send_flags::none);
+    wire::envelope newer;
+    newer.set_version(config::wire_version + 1u);
+    newer.set_sender("a");
+    newer.mutable_heartbeat();
+    raw.send(zmq::buffer(newer.SerializeAsString()), zmq::send_flags::none);
+    wire::envelope empty;
+    empty.set_version(config::wire_version);
+    empty.set_sender("a");
+    raw.send(zmq::buffer(empty.SerializeAsString()), zmq::send_flags::none);
+    CHECK(comes_true([&]() { return stats.value(event::peer_message_malformed) == 3u; }));
+}
