--- a/bench/replay.cpp
+++ b/bench/replay.cpp
@@ -81,7 +81,8 @@
         for(std::size_t pos{}; pos < scenario_.workers; ++pos) {
             auto size = worker_size;
             size.accelerators = pos % workers_per_accelerator_worker == 0u ? accelerators_per_worker : 0;
-            workers_.push_back(scheduler_.add_worker("w" + std::to_string(pos), "r" + std::to_string(pos / scenario_.workers_per_rack), size));
+            workers_.push_back(scheduler_.add_worker(
+                "w" + std::to_string(pos), "r" + std::to_string(pos / scenario_.workers_per_rack), size));
             scheduler_.set_usable(workers_.back(), true);
             failing_.push_back(stable_hash(std::to_string(pos)) % 100u < scenario_.failing_percent);
             up_.push_back(true);
@@ -98,7 +99,8 @@
         add(instant{} + sample_interval, due_event::kind::sample, 0u);
     }
 
-    void add(instant const at, due_event::kind const what, std::size_t const index, task_id const task = {}, std::uint32_t const attempt = 0u) {
+    void add(instant const at, due_event::kind const what, std::size_t const index, task_id const task = {},
+        std::uint32_t const attempt = 0u) {
         events_.push({at, ++order_, what, index, task, attempt});
     }
 
@@ -209,7 +211,8 @@
         for(auto const &order: orders_.stops) {
             auto const &task = *scheduler_.find(order.task);
             result_.preemptions += order.reason == stop_reason::preempted ? 1 : 0;
-            add(now_ + config::plan_spacing, due_event::kind::task_stopped, jobs_.at(task.job), order.task, task.attempt);
+            add(now_ + config::plan_spacing, due_event::kind::task_stopped, jobs_.at(task.job), order.task,
+                task.attempt);
         }
         check_gangs();
         if(orders_.starts.size() >= config::starts_per_round) {
@@ -233,7 +236,8 @@
         if(!fits(scheduler_.find(order.worker)->charged, scheduler_.find(order.worker)->size)) {
             result_.breaches.push_back("worker overcommitted");
         }
-        auto const &terms = *std::find_if(scenario_.teams.begin(), scenario_.teams.end(), [&](auto const &team) { return team.name == job.declared.team; });
+        auto const &terms = *std::find_if(scenario_.teams.begin(), scenario_.teams.end(),
+            [&](auto const &team) { return team.name == job.declared.team; });
         if(!fits(scheduler_.find(record.team)->charged, terms.ceiling)) {
             result_.breaches.push_back("ceiling passed");
         }
@@ -245,7 +249,8 @@
         scheduler_.start_confirmed(order.task, now_);
         scheduler_.report_use(order.task, job.true_use);
         if(job.declared.kind != job_kind::service || failing_[worker]) {
-            auto const left = failing_[worker] || job.always_fails ? millis{1'000} : std::max(millis{1}, job.true_run - task.progress);
+            auto const left = failing_[worker] || job.always_fails ? millis{1'000}
+                                                                   : std::max(millis{1}, job.true_run - task.progress);
             add(now_ + left, due_event::kind::task_end, index, order.task, task.attempt);
         }
     }
@@ -269,7 +274,8 @@
     }
 
     static double core_hours(replay_job const &job, millis const time) {
-        return static_cast<double>(job.declared.task_size.millicores) / 1'000.0 * static_cast<double>(time.count()) / ms_per_hour;
+        return static_cast<double>(job.declared.task_size.millicores) / 1'000.0 * static_cast<double>(time.count()) /
+            ms_per_hour;
     }
 
     void sample(due_event const &) {
@@ -287,7 +293,9 @@
             is_waiting = is_waiting || team.queued_jobs > 0;
         }
         if(is_waiting) {
-            auto const part = [](std::int64_t const amount, std::int64_t const size) { return size == 0 ? 0.0 : static_cast<double>(amount) / static_cast<double>(size); };
+            auto const part = [](std::int64_t const amount, std::int64_t const size) {
+                return size == 0 ? 0.0 : static_cast<double>(amount) / static_cast<double>(size);
+            };
             result_.cores_used += part(used.millicores, total.millicores);
             result_.memory_used += part(used.memory_mib, total.memory_mib);
             result_.accelerators_used += part(used.accelerators, total.accelerators);
@@ -320,7 +328,8 @@
                 continue;
             }
             auto const target = together * static_cast<double>(team.share) / static_cast<double>(demanding);
-            auto const &terms = *std::find_if(scenario_.teams.begin(), scenario_.teams.end(), [&](auto const &item) { return item.name == team.name; });
+            auto const &terms = *std::find_if(scenario_.teams.begin(), scenario_.teams.end(),
+                [&](auto const &item) { return item.name == team.name; });
             if(dominant_fraction(terms.ceiling, scheduler_.total()) > target) {
                 auto &entry = shares_[id];
                 entry.first += dominant_fraction(team.charged, scheduler_.total()) / target - 1.0;
@@ -360,7 +369,8 @@
         }
     }
 
-    static constexpr std::array<handler, 6u> handlers{&replay::arrive, &replay::end_task, &replay::stop_task, &replay::change, &replay::plan, &replay::sample};
+    static constexpr std::array<handler, 6u> handlers{
+        &replay::arrive, &replay::end_task, &replay::stop_task, &replay::change, &replay::plan, &replay::sample};
 
     scenario const &scenario_;
     scheduler scheduler_;
--- a/bench/scenarios.cpp
+++ b/bench/scenarios.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, static_cast<std::size_t>(trouble::count_)> trouble_names{"none", "overload", "rack_lost", "domain_out", "failing_workers", "cancellations", "wrong_sizes"};
+constexpr std::array<std::string_view, static_cast<std::size_t>(trouble::count)> trouble_names{
+    "none", "overload", "rack_lost", "domain_out", "failing_workers", "cancellations", "wrong_sizes"};
 constexpr double usual_load = 0.8;
 constexpr double overload = 3.0;
 constexpr double service_part = 0.2;
@@ -36,7 +37,10 @@
     auto const workers = static_cast<std::int64_t>(size.workers);
     for(std::size_t pos{}; pos < size.teams; ++pos) {
         auto const share = pos % 6u == 0u ? 4 : pos % 6u < 3u ? 2 : 1;
-        teams.push_back({.name = "t" + std::to_string(pos), .share = share, .ceiling = {workers * cores_per_worker * 800, workers * cores_per_worker * memory_per_core_mib, workers * 2}});
+        teams.push_back({.name = "t" + std::to_string(pos),
+            .share = share,
+            .ceiling = {
+                workers * cores_per_worker * 800, workers * cores_per_worker * memory_per_core_mib, workers * 2}});
     }
     return teams;
 }
@@ -44,7 +48,8 @@
 resources pick_size(random_source &random, job_kind const kind) {
     static constexpr std::array<std::int64_t, 6u> cores{1, 2, 2, 4, 8, 16};
     auto const chosen = cores[std::uniform_int_distribution<std::size_t>{0u, kind == job_kind::gang ? 4u : 5u}(random)];
-    auto const memory = static_cast<std::int64_t>(static_cast<double>(chosen * memory_per_core_mib) * pick(random, 0.3, 1.2));
+    auto const memory = static_cast<std::int64_t>(
+        static_cast<double>(chosen * memory_per_core_mib) * pick(random, 0.3, 1.2));
     auto const accelerators = kind != job_kind::service && chance(random, 0.04) ? 1 : 0;
     return {chosen * 1'000, memory, accelerators};
 }
@@ -57,9 +62,12 @@
     spec.kind = kind;
     spec.name = std::string{name_of(kind)} + std::to_string(std::uniform_int_distribution<int>{0, 9}(random));
     spec.task_size = pick_size(random, kind);
-    spec.count = kind == job_kind::gang ? std::uniform_int_distribution<int>{4, 24}(random) : kind == job_kind::batch ? std::uniform_int_distribution<int>{1, 6}(random) : 2;
+    spec.count = kind == job_kind::gang ? std::uniform_int_distribution<int>{4, 24}(random)
+        : kind == job_kind::batch       ? std::uniform_int_distribution<int>{1, 6}(random)
+                                        : 2;
     spec.urgent = kind == job_kind::batch && chance(random, 0.03);
-    spec.run_time = millis{static_cast<std::int64_t>(std::clamp(std::exponential_distribution<double>{1.0 / mean_batch_run_ms}(random), 2'000.0, 600'000.0))};
+    spec.run_time = millis{static_cast<std::int64_t>(
+        std::clamp(std::exponential_distribution<double>{1.0 / mean_batch_run_ms}(random), 2'000.0, 600'000.0))};
     if(spec.urgent) {
         spec.count = 1;
         spec.task_size = {1'000, memory_per_core_mib, 0};
@@ -71,7 +79,8 @@
         // Declarations are off alike for jobs of the same team and name, and a little for each job.
         random_source habit{stable_hash(spec.team + "/" + spec.name)};
         auto const factor = std::pow(wrong_by, pick(habit, -0.9, 0.9) + pick(random, -0.1, 0.1));
-        job.true_run = millis{std::max<std::int64_t>(500, static_cast<std::int64_t>(static_cast<double>(spec.run_time.count()) * factor))};
+        job.true_run = millis{std::max<std::int64_t>(
+            500, static_cast<std::int64_t>(static_cast<double>(spec.run_time.count()) * factor))};
         auto const use = std::pow(wrong_by, pick(habit, -0.9, 0.9) + pick(random, -0.1, 0.1));
         job.true_use.memory_mib = static_cast<std::int64_t>(static_cast<double>(spec.task_size.memory_mib) * use);
     }
@@ -103,21 +112,27 @@
     auto work = capacity * load * static_cast<double>(length.count());
     while(work > 0.0) {
         auto job = make_job(random, result, chance(random, 0.05) ? job_kind::gang : job_kind::batch, is_wrong);
-        job.arrives = instant{} + millis{static_cast<std::int64_t>(pick(random, 0.0, static_cast<double>(length.count())))};
+        job.arrives = instant{} +
+            millis{static_cast<std::int64_t>(pick(random, 0.0, static_cast<double>(length.count())))};
         job.always_fails = chance(random, 0.002);
-        work -= static_cast<double>(job.declared.task_size.millicores * job.declared.count) / 1'000.0 * static_cast<double>(job.true_run.count());
+        work -= static_cast<double>(job.declared.task_size.millicores * job.declared.count) / 1'000.0 *
+            static_cast<double>(job.true_run.count());
         result.jobs.push_back(std::move(job));
     }
     auto const third = instant{} + length / 3;
     auto const half = instant{} + length / 2;
     switch(what) {
     case trouble::rack_lost:
-        result.changes.push_back({.at = third, .what = replay_change::kind::workers_lost, .first = 0u, .count = result.workers_per_rack});
-        result.changes.push_back({.at = half, .what = replay_change::kind::workers_back, .first = 0u, .count = result.workers_per_rack});
+        result.changes.push_back(
+            {.at = third, .what = replay_change::kind::workers_lost, .first = 0u, .count = result.workers_per_rack});
+        result.changes.push_back(
+            {.at = half, .what = replay_change::kind::workers_back, .first = 0u, .count = result.workers_per_rack});
         break;
     case trouble::domain_out:
-        result.changes.push_back({.at = third, .what = replay_change::kind::workers_out, .first = 0u, .count = size.workers / domains});
-        result.changes.push_back({.at = half, .what = replay_change::kind::workers_back, .first = 0u, .count = size.workers / domains});
+        result.changes.push_back(
+            {.at = third, .what = replay_change::kind::workers_out, .first = 0u, .count = size.workers / domains});
+        result.changes.push_back(
+            {.at = half, .what = replay_change::kind::workers_back, .first = 0u, .count = size.workers / domains});
         break;
     case trouble::failing_workers:
         result.failing_percent = 10u;
--- a/bench/scenarios.hpp
+++ b/bench/scenarios.hpp
@@ -16,7 +16,16 @@
 };
 
 /*! How a scenario differs from an ordinary day. */
-enum class trouble : std::uint8_t { none, overload, rack_lost, domain_out, failing_workers, cancellations, wrong_sizes, count_ };
+enum class trouble : std::uint8_t {
+    none,
+    overload,
+    rack_lost,
+    domain_out,
+    failing_workers,
+    cancellations,
+    wrong_sizes,
+    count_
+};
 
 /*! Returns the name of a trouble. */
 [[nodiscard]] std::string_view name_of(trouble what) noexcept;
--- a/src/kingcuplink/admission/fair_queue.cpp
+++ b/src/kingcuplink/admission/fair_queue.cpp
@@ -29,7 +29,8 @@
     }
     auto &team = found->second;
     if(team.requests.size() >= config::queued_requests_per_team) {
-        return refuse(refusal::queue_full, std::to_string(team.requests.size()) + " requests of team " + found->first + " wait");
+        return refuse(
+            refusal::queue_full, std::to_string(team.requests.size()) + " requests of team " + found->first + " wait");
     }
     auto const wait = expected_wait(name);
     if(now + wait >= deadline) {
@@ -77,7 +78,8 @@
     if(found == tickets_.end()) {
         return false;
     }
-    std::erase_if(teams_.find(found->second)->second.requests, [&](auto const &request) { return request.id == value; });
+    std::erase_if(
+        teams_.find(found->second)->second.requests, [&](auto const &request) { return request.id == value; });
     tickets_.erase(found);
     return true;
 }
--- a/src/kingcuplink/admission/key_check.cpp
+++ b/src/kingcuplink/admission/key_check.cpp
@@ -22,7 +22,8 @@
     return known->team;
 }
 
-result<admitted_request> admit_request(document const &rules, std::string_view const queue, std::string_view const key, bool const cut_off) {
+result<admitted_request> admit_request(
+    document const &rules, std::string_view const queue, std::string_view const key, bool const cut_off) {
     auto const *known = find_queue(rules, queue);
     if(known == nullptr) {
         return refuse(refusal::queue_unknown, std::string{queue});
--- a/src/kingcuplink/admission/key_check.hpp
+++ b/src/kingcuplink/admission/key_check.hpp
@@ -24,7 +24,8 @@
  * Checks a request's key against its queue. Thread safe.
  * @param cut_off True while neither the log nor a peer can be reached.
  */
-[[nodiscard]] result<admitted_request> admit_request(document const &rules, std::string_view queue, std::string_view key, bool cut_off);
+[[nodiscard]] result<admitted_request> admit_request(
+    document const &rules, std::string_view queue, std::string_view key, bool cut_off);
 
 } // namespace kingcuplink
 
--- a/src/kingcuplink/authority/allotment.cpp
+++ b/src/kingcuplink/authority/allotment.cpp
@@ -9,7 +9,8 @@
 namespace internal {
 
 constexpr number_range claim_range{0, std::int64_t{1} << 53};
-constexpr std::array<std::int64_t resources::*, 3u> dimensions{&resources::millicores, &resources::memory_mib, &resources::accelerators};
+constexpr std::array<std::int64_t resources::*, 3u> dimensions{
+    &resources::millicores, &resources::memory_mib, &resources::accelerators};
 
 std::vector<std::string_view> sharing_domains(document const &rules) {
     std::vector<std::string_view> names;
@@ -61,11 +62,14 @@
 } // namespace internal
 
 boost::json::value claim_record(allotment_claim const &claim) {
-    return boost::json::object{{"type", "claim"}, {"domain", claim.domain}, {"number", static_cast<std::int64_t>(claim.number)}, {"holder", claim.holder}};
+    return boost::json::object{{"type", "claim"}, {"domain", claim.domain},
+        {"number", static_cast<std::int64_t>(claim.number)}, {"holder", claim.holder}};
 }
 
 boost::json::value donation_record(allotment_donation const &donation) {
-    return boost::json::object{{"type", "donation"}, {"from", donation.from}, {"to", donation.to}, {"team", donation.team}, {"amount", to_json(donation.amount)}, {"claim", static_cast<std::int64_t>(donation.claim)}};
+    return boost::json::object{{"type", "donation"}, {"from", donation.from}, {"to", donation.to},
+        {"team", donation.team}, {"amount", to_json(donation.amount)},
+        {"claim", static_cast<std::int64_t>(donation.claim)}};
 }
 
 void allotment_fold::apply(std::uint64_t const offset, boost::json::value const &record) {
@@ -111,7 +115,9 @@
         BOOST_LEAF_AUTO(team, reader.text("team"));
         BOOST_LEAF_AUTO(claim, reader.number("claim", internal::claim_range));
         auto const *amount_field = reader.find("amount");
-        auto const amount = amount_field == nullptr || !amount_field->is_object() ? resources{} : resources_from_json(amount_field->get_object());
+        auto const amount = amount_field == nullptr || !amount_field->is_object()
+            ? resources{}
+            : resources_from_json(amount_field->get_object());
         if(static_cast<std::uint64_t>(claim) != newest_claim(from).number || !fits(resources{}, amount) || from == to) {
             return {};
         }
@@ -136,7 +142,8 @@
     if(found == names.end()) {
         return {};
     }
-    return internal::even_part(internal::half_of(team.ceiling), names.size(), static_cast<std::size_t>(found - names.begin()));
+    return internal::even_part(
+        internal::half_of(team.ceiling), names.size(), static_cast<std::size_t>(found - names.begin()));
 }
 
 resources allotment_fold::limit_of(document const &rules, team_terms const &team, std::string_view const domain) const {
@@ -152,7 +159,8 @@
         std::vector<std::int64_t> parts;
         for(std::size_t pos{}; pos < names.size(); ++pos) {
             auto const moved = moved_.find({std::string{names[pos]}, team.name});
-            parts.push_back(internal::even_part(movable.*dimension, names.size(), pos) + (moved == moved_.end() ? 0 : moved->second.*dimension));
+            parts.push_back(internal::even_part(movable.*dimension, names.size(), pos) +
+                (moved == moved_.end() ? 0 : moved->second.*dimension));
         }
         internal::settle_deficits(parts);
         limit.*dimension += parts[position];
--- a/src/kingcuplink/authority/hold_table.cpp
+++ b/src/kingcuplink/authority/hold_table.cpp
@@ -81,7 +81,8 @@
         return false;
     }
     auto const newest_hold = by_beginning_.rbegin()->first;
-    return std::any_of(by_beginning_.begin(), by_beginning_.end(), [&](auto const &item) { return find(item.second)->confirmed <= newest_hold; });
+    return std::any_of(by_beginning_.begin(), by_beginning_.end(),
+        [&](auto const &item) { return find(item.second)->confirmed <= newest_hold; });
 }
 
 void hold_table::add_use(worker_id const worker, team_id const team, resources const &amount) {
@@ -116,7 +117,8 @@
     return charge;
 }
 
-bool hold_table::may_start(team_id const team, worker_id const worker, resources const &amount, resources const &limit, instant const now) const {
+bool hold_table::may_start(team_id const team, worker_id const worker, resources const &amount, resources const &limit,
+    instant const now) const {
     return is_held(worker, now) && fits(charge_before_start(team, worker) + amount, limit);
 }
 
--- a/src/kingcuplink/authority/hold_table.hpp
+++ b/src/kingcuplink/authority/hold_table.hpp
@@ -65,7 +65,8 @@
     [[nodiscard]] resources charge_before_start(team_id team, worker_id worker) const;
 
     /*! Tells whether a start keeps a team within a limit. False if the worker is not held. */
-    [[nodiscard]] bool may_start(team_id team, worker_id worker, resources const &amount, resources const &limit, instant now) const;
+    [[nodiscard]] bool may_start(
+        team_id team, worker_id worker, resources const &amount, resources const &limit, instant now) const;
 
     /*! Returns what a team is known to use. */
     [[nodiscard]] resources known_use(team_id team) const;
--- a/src/kingcuplink/authority/job_book.cpp
+++ b/src/kingcuplink/authority/job_book.cpp
@@ -8,7 +8,8 @@
 
 namespace internal {
 
-constexpr std::array<std::string_view, 6u> event_kind_names{"accepted", "cancel_requested", "start_intended", "task_final", "job_ended", "moved"};
+constexpr std::array<std::string_view, 6u> event_kind_names{
+    "accepted", "cancel_requested", "start_intended", "task_final", "job_ended", "moved"};
 constexpr number_range any_number{0, std::int64_t{1} << 53};
 
 result<job_event_kind> parse_kind(json_reader const &reader) {
@@ -24,7 +25,8 @@
 } // namespace internal
 
 boost::json::object to_json(job_event const &event) {
-    boost::json::object object{{"event", internal::event_kind_names[static_cast<std::size_t>(event.kind)]}, {"job", event.job}};
+    boost::json::object object{
+        {"event", internal::event_kind_names[static_cast<std::size_t>(event.kind)]}, {"job", event.job}};
     switch(event.kind) {
     case job_event_kind::accepted:
         object["spec"] = to_json(event.spec);
@@ -140,24 +142,35 @@
 std::vector<job_event> job_book::events_of(std::string const &job, book_entry const &entry) {
     std::vector<job_event> list;
     if(entry.accepted) {
-        list.push_back({.kind = job_event_kind::accepted, .job = job, .spec = entry.spec, .at = entry.accepted_at, .generation = entry.generation});
+        list.push_back({.kind = job_event_kind::accepted,
+            .job = job,
+            .spec = entry.spec,
+            .at = entry.accepted_at,
+            .generation = entry.generation});
     }
     if(entry.cancel_requested) {
         list.push_back({.kind = job_event_kind::cancel_requested, .job = job});
     }
     for(auto const &[ordinal, task]: entry.tasks) {
         if(task.attempt > 0u) {
-            list.push_back({.kind = job_event_kind::start_intended, .job = job, .ordinal = ordinal, .attempt = task.attempt, .place = task.worker});
+            list.push_back({.kind = job_event_kind::start_intended,
+                .job = job,
+                .ordinal = ordinal,
+                .attempt = task.attempt,
+                .place = task.worker});
         }
         if(!task.final_state.empty()) {
-            list.push_back({.kind = job_event_kind::task_final, .job = job, .ordinal = ordinal, .state = task.final_state});
+            list.push_back(
+                {.kind = job_event_kind::task_final, .job = job, .ordinal = ordinal, .state = task.final_state});
         }
     }
     if(!entry.moved_to.empty()) {
-        list.push_back({.kind = job_event_kind::moved, .job = job, .place = entry.moved_to, .generation = entry.generation});
+        list.push_back(
+            {.kind = job_event_kind::moved, .job = job, .place = entry.moved_to, .generation = entry.generation});
     }
     if(!entry.ended.empty()) {
-        list.push_back({.kind = job_event_kind::job_ended, .job = job, .state = entry.ended, .generation = entry.generation});
+        list.push_back(
+            {.kind = job_event_kind::job_ended, .job = job, .state = entry.ended, .generation = entry.generation});
     }
     return list;
 }
--- a/src/kingcuplink/authority/leadership.cpp
+++ b/src/kingcuplink/authority/leadership.cpp
@@ -9,7 +9,8 @@
     : domain_{std::move(domain)}, self_{std::move(self)}, silent_since_{started} {}
 
 void leadership::set_members(std::span<std::string const> const names) {
-    std::erase_if(members_, [&](auto const &entry) { return std::find(names.begin(), names.end(), entry.first) == names.end(); });
+    std::erase_if(
+        members_, [&](auto const &entry) { return std::find(names.begin(), names.end(), entry.first) == names.end(); });
     for(auto const &name: names) {
         if(name != self_) {
             members_.try_emplace(name);
@@ -17,7 +18,8 @@
     }
 }
 
-role_change leadership::heard(std::string_view const peer, bool const leads, std::uint64_t const term, instant const now) {
+role_change leadership::heard(
+    std::string_view const peer, bool const leads, std::uint64_t const term, instant const now) {
     auto const found = members_.find(peer);
     if(found == members_.end()) {
         return role_change::none;
@@ -74,7 +76,8 @@
     if(role_ != authority_role::leader || term < term_) {
         return role_change::none;
     }
-    auto const rival = std::any_of(members_.begin(), members_.end(), [&](auto const &entry) { return entry.second.leads && is_live(entry.first, now); });
+    auto const rival = std::any_of(members_.begin(), members_.end(),
+        [&](auto const &entry) { return entry.second.leads && is_live(entry.first, now); });
     if(!holds_any_ && !rival) {
         term_ = term + 1u;
         return role_change::raised_term;
@@ -125,12 +128,14 @@
 
 bool leadership::is_live(std::string_view const peer, instant const now) const {
     auto const found = members_.find(peer);
-    return found != members_.end() && found->second.last_heard != instant{} && now - found->second.last_heard < config::heartbeat_timeout;
+    return found != members_.end() && found->second.last_heard != instant{} &&
+        now - found->second.last_heard < config::heartbeat_timeout;
 }
 
 std::int64_t leadership::rank(instant const now) const {
     auto const own = rendezvous_weight(domain_, self_);
-    return std::count_if(members_.begin(), members_.end(), [&](auto const &entry) { return is_live(entry.first, now) && rendezvous_weight(domain_, entry.first) > own; });
+    return std::count_if(members_.begin(), members_.end(),
+        [&](auto const &entry) { return is_live(entry.first, now) && rendezvous_weight(domain_, entry.first) > own; });
 }
 
 void leadership::step_down(instant const contest_after) noexcept {
--- a/src/kingcuplink/cli/commands.cpp
+++ b/src/kingcuplink/cli/commands.cpp
@@ -77,7 +77,9 @@
 /*! Reports an answer that is no success, and returns its exit code. */
 exit_code report_failure(server_answer const &answer) {
     if(!answer.answered) {
-        return answer.may_have_run ? fail("no answer: it may have taken effect; look before you try again", exit_code::outcome_unknown) : fail("no server can be reached: check --server", exit_code::unreachable);
+        return answer.may_have_run
+            ? fail("no answer: it may have taken effect; look before you try again", exit_code::outcome_unknown)
+            : fail("no server can be reached: check --server", exit_code::unreachable);
     }
     auto const *object = answer.body.if_object();
     auto const *error = object == nullptr ? nullptr : object->if_contains("error");
@@ -87,7 +89,9 @@
     auto const &fields = error->get_object();
     auto const text = [&fields](std::string_view const name) { return std::string{fields.at(name).as_string()}; };
     auto const not_run = fields.at("not_run").as_bool();
-    return fail(text("kind") + ": " + text("detail") + ": " + text("remedy") + (not_run ? " (not run)" : " (may have run)"), not_run ? exit_code::refused : exit_code::outcome_unknown);
+    return fail(
+        text("kind") + ": " + text("detail") + ": " + text("remedy") + (not_run ? " (not run)" : " (may have run)"),
+        not_run ? exit_code::refused : exit_code::outcome_unknown);
 }
 
 bool is_success(server_answer const &answer) {
@@ -146,16 +150,20 @@
     if(!is_success(answer) || context.options.as_json) {
         return print_answer(context, answer);
     }
-    constexpr std::array<std::string_view, 8u> columns{"job", "name", "team", "kind", "state", "tasks", "on_workers", "failure_domain"};
+    constexpr std::array<std::string_view, 8u> columns{
+        "job", "name", "team", "kind", "state", "tasks", "on_workers", "failure_domain"};
     std::cout << format_table(answer.body.at("jobs"), columns);
     for(auto const &domain: answer.body.at("no_answer_from").as_array()) {
-        std::cerr << "kingcuplink: failure domain " << domain.as_string().c_str() << " gave no answer; its jobs are not listed\n";
+        std::cerr << "kingcuplink: failure domain " << domain.as_string().c_str()
+                  << " gave no answer; its jobs are not listed\n";
     }
     return exit_code::success;
 }
 
 exit_code job_status(command_context &context) {
-    return context.options.wait ? wait_for_job(context, context.arguments[0]) : print_answer(context, context.server.send(verb::get, "/v1/jobs/" + context.arguments[0], {}));
+    return context.options.wait
+        ? wait_for_job(context, context.arguments[0])
+        : print_answer(context, context.server.send(verb::get, "/v1/jobs/" + context.arguments[0], {}));
 }
 
 exit_code job_cancel(command_context &context) {
@@ -163,12 +171,16 @@
 }
 
 exit_code send_request(command_context &context) {
-    auto const body = context.arguments.size() > 1u ? read_file(context.arguments[1]) : std::optional<std::string>{std::string{}};
+    auto const body = context.arguments.size() > 1u ? read_file(context.arguments[1])
+                                                    : std::optional<std::string>{std::string{}};
     if(!body) {
         return exit_code::wrong_usage;
     }
-    std::map<std::string, std::string> const headers{{"Kingcuplink-Repeatable", context.options.repeatable ? "true" : "false"}, {"Kingcuplink-Deadline-Ms", std::to_string(context.options.deadline.count())}};
-    auto const answer = context.server.send(verb::post, "/v1/queues/" + context.arguments[0] + "/requests", *body, headers, context.options.deadline + 5s);
+    std::map<std::string, std::string> const headers{
+        {"Kingcuplink-Repeatable", context.options.repeatable ? "true" : "false"},
+        {"Kingcuplink-Deadline-Ms", std::to_string(context.options.deadline.count())}};
+    auto const answer = context.server.send(
+        verb::post, "/v1/queues/" + context.arguments[0] + "/requests", *body, headers, context.options.deadline + 5s);
     if(!is_success(answer)) {
         return report_failure(answer);
     }
@@ -196,7 +208,8 @@
     return exit_code::success;
 }
 
-exit_code put_section(command_context &context, std::string const &section, std::string body, std::uint64_t const version) {
+exit_code put_section(
+    command_context &context, std::string const &section, std::string body, std::uint64_t const version) {
     std::map<std::string, std::string> headers{{"If-Match", "\"" + std::to_string(version) + "\""}};
     if(!context.options.lower.empty()) {
         headers["Kingcuplink-Lower"] = context.options.lower;
@@ -210,7 +223,8 @@
         return exit_code::wrong_usage;
     }
     if(context.options.version == 0u) {
-        return fail("--version is missing: give the version that 'document get " + context.arguments[0] + "' showed", exit_code::wrong_usage);
+        return fail("--version is missing: give the version that 'document get " + context.arguments[0] + "' showed",
+            exit_code::wrong_usage);
     }
     return put_section(context, context.arguments[0], *body, context.options.version);
 }
@@ -220,7 +234,10 @@
     if(!value) {
         return exit_code::wrong_usage;
     }
-    auto const refused = problem_of([&]() -> result<void> { BOOST_LEAF_CHECK(parse_document(*value)); return {}; });
+    auto const refused = problem_of([&]() -> result<void> {
+        BOOST_LEAF_CHECK(parse_document(*value));
+        return {};
+    });
     if(refused) {
         return fail(message_of(*refused), exit_code::refused);
     }
@@ -308,7 +325,8 @@
 
 exit_code key_grant(command_context &context) {
     return edit_section(context, "keys", [&](json::array &keys) {
-        keys.push_back(json::object{{"sha256", context.arguments[1]}, {"team", context.arguments[0]}, {"state", "granted"}});
+        keys.push_back(
+            json::object{{"sha256", context.arguments[1]}, {"team", context.arguments[0]}, {"state", "granted"}});
         return std::string{};
     });
 }
@@ -366,10 +384,11 @@
     {"status", 0u, 0u, "", "show the state of an entry VM", show_status},
     {"top", 0u, 0u, "", "show the state of an entry VM again and again", show_top},
     {"help", 0u, 0u, "", "show this text", show_help},
-    {"version", 0u, 0u, "", "show the version", [](command_context &) {
-         std::cout << "kingcuplink 0.1.0\n";
-         return exit_code::success;
-     }},
+    {"version", 0u, 0u, "", "show the version",
+        [](command_context &) {
+            std::cout << "kingcuplink 0.1.0\n";
+            return exit_code::success;
+        }},
 }};
 
 /*! Returns the command that some words begin with, and how many of them name it. */
@@ -397,26 +416,26 @@
         line.resize(std::max<std::size_t>(line.size() + 2u, 32u), ' ');
         text.append(line).append(row.summary).append("\n");
     }
-    return text.append(
-        "\nflags, each also an environment variable such as KINGCUPLINK_SERVER:\n"
-        "  --server=ADDRESS[,ADDRESS]    entry VMs or the balancer (127.0.0.1:8080)\n"
-        "  --key=KEY                     team's or operator's key; better set KINGCUPLINK_KEY\n"
-        "  --platform=ADDRESS            platform's log, for document init\n"
-        "  --output=table|json           form of what is printed\n"
-        "  --wait                        wait until the job ends\n"
-        "  --norepeatable                the request must not be repeated\n"
-        "  --deadline_ms=N               time that the request may take (30000)\n"
-        "  --version=N                   version that the edit was made against\n"
-        "  --lower=TEAM[,TEAM]           teams whose terms the edit may lower\n"
-        "  --rounds=N                    rounds of top; 0 for no end\n"
-        "\nexit codes: 0 done, 1 refused and not run, 2 wrong usage, 3 no server reached,\n"
-        "4 may have run, 5 the job did not succeed\n");
+    return text.append("\nflags, each also an environment variable such as KINGCUPLINK_SERVER:\n"
+                       "  --server=ADDRESS[,ADDRESS]    entry VMs or the balancer (127.0.0.1:8080)\n"
+                       "  --key=KEY                     team's or operator's key; better set KINGCUPLINK_KEY\n"
+                       "  --platform=ADDRESS            platform's log, for document init\n"
+                       "  --output=table|json           form of what is printed\n"
+                       "  --wait                        wait until the job ends\n"
+                       "  --norepeatable                the request must not be repeated\n"
+                       "  --deadline_ms=N               time that the request may take (30000)\n"
+                       "  --version=N                   version that the edit was made against\n"
+                       "  --lower=TEAM[,TEAM]           teams whose terms the edit may lower\n"
+                       "  --rounds=N                    rounds of top; 0 for no end\n"
+                       "\nexit codes: 0 done, 1 refused and not run, 2 wrong usage, 3 no server reached,\n"
+                       "4 may have run, 5 the job did not succeed\n");
 }
 
 exit_code run_command(cli_options const &options, std::span<std::string const> const words) {
     auto const [row, count] = internal::find_command(words);
     if(row == nullptr) {
-        std::cerr << "kingcuplink: " << (words.empty() ? "a command is missing" : "no command '" + words[0] + "'") << ": see 'kingcuplink help'\n";
+        std::cerr << "kingcuplink: " << (words.empty() ? "a command is missing" : "no command '" + words[0] + "'")
+                  << ": see 'kingcuplink help'\n";
         return exit_code::wrong_usage;
     }
     auto const arguments = words.subspan(count);
--- a/src/kingcuplink/cli/document_diff.cpp
+++ b/src/kingcuplink/cli/document_diff.cpp
@@ -35,13 +35,18 @@
     return children;
 }
 
-void diff_into(std::vector<std::string> &lines, std::string const &path, json::value const *before, json::value const *after) {
+void diff_into(
+    std::vector<std::string> &lines, std::string const &path, json::value const *before, json::value const *after) {
     if(before != nullptr && after != nullptr && *before == *after) {
         return;
     }
-    auto const is_tree = [](json::value const *value) { return value != nullptr && (value->is_object() || value->is_array()); };
+    auto const is_tree = [](json::value const *value) {
+        return value != nullptr && (value->is_object() || value->is_array());
+    };
     if(!is_tree(before) || !is_tree(after)) {
-        auto const text = [](json::value const *value) { return value == nullptr ? std::string{"(nothing)"} : json::serialize(*value); };
+        auto const text = [](json::value const *value) {
+            return value == nullptr ? std::string{"(nothing)"} : json::serialize(*value);
+        };
         lines.push_back(path + ": " + text(before) + " -> " + text(after));
         return;
     }
@@ -57,7 +62,9 @@
     for(auto const &name: names) {
         auto const old_child = old_children.find(name);
         auto const new_child = new_children.find(name);
-        diff_into(lines, path.empty() ? name : path + "." + name, old_child == old_children.end() ? nullptr : old_child->second, new_child == new_children.end() ? nullptr : new_child->second);
+        diff_into(lines, path.empty() ? name : path + "." + name,
+            old_child == old_children.end() ? nullptr : old_child->second,
+            new_child == new_children.end() ? nullptr : new_child->second);
     }
 }
 
--- a/src/kingcuplink/cli/main.cpp
+++ b/src/kingcuplink/cli/main.cpp
@@ -22,7 +22,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 10u> flag_names{"server", "key", "platform", "output", "wait", "repeatable", "deadline_ms", "version", "lower", "rounds"};
+constexpr std::array<std::string_view, 10u> flag_names{
+    "server", "key", "platform", "output", "wait", "repeatable", "deadline_ms", "version", "lower", "rounds"};
 constexpr int longest_deadline_ms = 600'000;
 
 int fail(std::string const &message) {
@@ -37,7 +38,8 @@
     for(auto const name: flag_names) {
         std::string reason;
         auto const value = kingcuplink::flag_from_environment(name);
-        if(value && !absl::FindCommandLineFlag(absl::string_view{name.data(), name.size()})->ParseFrom(*value, &reason)) {
+        if(value &&
+            !absl::FindCommandLineFlag(absl::string_view{name.data(), name.size()})->ParseFrom(*value, &reason)) {
             return fail("the environment variable of --" + std::string{name} + " is wrong: " + reason);
         }
     }
@@ -49,7 +51,8 @@
     }
     auto const deadline = absl::GetFlag(FLAGS_deadline_ms);
     if(deadline < 1 || deadline > longest_deadline_ms) {
-        return fail("--deadline_ms is '" + std::to_string(deadline) + "', must be from 1 to " + std::to_string(longest_deadline_ms) + ": correct the flag");
+        return fail("--deadline_ms is '" + std::to_string(deadline) + "', must be from 1 to " +
+            std::to_string(longest_deadline_ms) + ": correct the flag");
     }
     kingcuplink::cli_options options;
     auto const servers = absl::GetFlag(FLAGS_server);
--- a/src/kingcuplink/cli/server_connection.cpp
+++ b/src/kingcuplink/cli/server_connection.cpp
@@ -20,7 +20,8 @@
 server_connection::server_connection(std::vector<std::string> servers, std::string key)
     : servers_{std::move(servers)}, key_{std::move(key)}, client_{context_, stats_, 1u} {}
 
-server_answer server_connection::send(boost::beast::http::verb const method, std::string const &target, std::string body, std::map<std::string, std::string> const &headers, millis const timeout) {
+server_answer server_connection::send(boost::beast::http::verb const method, std::string const &target,
+    std::string body, std::map<std::string, std::string> const &headers, millis const timeout) {
     server_answer answer;
     for(auto const &server: servers_) {
         http_request request{method, target, 11};
@@ -32,8 +33,10 @@
             request.set(boost::beast::http::field::authorization, "Bearer " + key_);
         }
         exchange result;
-        exchange_options const options{.timeout = timeout, .most_idle = config::trusted_idle, .body_limit = config::body_limit};
-        boost::asio::co_spawn(context_, client_.send(server, std::move(request), options), [&result](std::exception_ptr const &, exchange value) { result = std::move(value); });
+        exchange_options const options{
+            .timeout = timeout, .most_idle = config::trusted_idle, .body_limit = config::body_limit};
+        boost::asio::co_spawn(context_, client_.send(server, std::move(request), options),
+            [&result](std::exception_ptr const &, exchange value) { result = std::move(value); });
         context_.restart();
         context_.run();
         if(result.outcome == attempt_outcome::not_sent) {
--- a/src/kingcuplink/cli/table.cpp
+++ b/src/kingcuplink/cli/table.cpp
@@ -28,7 +28,8 @@
 std::string format_table(boost::json::value const &rows, std::span<std::string_view const> const columns) {
     std::vector<std::vector<std::string>> lines{{columns.begin(), columns.end()}};
     if(auto const *list = rows.if_array(); list != nullptr) {
-        std::transform(list->begin(), list->end(), std::back_inserter(lines), [&](auto const &row) { return internal::cells_of(row, columns); });
+        std::transform(list->begin(), list->end(), std::back_inserter(lines),
+            [&](auto const &row) { return internal::cells_of(row, columns); });
     }
     std::vector<std::size_t> widths(columns.size());
     for(auto const &line: lines) {
@@ -59,7 +60,8 @@
         text.append(indent, ' ').append(field.key()).append(":");
         if(field.value().is_object()) {
             text.append("\n").append(format_fields(field.value(), indent + 2u));
-        } else if(field.value().is_array() && !field.value().get_array().empty() && field.value().get_array().front().is_object()) {
+        } else if(field.value().is_array() && !field.value().get_array().empty() &&
+            field.value().get_array().front().is_object()) {
             text.append("\n");
             for(auto const &item: field.value().get_array()) {
                 text.append(indent + 2u, ' ').append(boost::json::serialize(item)).append("\n");
--- a/src/kingcuplink/core/config.hpp
+++ b/src/kingcuplink/core/config.hpp
@@ -105,9 +105,9 @@
 /*! Time before a sidelined runner is probed with one request. */
 inline constexpr millis sideline_time{2'000};
 /*! Largest body of a request or an answer, in bytes. */
-inline constexpr std::uint64_t body_limit{16u * 1024u * 1024u};
+inline constexpr std::uint64_t body_limit{std::uint64_t{16} << 20u};
 /*! Largest body of a job, section or control message, in bytes. */
-inline constexpr std::uint64_t control_body_limit{8u * 1024u * 1024u};
+inline constexpr std::uint64_t control_body_limit{std::uint64_t{8} << 20u};
 /*! Largest header of an HTTP message, in bytes. */
 inline constexpr std::uint32_t header_limit{16u * 1024u};
 /*! Time that a caller has to send a message once it began. */
--- a/src/kingcuplink/core/counters.cpp
+++ b/src/kingcuplink/core/counters.cpp
@@ -4,16 +4,17 @@
 
 namespace internal {
 
-constexpr std::array<std::string_view, event_count> event_names{
-    "requests_answered", "requests_may_have_run", "jobs_accepted", "task_starts_sent", "task_starts_confirmed",
-    "task_starts_refused", "task_starts_unknown", "task_stops_sent", "tasks_ended", "tasks_lost", "tasks_requeued",
-    "tasks_preempted", "leases_granted", "leases_refused", "leases_lost", "leadership_taken", "leadership_lost",
-    "peer_messages_sent", "peer_messages_received", "peer_messages_dropped", "peer_messages_malformed",
-    "peer_bytes_sent", "peer_bytes_received", "control_bytes_sent", "control_bytes_received", "document_records_applied",
+constexpr std::array<std::string_view, event_count> event_names{"requests_answered", "requests_may_have_run",
+    "jobs_accepted", "task_starts_sent", "task_starts_confirmed", "task_starts_refused", "task_starts_unknown",
+    "task_stops_sent", "tasks_ended", "tasks_lost", "tasks_requeued", "tasks_preempted", "leases_granted",
+    "leases_refused", "leases_lost", "leadership_taken", "leadership_lost", "peer_messages_sent",
+    "peer_messages_received", "peer_messages_dropped", "peer_messages_malformed", "peer_bytes_sent",
+    "peer_bytes_received", "control_bytes_sent", "control_bytes_received", "document_records_applied",
     "documents_from_peers", "log_reads_failed", "log_appends_failed", "journal_appends", "connections_accepted",
     "connections_discarded", "handovers_sent", "handovers_received"};
 
-void append_line(std::string &text, std::string_view const name, std::string_view const label, std::uint64_t const value) {
+void append_line(
+    std::string &text, std::string_view const name, std::string_view const label, std::uint64_t const value) {
     text.append("kingcuplink_").append(name).append("_total");
     if(!label.empty()) {
         text.append("{reason=\"").append(label).append("\"}");
@@ -30,7 +31,8 @@
     }
     text.append("# TYPE kingcuplink_retries_total counter\n");
     for(std::size_t pos{}; pos < retry_reason_count; ++pos) {
-        internal::append_line(text, "retries", name_of(static_cast<retry_reason>(pos)), retries_[pos].load(std::memory_order_relaxed));
+        internal::append_line(
+            text, "retries", name_of(static_cast<retry_reason>(pos)), retries_[pos].load(std::memory_order_relaxed));
     }
     for(std::size_t pos{}; pos < event_count; ++pos) {
         internal::append_line(text, internal::event_names[pos], {}, value(static_cast<event>(pos)));
--- a/src/kingcuplink/core/counters.hpp
+++ b/src/kingcuplink/core/counters.hpp
@@ -46,11 +46,11 @@
     connection_discarded,
     handover_sent,
     handover_received,
-    count_
+    count
 };
 
 /*! Number of events. */
-inline constexpr std::size_t event_count = static_cast<std::size_t>(event::count_);
+inline constexpr std::size_t event_count = static_cast<std::size_t>(event::count);
 
 /*! Counters of one process. Thread safe. */
 class counters {
--- a/src/kingcuplink/core/json_reader.cpp
+++ b/src/kingcuplink/core/json_reader.cpp
@@ -36,7 +36,8 @@
 }
 
 leaf::error_id json_reader::wrong(std::string_view const name, std::string_view const allowed) const {
-    return refuse(reason_, path_of(name) + " is " + internal::excerpt_of(find(name)) + ", must be " + std::string{allowed});
+    return refuse(
+        reason_, path_of(name) + " is " + internal::excerpt_of(find(name)) + ", must be " + std::string{allowed});
 }
 
 boost::json::value const *json_reader::find(std::string_view const name) const noexcept {
@@ -45,7 +46,8 @@
 
 result<std::string> json_reader::text(std::string_view const name) const {
     auto const *value = find(name);
-    if(value == nullptr || !value->is_string() || value->get_string().empty() || value->get_string().size() > internal::longest_text) {
+    if(value == nullptr || !value->is_string() || value->get_string().empty() ||
+        value->get_string().size() > internal::longest_text) {
         return wrong(name, "a text of 1 to 256 characters");
     }
     return std::string{value->get_string()};
@@ -61,14 +63,18 @@
 result<std::int64_t> json_reader::number(std::string_view const name, number_range const range) const {
     auto const *value = find(name);
     boost::system::error_code error;
-    auto const whole = value != nullptr && (value->is_int64() || value->is_uint64()) ? value->to_number<std::int64_t>(error) : std::int64_t{};
-    if(value == nullptr || !(value->is_int64() || value->is_uint64()) || error || whole < range.least || whole > range.most) {
+    auto const whole = value != nullptr && (value->is_int64() || value->is_uint64())
+        ? value->to_number<std::int64_t>(error)
+        : std::int64_t{};
+    if(value == nullptr || !(value->is_int64() || value->is_uint64()) || error || whole < range.least ||
+        whole > range.most) {
         return wrong(name, "a whole number from " + std::to_string(range.least) + " to " + std::to_string(range.most));
     }
     return whole;
 }
 
-result<std::int64_t> json_reader::number_or(std::string_view const name, number_range const range, std::int64_t const fallback) const {
+result<std::int64_t> json_reader::number_or(
+    std::string_view const name, number_range const range, std::int64_t const fallback) const {
     if(find(name) == nullptr) {
         return fallback;
     }
--- a/src/kingcuplink/core/json_reader.hpp
+++ b/src/kingcuplink/core/json_reader.hpp
@@ -39,7 +39,8 @@
     [[nodiscard]] result<std::int64_t> number(std::string_view name, number_range range) const;
 
     /*! Reads a whole number within a range, or takes a default. */
-    [[nodiscard]] result<std::int64_t> number_or(std::string_view name, number_range range, std::int64_t fallback) const;
+    [[nodiscard]] result<std::int64_t> number_or(
+        std::string_view name, number_range range, std::int64_t fallback) const;
 
     /*! Reads true or false, or takes a default. */
     [[nodiscard]] result<bool> flag_or(std::string_view name, bool fallback) const;
--- a/src/kingcuplink/core/refusal.hpp
+++ b/src/kingcuplink/core/refusal.hpp
@@ -45,11 +45,11 @@
     connections_full,
     route_unknown,
     shutting_down,
-    count_
+    count
 };
 
 /*! Number of reasons. */
-inline constexpr std::size_t refusal_count = static_cast<std::size_t>(refusal::count_);
+inline constexpr std::size_t refusal_count = static_cast<std::size_t>(refusal::count);
 
 /*! What callers and operators are told about a reason. */
 struct refusal_row {
@@ -91,11 +91,11 @@
     spilled,
     command_repeated,
     append_repeated,
-    count_
+    count
 };
 
 /*! Number of retry reasons. */
-inline constexpr std::size_t retry_reason_count = static_cast<std::size_t>(retry_reason::count_);
+inline constexpr std::size_t retry_reason_count = static_cast<std::size_t>(retry_reason::count);
 
 /*! Returns the name of a retry reason in counters. */
 [[nodiscard]] std::string_view name_of(retry_reason reason) noexcept;
--- a/src/kingcuplink/core/resources.hpp
+++ b/src/kingcuplink/core/resources.hpp
@@ -43,17 +43,20 @@
 
 /*! Tells whether an amount is within a limit in every dimension. */
 [[nodiscard]] constexpr bool fits(resources const &amount, resources const &limit) noexcept {
-    return amount.millicores <= limit.millicores && amount.memory_mib <= limit.memory_mib && amount.accelerators <= limit.accelerators;
+    return amount.millicores <= limit.millicores && amount.memory_mib <= limit.memory_mib &&
+        amount.accelerators <= limit.accelerators;
 }
 
 /*! Returns the larger amount of each dimension. */
 [[nodiscard]] constexpr resources max_of(resources const &lhs, resources const &rhs) noexcept {
-    return {std::max(lhs.millicores, rhs.millicores), std::max(lhs.memory_mib, rhs.memory_mib), std::max(lhs.accelerators, rhs.accelerators)};
+    return {std::max(lhs.millicores, rhs.millicores), std::max(lhs.memory_mib, rhs.memory_mib),
+        std::max(lhs.accelerators, rhs.accelerators)};
 }
 
 /*! Returns the smaller amount of each dimension. */
 [[nodiscard]] constexpr resources min_of(resources const &lhs, resources const &rhs) noexcept {
-    return {std::min(lhs.millicores, rhs.millicores), std::min(lhs.memory_mib, rhs.memory_mib), std::min(lhs.accelerators, rhs.accelerators)};
+    return {std::min(lhs.millicores, rhs.millicores), std::min(lhs.memory_mib, rhs.memory_mib),
+        std::min(lhs.accelerators, rhs.accelerators)};
 }
 
 /*! Returns the largest fraction that an amount takes of a total; dimensions of size zero do not count. */
@@ -61,7 +64,8 @@
     auto const part = [](std::int64_t const used, std::int64_t const size) {
         return size > 0 ? static_cast<double>(used) / static_cast<double>(size) : 0.0;
     };
-    return std::max({part(amount.millicores, total.millicores), part(amount.memory_mib, total.memory_mib), part(amount.accelerators, total.accelerators)});
+    return std::max({part(amount.millicores, total.millicores), part(amount.memory_mib, total.memory_mib),
+        part(amount.accelerators, total.accelerators)});
 }
 
 } // namespace kingcuplink
--- a/src/kingcuplink/core/result.hpp
+++ b/src/kingcuplink/core/result.hpp
@@ -43,7 +43,9 @@
             return std::optional<problem>{};
         },
         [](problem const &value) { return std::optional<problem>{value}; },
-        []() { return std::optional<problem>{problem{refusal::request_malformed, "unexpected error"}}; });
+        []() {
+            return std::optional<problem>{problem{refusal::request_malformed, "unexpected error"}};
+        });
 }
 
 /*!
--- a/src/kingcuplink/daemon/allotment_keeper.cpp
+++ b/src/kingcuplink/daemon/allotment_keeper.cpp
@@ -21,7 +21,8 @@
 
 } // namespace internal
 
-allotment_keeper::allotment_keeper(boost::asio::io_context &context, daemon_settings const &settings, platform_client &platform, counters &stats)
+allotment_keeper::allotment_keeper(
+    boost::asio::io_context &context, daemon_settings const &settings, platform_client &platform, counters &stats)
     : context_{context}, settings_{settings}, platform_{platform}, stats_{stats} {}
 
 void allotment_keeper::start() {
@@ -33,7 +34,8 @@
     claim_wanted_after_ = {};
     claim_sent_ = {};
     pending_.clear();
-    holder_ = settings_.name + "/" + std::to_string(current_time().time_since_epoch().count()) + "/" + std::to_string(term);
+    holder_ = settings_.name + "/" + std::to_string(current_time().time_since_epoch().count()) + "/" +
+        std::to_string(term);
 }
 
 void allotment_keeper::want_claim(instant const after) noexcept {
@@ -104,12 +106,14 @@
         co_return;
     }
     co_await read();
-    if(holder == holder_ && next_offset_ > appended.offset && fold_.newest_claim(settings_.failure_domain).number == number) {
+    if(holder == holder_ && next_offset_ > appended.offset &&
+        fold_.newest_claim(settings_.failure_domain).number == number) {
         claim_sent_ = sent;
     }
 }
 
-boost::asio::awaitable<resources> allotment_keeper::donate(document const &rules, team_terms const &team, std::string to, resources const wanted, resources const spare) {
+boost::asio::awaitable<resources> allotment_keeper::donate(
+    document const &rules, team_terms const &team, std::string to, resources const wanted, resources const spare) {
     auto const floor = allotment_fold::floor_of(rules, team, settings_.failure_domain);
     auto const movable = internal::at_least_zero(limit(rules, team, claim_wanted_after_) - floor);
     auto const half = resources{spare.millicores / 2, spare.memory_mib / 2, spare.accelerators / 2};
@@ -119,7 +123,11 @@
     }
     auto const id = holder_ + "/" + std::to_string(++next_donation_);
     pending_.emplace(id, std::pair{team.name, amount});
-    auto record = donation_record({.from = settings_.failure_domain, .to = std::move(to), .team = team.name, .amount = amount, .claim = fold_.newest_claim(settings_.failure_domain).number});
+    auto record = donation_record({.from = settings_.failure_domain,
+        .to = std::move(to),
+        .team = team.name,
+        .amount = amount,
+        .claim = fold_.newest_claim(settings_.failure_domain).number});
     record.get_object().emplace("id", id);
     auto const appended = co_await platform_.append(std::string{internal::allotment_stream}, std::move(record));
     if(appended.outcome == attempt_outcome::not_sent) {
--- a/src/kingcuplink/daemon/allotment_keeper.hpp
+++ b/src/kingcuplink/daemon/allotment_keeper.hpp
@@ -19,7 +19,8 @@
 class allotment_keeper {
 public:
     /*! Constructs a keeper that does not lead; all references must outlive it. */
-    allotment_keeper(boost::asio::io_context &context, daemon_settings const &settings, platform_client &platform, counters &stats);
+    allotment_keeper(
+        boost::asio::io_context &context, daemon_settings const &settings, platform_client &platform, counters &stats);
 
     /*! Begins to follow the log. */
     void start();
@@ -41,7 +42,8 @@
      * @param spare What is not in use. At most half of it is given.
      * @return What was given; zero if nothing was.
      */
-    boost::asio::awaitable<resources> donate(document const &rules, team_terms const &team, std::string to, resources wanted, resources spare);
+    boost::asio::awaitable<resources> donate(
+        document const &rules, team_terms const &team, std::string to, resources wanted, resources spare);
 
     /*! Reads the log now. */
     boost::asio::awaitable<void> read();
--- a/src/kingcuplink/daemon/control_api.cpp
+++ b/src/kingcuplink/daemon/control_api.cpp
@@ -80,11 +80,13 @@
     }
     auto const hash = sha256_hex(key);
     auto const &owners = documents_.current()->owners;
-    return std::any_of(owners.begin(), owners.end(), [&](auto const &hashes) { return std::find(hashes.begin(), hashes.end(), hash) != hashes.end(); });
+    return std::any_of(owners.begin(), owners.end(),
+        [&](auto const &hashes) { return std::find(hashes.begin(), hashes.end(), hash) != hashes.end(); });
 }
 
 std::string control_plane::new_job_key(std::string const &domain) {
-    return domain + "." + sha256_hex(settings_.name + std::to_string(random_()) + std::to_string(random_())).substr(0u, 16u);
+    return domain + "." +
+        sha256_hex(settings_.name + std::to_string(random_()) + std::to_string(random_())).substr(0u, 16u);
 }
 
 std::string control_plane::domain_for_new_jobs() const {
@@ -118,13 +120,15 @@
         co_return api_answer{.refused = problem{refusal::no_leader, "no failure domain takes jobs"}};
     }
     boost::json::object body{{"job", new_job_key(domain)}, {"team", team}, {"spec", to_json(spec)}};
-    LOG(INFO) << "jobs: submit request=" << request.request_id << " job=" << internal::text_in(body, "job") << " team=" << team;
+    LOG(INFO) << "jobs: submit request=" << request.request_id << " job=" << internal::text_in(body, "job")
+              << " team=" << team;
     auto answer = co_await ask_domain(domain, wire::CALL_JOB_SUBMIT, std::move(body));
     answer.status = 201;
     co_return answer;
 }
 
-boost::asio::awaitable<api_answer> control_plane::ask_domain(std::string domain, wire::call_kind const kind, boost::json::object body) {
+boost::asio::awaitable<api_answer> control_plane::ask_domain(
+    std::string domain, wire::call_kind const kind, boost::json::object body) {
     if(domain == settings_.failure_domain && reign_ != nullptr) {
         co_return co_await answer_call(kind, std::move(body));
     }
@@ -149,7 +153,9 @@
         boost::json::object body{{"job", key}, {"team", team}};
         auto answer = co_await ask_domain(domains[pos], kind, std::move(body));
         if(answer.refused) {
-            last = answer.refused->reason == refusal::job_unknown && last.refused->reason != refusal::job_unknown ? last : answer;
+            last = answer.refused->reason == refusal::job_unknown && last.refused->reason != refusal::job_unknown
+                ? last
+                : answer;
             continue;
         }
         auto const *object = answer.body.if_object();
@@ -191,7 +197,10 @@
     switch(kind) {
     case wire::CALL_JOB_SUBMIT: {
         job_spec spec;
-        auto const refused = problem_of([&]() -> result<void> { BOOST_LEAF_ASSIGN(spec, parse_job(body["spec"], team)); return {}; });
+        auto const refused = problem_of([&]() -> result<void> {
+            BOOST_LEAF_ASSIGN(spec, parse_job(body["spec"], team));
+            return {};
+        });
         if(refused) {
             co_return api_answer{.refused = refused};
         }
@@ -213,7 +222,8 @@
         co_return api_answer{.body = reign->list(team)};
     case wire::CALL_ALLOTMENT: {
         auto const *wanted = body.if_contains("wanted");
-        auto const amount = wanted == nullptr || !wanted->is_object() ? resources{} : resources_from_json(wanted->get_object());
+        auto const amount = wanted == nullptr || !wanted->is_object() ? resources{}
+                                                                      : resources_from_json(wanted->get_object());
         co_return co_await reign->donate(team, internal::text_in(body, "to"), amount);
     }
     default:
@@ -244,10 +254,14 @@
     body["log_reachable"] = documents_.log_reachable(now);
     body["cut_off"] = is_cut_off(now);
     body["draining"] = draining_;
-    body["requests"] = boost::json::object{{"waiting", gauges.waiting}, {"running", gauges.running}, {"free_slots", gauges.free_slots}, {"usable_slots", gauges.usable_slots}, {"runners_sidelined", gauges.sidelined}};
+    body["requests"] = boost::json::object{{"waiting", gauges.waiting}, {"running", gauges.running},
+        {"free_slots", gauges.free_slots}, {"usable_slots", gauges.usable_slots},
+        {"runners_sidelined", gauges.sidelined}};
     boost::json::array peers;
     for(auto const &[name, peer]: peers_.peers()) {
-        peers.push_back(boost::json::object{{"entry_vm", name}, {"failure_domain", peer.domain}, {"live", peers_.is_live(peer, now)}, {"leads", peer.leads}, {"document_offset", static_cast<std::int64_t>(peer.document_offset)}});
+        peers.push_back(boost::json::object{{"entry_vm", name}, {"failure_domain", peer.domain},
+            {"live", peers_.is_live(peer, now)}, {"leads", peer.leads},
+            {"document_offset", static_cast<std::int64_t>(peer.document_offset)}});
     }
     body["peers"] = std::move(peers);
     if(reign_ != nullptr) {
--- a/src/kingcuplink/daemon/control_plane.cpp
+++ b/src/kingcuplink/daemon/control_plane.cpp
@@ -18,7 +18,8 @@
 
 } // namespace internal
 
-control_plane::control_plane(boost::asio::io_context &context, daemon_settings const &settings, request_router &router, counters &stats)
+control_plane::control_plane(
+    boost::asio::io_context &context, daemon_settings const &settings, request_router &router, counters &stats)
     : context_{context},
       settings_{settings},
       router_{router},
@@ -126,7 +127,8 @@
     jobs_.set_leading(true);
     allotments_.set_leading(true, lead_.term());
     reign_parts const parts{context_, settings_, stats_, workers_, peers_, jobs_, allotments_, lead_};
-    reign_ = std::make_shared<domain_reign>(parts, lead_.term(), documents_.current(), [this](std::uint64_t const term) { apply(lead_.refused(term, current_time())); });
+    reign_ = std::make_shared<domain_reign>(parts, lead_.term(), documents_.current(),
+        [this](std::uint64_t const term) { apply(lead_.refused(term, current_time())); });
     reign_->start();
     reign_->update(vms_, current_time());
     send_heartbeats(true, false);
@@ -147,7 +149,8 @@
     peers_.update(*rules);
     std::vector<std::string> members;
     if(auto const *domain = find_domain(*rules, settings_.failure_domain); domain != nullptr) {
-        std::transform(domain->entry_vms.begin(), domain->entry_vms.end(), std::back_inserter(members), [](auto const &vm) { return vm.name; });
+        std::transform(domain->entry_vms.begin(), domain->entry_vms.end(), std::back_inserter(members),
+            [](auto const &vm) { return vm.name; });
     }
     lead_.set_members(members);
     if(reign_ != nullptr) {
@@ -245,17 +248,24 @@
         }
         for(auto const &runner: domain.runners) {
             auto const usable = domain.state == domain_state::in && !vms_.leaving.contains(runner.name);
-            view->runners.push_back({.name = runner.name, .address = runner.address, .slots = slot_share(runner.name, runner.slots, members, settings_.name), .usable = usable});
+            view->runners.push_back({.name = runner.name,
+                .address = runner.address,
+                .slots = slot_share(runner.name, runner.slots, members, settings_.name),
+                .usable = usable});
         }
     }
     for(auto const &team: rules->teams) {
-        view->limits.push_back({.name = team.name, .share = team.share, .most_running = slot_share(team.name, team.request_ceiling, entry_vms, settings_.name)});
+        view->limits.push_back({.name = team.name,
+            .share = team.share,
+            .most_running = slot_share(team.name, team.request_ceiling, entry_vms, settings_.name)});
     }
     for(auto const &[name, peer]: peers_.peers()) {
         auto const *domain = find_domain(*rules, peer.domain);
-        auto const takes_requests = domain != nullptr && domain->name != settings_.failure_domain && domain->state == domain_state::in;
+        auto const takes_requests = domain != nullptr && domain->name != settings_.failure_domain &&
+            domain->state == domain_state::in;
         if(takes_requests && !peer.draining && peers_.is_live(peer, now)) {
-            view->spill_targets.push_back({.name = name, .http_address = peer.http_address, .free_slots = peer.free_slots});
+            view->spill_targets.push_back(
+                {.name = name, .http_address = peer.http_address, .free_slots = peer.free_slots});
         }
     }
     router_.publish(std::move(view));
--- a/src/kingcuplink/daemon/control_plane.hpp
+++ b/src/kingcuplink/daemon/control_plane.hpp
@@ -31,7 +31,8 @@
      * @param context Context of the control thread; all references must outlive this object.
      * Throws zmq::error_t if the peer address cannot be bound.
      */
-    control_plane(boost::asio::io_context &context, daemon_settings const &settings, request_router &router, counters &stats);
+    control_plane(
+        boost::asio::io_context &context, daemon_settings const &settings, request_router &router, counters &stats);
 
     /*! Begins to work. Call once, before the context runs. */
     void start();
--- a/src/kingcuplink/daemon/document_keeper.cpp
+++ b/src/kingcuplink/daemon/document_keeper.cpp
@@ -22,8 +22,14 @@
 
 } // namespace internal
 
-document_keeper::document_keeper(boost::asio::io_context &context, daemon_settings const &settings, platform_client &platform, peer_directory &peers, counters &stats, listener on_change)
-    : context_{context}, settings_{settings}, platform_{platform}, peers_{peers}, stats_{stats}, on_change_{std::move(on_change)} {}
+document_keeper::document_keeper(boost::asio::io_context &context, daemon_settings const &settings,
+    platform_client &platform, peer_directory &peers, counters &stats, listener on_change)
+    : context_{context},
+      settings_{settings},
+      platform_{platform},
+      peers_{peers},
+      stats_{stats},
+      on_change_{std::move(on_change)} {}
 
 void document_keeper::start() {
     boost::asio::co_spawn(context_, follow(), boost::asio::detached);
@@ -149,7 +155,8 @@
     auto const pos = static_cast<std::size_t>(*which);
     auto const author = sha256_hex(request.key);
     auto const &owners = fold_.current()->owners;
-    auto const owns_any = std::any_of(owners.begin(), owners.end(), [&](auto const &hashes) { return std::find(hashes.begin(), hashes.end(), author) != hashes.end(); });
+    auto const owns_any = std::any_of(owners.begin(), owners.end(),
+        [&](auto const &hashes) { return std::find(hashes.begin(), hashes.end(), author) != hashes.end(); });
     if(request.key.empty() || !owns_any) {
         co_return api_answer{.refused = problem{refusal::owner_required, "section " + request.path[2]}};
     }
@@ -164,14 +171,24 @@
     if(!body) {
         co_return api_answer{.refused = failure};
     }
-    auto const record_id = settings_.name + "-" + std::to_string(current_time().time_since_epoch().count()) + "-" + std::to_string(++record_number_);
-    document_edit edit{.record_id = record_id, .which = *which, .base_version = *request.if_match, .author = author, .lower = request.lower, .body = *body};
+    auto const record_id = settings_.name + "-" + std::to_string(current_time().time_since_epoch().count()) + "-" +
+        std::to_string(++record_number_);
+    document_edit edit{.record_id = record_id,
+        .which = *which,
+        .base_version = *request.if_match,
+        .author = author,
+        .lower = request.lower,
+        .body = *body};
     co_return co_await publish(std::move(edit));
 }
 
 boost::asio::awaitable<api_answer> document_keeper::publish(document_edit edit) {
     co_await read_log();
-    if(auto const refused = problem_of([&]() -> result<void> { BOOST_LEAF_CHECK(apply_edit(*fold_.current(), edit)); return {}; }); refused) {
+    if(auto const refused = problem_of([&]() -> result<void> {
+           BOOST_LEAF_CHECK(apply_edit(*fold_.current(), edit));
+           return {};
+       });
+        refused) {
         co_return api_answer{.refused = refused};
     }
     auto const record = edit_record(edit);
@@ -187,7 +204,12 @@
         while(current_time() < give_up) {
             co_await read_log();
             if(auto const verdict = fold_.verdict_of(edit.record_id); verdict) {
-                co_return !verdict->is_accepted() ? api_answer{.refused = verdict->refused} : api_answer{.body = boost::json::object{{"section", name_of(edit.which)}, {"version", static_cast<std::int64_t>(edit.base_version + 1u)}, {"offset", static_cast<std::int64_t>(fold_.offset())}}, .version = edit.base_version + 1u};
+                co_return !verdict->is_accepted()
+                    ? api_answer{.refused = verdict->refused}
+                    : api_answer{.body = boost::json::object{{"section", name_of(edit.which)},
+                                     {"version", static_cast<std::int64_t>(edit.base_version + 1u)},
+                                     {"offset", static_cast<std::int64_t>(fold_.offset())}},
+                          .version = edit.base_version + 1u};
             }
             if(!appended.is_done()) {
                 break;
@@ -195,7 +217,8 @@
             co_await pause(context_, internal::verdict_poll);
         }
     }
-    co_return api_answer{.refused = problem{may_be_in_log ? refusal::edit_unknown : refusal::log_unavailable, "record " + edit.record_id}};
+    co_return api_answer{.refused = problem{may_be_in_log ? refusal::edit_unknown : refusal::log_unavailable,
+                             "record " + edit.record_id}};
 }
 
 api_answer document_keeper::describe() const {
@@ -205,11 +228,14 @@
     }
     auto const now = current_time();
     boost::json::array in_force;
-    in_force.push_back(boost::json::object{{"entry_vm", settings_.name}, {"offset", static_cast<std::int64_t>(fold_.offset())}, {"heard", true}});
+    in_force.push_back(boost::json::object{
+        {"entry_vm", settings_.name}, {"offset", static_cast<std::int64_t>(fold_.offset())}, {"heard", true}});
     for(auto const &[name, peer]: peers_.peers()) {
-        in_force.push_back(boost::json::object{{"entry_vm", name}, {"offset", static_cast<std::int64_t>(peer.document_offset)}, {"heard", peers_.is_live(peer, now)}});
+        in_force.push_back(boost::json::object{{"entry_vm", name},
+            {"offset", static_cast<std::int64_t>(peer.document_offset)}, {"heard", peers_.is_live(peer, now)}});
     }
-    return {.body = boost::json::object{{"offset", static_cast<std::int64_t>(fold_.offset())}, {"versions", std::move(versions)}, {"in_force", std::move(in_force)}}};
+    return {.body = boost::json::object{{"offset", static_cast<std::int64_t>(fold_.offset())},
+                {"versions", std::move(versions)}, {"in_force", std::move(in_force)}}};
 }
 
 } // namespace kingcuplink
--- a/src/kingcuplink/daemon/document_keeper.hpp
+++ b/src/kingcuplink/daemon/document_keeper.hpp
@@ -25,7 +25,8 @@
      * Constructs a keeper without a document; all references must outlive it.
      * @param on_change Called with each new document.
      */
-    document_keeper(boost::asio::io_context &context, daemon_settings const &settings, platform_client &platform, peer_directory &peers, counters &stats, listener on_change);
+    document_keeper(boost::asio::io_context &context, daemon_settings const &settings, platform_client &platform,
+        peer_directory &peers, counters &stats, listener on_change);
 
     /*! Begins to follow the log. */
     void start();
--- a/src/kingcuplink/daemon/domain_reign.cpp
+++ b/src/kingcuplink/daemon/domain_reign.cpp
@@ -17,7 +17,8 @@
 constexpr std::uint32_t attempts_per_term = 10'000u;
 
 task_state final_state_named(std::string_view const name) {
-    for(auto const state: {task_state::succeeded, task_state::failed, task_state::cancelled, task_state::may_have_run}) {
+    for(auto const state:
+        {task_state::succeeded, task_state::failed, task_state::cancelled, task_state::may_have_run}) {
         if(name_of(state) == name) {
             return state;
         }
@@ -27,8 +28,14 @@
 
 } // namespace internal
 
-domain_reign::domain_reign(reign_parts parts, std::uint64_t const term, std::shared_ptr<document const> rules, fenced_listener on_fenced)
-    : parts_{parts}, term_{term}, rules_{std::move(rules)}, on_fenced_{std::move(on_fenced)}, began_{current_time()}, scheduler_{{.first_attempt = static_cast<std::uint32_t>(term) * internal::attempts_per_term}} {}
+domain_reign::domain_reign(
+    reign_parts parts, std::uint64_t const term, std::shared_ptr<document const> rules, fenced_listener on_fenced)
+    : parts_{parts},
+      term_{term},
+      rules_{std::move(rules)},
+      on_fenced_{std::move(on_fenced)},
+      began_{current_time()},
+      scheduler_{{.first_attempt = static_cast<std::uint32_t>(term) * internal::attempts_per_term}} {}
 
 void domain_reign::start() {
     LOG(INFO) << "leader: reign begins domain=" << parts_.settings.failure_domain << " term=" << term_;
@@ -78,7 +85,9 @@
     auto const gather_end = current_time() + internal::gather_limit;
     auto const complete = std::make_shared<std::optional<bool>>();
     boost::asio::co_spawn(
-        parts_.context, [self, complete]() -> boost::asio::awaitable<void> { *complete = co_await self->parts_.jobs.gather(); }, boost::asio::detached);
+        parts_.context,
+        [self, complete]() -> boost::asio::awaitable<void> { *complete = co_await self->parts_.jobs.gather(); },
+        boost::asio::detached);
     while(!complete->has_value() && current_time() < gather_end) {
         co_await pause(parts_.context, internal::recovery_poll);
     }
@@ -122,7 +131,8 @@
     auto const known = scheduler_.job_of(key);
     if(!entry.accepted || (is_over && !known)) {
         if(!entry.moved_to.empty() && entry.ended.empty() && handovers_.insert(key).second) {
-            boost::asio::co_spawn(parts_.context, send_handover(shared_from_this(), key, entry.moved_to), boost::asio::detached);
+            boost::asio::co_spawn(
+                parts_.context, send_handover(shared_from_this(), key, entry.moved_to), boost::asio::detached);
         }
         return;
     }
@@ -151,7 +161,8 @@
 }
 
 void domain_reign::release_withheld() {
-    auto const all_accounted = std::all_of(slots_.begin(), slots_.end(), [](auto const &item) { return item.second.accounted; });
+    auto const all_accounted = std::all_of(
+        slots_.begin(), slots_.end(), [](auto const &item) { return item.second.accounted; });
     if(!withheld_left_ || !recovered_ || !all_accounted) {
         return;
     }
@@ -185,7 +196,10 @@
     auto const has_proof = parts_.jobs.was_standby() && !was_intended;
     scheduler_.release_withheld(task, !has_proof, now);
     if(auto const *after = scheduler_.find(task); after != nullptr && is_final(after->state)) {
-        parts_.jobs.record({.kind = job_event_kind::task_final, .job = key, .ordinal = after->ordinal, .state = std::string{name_of(after->state)}});
+        parts_.jobs.record({.kind = job_event_kind::task_final,
+            .job = key,
+            .ordinal = after->ordinal,
+            .state = std::string{name_of(after->state)}});
     }
 }
 
@@ -194,7 +208,8 @@
     if(record == nullptr || record->state == job_state::moved) {
         return;
     }
-    parts_.jobs.record({.kind = job_event_kind::job_ended, .job = record->key, .state = std::string{name_of(record->state)}});
+    parts_.jobs.record(
+        {.kind = job_event_kind::job_ended, .job = record->key, .state = std::string{name_of(record->state)}});
     LOG(INFO) << "leader: job ended job=" << record->key << " state=" << name_of(record->state);
 }
 
@@ -208,7 +223,8 @@
         co_return api_answer{.refused = problem{refusal::jobs_full, "team " + spec.team}};
     }
     if(!parts_.jobs.has_keeper()) {
-        co_return api_answer{.refused = problem{refusal::not_durable, "neither the log nor another entry VM takes the job"}};
+        co_return api_answer{
+            .refused = problem{refusal::not_durable, "neither the log nor another entry VM takes the job"}};
     }
     auto const now = current_time();
     accepting_.insert(key);
@@ -217,14 +233,18 @@
     accepting_.erase(key);
     if(over_ || place.empty()) {
         if(!over_) {
-            parts_.jobs.record({.kind = job_event_kind::job_ended, .job = key, .state = std::string{name_of(job_state::cancelled)}});
+            parts_.jobs.record(
+                {.kind = job_event_kind::job_ended, .job = key, .state = std::string{name_of(job_state::cancelled)}});
         }
-        co_return api_answer{.refused = problem{refusal::outcome_unknown, "job " + key + " was not confirmed in a second place"}};
+        co_return api_answer{
+            .refused = problem{refusal::outcome_unknown, "job " + key + " was not confirmed in a second place"}};
     }
     scheduler_.submit(key, spec, now);
     parts_.stats.add(event::job_accepted);
     kicked_ = true;
-    co_return api_answer{.status = 201, .body = boost::json::object{{"job", key}, {"failure_domain", parts_.settings.failure_domain}, {"kept_by", place}}};
+    co_return api_answer{.status = 201,
+        .body = boost::json::object{
+            {"job", key}, {"failure_domain", parts_.settings.failure_domain}, {"kept_by", place}}};
 }
 
 boost::asio::awaitable<api_answer> domain_reign::take_over_job(boost::json::value events) {
@@ -291,7 +311,8 @@
         return {.refused = problem{refusal::job_unknown, key}};
     }
     auto const &noted = entry->second;
-    boost::json::object body{{"job", key}, {"name", noted.spec.name}, {"team", noted.spec.team}, {"failure_domain", parts_.settings.failure_domain}};
+    boost::json::object body{{"job", key}, {"name", noted.spec.name}, {"team", noted.spec.team},
+        {"failure_domain", parts_.settings.failure_domain}};
     body["state"] = !noted.moved_to.empty() ? "moved" : noted.ended.empty() ? "queued" : noted.ended.c_str();
     if(!noted.moved_to.empty()) {
         body["moved_to"] = noted.moved_to;
@@ -310,7 +331,11 @@
         }
         tasks.push_back(std::move(entry));
     }
-    return {{"job", record.key}, {"name", record.spec.name}, {"team", record.spec.team}, {"kind", name_of(record.spec.kind)}, {"state", name_of(record.state)}, {"reason", record.reason}, {"urgent", record.spec.urgent}, {"failure_domain", parts_.settings.failure_domain}, {"accepted_at_ms", record.accepted_at.time_since_epoch().count()}, {"first_start_ms", record.first_start.time_since_epoch().count()}, {"tasks", std::move(tasks)}};
+    return {{"job", record.key}, {"name", record.spec.name}, {"team", record.spec.team},
+        {"kind", name_of(record.spec.kind)}, {"state", name_of(record.state)}, {"reason", record.reason},
+        {"urgent", record.spec.urgent}, {"failure_domain", parts_.settings.failure_domain},
+        {"accepted_at_ms", record.accepted_at.time_since_epoch().count()},
+        {"first_start_ms", record.first_start.time_since_epoch().count()}, {"tasks", std::move(tasks)}};
 }
 
 boost::json::array domain_reign::list(std::string const &team) const {
@@ -320,7 +345,9 @@
         if(!team.empty() && record.spec.team != team) {
             continue;
         }
-        jobs.push_back(boost::json::object{{"job", record.key}, {"name", record.spec.name}, {"team", record.spec.team}, {"kind", name_of(record.spec.kind)}, {"state", name_of(record.state)}, {"tasks", record.spec.count}, {"on_workers", record.on_workers}, {"failure_domain", parts_.settings.failure_domain}});
+        jobs.push_back(boost::json::object{{"job", record.key}, {"name", record.spec.name}, {"team", record.spec.team},
+            {"kind", name_of(record.spec.kind)}, {"state", name_of(record.state)}, {"tasks", record.spec.count},
+            {"on_workers", record.on_workers}, {"failure_domain", parts_.settings.failure_domain}});
     }
     return jobs;
 }
@@ -336,9 +363,13 @@
     for(auto const id: scheduler_.teams()) {
         auto const &team = *scheduler_.find(id);
         queued += team.queued_jobs;
-        teams.push_back(boost::json::object{{"team", team.name}, {"share", team.share}, {"in_use", to_json(team.charged)}, {"queued_jobs", team.queued_jobs}});
+        teams.push_back(boost::json::object{{"team", team.name}, {"share", team.share},
+            {"in_use", to_json(team.charged)}, {"queued_jobs", team.queued_jobs}});
     }
-    return {{"term", static_cast<std::int64_t>(term_)}, {"workers", static_cast<std::int64_t>(slots_.size())}, {"workers_held", held}, {"queued_jobs", queued}, {"running_tasks", static_cast<std::int64_t>(uses_.size())}, {"size", to_json(scheduler_.total())}, {"teams", std::move(teams)}, {"recovered", recovered_ && !withheld_left_}};
+    return {{"term", static_cast<std::int64_t>(term_)}, {"workers", static_cast<std::int64_t>(slots_.size())},
+        {"workers_held", held}, {"queued_jobs", queued}, {"running_tasks", static_cast<std::int64_t>(uses_.size())},
+        {"size", to_json(scheduler_.total())}, {"teams", std::move(teams)},
+        {"recovered", recovered_ && !withheld_left_}};
 }
 
 } // namespace kingcuplink
--- a/src/kingcuplink/daemon/domain_reign.hpp
+++ b/src/kingcuplink/daemon/domain_reign.hpp
@@ -41,7 +41,8 @@
     using fenced_listener = std::function<void(std::uint64_t term)>;
 
     /*! Constructs a reign in a term. */
-    domain_reign(reign_parts parts, std::uint64_t term, std::shared_ptr<document const> rules, fenced_listener on_fenced);
+    domain_reign(
+        reign_parts parts, std::uint64_t term, std::shared_ptr<document const> rules, fenced_listener on_fenced);
 
     /*! Acquires the workers and begins to place tasks. Call once. */
     void start();
@@ -126,7 +127,8 @@
     void take_ended(task_id task, worker_task const &seen);
     void take_unknown(worker_slot &slot, worker_task const &seen);
     void forget_unknown(worker_slot &slot);
-    boost::asio::awaitable<void> stop_orphan(self_pointer self, std::string worker, std::string job, std::int64_t ordinal);
+    boost::asio::awaitable<void> stop_orphan(
+        self_pointer self, std::string worker, std::string job, std::int64_t ordinal);
     [[nodiscard]] bool is_surely_lapsed(worker_slot const &slot, instant now) const;
     void check_lapsed(instant now);
 
--- a/src/kingcuplink/daemon/job_keeper.cpp
+++ b/src/kingcuplink/daemon/job_keeper.cpp
@@ -25,7 +25,8 @@
 
 } // namespace internal
 
-job_keeper::job_keeper(boost::asio::io_context &context, daemon_settings const &settings, platform_client &platform, peer_directory &peers, counters &stats)
+job_keeper::job_keeper(boost::asio::io_context &context, daemon_settings const &settings, platform_client &platform,
+    peer_directory &peers, counters &stats)
     : context_{context},
       settings_{settings},
       platform_{platform},
@@ -67,11 +68,13 @@
     return next_sequence_++;
 }
 
-boost::asio::awaitable<std::string> job_keeper::wait_kept(std::uint64_t const sequence, keep_rule const rule, millis const timeout) {
+boost::asio::awaitable<std::string> job_keeper::wait_kept(
+    std::uint64_t const sequence, keep_rule const rule, millis const timeout) {
     if(auto place = keeper_of(sequence, rule); !place.empty()) {
         co_return place;
     }
-    auto const entry = waiters_.insert(waiters_.end(), waiter{.sequence = sequence, .rule = rule, .timer = boost::asio::steady_timer{context_, timeout}});
+    auto const entry = waiters_.insert(waiters_.end(),
+        waiter{.sequence = sequence, .rule = rule, .timer = boost::asio::steady_timer{context_, timeout}});
     boost::system::error_code ignored;
     co_await entry->timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
     auto place = entry->place;
@@ -93,7 +96,9 @@
         for(auto const &[name, peer]: peers_.peers()) {
             auto const mirror = targets_.find(name);
             members += peer.domain == settings_.failure_domain ? 1u : 0u;
-            keepers += peer.domain == settings_.failure_domain && mirror != targets_.end() && keeps(mirror->second) ? 1u : 0u;
+            keepers += peer.domain == settings_.failure_domain && mirror != targets_.end() && keeps(mirror->second)
+                ? 1u
+                : 0u;
         }
         return members > 0u && keepers == members ? "all standbys" : std::string{};
     }
@@ -129,11 +134,13 @@
 }
 
 bool job_keeper::has_keeper() const noexcept {
-    return log_answers_ || std::any_of(targets_.begin(), targets_.end(), [](auto const &entry) { return entry.second.synced; });
+    return log_answers_ ||
+        std::any_of(targets_.begin(), targets_.end(), [](auto const &entry) { return entry.second.synced; });
 }
 
 bool job_keeper::has_standby() const noexcept {
-    return std::any_of(targets_.begin(), targets_.end(), [](auto const &entry) { return entry.second.synced && entry.second.is_standby; });
+    return std::any_of(targets_.begin(), targets_.end(),
+        [](auto const &entry) { return entry.second.synced && entry.second.is_standby; });
 }
 
 boost::asio::awaitable<void> job_keeper::mirror_loop() {
@@ -149,7 +156,8 @@
 void job_keeper::choose_targets(instant const now) {
     std::vector<std::string> chosen;
     for(auto const &[name, peer]: peers_.peers()) {
-        if(peer.domain == settings_.failure_domain && peers_.is_live(peer, now) && chosen.size() < internal::most_standbys) {
+        if(peer.domain == settings_.failure_domain && peers_.is_live(peer, now) &&
+            chosen.size() < internal::most_standbys) {
             chosen.push_back(name);
         }
     }
@@ -161,7 +169,8 @@
             }
         }
     }
-    std::erase_if(targets_, [&](auto const &entry) { return std::find(chosen.begin(), chosen.end(), entry.first) == chosen.end(); });
+    std::erase_if(targets_,
+        [&](auto const &entry) { return std::find(chosen.begin(), chosen.end(), entry.first) == chosen.end(); });
     for(auto const &name: chosen) {
         auto const [entry, added] = targets_.try_emplace(name);
         if(added) {
@@ -178,7 +187,8 @@
     }
     auto const now = current_time();
     for(auto &[name, mirror]: targets_) {
-        auto const is_silent = mirror.acked < mirror.sent && now - std::max(mirror.last_sent, mirror.last_acked) >= internal::resend_after;
+        auto const is_silent = mirror.acked < mirror.sent &&
+            now - std::max(mirror.last_sent, mirror.last_acked) >= internal::resend_after;
         if(mirror.sent == 0u || is_silent) {
             send_reset(name, mirror, now);
         } else if(mirror.sent < next_sequence_) {
@@ -383,9 +393,11 @@
             events.push_back(boost::json::parse(recent_[pos - first_recent_]));
         }
         boost::json::object record{{"events", std::move(events)}};
-        auto const appended = co_await platform_.append(internal::journal_of(settings_.failure_domain), std::move(record));
+        auto const appended = co_await platform_.append(
+            internal::journal_of(settings_.failure_domain), std::move(record));
         if(log_answers_ != appended.is_done()) {
-            LOG(WARNING) << "journal: log " << (appended.is_done() ? "answers again" : "does not answer") << " events_waiting=" << next_sequence_ - first;
+            LOG(WARNING) << "journal: log " << (appended.is_done() ? "answers again" : "does not answer")
+                         << " events_waiting=" << next_sequence_ - first;
         }
         log_answers_ = appended.is_done();
         if(!log_answers_) {
--- a/src/kingcuplink/daemon/job_keeper.hpp
+++ b/src/kingcuplink/daemon/job_keeper.hpp
@@ -32,7 +32,8 @@
 class job_keeper {
 public:
     /*! Constructs a keeper with empty books; all references must outlive it. */
-    job_keeper(boost::asio::io_context &context, daemon_settings const &settings, platform_client &platform, peer_directory &peers, counters &stats);
+    job_keeper(boost::asio::io_context &context, daemon_settings const &settings, platform_client &platform,
+        peer_directory &peers, counters &stats);
 
     /*! Begins to mirror and to write the journal while this entry VM leads. */
     void start();
--- a/src/kingcuplink/daemon/main.cpp
+++ b/src/kingcuplink/daemon/main.cpp
@@ -21,7 +21,8 @@
 constexpr auto drain_poll = 20ms;
 
 /*! Serves what is under way, then stops. */
-void shut_down(kingcuplink::daemon_settings const &settings, kingcuplink::http_server &server, kingcuplink::control_plane &control, boost::asio::io_context &context) {
+void shut_down(kingcuplink::daemon_settings const &settings, kingcuplink::http_server &server,
+    kingcuplink::control_plane &control, boost::asio::io_context &context) {
     LOG(INFO) << "daemon: draining grace_ms=" << settings.drain_grace.count();
     server.drain();
     boost::asio::post(context, [&control]() { control.resign(); });
@@ -53,12 +54,14 @@
     try {
         control = std::make_unique<kingcuplink::control_plane>(control_context, *settings, router, stats);
     } catch(zmq::error_t const &failure) {
-        std::cerr << "kingcuplinkd: --peer_address '" << settings->peer_address << "' cannot be used: " << failure.what() << ": free the address or name another\n";
+        std::cerr << "kingcuplinkd: --peer_address '" << settings->peer_address
+                  << "' cannot be used: " << failure.what() << ": free the address or name another\n";
         return exit_failure;
     }
     kingcuplink::http_server server{router, *control, stats};
     if(!server.start(settings->http_address, settings->traffic_threads)) {
-        std::cerr << "kingcuplinkd: --http_address '" << settings->http_address << "' cannot be used: free the address or name another\n";
+        std::cerr << "kingcuplinkd: --http_address '" << settings->http_address
+                  << "' cannot be used: free the address or name another\n";
         return exit_failure;
     }
     control->start();
@@ -66,7 +69,8 @@
     boost::asio::signal_set signals{signal_context, SIGTERM, SIGINT};
     signals.async_wait([&signal_context](boost::system::error_code const &, int) { signal_context.stop(); });
     std::thread control_thread{[&control_context]() { control_context.run(); }};
-    LOG(INFO) << "daemon: serving name=" << settings->name << " domain=" << settings->failure_domain << " http=" << settings->http_address;
+    LOG(INFO) << "daemon: serving name=" << settings->name << " domain=" << settings->failure_domain
+              << " http=" << settings->http_address;
     signal_context.run();
     shut_down(*settings, server, *control, control_context);
     control_context.stop();
--- a/src/kingcuplink/daemon/peer_directory.cpp
+++ b/src/kingcuplink/daemon/peer_directory.cpp
@@ -28,17 +28,19 @@
 
 } // namespace internal
 
-peer_directory::peer_directory(boost::asio::io_context &context, daemon_settings const &settings, counters &stats, handler on_message)
+peer_directory::peer_directory(
+    boost::asio::io_context &context, daemon_settings const &settings, counters &stats, handler on_message)
     : context_{context},
       settings_{settings},
       next_call_{static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count())},
-      link_{settings.name, settings.peer_address, stats, [this, on_message = std::move(on_message)](wire::envelope message) {
-                boost::asio::post(context_, [this, on_message, message = std::move(message)]() {
-                    if(!refused_.contains(message.sender())) {
-                        on_message(message);
-                    }
-                });
-            }} {}
+      link_{settings.name, settings.peer_address, stats,
+          [this, on_message = std::move(on_message)](wire::envelope message) {
+              boost::asio::post(context_, [this, on_message, message = std::move(message)]() {
+                  if(!refused_.contains(message.sender())) {
+                      on_message(message);
+                  }
+              });
+          }} {}
 
 void peer_directory::update(document const &rules) {
     std::set<std::string> listed;
@@ -83,7 +85,8 @@
     return !refused_.contains(peer) && link_.send(peer, message);
 }
 
-boost::asio::awaitable<peer_answer> peer_directory::call(std::string peer, wire::call_kind const kind, boost::json::value body, millis const timeout) {
+boost::asio::awaitable<peer_answer> peer_directory::call(
+    std::string peer, wire::call_kind const kind, boost::json::value body, millis const timeout) {
     auto const id = ++next_call_;
     auto const pending = std::make_shared<pending_call>(context_);
     wire::envelope message;
@@ -123,7 +126,8 @@
     }
     peer_answer value;
     if(!answer.refusal().empty()) {
-        value.refused = problem{internal::refusal_of(answer.refusal()).value_or(refusal::outcome_unknown), answer.detail()};
+        value.refused = problem{
+            internal::refusal_of(answer.refusal()).value_or(refusal::outcome_unknown), answer.detail()};
     }
     value.body = internal::parse_or_null(answer.json());
     found->second->answer = std::move(value);
@@ -139,7 +143,8 @@
 }
 
 bool peer_directory::is_live(peer_state const &peer, instant const now) const noexcept {
-    auto const silence = peer.domain == settings_.failure_domain ? config::heartbeat_timeout : config::remote_heartbeat_timeout;
+    auto const silence = peer.domain == settings_.failure_domain ? config::heartbeat_timeout
+                                                                 : config::remote_heartbeat_timeout;
     return peer.last_heard != instant{} && now - peer.last_heard < silence;
 }
 
@@ -158,7 +163,8 @@
 std::vector<std::string> peer_directory::live_members(instant const now, millis const silence) const {
     std::vector<std::string> names{settings_.name};
     for(auto const &[peer, state]: peers_) {
-        if(state.domain == settings_.failure_domain && state.last_heard != instant{} && now - state.last_heard < silence) {
+        if(state.domain == settings_.failure_domain && state.last_heard != instant{} &&
+            now - state.last_heard < silence) {
             names.push_back(peer);
         }
     }
@@ -167,7 +173,9 @@
 }
 
 bool peer_directory::hears_other_domain(instant const now) const {
-    return std::any_of(peers_.begin(), peers_.end(), [&](auto const &entry) { return entry.second.domain != settings_.failure_domain && is_live(entry.second, now); });
+    return std::any_of(peers_.begin(), peers_.end(), [&](auto const &entry) {
+        return entry.second.domain != settings_.failure_domain && is_live(entry.second, now);
+    });
 }
 
 } // namespace kingcuplink
--- a/src/kingcuplink/daemon/peer_directory.hpp
+++ b/src/kingcuplink/daemon/peer_directory.hpp
@@ -51,7 +51,8 @@
      * @param on_message Called on the control thread for messages other than replies.
      * Throws zmq::error_t if the peer address cannot be bound.
      */
-    peer_directory(boost::asio::io_context &context, daemon_settings const &settings, counters &stats, handler on_message);
+    peer_directory(
+        boost::asio::io_context &context, daemon_settings const &settings, counters &stats, handler on_message);
 
     /*! Connects to the entry VMs of a document and forgets all others. */
     void update(document const &rules);
@@ -63,7 +64,8 @@
     bool send(std::string const &peer, wire::envelope &message);
 
     /*! Sends a call and waits for its answer. */
-    boost::asio::awaitable<peer_answer> call(std::string peer, wire::call_kind kind, boost::json::value body, millis timeout);
+    boost::asio::awaitable<peer_answer> call(
+        std::string peer, wire::call_kind kind, boost::json::value body, millis timeout);
 
     /*! Answers a call. */
     void reply(std::string const &peer, std::uint64_t id, peer_answer const &answer);
@@ -91,8 +93,7 @@
 
 private:
     struct pending_call {
-        explicit pending_call(boost::asio::io_context &context)
-            : timer{context} {}
+        explicit pending_call(boost::asio::io_context &context) : timer{context} {}
 
         boost::asio::steady_timer timer;
         std::optional<peer_answer> answer{};
--- a/src/kingcuplink/daemon/reign_tasks.cpp
+++ b/src/kingcuplink/daemon/reign_tasks.cpp
@@ -66,7 +66,10 @@
     parts_.stats.add(outcome == task_outcome::lost ? event::task_lost : event::task_ended);
     auto const *after = scheduler_.find(task);
     if(after != nullptr && is_final(after->state)) {
-        parts_.jobs.record({.kind = job_event_kind::task_final, .job = key, .ordinal = ordinal, .state = std::string{name_of(after->state)}});
+        parts_.jobs.record({.kind = job_event_kind::task_final,
+            .job = key,
+            .ordinal = ordinal,
+            .state = std::string{name_of(after->state)}});
     } else {
         parts_.stats.add(event::task_requeued);
     }
@@ -118,7 +121,8 @@
         }
         co_return true;
     }
-    co_return !(co_await parts_.jobs.wait_kept(sequence, keep_rule::for_every_successor, internal::intent_limit)).empty();
+    co_return !(co_await parts_.jobs.wait_kept(sequence, keep_rule::for_every_successor, internal::intent_limit))
+        .empty();
 }
 
 boost::asio::awaitable<void> domain_reign::start_task([[maybe_unused]] self_pointer self, task_id const task) {
@@ -126,17 +130,27 @@
     auto const job = *scheduler_.find(record.job);
     auto &slot = slots_.at(slot_names_.at(record.worker.index));
     auto const epoch = epoch_of(slot);
-    auto const sequence = parts_.jobs.record({.kind = job_event_kind::start_intended, .job = job.key, .ordinal = record.ordinal, .attempt = record.attempt, .place = slot.name});
+    auto const sequence = parts_.jobs.record({.kind = job_event_kind::start_intended,
+        .job = job.key,
+        .ordinal = record.ordinal,
+        .attempt = record.attempt,
+        .place = slot.name});
     auto const kept = co_await keep_intent(sequence, job.spec.repeatable);
     command_reply reply{.outcome = command_outcome::not_sent};
     for(auto tries = 0; tries < internal::start_tries && reply.outcome == command_outcome::not_sent; ++tries) {
         auto const *now_record = scheduler_.find(task);
         auto const is_wanted = now_record != nullptr && now_record->state == task_state::starting;
-        if(over_ || !kept || !is_wanted || epoch != epoch_of(slot) || !holds_.is_held(slot.id, current_time()) || !takes_work()) {
+        if(over_ || !kept || !is_wanted || epoch != epoch_of(slot) || !holds_.is_held(slot.id, current_time()) ||
+            !takes_work()) {
             break;
         }
         parts_.stats.add(event::task_start_sent);
-        task_start order{.job = job.key, .ordinal = record.ordinal, .attempt = record.attempt, .spec = job.spec, .size = record.charge, .progress = record.progress};
+        task_start order{.job = job.key,
+            .ordinal = record.ordinal,
+            .attempt = record.attempt,
+            .spec = job.spec,
+            .size = record.charge,
+            .progress = record.progress};
         reply = co_await parts_.workers.start(slot.address, holder_of(slot), std::move(order));
     }
     starts_in_flight_.erase(task);
@@ -150,7 +164,8 @@
         break;
     case command_outcome::unknown:
         parts_.stats.add(event::task_start_unknown);
-        LOG(WARNING) << "leader: start without an answer job=" << job.key << " task=" << record.ordinal << " worker=" << slot.name;
+        LOG(WARNING) << "leader: start without an answer job=" << job.key << " task=" << record.ordinal
+                     << " worker=" << slot.name;
         drop(slot);
         break;
     case command_outcome::fenced:
@@ -198,7 +213,8 @@
         if(id) {
             auto const limit = parts_.allotments.limit(*rules_, team, began_);
             auto const floor = allotment_fold::floor_of(*rules_, team, parts_.settings.failure_domain);
-            scheduler_.shed(*id, recovered_ && parts_.allotments.has_claim(began_) ? limit : max_of(floor, team.ceiling));
+            scheduler_.shed(
+                *id, recovered_ && parts_.allotments.has_claim(began_) ? limit : max_of(floor, team.ceiling));
         }
     }
 }
@@ -227,7 +243,8 @@
 std::string domain_reign::other_domain_for_jobs() const {
     auto const now = current_time();
     for(auto const &domain: rules_->failure_domains) {
-        if(domain.name != parts_.settings.failure_domain && domain.state == domain_state::in && !parts_.peers.leader_of(domain.name, now).empty()) {
+        if(domain.name != parts_.settings.failure_domain && domain.state == domain_state::in &&
+            !parts_.peers.leader_of(domain.name, now).empty()) {
             return domain.name;
         }
     }
@@ -253,7 +270,8 @@
     }
 }
 
-boost::asio::awaitable<void> domain_reign::send_handover([[maybe_unused]] self_pointer self, std::string key, std::string to) {
+boost::asio::awaitable<void> domain_reign::send_handover(
+    [[maybe_unused]] self_pointer self, std::string key, std::string to) {
     auto entry = parts_.jobs.book().entries().at(key);
     entry.moved_to.clear();
     ++entry.generation;
@@ -265,9 +283,11 @@
         auto const leader = parts_.peers.leader_of(to, current_time());
         if(!leader.empty()) {
             parts_.stats.add(event::handover_sent);
-            auto const answer = co_await parts_.peers.call(leader, wire::CALL_JOB_HANDOVER, events, config::peer_timeout);
+            auto const answer = co_await parts_.peers.call(
+                leader, wire::CALL_JOB_HANDOVER, events, config::peer_timeout);
             if(!answer.refused && !over_) {
-                parts_.jobs.record({.kind = job_event_kind::job_ended, .job = key, .state = std::string{name_of(job_state::moved)}});
+                parts_.jobs.record(
+                    {.kind = job_event_kind::job_ended, .job = key, .state = std::string{name_of(job_state::moved)}});
                 handovers_.erase(key);
                 co_return;
             }
@@ -276,16 +296,19 @@
     }
 }
 
-boost::asio::awaitable<void> domain_reign::ask_for_allotment([[maybe_unused]] self_pointer self, std::string team, resources const wanted) {
+boost::asio::awaitable<void> domain_reign::ask_for_allotment(
+    [[maybe_unused]] self_pointer self, std::string team, resources const wanted) {
     auto const now = current_time();
     auto const rules = rules_;
     for(auto const &domain: rules->failure_domains) {
-        auto const leader = domain.name == parts_.settings.failure_domain ? std::string{} : parts_.peers.leader_of(domain.name, now);
+        auto const leader = domain.name == parts_.settings.failure_domain ? std::string{}
+                                                                          : parts_.peers.leader_of(domain.name, now);
         if(leader.empty()) {
             continue;
         }
         boost::json::object body{{"team", team}, {"to", parts_.settings.failure_domain}, {"wanted", to_json(wanted)}};
-        auto const answer = co_await parts_.peers.call(leader, wire::CALL_ALLOTMENT, std::move(body), config::peer_timeout);
+        auto const answer = co_await parts_.peers.call(
+            leader, wire::CALL_ALLOTMENT, std::move(body), config::peer_timeout);
         if(!answer.refused) {
             co_await parts_.allotments.read();
             kicked_ = true;
@@ -300,8 +323,10 @@
     auto const now = current_time();
     auto const *terms = find_team(*rules_, team);
     auto const id = scheduler_.team_of(team);
-    auto const holds_all = std::all_of(slots_.begin(), slots_.end(), [&](auto const &item) { return holds_.is_held(item.second.id, now); });
-    api_answer const refused{.refused = problem{refusal::ceiling_reached, "no part of the ceiling of team " + team + " is free here"}};
+    auto const holds_all = std::all_of(
+        slots_.begin(), slots_.end(), [&](auto const &item) { return holds_.is_held(item.second.id, now); });
+    api_answer const refused{
+        .refused = problem{refusal::ceiling_reached, "no part of the ceiling of team " + team + " is free here"}};
     if(terms == nullptr || !id || !holds_all || withheld_left_) {
         co_return refused;
     }
--- a/src/kingcuplink/daemon/reign_workers.cpp
+++ b/src/kingcuplink/daemon/reign_workers.cpp
@@ -193,7 +193,8 @@
         return;
     }
     if(is_final(record->state)) {
-        boost::asio::co_spawn(parts_.context, stop_orphan(shared_from_this(), slot.name, seen.job, seen.ordinal), boost::asio::detached);
+        boost::asio::co_spawn(
+            parts_.context, stop_orphan(shared_from_this(), slot.name, seen.job, seen.ordinal), boost::asio::detached);
         return;
     }
     scheduler_.adopt(task, slot.id, seen.size, seen.attempt, current_time() - seen.running_for);
@@ -205,17 +206,23 @@
     if(record == nullptr) {
         return;
     }
-    if(record->state == task_state::withheld && seen.state == "succeeded" && scheduler_.find(record->job)->spec.kind != job_kind::service) {
+    if(record->state == task_state::withheld && seen.state == "succeeded" &&
+        scheduler_.find(record->job)->spec.kind != job_kind::service) {
         auto const key = scheduler_.find(record->job)->key;
         scheduler_.settle(task, task_state::succeeded, current_time());
-        parts_.jobs.record({.kind = job_event_kind::task_final, .job = key, .ordinal = seen.ordinal, .state = std::string{name_of(task_state::succeeded)}});
+        parts_.jobs.record({.kind = job_event_kind::task_final,
+            .job = key,
+            .ordinal = seen.ordinal,
+            .state = std::string{name_of(task_state::succeeded)}});
         return;
     }
     auto const is_recorded = is_on_worker(record->state) && record->attempt == seen.attempt;
     if(!is_recorded) {
         return;
     }
-    auto const outcome = seen.state == "succeeded" ? task_outcome::succeeded : seen.state == "failed" ? task_outcome::failed : task_outcome::stopped;
+    auto const outcome = seen.state == "succeeded" ? task_outcome::succeeded
+        : seen.state == "failed"                   ? task_outcome::failed
+                                                   : task_outcome::stopped;
     end_task(task, outcome);
 }
 
@@ -226,7 +233,8 @@
         counted_use const use{slot.id, scheduler_.set_team(seen.team, 1), seen.size};
         slot.unknown.emplace(key, use);
         holds_.add_use(use.worker, use.team, use.amount);
-        boost::asio::co_spawn(parts_.context, stop_orphan(shared_from_this(), slot.name, seen.job, seen.ordinal), boost::asio::detached);
+        boost::asio::co_spawn(
+            parts_.context, stop_orphan(shared_from_this(), slot.name, seen.job, seen.ordinal), boost::asio::detached);
     } else if(seen.state != "running" && known != slot.unknown.end()) {
         holds_.remove_use(known->second.worker, known->second.team, known->second.amount);
         slot.unknown.erase(known);
@@ -240,7 +248,8 @@
     slot.unknown.clear();
 }
 
-boost::asio::awaitable<void> domain_reign::stop_orphan([[maybe_unused]] self_pointer self, std::string worker, std::string job, std::int64_t const ordinal) {
+boost::asio::awaitable<void> domain_reign::stop_orphan(
+    [[maybe_unused]] self_pointer self, std::string worker, std::string job, std::int64_t const ordinal) {
     while(!over_ && !journal_read_) {
         co_await pause(parts_.context, config::worker_retry);
     }
@@ -248,7 +257,8 @@
     auto const known = scheduler_.job_of(job);
     auto const is_wanted = known && !is_final(scheduler_.find(*known)->state);
     if(!over_ && slot.held && !is_wanted) {
-        LOG(WARNING) << "leader: stopping a task of no live job job=" << job << " task=" << ordinal << " worker=" << worker;
+        LOG(WARNING) << "leader: stopping a task of no live job job=" << job << " task=" << ordinal
+                     << " worker=" << worker;
         co_await parts_.workers.stop(slot.address, holder_of(slot), job, ordinal, false);
     }
 }
--- a/src/kingcuplink/daemon/settings.cpp
+++ b/src/kingcuplink/daemon/settings.cpp
@@ -13,7 +13,8 @@
 ABSL_FLAG(std::string, peer_address, "127.0.0.1:8081", "IP number and port for other entry VMs.");
 ABSL_FLAG(std::string, platform_address, "", "IP number and port of the platform's log and VM list.");
 ABSL_FLAG(int, traffic_threads, 2, "Threads that carry requests, 1 to 64.");
-ABSL_FLAG(int, drain_grace_ms, 5000, "Milliseconds between readiness going false and the end of accepting, 0 to 600000.");
+ABSL_FLAG(
+    int, drain_grace_ms, 5000, "Milliseconds between readiness going false and the end of accepting, 0 to 600000.");
 ABSL_FLAG(int, drain_limit_ms, 60000, "Milliseconds that requests under way are waited for, 0 to 600000.");
 ABSL_FLAG(bool, allow_faults, false, "Serve /v1/faults, which cuts this process off from named peers. For tests only.");
 
@@ -21,17 +22,25 @@
 
 namespace internal {
 
-constexpr std::array<std::string_view, 9u> setting_names{"name", "failure_domain", "http_address", "peer_address", "platform_address", "traffic_threads", "drain_grace_ms", "drain_limit_ms", "allow_faults"};
+constexpr std::array<std::string_view, 9u> setting_names{"name", "failure_domain", "http_address", "peer_address",
+    "platform_address", "traffic_threads", "drain_grace_ms", "drain_limit_ms", "allow_faults"};
 constexpr int most_threads = 64;
 constexpr int longest_drain_ms = 600'000;
 
 std::string setting_error(std::string_view const flag, std::string_view const value, std::string_view const allowed) {
     std::string text{"--"};
-    return text.append(flag).append(" is '").append(value).append("', must be ").append(allowed).append(": correct the flag or its environment variable; --help lists all");
+    return text.append(flag)
+        .append(" is '")
+        .append(value)
+        .append("', must be ")
+        .append(allowed)
+        .append(": correct the flag or its environment variable; --help lists all");
 }
 
 bool is_name(std::string_view const text) {
-    auto const allowed = [](char const value) { return (value >= 'a' && value <= 'z') || (value >= '0' && value <= '9') || value == '-'; };
+    auto const allowed = [](char const value) {
+        return (value >= 'a' && value <= 'z') || (value >= '0' && value <= '9') || value == '-';
+    };
     return !text.empty() && text.size() <= 63u && std::all_of(text.begin(), text.end(), allowed);
 }
 
@@ -52,7 +61,9 @@
 } // namespace internal
 
 std::optional<daemon_settings> read_settings(int const argc, char **argv, std::string &error) {
-    absl::SetProgramUsageMessage("Entry VM daemon of kingcuplink.\nEvery flag can also be set by an environment variable, such as KINGCUPLINK_HTTP_ADDRESS.\nExit codes: 0 after a graceful shutdown, 1 on failure, 2 on a wrong setting.");
+    absl::SetProgramUsageMessage(
+        "Entry VM daemon of kingcuplink.\nEvery flag can also be set by an environment variable, such as "
+        "KINGCUPLINK_HTTP_ADDRESS.\nExit codes: 0 after a graceful shutdown, 1 on failure, 2 on a wrong setting.");
     if(!internal::apply_environment(error)) {
         return std::nullopt;
     }
@@ -103,7 +114,8 @@
     }};
     for(auto const &check: numbers) {
         if(check.value < check.least || check.value > check.most) {
-            error = internal::setting_error(check.flag, std::to_string(check.value), "from " + std::to_string(check.least) + " to " + std::to_string(check.most));
+            error = internal::setting_error(check.flag, std::to_string(check.value),
+                "from " + std::to_string(check.least) + " to " + std::to_string(check.most));
             return std::nullopt;
         }
     }
--- a/src/kingcuplink/document/document.cpp
+++ b/src/kingcuplink/document/document.cpp
@@ -9,7 +9,8 @@
 
 namespace json = boost::json;
 
-constexpr std::array<std::string_view, section_count> section_names{"owners", "teams", "keys", "failure_domains", "queues", "policies"};
+constexpr std::array<std::string_view, section_count> section_names{
+    "owners", "teams", "keys", "failure_domains", "queues", "policies"};
 constexpr std::array<std::string_view, job_kind_count> kind_names{"service", "batch", "gang"};
 constexpr std::array<std::string_view, 3u> domain_state_names{"in", "out", "lost"};
 constexpr number_range amount_range{0, 1'000'000'000};
@@ -21,14 +22,17 @@
 }
 
 template<std::size_t Size>
-std::optional<std::size_t> position_of(std::array<std::string_view, Size> const &names, std::string_view const name) noexcept {
+std::optional<std::size_t> position_of(
+    std::array<std::string_view, Size> const &names, std::string_view const name) noexcept {
     auto const found = std::find(names.begin(), names.end(), name);
     return found == names.end() ? std::nullopt : std::optional{static_cast<std::size_t>(found - names.begin())};
 }
 
 result<std::string> parse_sha256(json_reader const &reader, std::string_view const name) {
     BOOST_LEAF_AUTO(text, reader.text(name));
-    auto const is_digit = [](char const value) { return (value >= '0' && value <= '9') || (value >= 'a' && value <= 'f'); };
+    auto const is_digit = [](char const value) {
+        return (value >= '0' && value <= '9') || (value >= 'a' && value <= 'f');
+    };
     if(text.size() != sha256_digits || !std::all_of(text.begin(), text.end(), is_digit)) {
         return reader.wrong(name, "a SHA-256 of 64 lower case hexadecimal digits");
     }
@@ -39,7 +43,8 @@
     BOOST_LEAF_AUTO(text, reader.text(name));
     auto const colon = text.rfind(':');
     auto const is_digit = [](char const value) { return value >= '0' && value <= '9'; };
-    if(colon == std::string::npos || colon + 1u == text.size() || !std::all_of(text.begin() + static_cast<std::ptrdiff_t>(colon) + 1, text.end(), is_digit)) {
+    if(colon == std::string::npos || colon + 1u == text.size() ||
+        !std::all_of(text.begin() + static_cast<std::ptrdiff_t>(colon) + 1, text.end(), is_digit)) {
         return reader.wrong(name, "an IP number and a port, such as 10.0.0.1:8080");
     }
     return text;
@@ -56,7 +61,8 @@
         return refuse(refusal::section_invalid, path + " must be an array");
     }
     for(std::size_t pos{}; pos < list->get_array().size(); ++pos) {
-        BOOST_LEAF_AUTO(reader, json_reader::open(list->get_array()[pos], item_path(path, pos), refusal::section_invalid));
+        BOOST_LEAF_AUTO(
+            reader, json_reader::open(list->get_array()[pos], item_path(path, pos), refusal::section_invalid));
         BOOST_LEAF_AUTO(item, func(reader));
         items.push_back(std::move(item));
     }
@@ -134,9 +140,12 @@
         return reader.wrong("state", "in, out or lost");
     }
     domain.state = static_cast<domain_state>(*position);
-    BOOST_LEAF_ASSIGN(domain.entry_vms, parse_list<entry_vm>(reader.find("entry_vms"), reader.path_of("entry_vms"), parse_entry_vm));
-    BOOST_LEAF_ASSIGN(domain.workers, parse_list<worker_entry>(reader.find("workers"), reader.path_of("workers"), parse_worker));
-    BOOST_LEAF_ASSIGN(domain.runners, parse_list<runner_entry>(reader.find("runners"), reader.path_of("runners"), parse_runner));
+    BOOST_LEAF_ASSIGN(
+        domain.entry_vms, parse_list<entry_vm>(reader.find("entry_vms"), reader.path_of("entry_vms"), parse_entry_vm));
+    BOOST_LEAF_ASSIGN(
+        domain.workers, parse_list<worker_entry>(reader.find("workers"), reader.path_of("workers"), parse_worker));
+    BOOST_LEAF_ASSIGN(
+        domain.runners, parse_list<runner_entry>(reader.find("runners"), reader.path_of("runners"), parse_runner));
     return domain;
 }
 
@@ -180,7 +189,8 @@
     for(std::size_t pos{}; pos < job_kind_count; ++pos) {
         kind_policy policy{.preemptible = static_cast<job_kind>(pos) == job_kind::batch, .backfill = true};
         if(auto const *item = reader.find(kind_names[pos]); item != nullptr) {
-            BOOST_LEAF_AUTO(fields, json_reader::open(*item, reader.path_of(kind_names[pos]), refusal::section_invalid));
+            BOOST_LEAF_AUTO(
+                fields, json_reader::open(*item, reader.path_of(kind_names[pos]), refusal::section_invalid));
             BOOST_LEAF_CHECK(fields.only({"preemptible", "backfill"}));
             BOOST_LEAF_ASSIGN(policy.preemptible, fields.flag_or("preemptible", policy.preemptible));
             BOOST_LEAF_ASSIGN(policy.backfill, fields.flag_or("backfill", policy.backfill));
@@ -197,7 +207,8 @@
 
 result<void> parse_keys(document &value, json::value const &body) {
     BOOST_LEAF_ASSIGN(value.keys, parse_list<team_key>(&body, "keys", parse_key));
-    std::sort(value.keys.begin(), value.keys.end(), [](auto const &lhs, auto const &rhs) { return lhs.sha256 < rhs.sha256; });
+    std::sort(
+        value.keys.begin(), value.keys.end(), [](auto const &lhs, auto const &rhs) { return lhs.sha256 < rhs.sha256; });
     return {};
 }
 
@@ -212,7 +223,8 @@
 }
 
 using section_parser = result<void> (*)(document &, json::value const &);
-constexpr std::array<section_parser, section_count> section_parsers{parse_owners, parse_teams, parse_keys, parse_domains, parse_queues, parse_policies};
+constexpr std::array<section_parser, section_count> section_parsers{
+    parse_owners, parse_teams, parse_keys, parse_domains, parse_queues, parse_policies};
 
 template<typename Range>
 auto const *find_named(Range const &range, std::string_view const name) noexcept {
@@ -223,8 +235,7 @@
 /*! Collects names and refuses those that come twice. */
 class unique_names {
 public:
-    explicit unique_names(std::string_view const what)
-        : what_{what} {}
+    explicit unique_names(std::string_view const what) : what_{what} {}
 
     result<void> add(std::string const &name) {
         if(!names_.insert(name).second) {
@@ -283,7 +294,8 @@
 }
 
 team_key const *find_key(document const &value, std::string_view const sha256) noexcept {
-    auto const found = std::lower_bound(value.keys.begin(), value.keys.end(), sha256, [](auto const &key, auto const &hash) { return key.sha256 < hash; });
+    auto const found = std::lower_bound(value.keys.begin(), value.keys.end(), sha256,
+        [](auto const &key, auto const &hash) { return key.sha256 < hash; });
     return found != value.keys.end() && found->sha256 == sha256 ? &*found : nullptr;
 }
 
@@ -311,14 +323,16 @@
     for(std::size_t pos{}; pos < value.keys.size(); ++pos) {
         BOOST_LEAF_CHECK(keys.add(value.keys[pos].sha256));
         if(find_team(value, value.keys[pos].team) == nullptr) {
-            return refuse(refusal::section_invalid, "keys: team is '" + value.keys[pos].team + "', must be a team of the section 'teams'");
+            return refuse(refusal::section_invalid,
+                "keys: team is '" + value.keys[pos].team + "', must be a team of the section 'teams'");
         }
     }
     internal::unique_names queues{"queue"};
     for(auto const &queue: value.queues) {
         BOOST_LEAF_CHECK(queues.add(queue.name));
         if(queue.open && find_team(value, queue.team) == nullptr) {
-            return refuse(refusal::section_invalid, "queues." + queue.name + ".team is '" + queue.team + "', must be a team of the section 'teams'");
+            return refuse(refusal::section_invalid,
+                "queues." + queue.name + ".team is '" + queue.team + "', must be a team of the section 'teams'");
         }
     }
     return internal::check_domains(value);
@@ -353,7 +367,8 @@
 }
 
 boost::json::object to_json(resources const &amount) {
-    return {{"millicores", amount.millicores}, {"memory_mib", amount.memory_mib}, {"accelerators", amount.accelerators}};
+    return {
+        {"millicores", amount.millicores}, {"memory_mib", amount.memory_mib}, {"accelerators", amount.accelerators}};
 }
 
 resources resources_from_json(boost::json::object const &object) {
--- a/src/kingcuplink/document/document.hpp
+++ b/src/kingcuplink/document/document.hpp
@@ -14,10 +14,10 @@
 namespace kingcuplink {
 
 /*! Sections of the governing document. */
-enum class section : std::uint8_t { owners, teams, keys, failure_domains, queues, policies, count_ };
+enum class section : std::uint8_t { owners, teams, keys, failure_domains, queues, policies, count };
 
 /*! Number of sections. */
-inline constexpr std::size_t section_count = static_cast<std::size_t>(section::count_);
+inline constexpr std::size_t section_count = static_cast<std::size_t>(section::count);
 
 /*! Returns the name of a section. */
 [[nodiscard]] std::string_view name_of(section which) noexcept;
@@ -100,10 +100,10 @@
 };
 
 /*! Kinds of jobs. */
-enum class job_kind : std::uint8_t { service, batch, gang, count_ };
+enum class job_kind : std::uint8_t { service, batch, gang, count };
 
 /*! Number of kinds of jobs. */
-inline constexpr std::size_t job_kind_count = static_cast<std::size_t>(job_kind::count_);
+inline constexpr std::size_t job_kind_count = static_cast<std::size_t>(job_kind::count);
 
 /*! Returns the name of a kind. */
 [[nodiscard]] std::string_view name_of(job_kind kind) noexcept;
@@ -163,7 +163,8 @@
 [[nodiscard]] result<document> parse_document(boost::json::value const &sections);
 
 /*! Reads an amount of resources: cores, memory_gib, accelerators. */
-[[nodiscard]] result<resources> parse_resources(boost::json::value const &value, std::string const &path, refusal reason);
+[[nodiscard]] result<resources> parse_resources(
+    boost::json::value const &value, std::string const &path, refusal reason);
 
 /*! Writes an amount of resources in millicores, MiB and pieces. */
 [[nodiscard]] boost::json::object to_json(resources const &amount);
--- a/src/kingcuplink/document/document_fold.cpp
+++ b/src/kingcuplink/document/document_fold.cpp
@@ -38,7 +38,8 @@
 }
 
 bool is_lowered(team_terms const &before, team_terms const *after) {
-    return after == nullptr || after->share < before.share || !fits(before.ceiling, after->ceiling) || after->request_ceiling < before.request_ceiling;
+    return after == nullptr || after->share < before.share || !fits(before.ceiling, after->ceiling) ||
+        after->request_ceiling < before.request_ceiling;
 }
 
 result<void> check_terms(document const &before, document const &after, std::vector<std::string> const &lower) {
@@ -55,7 +56,8 @@
     BOOST_LEAF_AUTO(reader, json_reader::open(value, "copy", refusal::section_invalid));
     auto const *sections = reader.find("sections");
     auto const *versions = reader.find("versions");
-    if(sections == nullptr || versions == nullptr || !versions->is_array() || versions->get_array().size() != section_count) {
+    if(sections == nullptr || versions == nullptr || !versions->is_array() ||
+        versions->get_array().size() != section_count) {
         return refuse(refusal::section_invalid, "copy: sections or versions are missing");
     }
     BOOST_LEAF_AUTO(parsed, parse_document(*sections));
@@ -86,7 +88,9 @@
 
 boost::json::value edit_record(document_edit const &edit) {
     boost::json::array lower(edit.lower.begin(), edit.lower.end());
-    return boost::json::object{{"type", "edit"}, {"id", edit.record_id}, {"section", name_of(edit.which)}, {"base", static_cast<std::int64_t>(edit.base_version)}, {"author", edit.author}, {"lower", std::move(lower)}, {"body", edit.body}};
+    return boost::json::object{{"type", "edit"}, {"id", edit.record_id}, {"section", name_of(edit.which)},
+        {"base", static_cast<std::int64_t>(edit.base_version)}, {"author", edit.author}, {"lower", std::move(lower)},
+        {"body", edit.body}};
 }
 
 boost::json::value genesis_record(std::string_view const record_id, boost::json::value const &sections) {
@@ -100,7 +104,9 @@
         return refuse(refusal::owner_required, "section " + std::string{name_of(edit.which)});
     }
     if(edit.base_version != current.versions[pos]) {
-        return refuse(refusal::section_stale, "section " + std::string{name_of(edit.which)} + " is at version " + std::to_string(current.versions[pos]) + ", edit was made against " + std::to_string(edit.base_version));
+        return refuse(refusal::section_stale,
+            "section " + std::string{name_of(edit.which)} + " is at version " + std::to_string(current.versions[pos]) +
+                ", edit was made against " + std::to_string(edit.base_version));
     }
     auto next = current;
     BOOST_LEAF_CHECK(parse_section(next, edit.which, edit.body));
@@ -202,7 +208,8 @@
         sections.emplace(name_of(static_cast<section>(pos)), current_->bodies[pos]);
         versions.emplace_back(static_cast<std::int64_t>(current_->versions[pos]));
     }
-    return boost::json::object{{"offset", static_cast<std::int64_t>(offset_)}, {"sections", std::move(sections)}, {"versions", std::move(versions)}};
+    return boost::json::object{{"offset", static_cast<std::int64_t>(offset_)}, {"sections", std::move(sections)},
+        {"versions", std::move(versions)}};
 }
 
 boost::json::value document_fold::snapshot_record() const {
--- a/src/kingcuplink/document/job_spec.cpp
+++ b/src/kingcuplink/document/job_spec.cpp
@@ -27,7 +27,8 @@
 }
 
 std::string describe(resources const &amount) {
-    return std::to_string(amount.millicores) + " millicores, " + std::to_string(amount.memory_mib) + " MiB, " + std::to_string(amount.accelerators) + " accelerators";
+    return std::to_string(amount.millicores) + " millicores, " + std::to_string(amount.memory_mib) + " MiB, " +
+        std::to_string(amount.accelerators) + " accelerators";
 }
 
 } // namespace internal
@@ -61,7 +62,9 @@
 }
 
 boost::json::object to_json(job_spec const &spec) {
-    return {{"name", spec.name}, {"kind", name_of(spec.kind)}, {"count", spec.count}, {"task_size", to_json(spec.task_size)}, {"run_time_ms", spec.run_time.count()}, {"urgent", spec.urgent}, {"repeatable", spec.repeatable}};
+    return {{"name", spec.name}, {"kind", name_of(spec.kind)}, {"count", spec.count},
+        {"task_size", to_json(spec.task_size)}, {"run_time_ms", spec.run_time.count()}, {"urgent", spec.urgent},
+        {"repeatable", spec.repeatable}};
 }
 
 result<void> check_job(job_spec const &spec, document const &rules) {
@@ -71,7 +74,9 @@
     }
     auto const together = spec.kind == job_kind::gang ? spec.count : 1;
     if(!fits(spec.task_size * together, team->ceiling)) {
-        return refuse(refusal::job_over_ceiling, "job.task_size: " + internal::describe(spec.task_size * together) + " at once, the ceiling of '" + spec.team + "' is " + internal::describe(team->ceiling));
+        return refuse(refusal::job_over_ceiling,
+            "job.task_size: " + internal::describe(spec.task_size * together) + " at once, the ceiling of '" +
+                spec.team + "' is " + internal::describe(team->ceiling));
     }
     std::int64_t most{};
     for(auto const &domain: rules.failure_domains) {
@@ -80,7 +85,9 @@
         }
     }
     if(most < together) {
-        return refuse(refusal::job_never_fits, "job.task_size: " + std::to_string(together) + " tasks of " + internal::describe(spec.task_size) + ", the largest failure domain holds " + std::to_string(most));
+        return refuse(refusal::job_never_fits,
+            "job.task_size: " + std::to_string(together) + " tasks of " + internal::describe(spec.task_size) +
+                ", the largest failure domain holds " + std::to_string(most));
     }
     return {};
 }
--- a/src/kingcuplink/gateway/http_server.cpp
+++ b/src/kingcuplink/gateway/http_server.cpp
@@ -78,8 +78,7 @@
 /*! Counts a request for as long as it is served. */
 class active_count {
 public:
-    explicit active_count(std::atomic<std::size_t> &count)
-        : count_{count} {
+    explicit active_count(std::atomic<std::size_t> &count) : count_{count} {
         ++count_;
     }
 
@@ -173,7 +172,8 @@
     std::size_t turn{};
     while(acceptor_->is_open()) {
         auto &home = *shards_[turn++ % shards_.size()];
-        auto socket = co_await acceptor_->async_accept(home.context, internal::asio::redirect_error(internal::asio::use_awaitable, error));
+        auto socket = co_await acceptor_->async_accept(
+            home.context, internal::asio::redirect_error(internal::asio::use_awaitable, error));
         if(error) {
             internal::asio::steady_timer timer{acceptor_->get_executor(), internal::accept_pause};
             boost::system::error_code ignored;
@@ -183,7 +183,8 @@
         stats_.add(event::connection_accepted);
         auto const peer = socket.remote_endpoint(error);
         auto caller = error ? std::string{} : peer.address().to_string();
-        internal::asio::co_spawn(home.context, session(home, std::move(socket), std::move(caller)), internal::asio::detached);
+        internal::asio::co_spawn(
+            home.context, session(home, std::move(socket), std::move(caller)), internal::asio::detached);
     }
 }
 
@@ -212,7 +213,8 @@
     }
 }
 
-boost::asio::awaitable<void> http_server::session(shard &home, boost::asio::ip::tcp::socket socket, std::string caller) {
+boost::asio::awaitable<void> http_server::session(
+    shard &home, boost::asio::ip::tcp::socket socket, std::string caller) {
     boost::system::error_code error;
     auto token = internal::asio::redirect_error(internal::asio::use_awaitable, error);
     socket.set_option(internal::asio::ip::tcp::no_delay{true}, error);
@@ -229,14 +231,16 @@
         }
         stream.expires_after(config::sender_timeout);
         co_await internal::http::async_read(stream, buffer, parser, token);
-        if(error == internal::http::error::end_of_stream || error == boost::beast::error::timeout || error == internal::asio::error::operation_aborted || error == internal::asio::error::connection_reset) {
+        if(error == internal::http::error::end_of_stream || error == boost::beast::error::timeout ||
+            error == internal::asio::error::operation_aborted || error == internal::asio::error::connection_reset) {
             break;
         }
         internal::active_count const counted{active_};
         http_response response;
         auto keep_alive = false;
         if(error) {
-            auto const reason = error == internal::http::error::body_limit ? refusal::body_too_large : refusal::request_malformed;
+            auto const reason = error == internal::http::error::body_limit ? refusal::body_too_large
+                                                                           : refusal::request_malformed;
             response = refusal_response({reason, error.message()}, {}, stats_);
         } else if(!admitted) {
             response = refusal_response({refusal::connections_full, "too many connections"}, {}, stats_);
@@ -261,7 +265,9 @@
     auto path = internal::path_parts(request.target());
     std::string request_id{internal::header_of(request, header::request_id).substr(0u, internal::longest_request_id)};
     if(request_id.empty()) {
-        request_id = "r" + std::to_string(stable_hash(std::to_string(++next_request_), static_cast<std::uint64_t>(current_time().time_since_epoch().count())));
+        request_id = "r" +
+            std::to_string(stable_hash(std::to_string(++next_request_),
+                static_cast<std::uint64_t>(current_time().time_since_epoch().count())));
     }
     http_response response;
     if(internal::is_queue_route(path) && request.method() == internal::http::verb::post) {
@@ -277,7 +283,8 @@
     co_return response;
 }
 
-boost::asio::awaitable<http_response> http_server::answer_queue(shard &home, http_request request, std::string queue, std::string request_id) {
+boost::asio::awaitable<http_response> http_server::answer_queue(
+    shard &home, http_request request, std::string queue, std::string request_id) {
     routed_request routed;
     routed.queue = std::move(queue);
     routed.key = bearer_key(internal::header_of(request, "Authorization"));
@@ -287,7 +294,10 @@
     if(auto const text = internal::header_of(request, header::deadline); !text.empty()) {
         auto const deadline = internal::parse_number(text);
         if(!deadline || *deadline < 1 || *deadline > config::longest_deadline.count()) {
-            co_return refusal_response({refusal::request_malformed, std::string{header::deadline} + " must be a whole number from 1 to " + std::to_string(config::longest_deadline.count())}, routed.request_id, stats_);
+            co_return refusal_response({refusal::request_malformed,
+                                           std::string{header::deadline} + " must be a whole number from 1 to " +
+                                               std::to_string(config::longest_deadline.count())},
+                routed.request_id, stats_);
         }
         routed.deadline = millis{*deadline};
     }
@@ -295,7 +305,8 @@
     co_return co_await router_.serve(home.client, std::move(routed));
 }
 
-boost::asio::awaitable<http_response> http_server::answer_control(http_request request, std::vector<std::string> path, std::string request_id) {
+boost::asio::awaitable<http_response> http_server::answer_control(
+    http_request request, std::vector<std::string> path, std::string request_id) {
     api_request call;
     call.method = request.method();
     call.key = bearer_key(internal::header_of(request, "Authorization"));
@@ -309,7 +320,8 @@
         co_return refusal_response({refusal::body_too_large}, request_id, stats_);
     }
     call.body = std::move(request.body());
-    auto const result = co_await internal::asio::co_spawn(control_.context(), control_.serve(std::move(call)), internal::asio::use_awaitable);
+    auto const result = co_await internal::asio::co_spawn(
+        control_.context(), control_.serve(std::move(call)), internal::asio::use_awaitable);
     if(result.refused) {
         co_return refusal_response(*result.refused, request_id, stats_);
     }
--- a/src/kingcuplink/gateway/http_server.hpp
+++ b/src/kingcuplink/gateway/http_server.hpp
@@ -77,8 +77,10 @@
     boost::asio::awaitable<void> maintain(shard &home);
     boost::asio::awaitable<void> session(shard &home, boost::asio::ip::tcp::socket socket, std::string caller);
     boost::asio::awaitable<http_response> answer(shard &home, http_request request);
-    boost::asio::awaitable<http_response> answer_queue(shard &home, http_request request, std::string queue, std::string request_id);
-    boost::asio::awaitable<http_response> answer_control(http_request request, std::vector<std::string> path, std::string request_id);
+    boost::asio::awaitable<http_response> answer_queue(
+        shard &home, http_request request, std::string queue, std::string request_id);
+    boost::asio::awaitable<http_response> answer_control(
+        http_request request, std::vector<std::string> path, std::string request_id);
     [[nodiscard]] bool admit_connection(std::string const &caller);
     void forget_connection(std::string const &caller);
 
--- a/src/kingcuplink/gateway/request_router.cpp
+++ b/src/kingcuplink/gateway/request_router.cpp
@@ -53,7 +53,11 @@
 traffic_gauges request_router::gauges() {
     std::lock_guard const lock{mutex_};
     auto const now = current_time();
-    return {.waiting = queue_.waiting(), .running = queue_.running(), .free_slots = std::max<std::int64_t>(0, pool_.free_slots(now) - static_cast<std::int64_t>(queue_.waiting())), .usable_slots = pool_.usable_slots(), .sidelined = pool_.sidelined(now)};
+    return {.waiting = queue_.waiting(),
+        .running = queue_.running(),
+        .free_slots = std::max<std::int64_t>(0, pool_.free_slots(now) - static_cast<std::int64_t>(queue_.waiting())),
+        .usable_slots = pool_.usable_slots(),
+        .sidelined = pool_.sidelined(now)};
 }
 
 void request_router::pump_locked(instant const now) {
@@ -81,7 +85,8 @@
         co_return refusal_response({refusal::no_configuration}, request.request_id, stats_);
     }
     problem failure;
-    auto const admitted = value_of([&]() { return admit_request(*known->rules, request.queue, request.key, known->cut_off); }, failure);
+    auto const admitted = value_of(
+        [&]() { return admit_request(*known->rules, request.queue, request.key, known->cut_off); }, failure);
     if(!admitted) {
         co_return refusal_response(failure, request.request_id, stats_);
     }
@@ -107,7 +112,8 @@
     return usable > 0 && static_cast<std::int64_t>(queue_.waiting()) < usable;
 }
 
-boost::asio::awaitable<std::optional<problem>> request_router::wait_for_runner(std::string team, instant const deadline, runner_id &granted) {
+boost::asio::awaitable<std::optional<problem>> request_router::wait_for_runner(
+    std::string team, instant const deadline, runner_id &granted) {
     auto const waiting = std::make_shared<waiter>(co_await boost::asio::this_coro::executor);
     auto const now = current_time();
     fair_queue::ticket ticket{};
@@ -142,7 +148,8 @@
     co_return std::nullopt;
 }
 
-boost::asio::awaitable<http_response> request_router::run(http_client &client, routed_request request, instant const deadline, runner_id runner) {
+boost::asio::awaitable<http_response> request_router::run(
+    http_client &client, routed_request request, instant const deadline, runner_id runner) {
     auto may_have_run = false;
     {
         std::lock_guard const lock{mutex_};
@@ -166,7 +173,8 @@
         }
         may_have_run = may_have_run || result.outcome == attempt_outcome::may_have_run;
         auto const has_time = now + internal::least_attempt_time < deadline;
-        auto const next = has_time && may_retry(result.outcome, request.repeatable) ? next_runner(runner) : std::nullopt;
+        auto const next = has_time && may_retry(result.outcome, request.repeatable) ? next_runner(runner)
+                                                                                    : std::nullopt;
         if(!next) {
             break;
         }
@@ -175,13 +183,17 @@
     }
     if(may_have_run) {
         stats_.add(event::request_may_have_run);
-        co_return refusal_response({refusal::may_have_run, "the runner gave no whole answer"}, request.request_id, stats_);
+        co_return refusal_response(
+            {refusal::may_have_run, "the runner gave no whole answer"}, request.request_id, stats_);
     }
-    auto const reason = current_time() + internal::least_attempt_time < deadline ? refusal::no_runner : refusal::deadline_passed;
+    auto const reason = current_time() + internal::least_attempt_time < deadline ? refusal::no_runner
+                                                                                 : refusal::deadline_passed;
     co_return refusal_response({reason, "no runner took the request"}, request.request_id, stats_);
 }
 
-boost::asio::awaitable<request_router::attempt> request_router::try_once(http_client &client, routed_request const &request, std::string address, std::string target, instant const deadline, bool const passed_on) {
+boost::asio::awaitable<request_router::attempt> request_router::try_once(http_client &client,
+    routed_request const &request, std::string address, std::string target, instant const deadline,
+    bool const passed_on) {
     auto const left = deadline - current_time();
     if(left < internal::least_attempt_time) {
         co_return attempt{};
@@ -210,7 +222,8 @@
     co_return result;
 }
 
-boost::asio::awaitable<std::optional<http_response>> request_router::spill(http_client &client, routed_request const &request, instant const deadline) {
+boost::asio::awaitable<std::optional<http_response>> request_router::spill(
+    http_client &client, routed_request const &request, instant const deadline) {
     auto const known = view();
     auto targets = known->spill_targets;
     std::erase_if(targets, [](auto const &target) { return target.free_slots <= 0; });
@@ -219,14 +232,17 @@
         std::shuffle(targets.begin(), targets.end(), random_);
     }
     for(std::size_t pos{}; pos < std::min(targets.size(), internal::spill_tries); ++pos) {
-        auto result = co_await try_once(client, request, targets[pos].http_address, "/v1/queues/" + request.queue + "/requests", deadline, true);
+        auto result = co_await try_once(
+            client, request, targets[pos].http_address, "/v1/queues/" + request.queue + "/requests", deadline, true);
         if(result.outcome == attempt_outcome::answered) {
             stats_.add(retry_reason::spilled);
             co_return std::move(result.response);
         }
         if(result.outcome == attempt_outcome::may_have_run && !request.repeatable) {
             stats_.add(event::request_may_have_run);
-            co_return refusal_response({refusal::may_have_run, "entry VM " + targets[pos].name + " gave no whole answer"}, request.request_id, stats_);
+            co_return refusal_response(
+                {refusal::may_have_run, "entry VM " + targets[pos].name + " gave no whole answer"}, request.request_id,
+                stats_);
         }
     }
     co_return std::nullopt;
--- a/src/kingcuplink/gateway/request_router.hpp
+++ b/src/kingcuplink/gateway/request_router.hpp
@@ -69,8 +69,7 @@
 private:
     /*! One request that waits for a runner. */
     struct waiter {
-        explicit waiter(boost::asio::any_io_executor const &executor)
-            : timer{executor} {}
+        explicit waiter(boost::asio::any_io_executor const &executor) : timer{executor} {}
 
         boost::asio::steady_timer timer;
         runner_id granted{};
@@ -85,10 +84,14 @@
 
     [[nodiscard]] std::shared_ptr<fleet_view const> view();
     void pump_locked(instant now);
-    boost::asio::awaitable<std::optional<problem>> wait_for_runner(std::string team, instant deadline, runner_id &granted);
-    boost::asio::awaitable<http_response> run(http_client &client, routed_request request, instant deadline, runner_id runner);
-    boost::asio::awaitable<attempt> try_once(http_client &client, routed_request const &request, std::string address, std::string target, instant deadline, bool passed_on);
-    boost::asio::awaitable<std::optional<http_response>> spill(http_client &client, routed_request const &request, instant deadline);
+    boost::asio::awaitable<std::optional<problem>> wait_for_runner(
+        std::string team, instant deadline, runner_id &granted);
+    boost::asio::awaitable<http_response> run(
+        http_client &client, routed_request request, instant deadline, runner_id runner);
+    boost::asio::awaitable<attempt> try_once(http_client &client, routed_request const &request, std::string address,
+        std::string target, instant deadline, bool passed_on);
+    boost::asio::awaitable<std::optional<http_response>> spill(
+        http_client &client, routed_request const &request, instant deadline);
     [[nodiscard]] bool has_room_at_home();
     [[nodiscard]] std::optional<runner_id> next_runner(runner_id failed);
     void finish(std::string const &team);
--- a/src/kingcuplink/gateway/responses.cpp
+++ b/src/kingcuplink/gateway/responses.cpp
@@ -20,7 +20,8 @@
 http_response refusal_response(problem const &value, std::string_view const request_id, counters &stats) {
     auto const &row = row_of(value.reason);
     stats.add(value.reason);
-    boost::json::object const error{{"kind", row.kind}, {"detail", value.detail}, {"not_run", row.not_run}, {"retry_after_ms", row.retry_after.count()}, {"remedy", row.remedy}, {"request_id", request_id}};
+    boost::json::object const error{{"kind", row.kind}, {"detail", value.detail}, {"not_run", row.not_run},
+        {"retry_after_ms", row.retry_after.count()}, {"remedy", row.remedy}, {"request_id", request_id}};
     auto response = json_response(row.status, boost::json::object{{"error", error}});
     response.set(header::not_run, row.not_run ? "true" : "false");
     if(row.retry_after.count() > 0) {
--- a/src/kingcuplink/placement/planner.cpp
+++ b/src/kingcuplink/placement/planner.cpp
@@ -10,7 +10,8 @@
 constexpr std::size_t workers_avoided = 4u;
 constexpr millis reservation_limit{120'000};
 
-planner::planner(placement_state &state, scheduler_options const &options, start_gate &gate, placement_plan &plan, instant const now)
+planner::planner(
+    placement_state &state, scheduler_options const &options, start_gate &gate, placement_plan &plan, instant const now)
     : state_{state}, options_{options}, gate_{gate}, plan_{plan}, now_{now} {}
 
 void planner::run() {
@@ -75,7 +76,8 @@
 }
 
 bool planner::is_within_urgent_reserve(team_record const &team) const {
-    return dominant_fraction(team.urgent_charged, state_.total) * 100.0 < static_cast<double>(config::urgent_reserve_percent);
+    return dominant_fraction(team.urgent_charged, state_.total) * 100.0 <
+        static_cast<double>(config::urgent_reserve_percent);
 }
 
 std::vector<planner::cursor> planner::open_cursors(phase const which) {
@@ -140,7 +142,8 @@
         turn.next = following;
     }
     auto const &queue = state_.queues[turn.team.index];
-    auto const may_go_on = placed || (options_.backfill && policy_of(state_, job).backfill && turn.misses < config::backfill_depth);
+    auto const may_go_on = placed ||
+        (options_.backfill && policy_of(state_, job).backfill && turn.misses < config::backfill_depth);
     turn.closed = !may_go_on || turn.next == queue.end();
     if(!turn.closed && which == phase::urgent) {
         turn.closed = turn.next->first.normal || !is_within_urgent_reserve(state_.teams[turn.team]);
@@ -196,8 +199,11 @@
     task.attempt = std::max(task.attempt, options_.first_attempt) + 1u;
     task.state = task_state::starting;
     task.started_at = now_;
-    auto const run_time = options_.learn_from_history ? state_.history.expected_run(job.spec.team, job.spec.name, job.spec.run_time) : job.spec.run_time;
-    task.expected_end = job.spec.kind == job_kind::service ? instant::max() : now_ + std::max(millis{1}, run_time - task.progress);
+    auto const run_time = options_.learn_from_history
+        ? state_.history.expected_run(job.spec.team, job.spec.name, job.spec.run_time)
+        : job.spec.run_time;
+    task.expected_end = job.spec.kind == job_kind::service ? instant::max()
+                                                           : now_ + std::max(millis{1}, run_time - task.progress);
     job.state = job_state::running;
     job.first_start = job.first_start == instant{} ? now_ : job.first_start;
     plan_.starts.push_back({id, worker});
@@ -238,7 +244,9 @@
     std::vector<worker_id> avoided;
     std::optional<worker_id> found;
     for(std::size_t tries{}; tries <= workers_avoided; ++tries) {
-        found = job.spec.kind == job_kind::service ? find_spread(job, need) : options_.tight_fit ? state_.index.tightest(need) : state_.index.first(need);
+        found = job.spec.kind == job_kind::service ? find_spread(job, need)
+            : options_.tight_fit                   ? state_.index.tightest(need)
+                                                   : state_.index.first(need);
         if(!found || !job.failed_on.contains(*found) || job.failed_on.size() >= state_.workers.size()) {
             break;
         }
--- a/src/kingcuplink/placement/planner.hpp
+++ b/src/kingcuplink/placement/planner.hpp
@@ -12,7 +12,8 @@
 class planner {
 public:
     /*! Begins a round; all arguments must outlive it. */
-    planner(placement_state &state, scheduler_options const &options, start_gate &gate, placement_plan &plan, instant now);
+    planner(
+        placement_state &state, scheduler_options const &options, start_gate &gate, placement_plan &plan, instant now);
 
     /*! Runs the round. */
     void run();
@@ -55,7 +56,8 @@
     void preempt_for_blocked();
     [[nodiscard]] bool may_preempt(job_record const &job) const;
     [[nodiscard]] bool is_victim(task_record const &task, job_record const &claimant) const;
-    [[nodiscard]] std::vector<task_id> victims_on(worker_record const &worker, job_record const &claimant, std::int64_t wanted) const;
+    [[nodiscard]] std::vector<task_id> victims_on(
+        worker_record const &worker, job_record const &claimant, std::int64_t wanted) const;
     bool preempt_for(job_id job);
 
     void reserve_for_blocked();
--- a/src/kingcuplink/placement/preemption.cpp
+++ b/src/kingcuplink/placement/preemption.cpp
@@ -22,7 +22,8 @@
 }
 
 bool has_reservation(placement_state const &state, job_id const job) {
-    return std::any_of(state.reserved.begin(), state.reserved.end(), [&](auto const id) { return state.workers[id].reserved_for == job; });
+    return std::any_of(state.reserved.begin(), state.reserved.end(),
+        [&](auto const id) { return state.workers[id].reserved_for == job; });
 }
 
 void reserve(placement_state &state, worker_id const id, job_id const job, instant const now, instant const until) {
@@ -40,23 +41,29 @@
         return true;
     }
     auto const wanted = team.charged + job.task_charge * tasks_wanted(job);
-    return now_ - job.accepted_at >= preemption_age && dominant_fraction(wanted, state_.total) <= share_target(state_, job.team);
+    return now_ - job.accepted_at >= preemption_age &&
+        dominant_fraction(wanted, state_.total) <= share_target(state_, job.team);
 }
 
 bool planner::is_victim(task_record const &task, job_record const &claimant) const {
     auto const &job = state_.jobs[task.job];
-    if(task.state != task_state::running || job.spec.urgent || !job.spec.repeatable || !policy_of(state_, job).preemptible) {
+    if(task.state != task_state::running || job.spec.urgent || !job.spec.repeatable ||
+        !policy_of(state_, job).preemptible) {
         return false;
     }
     auto const rest = state_.teams[job.team].charged - task.charge;
-    return claimant.spec.urgent || (job.team != claimant.team && dominant_fraction(rest, state_.total) >= share_target(state_, job.team));
+    return claimant.spec.urgent ||
+        (job.team != claimant.team && dominant_fraction(rest, state_.total) >= share_target(state_, job.team));
 }
 
-std::vector<task_id> planner::victims_on(worker_record const &worker, job_record const &claimant, std::int64_t const wanted) const {
+std::vector<task_id> planner::victims_on(
+    worker_record const &worker, job_record const &claimant, std::int64_t const wanted) const {
     std::vector<task_id> victims;
     std::vector<task_id> candidates;
-    std::copy_if(worker.tasks.begin(), worker.tasks.end(), std::back_inserter(candidates), [&](auto const id) { return is_victim(state_.tasks[id], claimant); });
-    std::sort(candidates.begin(), candidates.end(), [&](auto const lhs, auto const rhs) { return state_.tasks[lhs].started_at > state_.tasks[rhs].started_at; });
+    std::copy_if(worker.tasks.begin(), worker.tasks.end(), std::back_inserter(candidates),
+        [&](auto const id) { return is_victim(state_.tasks[id], claimant); });
+    std::sort(candidates.begin(), candidates.end(),
+        [&](auto const lhs, auto const rhs) { return state_.tasks[lhs].started_at > state_.tasks[rhs].started_at; });
     auto free = free_of(worker);
     for(auto const id: candidates) {
         if(tasks_fitting(free, claimant.task_charge) >= wanted) {
@@ -144,10 +151,14 @@
             continue;
         }
         ending = worker.tasks;
-        std::sort(ending.begin(), ending.end(), [&](auto const lhs, auto const rhs) { return state_.tasks[lhs].expected_end < state_.tasks[rhs].expected_end; });
+        std::sort(ending.begin(), ending.end(), [&](auto const lhs, auto const rhs) {
+            return state_.tasks[lhs].expected_end < state_.tasks[rhs].expected_end;
+        });
         auto free = free_of(worker);
         auto ready = now_;
-        for(auto task = ending.begin(); task != ending.end() && !fits(job.task_charge, free) && state_.tasks[*task].expected_end != instant::max(); ++task) {
+        for(auto task = ending.begin();
+            task != ending.end() && !fits(job.task_charge, free) && state_.tasks[*task].expected_end != instant::max();
+            ++task) {
             free += state_.tasks[*task].charge;
             ready = std::max(ready, state_.tasks[*task].expected_end);
         }
@@ -179,10 +190,13 @@
     }
     for(auto const id: blocked_) {
         auto const &job = state_.jobs[id];
-        if(reserved.size() >= reserved_jobs || !job.enqueued || now_ - job.accepted_at < config::gang_reservation_age || reserved.contains(id)) {
+        if(reserved.size() >= reserved_jobs || !job.enqueued || now_ - job.accepted_at < config::gang_reservation_age ||
+            reserved.contains(id)) {
             continue;
         }
-        if(state_.workers.size() == 0u || !gate_.permits(state_.teams[job.team], state_.workers.values().front(), job.task_charge * tasks_wanted(job))) {
+        if(state_.workers.size() == 0u ||
+            !gate_.permits(
+                state_.teams[job.team], state_.workers.values().front(), job.task_charge * tasks_wanted(job))) {
             continue;
         }
         state_.next_reservation = now_ + reservation_spacing;
--- a/src/kingcuplink/placement/run_history.cpp
+++ b/src/kingcuplink/placement/run_history.cpp
@@ -29,11 +29,13 @@
 
 } // namespace internal
 
-void run_history::record_run(std::string_view const team, std::string_view const job, millis const declared, millis const actual) {
+void run_history::record_run(
+    std::string_view const team, std::string_view const job, millis const declared, millis const actual) {
     internal::move_towards(insert(team, job).run_ratio, actual.count(), declared.count());
 }
 
-void run_history::record_use(std::string_view const team, std::string_view const job, resources const &declared, resources const &used) {
+void run_history::record_use(
+    std::string_view const team, std::string_view const job, resources const &declared, resources const &used) {
     auto &known = insert(team, job);
     internal::move_towards(known.millicores_ratio, used.millicores, declared.millicores);
     internal::move_towards(known.memory_ratio, used.memory_mib, declared.memory_mib);
@@ -45,12 +47,14 @@
     return millis{static_cast<std::int64_t>(ratio * static_cast<double>(declared.count()))};
 }
 
-resources run_history::expected_size(std::string_view const team, std::string_view const job, resources const &declared) const {
+resources run_history::expected_size(
+    std::string_view const team, std::string_view const job, resources const &declared) const {
     auto const *known = find(team, job);
     if(known == nullptr) {
         return declared;
     }
-    return {internal::raise(declared.millicores, known->millicores_ratio), internal::raise(declared.memory_mib, known->memory_ratio), declared.accelerators};
+    return {internal::raise(declared.millicores, known->millicores_ratio),
+        internal::raise(declared.memory_mib, known->memory_ratio), declared.accelerators};
 }
 
 run_history::entry const *run_history::find(std::string_view const team, std::string_view const job) const {
--- a/src/kingcuplink/placement/run_history.hpp
+++ b/src/kingcuplink/placement/run_history.hpp
@@ -25,7 +25,8 @@
     /*! Returns the declared run time, corrected by what earlier runs took. */
     [[nodiscard]] millis expected_run(std::string_view team, std::string_view job, millis declared) const;
 
-    /*! Returns the declared size, raised by the part that earlier runs used of theirs. Accelerators stay as declared. */
+    /*! Returns the declared size, raised by the part that earlier runs used of theirs. Accelerators stay as declared.
+     */
     [[nodiscard]] resources expected_size(std::string_view team, std::string_view job, resources const &declared) const;
 
 private:
--- a/src/kingcuplink/placement/scheduler.cpp
+++ b/src/kingcuplink/placement/scheduler.cpp
@@ -20,8 +20,7 @@
 
 } // namespace internal
 
-scheduler::scheduler(scheduler_options const options)
-    : options_{options} {
+scheduler::scheduler(scheduler_options const options) : options_{options} {
     state_.policies[static_cast<std::size_t>(job_kind::batch)].preemptible = true;
 }
 
@@ -78,12 +77,20 @@
         }
         state_.jobs_by_key.erase(known);
     }
-    auto const team = state_.teams_by_name.contains(spec.team) ? state_.teams_by_name.at(spec.team) : set_team(spec.team, 1);
-    auto const id = state_.jobs.emplace(job_record{.key = key, .spec = spec, .team = team, .accepted_at = accepted_at, .sequence = ++state_.next_sequence, .unfinished = spec.count});
+    auto const team = state_.teams_by_name.contains(spec.team) ? state_.teams_by_name.at(spec.team)
+                                                               : set_team(spec.team, 1);
+    auto const id = state_.jobs.emplace(job_record{.key = key,
+        .spec = spec,
+        .team = team,
+        .accepted_at = accepted_at,
+        .sequence = ++state_.next_sequence,
+        .unfinished = spec.count});
     auto &job = state_.jobs[id];
-    job.task_charge = options_.learn_from_history ? state_.history.expected_size(spec.team, spec.name, spec.task_size) : spec.task_size;
+    job.task_charge = options_.learn_from_history ? state_.history.expected_size(spec.team, spec.name, spec.task_size)
+                                                  : spec.task_size;
     for(std::int64_t ordinal{}; ordinal < spec.count; ++ordinal) {
-        job.tasks.push_back(state_.tasks.emplace(task_record{.job = id, .ordinal = ordinal, .state = withheld ? task_state::withheld : task_state::queued}));
+        job.tasks.push_back(state_.tasks.emplace(
+            task_record{.job = id, .ordinal = ordinal, .state = withheld ? task_state::withheld : task_state::queued}));
     }
     if(!withheld) {
         job.pending.assign(job.tasks.rbegin(), job.tasks.rend());
@@ -114,7 +121,8 @@
 
 bool scheduler::give_up(job_id const id, instant const now) {
     auto *job = state_.jobs.find(id);
-    if(job == nullptr || is_final(job->state) || job->cancelled || static_cast<std::int64_t>(job->pending.size()) != job->unfinished) {
+    if(job == nullptr || is_final(job->state) || job->cancelled ||
+        static_cast<std::int64_t>(job->pending.size()) != job->unfinished) {
         return false;
     }
     job->state = job_state::moved;
@@ -143,7 +151,8 @@
     }
 }
 
-void scheduler::adopt(task_id const id, worker_id const worker, resources const &charge, std::uint32_t const attempt, instant const started_at) {
+void scheduler::adopt(task_id const id, worker_id const worker, resources const &charge, std::uint32_t const attempt,
+    instant const started_at) {
     auto *task = state_.tasks.find(id);
     if(task == nullptr || is_final(task->state) || is_on_worker(task->state) || !state_.workers.contains(worker)) {
         return;
@@ -213,7 +222,8 @@
         if(options_.learn_from_history && task->progress.count() == 0) {
             state_.history.record_run(job.spec.team, job.spec.name, job.spec.run_time, now - task->started_at);
         }
-        internal::finish_task(state_, id, job.cancelled && job.spec.kind == job_kind::service ? task_state::cancelled : task_state::succeeded, now);
+        internal::finish_task(state_, id,
+            job.cancelled && job.spec.kind == job_kind::service ? task_state::cancelled : task_state::succeeded, now);
         break;
     case task_outcome::failed:
         internal::note_worker_failure(state_, worker, job_ref, now);
@@ -239,7 +249,8 @@
             internal::make_pending(state_, id);
             break_gang(job_ref);
         } else {
-            internal::finish_task(state_, id, outcome == task_outcome::lost ? task_state::may_have_run : task_state::cancelled, now);
+            internal::finish_task(
+                state_, id, outcome == task_outcome::lost ? task_state::may_have_run : task_state::cancelled, now);
         }
         break;
     }
@@ -256,7 +267,8 @@
         internal::finish_task(state_, id, task_state::cancelled, now);
         return;
     }
-    auto const is_own_fault = job.failed_on.size() >= config::job_fault_workers || job.failures >= 4u * config::job_fault_workers + static_cast<std::uint32_t>(job.spec.count);
+    auto const is_own_fault = job.failed_on.size() >= config::job_fault_workers ||
+        job.failures >= 4u * config::job_fault_workers + static_cast<std::uint32_t>(job.spec.count);
     if(!job.spec.repeatable) {
         internal::finish_task(state_, id, task_state::failed, now);
         return;
@@ -333,7 +345,8 @@
             staying += task.charge;
         }
     }
-    std::sort(running.begin(), running.end(), [&](auto const lhs, auto const rhs) { return state_.tasks[lhs].started_at > state_.tasks[rhs].started_at; });
+    std::sort(running.begin(), running.end(),
+        [&](auto const lhs, auto const rhs) { return state_.tasks[lhs].started_at > state_.tasks[rhs].started_at; });
     for(auto const task: running) {
         if(fits(staying, limit)) {
             return;
--- a/src/kingcuplink/placement/state.cpp
+++ b/src/kingcuplink/placement/state.cpp
@@ -6,12 +6,16 @@
 
 namespace internal {
 
-constexpr std::array<std::string_view, 9u> task_state_names{"queued", "withheld", "starting", "running", "stopping", "succeeded", "failed", "cancelled", "may_have_run"};
-constexpr std::array<std::string_view, 7u> job_state_names{"queued", "running", "succeeded", "failed", "cancelled", "may_have_run", "moved"};
-constexpr std::array<std::string_view, 6u> stop_reason_names{"cancelled", "preempted", "excess_use", "over_ceiling", "domain_out", "gang_broken"};
+constexpr std::array<std::string_view, 9u> task_state_names{
+    "queued", "withheld", "starting", "running", "stopping", "succeeded", "failed", "cancelled", "may_have_run"};
+constexpr std::array<std::string_view, 7u> job_state_names{
+    "queued", "running", "succeeded", "failed", "cancelled", "may_have_run", "moved"};
+constexpr std::array<std::string_view, 6u> stop_reason_names{
+    "cancelled", "preempted", "excess_use", "over_ceiling", "domain_out", "gang_broken"};
 
 bool takes_work(worker_record const &worker) {
-    return worker.usable && worker.quarantined_until == instant{} && worker.reserved_for.is_null() && !(worker.on_probation && !worker.tasks.empty());
+    return worker.usable && worker.quarantined_until == instant{} && worker.reserved_for.is_null() &&
+        !(worker.on_probation && !worker.tasks.empty());
 }
 
 bool is_eligible(job_record const &job, instant const now) {
@@ -52,7 +56,8 @@
     for(auto const task: job->tasks) {
         state.tasks.erase(task);
     }
-    if(auto const known = state.jobs_by_key.find(job->key); known != state.jobs_by_key.end() && known->second == oldest) {
+    if(auto const known = state.jobs_by_key.find(job->key);
+        known != state.jobs_by_key.end() && known->second == oldest) {
         state.jobs_by_key.erase(known);
     }
     state.jobs.erase(oldest);
@@ -183,10 +188,12 @@
 void note_worker_failure(placement_state &state, worker_id const id, job_id const job, instant const now) {
     auto &worker = state.workers[id];
     worker.failing_jobs.insert(job);
-    if(worker.quarantined_until != instant{} || (worker.failing_jobs.size() < config::quarantine_jobs && !worker.on_probation)) {
+    if(worker.quarantined_until != instant{} ||
+        (worker.failing_jobs.size() < config::quarantine_jobs && !worker.on_probation)) {
         return;
     }
-    worker.quarantine = worker.quarantine.count() == 0 ? config::quarantine_first : std::min(2 * worker.quarantine, config::quarantine_limit);
+    worker.quarantine = worker.quarantine.count() == 0 ? config::quarantine_first
+                                                       : std::min(2 * worker.quarantine, config::quarantine_limit);
     worker.quarantined_until = now + worker.quarantine;
     state.quarantined.emplace(worker.quarantined_until, id);
     reindex(state, id);
--- a/src/kingcuplink/placement/types.hpp
+++ b/src/kingcuplink/placement/types.hpp
@@ -194,7 +194,8 @@
      * @param worker Worker the task would start on.
      * @param charge What it would take.
      */
-    [[nodiscard]] virtual bool permits(team_record const &team, worker_record const &worker, resources const &charge) = 0;
+    [[nodiscard]] virtual bool permits(
+        team_record const &team, worker_record const &worker, resources const &charge) = 0;
 
     /*! Tells the gate of a start that the scheduler decided on. */
     virtual void started(team_record const &team, worker_record const &worker, resources const &charge) = 0;
--- a/src/kingcuplink/placement/worker_index.cpp
+++ b/src/kingcuplink/placement/worker_index.cpp
@@ -44,7 +44,8 @@
         std::optional<worker_id> best;
         std::size_t candidates{};
         auto least_memory = std::numeric_limits<std::int64_t>::max();
-        for(auto it = level->second.lower_bound({need.millicores, worker_id{0u, 0u}}); it != level->second.end(); ++it) {
+        for(auto it = level->second.lower_bound({need.millicores, worker_id{0u, 0u}}); it != level->second.end();
+            ++it) {
             auto const &free = entries_[it->second.index].free;
             if(free.memory_mib >= need.memory_mib) {
                 ++candidates;
--- a/src/kingcuplink/platform/http_client.cpp
+++ b/src/kingcuplink/platform/http_client.cpp
@@ -31,7 +31,8 @@
 http_client::http_client(boost::asio::io_context &context, counters &stats, std::size_t const idle_per_address)
     : context_{context}, stats_{stats}, idle_per_address_{idle_per_address} {}
 
-boost::asio::awaitable<exchange> http_client::send(std::string address, http_request request, exchange_options const options) {
+boost::asio::awaitable<exchange> http_client::send(
+    std::string address, http_request request, exchange_options const options) {
     exchange result;
     boost::system::error_code error;
     auto token = boost::asio::redirect_error(boost::asio::use_awaitable, error);
@@ -82,7 +83,8 @@
     co_return result;
 }
 
-boost::asio::awaitable<std::pair<exchange, boost::json::value>> http_client::send_json(std::string address, boost::beast::http::verb const verb, std::string target, boost::json::value body, millis const timeout) {
+boost::asio::awaitable<std::pair<exchange, boost::json::value>> http_client::send_json(std::string address,
+    boost::beast::http::verb const verb, std::string target, boost::json::value body, millis const timeout) {
     http_request request{verb, target, 11};
     if(!body.is_null()) {
         request.set(internal::http::field::content_type, "application/json");
--- a/src/kingcuplink/platform/http_client.hpp
+++ b/src/kingcuplink/platform/http_client.hpp
@@ -61,7 +61,8 @@
     boost::asio::awaitable<exchange> send(std::string address, http_request request, exchange_options options);
 
     /*! Sends JSON and reads JSON; the body of the answer is null unless it is JSON. */
-    boost::asio::awaitable<std::pair<exchange, boost::json::value>> send_json(std::string address, boost::beast::http::verb verb, std::string target, boost::json::value body, millis timeout);
+    boost::asio::awaitable<std::pair<exchange, boost::json::value>> send_json(std::string address,
+        boost::beast::http::verb verb, std::string target, boost::json::value body, millis timeout);
 
     /*! Closes idle connections that are older than the limit. */
     void close_old();
--- a/src/kingcuplink/platform/platform_client.cpp
+++ b/src/kingcuplink/platform/platform_client.cpp
@@ -42,11 +42,13 @@
     if(refused_) {
         co_return append_result{};
     }
-    auto const answer = co_await client_.send_json(address_, internal::verb::post, "/log/" + stream, std::move(record), config::platform_timeout);
+    auto const answer = co_await client_.send_json(
+        address_, internal::verb::post, "/log/" + stream, std::move(record), config::platform_timeout);
     append_result result{.outcome = answer.first.outcome};
     if(result.is_done()) {
         auto const offset = internal::whole(answer.second, "offset");
-        result.outcome = internal::is_success(answer.first) && offset ? attempt_outcome::answered : attempt_outcome::may_have_run;
+        result.outcome = internal::is_success(answer.first) && offset ? attempt_outcome::answered
+                                                                      : attempt_outcome::may_have_run;
         result.offset = offset.value_or(0u);
     }
     co_return result;
@@ -57,14 +59,16 @@
         co_return std::nullopt;
     }
     auto target = "/log/" + stream + "?from=" + std::to_string(from) + "&limit=" + std::to_string(config::log_page);
-    auto const answer = co_await client_.send_json(address_, internal::verb::get, std::move(target), nullptr, config::platform_timeout);
+    auto const answer = co_await client_.send_json(
+        address_, internal::verb::get, std::move(target), nullptr, config::platform_timeout);
     auto const first = internal::whole(answer.second, "first");
     auto const next = internal::whole(answer.second, "next");
     if(!internal::is_success(answer.first) || !first || !next) {
         co_return std::nullopt;
     }
     log_page page{.first = *first, .next = *next, .records = {}};
-    if(auto const *records = answer.second.get_object().if_contains("records"); records != nullptr && records->is_array()) {
+    if(auto const *records = answer.second.get_object().if_contains("records");
+        records != nullptr && records->is_array()) {
         for(auto const &record: records->get_array()) {
             auto const offset = internal::whole(record, "offset");
             auto const *body = record.is_object() ? record.get_object().if_contains("body") : nullptr;
@@ -80,11 +84,13 @@
     if(refused_) {
         co_return std::nullopt;
     }
-    auto const answer = co_await client_.send_json(address_, internal::verb::get, "/vms", nullptr, config::platform_timeout);
+    auto const answer = co_await client_.send_json(
+        address_, internal::verb::get, "/vms", nullptr, config::platform_timeout);
     if(!internal::is_success(answer.first) || !answer.second.is_object()) {
         co_return std::nullopt;
     }
-    co_return vm_list{.live = internal::names_in(answer.second, "live"), .leaving = internal::names_in(answer.second, "leaving")};
+    co_return vm_list{
+        .live = internal::names_in(answer.second, "live"), .leaving = internal::names_in(answer.second, "leaving")};
 }
 
 } // namespace kingcuplink
--- a/src/kingcuplink/platform/worker_client.cpp
+++ b/src/kingcuplink/platform/worker_client.cpp
@@ -57,15 +57,16 @@
 
 } // namespace internal
 
-worker_client::worker_client(http_client &client)
-    : client_{client} {}
+worker_client::worker_client(http_client &client) : client_{client} {}
 
-boost::asio::awaitable<lease_reply> worker_client::lease(std::string address, lease_holder holder, std::uint64_t const since, millis const wait) {
+boost::asio::awaitable<lease_reply> worker_client::lease(
+    std::string address, lease_holder holder, std::uint64_t const since, millis const wait) {
     auto body = internal::holder_fields(holder);
     body["lease_ms"] = config::lease_length.count();
     body["since"] = static_cast<std::int64_t>(since);
     body["wait_ms"] = wait.count();
-    auto const answer = co_await client_.send_json(std::move(address), boost::beast::http::verb::post, "/v1/lease", std::move(body), wait + config::command_timeout);
+    auto const answer = co_await client_.send_json(std::move(address), boost::beast::http::verb::post, "/v1/lease",
+        std::move(body), wait + config::command_timeout);
     lease_reply reply;
     if(answer.first.outcome != attempt_outcome::answered) {
         co_return reply;
@@ -95,7 +96,8 @@
     return command(std::move(address), "/v1/start", std::move(body));
 }
 
-boost::asio::awaitable<command_reply> worker_client::stop(std::string address, lease_holder holder, std::string job, std::int64_t const ordinal, bool const checkpoint) {
+boost::asio::awaitable<command_reply> worker_client::stop(
+    std::string address, lease_holder holder, std::string job, std::int64_t const ordinal, bool const checkpoint) {
     auto body = internal::holder_fields(holder);
     body["job"] = std::move(job);
     body["ordinal"] = ordinal;
@@ -103,15 +105,18 @@
     return command(std::move(address), "/v1/stop", std::move(body));
 }
 
-boost::asio::awaitable<command_reply> worker_client::throttle(std::string address, lease_holder holder, std::string job, std::int64_t const ordinal) {
+boost::asio::awaitable<command_reply> worker_client::throttle(
+    std::string address, lease_holder holder, std::string job, std::int64_t const ordinal) {
     auto body = internal::holder_fields(holder);
     body["job"] = std::move(job);
     body["ordinal"] = ordinal;
     return command(std::move(address), "/v1/throttle", std::move(body));
 }
 
-boost::asio::awaitable<command_reply> worker_client::command(std::string address, std::string target, boost::json::object body) {
-    auto const answer = co_await client_.send_json(std::move(address), boost::beast::http::verb::post, std::move(target), std::move(body), config::command_timeout);
+boost::asio::awaitable<command_reply> worker_client::command(
+    std::string address, std::string target, boost::json::object body) {
+    auto const answer = co_await client_.send_json(std::move(address), boost::beast::http::verb::post,
+        std::move(target), std::move(body), config::command_timeout);
     command_reply reply{.epoch = internal::epoch_in(answer.second)};
     if(answer.first.outcome == attempt_outcome::not_sent) {
         reply.outcome = command_outcome::not_sent;
--- a/src/kingcuplink/platform/worker_client.hpp
+++ b/src/kingcuplink/platform/worker_client.hpp
@@ -93,16 +93,19 @@
      * @param since Version of the inventory that is known; zero for all of it.
      * @param wait Time that the worker may wait for a change before it answers.
      */
-    boost::asio::awaitable<lease_reply> lease(std::string address, lease_holder holder, std::uint64_t since, millis wait);
+    boost::asio::awaitable<lease_reply> lease(
+        std::string address, lease_holder holder, std::uint64_t since, millis wait);
 
     /*! Starts a task. Starting the same attempt twice has the effect of one start. */
     boost::asio::awaitable<command_reply> start(std::string address, lease_holder holder, task_start task);
 
     /*! Stops a task, after a checkpoint if one is wanted. */
-    boost::asio::awaitable<command_reply> stop(std::string address, lease_holder holder, std::string job, std::int64_t ordinal, bool checkpoint);
+    boost::asio::awaitable<command_reply> stop(
+        std::string address, lease_holder holder, std::string job, std::int64_t ordinal, bool checkpoint);
 
     /*! Keeps a task to its declared size. */
-    boost::asio::awaitable<command_reply> throttle(std::string address, lease_holder holder, std::string job, std::int64_t ordinal);
+    boost::asio::awaitable<command_reply> throttle(
+        std::string address, lease_holder holder, std::string job, std::int64_t ordinal);
 
 private:
     boost::asio::awaitable<command_reply> command(std::string address, std::string target, boost::json::object body);
--- a/src/kingcuplink/routing/runner_pool.cpp
+++ b/src/kingcuplink/routing/runner_pool.cpp
@@ -6,9 +6,9 @@
 
 namespace kingcuplink {
 
-runner_pool::runner_pool(std::uint64_t const seed, selection const how)
-    : random_{seed} {
-    constexpr std::array<chooser, 3u> choosers{&runner_pool::choose_least_of_two, &runner_pool::choose_round_robin, &runner_pool::choose_least_outstanding};
+runner_pool::runner_pool(std::uint64_t const seed, selection const how) : random_{seed} {
+    constexpr std::array<chooser, 3u> choosers{
+        &runner_pool::choose_least_of_two, &runner_pool::choose_round_robin, &runner_pool::choose_least_outstanding};
     choose_ = choosers[static_cast<std::size_t>(how)];
 }
 
@@ -63,7 +63,8 @@
     std::uniform_int_distribution<std::size_t> pick{0u, ids.size() - 1u};
     for(auto tries = 0; tries < 2; ++tries) {
         auto const id = ids[pick(random_)];
-        if(id != avoid && has_room(runners_[id], now) && (!best || runners_[id].outstanding < runners_[*best].outstanding)) {
+        if(id != avoid && has_room(runners_[id], now) &&
+            (!best || runners_[id].outstanding < runners_[*best].outstanding)) {
             best = id;
         }
     }
@@ -84,7 +85,8 @@
 std::optional<runner_id> runner_pool::choose_least_outstanding(instant const now, runner_id const avoid) {
     std::optional<runner_id> best;
     for(auto const id: runners_.ids()) {
-        if(id != avoid && has_room(runners_[id], now) && (!best || runners_[id].outstanding < runners_[*best].outstanding)) {
+        if(id != avoid && has_room(runners_[id], now) &&
+            (!best || runners_[id].outstanding < runners_[*best].outstanding)) {
             best = id;
         }
     }
@@ -128,7 +130,8 @@
 }
 
 std::int64_t runner_pool::sidelined(instant const now) const {
-    return std::count_if(runners_.values().begin(), runners_.values().end(), [&](auto const &value) { return value.failures >= config::sideline_failures && now < value.sidelined_until; });
+    return std::count_if(runners_.values().begin(), runners_.values().end(),
+        [&](auto const &value) { return value.failures >= config::sideline_failures && now < value.sidelined_until; });
 }
 
 } // namespace kingcuplink
--- a/src/kingcuplink/routing/slot_share.hpp
+++ b/src/kingcuplink/routing/slot_share.hpp
@@ -16,7 +16,8 @@
  * @param live_vms Live entry VMs of the failure domain, this one included.
  * @param self Name of this entry VM.
  */
-[[nodiscard]] std::int64_t slot_share(std::string_view runner, std::int64_t slots, std::span<std::string const> live_vms, std::string_view self);
+[[nodiscard]] std::int64_t slot_share(
+    std::string_view runner, std::int64_t slots, std::span<std::string const> live_vms, std::string_view self);
 
 } // namespace kingcuplink
 
--- a/src/kingcuplink/wire/peer_link.cpp
+++ b/src/kingcuplink/wire/peer_link.cpp
@@ -23,7 +23,11 @@
 } // namespace internal
 
 peer_link::peer_link(std::string self, std::string const &address, counters &stats, receiver on_message)
-    : self_{std::move(self)}, stats_{stats}, on_message_{std::move(on_message)}, context_{1}, inbox_{context_, zmq::socket_type::pull} {
+    : self_{std::move(self)},
+      stats_{stats},
+      on_message_{std::move(on_message)},
+      context_{1},
+      inbox_{context_, zmq::socket_type::pull} {
     internal::set_common_options(inbox_);
     inbox_.bind("tcp://" + address);
     thread_ = std::thread{[this]() { receive_loop(); }};
@@ -91,7 +95,8 @@
 void peer_link::handle(zmq::message_t const &frame) {
     wire::envelope message;
     auto const parsed = message.ParseFromArray(frame.data(), static_cast<int>(frame.size()));
-    auto const is_valid = parsed && message.version() == config::wire_version && !message.sender().empty() && message.body_case() != wire::envelope::BODY_NOT_SET;
+    auto const is_valid = parsed && message.version() == config::wire_version && !message.sender().empty() &&
+        message.body_case() != wire::envelope::BODY_NOT_SET;
     if(!is_valid) {
         stats_.add(event::peer_message_malformed);
         return;
--- a/test/admission/admission_test.cpp
+++ b/test/admission/admission_test.cpp
@@ -15,12 +15,16 @@
 
 fair_queue make_queue() {
     fair_queue queue;
-    queue.set_limits({{.name = "red", .share = 3, .most_running = 100}, {.name = "blue", .share = 1, .most_running = 100}});
+    queue.set_limits(
+        {{.name = "red", .share = 3, .most_running = 100}, {.name = "blue", .share = 1, .most_running = 100}});
     return queue;
 }
 
 std::optional<problem> push(fair_queue &queue, std::string_view const team, instant const deadline, instant const now) {
-    return problem_of([&]() -> result<void> { BOOST_LEAF_CHECK(queue.push(team, deadline, now)); return {}; });
+    return problem_of([&]() -> result<void> {
+        BOOST_LEAF_CHECK(queue.push(team, deadline, now));
+        return {};
+    });
 }
 
 } // namespace
@@ -48,7 +52,8 @@
         CAPTURE(row.queue);
         CAPTURE(row.key);
         problem failure;
-        auto const admitted = value_of([&]() { return admit_request(rules, row.queue, row.key, row.cut_off); }, failure);
+        auto const admitted = value_of(
+            [&]() { return admit_request(rules, row.queue, row.key, row.cut_off); }, failure);
         CHECK(admitted.has_value() != row.reason.has_value());
         if(admitted) {
             CHECK(admitted->team == row.team);
@@ -61,7 +66,10 @@
 TEST_CASE("a withdrawn key is refused") {
     auto rules = sample_document();
     rules.keys.front().withdrawn = true;
-    auto const refused = problem_of([&]() -> result<void> { BOOST_LEAF_CHECK(team_of_key(rules, "key-red")); return {}; });
+    auto const refused = problem_of([&]() -> result<void> {
+        BOOST_LEAF_CHECK(team_of_key(rules, "key-red"));
+        return {};
+    });
     REQUIRE(refused);
     CHECK(refused->reason == refusal::key_withdrawn);
 }
--- a/test/authority/allotment_test.cpp
+++ b/test/authority/allotment_test.cpp
@@ -57,16 +57,24 @@
             auto const pick = [&]() { return rules.failure_domains[random() % rules.failure_domains.size()].name; };
             auto const from = pick();
             if(random() % 4u == 0u) {
-                fold.apply(offset, claim_record({.domain = from, .number = random() % 4u, .holder = "h" + std::to_string(random() % 3u)}));
+                fold.apply(offset,
+                    claim_record(
+                        {.domain = from, .number = random() % 4u, .holder = "h" + std::to_string(random() % 3u)}));
             } else {
-                fold.apply(offset, donation_record({.from = from, .to = pick(), .team = "red", .amount = {static_cast<std::int64_t>(random() % 30'000u), 0, 0}, .claim = random() % 4u}));
+                fold.apply(offset,
+                    donation_record({.from = from,
+                        .to = pick(),
+                        .team = "red",
+                        .amount = {static_cast<std::int64_t>(random() % 30'000u), 0, 0},
+                        .claim = random() % 4u}));
             }
             auto &team = rules.teams.front();
             team.ceiling.millicores = static_cast<std::int64_t>(random() % 200'000u);
             auto const sum = sum_of_limits(fold, rules, team);
             CHECK(fits(sum, team.ceiling));
             for(auto const &domain: rules.failure_domains) {
-                CHECK(fits(allotment_fold::floor_of(rules, team, domain.name), fold.limit_of(rules, team, domain.name)));
+                CHECK(
+                    fits(allotment_fold::floor_of(rules, team, domain.name), fold.limit_of(rules, team, domain.name)));
             }
         }
     }
--- a/test/authority/hold_table_test.cpp
+++ b/test/authority/hold_table_test.cpp
@@ -122,7 +122,8 @@
                 }
                 break;
             default:
-                if(real[w] < worker_size.millicores && table.may_start(team, worker, {1, 1, 0}, limit, now) && obeys[w] == who) {
+                if(real[w] < worker_size.millicores && table.may_start(team, worker, {1, 1, 0}, limit, now) &&
+                    obeys[w] == who) {
                     ++real[w];
                     learn();
                 }
--- a/test/authority/job_book_test.cpp
+++ b/test/authority/job_book_test.cpp
@@ -9,7 +9,12 @@
 namespace {
 
 std::vector<job_event> sample_events() {
-    job_spec const spec{.name = "n", .team = "red", .kind = job_kind::batch, .count = 2, .task_size = {1'000, 1, 0}, .run_time = millis{10}};
+    job_spec const spec{.name = "n",
+        .team = "red",
+        .kind = job_kind::batch,
+        .count = 2,
+        .task_size = {1'000, 1, 0},
+        .run_time = millis{10}};
     return {
         {.kind = job_event_kind::accepted, .job = "a.1", .spec = spec, .at = instant{millis{5}}},
         {.kind = job_event_kind::start_intended, .job = "a.1", .ordinal = 0, .attempt = 1u, .place = "w1"},
@@ -45,7 +50,8 @@
         CAPTURE(seed);
         std::mt19937_64 random{seed};
         auto mixed = events;
-        mixed.insert(mixed.end(), events.begin(), events.begin() + static_cast<std::ptrdiff_t>(random() % events.size()));
+        mixed.insert(
+            mixed.end(), events.begin(), events.begin() + static_cast<std::ptrdiff_t>(random() % events.size()));
         std::shuffle(mixed.begin(), mixed.end(), random);
         job_book book;
         std::for_each(mixed.begin(), mixed.end(), [&](auto const &event) { book.apply(event); });
--- a/test/document/document_fold_test.cpp
+++ b/test/document/document_fold_test.cpp
@@ -106,7 +106,9 @@
             auto const version = writer.current()->versions[static_cast<std::size_t>(section::queues)];
             auto const base = random() % 3u == 0u ? version - 1u : version;
             auto const is_snapshot = random() % 5u == 0u;
-            log.push_back(is_snapshot ? writer.snapshot_record() : edit_record(sample_edit("e" + std::to_string(offset), section::queues, base, queues_named("q" + std::to_string(offset)))));
+            log.push_back(is_snapshot ? writer.snapshot_record()
+                                      : edit_record(sample_edit("e" + std::to_string(offset), section::queues, base,
+                                            queues_named("q" + std::to_string(offset)))));
             last_snapshot = is_snapshot ? offset : last_snapshot;
             writer.apply(offset, log.back());
         }
--- a/test/document/document_test.cpp
+++ b/test/document/document_test.cpp
@@ -15,16 +15,21 @@
         std::string_view message;
     };
     std::array<row, 13u> const rows{{
-        {section::teams, R"([{"name": "red", "share": 0, "ceiling": {}, "request_ceiling": 1}])", "teams[0].share is 0, must be a whole number from 1"},
+        {section::teams, R"([{"name": "red", "share": 0, "ceiling": {}, "request_ceiling": 1}])",
+            "teams[0].share is 0, must be a whole number from 1"},
         {section::teams, R"([{"name": "red", "ceiling": {}, "request_ceiling": 1}])", "teams[0].share is missing"},
-        {section::teams, R"([{"name": "red", "share": 1, "ceiling": {"cores": -1}, "request_ceiling": 1}])", "teams[0].ceiling.cores is -1"},
-        {section::teams, R"([{"name": "red", "share": 1, "ceiling": {}, "request_ceiling": 1, "sher": 2}])", "teams[0].sher is 2, must be left out"},
+        {section::teams, R"([{"name": "red", "share": 1, "ceiling": {"cores": -1}, "request_ceiling": 1}])",
+            "teams[0].ceiling.cores is -1"},
+        {section::teams, R"([{"name": "red", "share": 1, "ceiling": {}, "request_ceiling": 1, "sher": 2}])",
+            "teams[0].sher is 2, must be left out"},
         {section::teams, R"({"name": "red"})", "teams must be an array"},
         {section::teams, R"([])", "keys: team is 'red', must be a team"},
         {section::keys, R"([{"sha256": "abc", "team": "red"}])", "keys[0].sha256 is \"abc\", must be a SHA-256"},
-        {section::failure_domains, R"([{"name": "a", "state": "gone"}])", "failure_domains[0].state is \"gone\", must be in, out or lost"},
+        {section::failure_domains, R"([{"name": "a", "state": "gone"}])",
+            "failure_domains[0].state is \"gone\", must be in, out or lost"},
         {section::failure_domains, R"([{"name": "a"}, {"name": "a"}])", "name 'a' is listed twice"},
-        {section::failure_domains, R"([{"name": "a", "runners": [{"name": "r", "address": "here"}]}])", "failure_domains[0].runners[0].address is \"here\", must be an IP number"},
+        {section::failure_domains, R"([{"name": "a", "runners": [{"name": "r", "address": "here"}]}])",
+            "failure_domains[0].runners[0].address is \"here\", must be an IP number"},
         {section::queues, R"([{"name": "q", "open": true, "team": "green"}])", "queues.q.team is 'green'"},
         {section::queues, R"([{"name": "q", "when_cut_off": "stop"}])", "must be serve or hold"},
         {section::owners, R"({})", "owners.owners is missing, must be an array of at least one"},
@@ -33,7 +38,8 @@
         CAPTURE(row.body);
         auto const before = sample_document();
         auto const refused = problem_of([&]() -> result<void> {
-            BOOST_LEAF_CHECK(apply_edit(before, sample_edit("e", row.which, 1u, boost::json::parse(std::string{row.body}))));
+            BOOST_LEAF_CHECK(
+                apply_edit(before, sample_edit("e", row.which, 1u, boost::json::parse(std::string{row.body}))));
             return {};
         });
         REQUIRE(refused);
@@ -50,7 +56,10 @@
     teams.as_array()[0].as_object()["share"] = 1;
     auto edit = sample_edit("e", section::teams, 1u, teams);
     auto const reason_of = [&]() {
-        auto const refused = problem_of([&]() -> result<void> { BOOST_LEAF_CHECK(apply_edit(current, edit)); return {}; });
+        auto const refused = problem_of([&]() -> result<void> {
+            BOOST_LEAF_CHECK(apply_edit(current, edit));
+            return {};
+        });
         return refused ? std::optional{refused->reason} : std::nullopt;
     };
     CHECK(reason_of() == refusal::terms_lowered);
@@ -72,12 +81,16 @@
         std::string_view detail;
     };
     std::array<row, 7u> const rows{{
-        {R"({"name": "j", "kind": "batch", "task_size": {"cores": 65}})", refusal::job_never_fits, "the largest failure domain holds 0"},
-        {R"({"name": "j", "kind": "gang", "count": 2, "task_size": {"cores": 40}})", refusal::job_never_fits, "the largest failure domain holds 1"},
-        {R"({"name": "j", "kind": "gang", "count": 3, "task_size": {"cores": 40}})", refusal::job_over_ceiling, "the ceiling of 'red' is 100000 millicores"},
+        {R"({"name": "j", "kind": "batch", "task_size": {"cores": 65}})", refusal::job_never_fits,
+            "the largest failure domain holds 0"},
+        {R"({"name": "j", "kind": "gang", "count": 2, "task_size": {"cores": 40}})", refusal::job_never_fits,
+            "the largest failure domain holds 1"},
+        {R"({"name": "j", "kind": "gang", "count": 3, "task_size": {"cores": 40}})", refusal::job_over_ceiling,
+            "the ceiling of 'red' is 100000 millicores"},
         {R"({"name": "j", "kind": "batch", "task_size": {}})", refusal::job_malformed, "at least one millicore"},
         {R"({"name": "j", "kind": "cron", "task_size": {"cores": 1}})", refusal::job_malformed, "job.kind is \"cron\""},
-        {R"({"name": "j", "kind": "batch", "count": 0, "task_size": {"cores": 1}})", refusal::job_malformed, "job.count is 0"},
+        {R"({"name": "j", "kind": "batch", "count": 0, "task_size": {"cores": 1}})", refusal::job_malformed,
+            "job.count is 0"},
         {R"({"name": "", "kind": "batch", "task_size": {"cores": 1}})", refusal::job_malformed, "job.name"},
     }};
     auto const rules = sample_document();
@@ -94,7 +107,14 @@
 }
 
 TEST_CASE("a job survives being written and read") {
-    job_spec const spec{.name = "n", .team = "red", .kind = job_kind::gang, .count = 4, .task_size = {1'500, 700, 1}, .run_time = millis{1'234}, .urgent = true, .repeatable = false};
+    job_spec const spec{.name = "n",
+        .team = "red",
+        .kind = job_kind::gang,
+        .count = 4,
+        .task_size = {1'500, 700, 1},
+        .run_time = millis{1'234},
+        .urgent = true,
+        .repeatable = false};
     problem failure;
     auto const again = value_of([&]() { return parse_job(to_json(spec), "red"); }, failure);
     REQUIRE(again);
--- a/test/document/sample.hpp
+++ b/test/document/sample.hpp
@@ -12,7 +12,8 @@
 /*! Returns the sections of a small valid document. */
 inline boost::json::value sample_sections() {
     auto const operators = "[\"" + sha256_hex("operator") + "\"]";
-    auto const text = R"({"owners": {"owners": @, "teams": @, "keys": @, "failure_domains": @, "queues": @, "policies": @},
+    auto const text =
+        R"({"owners": {"owners": @, "teams": @, "keys": @, "failure_domains": @, "queues": @, "policies": @},
         "teams": [{"name": "red", "share": 2, "ceiling": {"cores": 100, "memory_gib": 400, "accelerators": 8}, "request_ceiling": 30},
                   {"name": "blue", "share": 1, "ceiling": {"cores": 60, "memory_gib": 200}, "request_ceiling": 30}],
         "keys": [{"sha256": "KEY", "team": "red"}],
@@ -38,8 +39,14 @@
 }
 
 /*! Returns an operator's edit. */
-inline document_edit sample_edit(std::string record_id, section const which, std::uint64_t const base, boost::json::value body) {
-    return {.record_id = std::move(record_id), .which = which, .base_version = base, .author = sha256_hex("operator"), .lower = {}, .body = std::move(body)};
+inline document_edit sample_edit(
+    std::string record_id, section const which, std::uint64_t const base, boost::json::value body) {
+    return {.record_id = std::move(record_id),
+        .which = which,
+        .base_version = base,
+        .author = sha256_hex("operator"),
+        .lower = {},
+        .body = std::move(body)};
 }
 
 } // namespace kingcuplink::test
--- a/test/placement/scheduler_test.cpp
+++ b/test/placement/scheduler_test.cpp
@@ -25,10 +25,10 @@
 
 /*! Scheduler with workers of 8 cores, two to a rack. */
 struct small_domain {
-    explicit small_domain(std::size_t const workers, scheduler_options const options = {})
-        : plan_maker{options} {
+    explicit small_domain(std::size_t const workers, scheduler_options const options = {}) : plan_maker{options} {
         for(std::size_t pos{}; pos < workers; ++pos) {
-            ids.push_back(plan_maker.add_worker("w" + std::to_string(pos), "r" + std::to_string(pos / 2u), {8'000, 8'000, 0}));
+            ids.push_back(
+                plan_maker.add_worker("w" + std::to_string(pos), "r" + std::to_string(pos / 2u), {8'000, 8'000, 0}));
             plan_maker.set_usable(ids.back(), true);
         }
     }
@@ -57,7 +57,12 @@
 };
 
 job_spec batch(std::int64_t const count, std::int64_t const cores) {
-    return {.name = {}, .team = {}, .kind = job_kind::batch, .count = count, .task_size = {cores * 1'000, cores * 1'000, 0}, .run_time = millis{60'000}};
+    return {.name = {},
+        .team = {},
+        .kind = job_kind::batch,
+        .count = count,
+        .task_size = {cores * 1'000, cores * 1'000, 0},
+        .run_time = millis{60'000}};
 }
 
 } // namespace
@@ -119,7 +124,9 @@
     domain.submit("r", red);
     domain.submit("b", blue);
     domain.plan();
-    auto const cores = [&](std::string const &team) { return domain.plan_maker.find(*domain.plan_maker.team_of(team))->charged.millicores / 1'000; };
+    auto const cores = [&](std::string const &team) {
+        return domain.plan_maker.find(*domain.plan_maker.team_of(team))->charged.millicores / 1'000;
+    };
     CHECK(cores("red") == 48);
     CHECK(cores("blue") == 16);
 }
@@ -193,7 +200,8 @@
         }
     }
     CHECK(started);
-    CHECK(domain.now - domain.plan_maker.find(gang_id)->accepted_at < 2 * config::gang_reservation_age + millis{10'000});
+    CHECK(
+        domain.now - domain.plan_maker.find(gang_id)->accepted_at < 2 * config::gang_reservation_age + millis{10'000});
 }
 
 TEST_CASE("a worker that fails everything is quarantined, then tried with one task") {
@@ -255,7 +263,13 @@
     small_domain domain{2u};
     auto once = batch(2, 1);
     once.repeatable = false;
-    auto const job = domain.plan_maker.submit("j", [&]() { once.team = "red"; return once; }(), start, true);
+    auto const job = domain.plan_maker.submit(
+        "j",
+        [&]() {
+            once.team = "red";
+            return once;
+        }(),
+        start, true);
     domain.plan();
     CHECK(domain.orders.starts.empty());
     auto const tasks = domain.plan_maker.find(job)->tasks;
@@ -339,9 +353,10 @@
         std::uint64_t seeds;
         millis length;
     };
-    std::array<row, 2u> const rows{{{{"small", 12u, 5u}, 12u, millis{600'000}}, {{"dimaculangan", 48u, 6u}, 2u, millis{600'000}}}};
+    std::array<row, 2u> const rows{
+        {{{"small", 12u, 5u}, 12u, millis{600'000}}, {{"dimaculangan", 48u, 6u}, 2u, millis{600'000}}}};
     for(auto const &row: rows) {
-        for(std::size_t pos{}; pos < static_cast<std::size_t>(trouble::count_); ++pos) {
+        for(std::size_t pos{}; pos < static_cast<std::size_t>(trouble::count); ++pos) {
             for(std::uint64_t seed{1}; seed <= row.seeds; ++seed) {
                 auto const made = make_scenario(row.size, static_cast<trouble>(pos), row.length, seed);
                 auto const result = run_replay(made, {});
@@ -359,7 +374,8 @@
 
 TEST_CASE("urgent work starts in time while the load is within capacity") {
     constexpr double target_ms = 4'900.0;
-    for(auto const what: {trouble::none, trouble::rack_lost, trouble::domain_out, trouble::failing_workers, trouble::cancellations, trouble::wrong_sizes}) {
+    for(auto const what: {trouble::none, trouble::rack_lost, trouble::domain_out, trouble::failing_workers,
+            trouble::cancellations, trouble::wrong_sizes}) {
         auto const made = make_scenario({"dimaculangan", 48u, 6u}, what, millis{1'200'000}, 1u);
         auto const result = run_replay(made, {});
         CAPTURE(made.name);
--- a/test/placement/worker_index_test.cpp
+++ b/test/placement/worker_index_test.cpp
@@ -17,12 +17,15 @@
                 index.erase(worker);
                 truth.erase(worker);
             } else {
-                resources const free{static_cast<std::int64_t>(random() % 64u), static_cast<std::int64_t>(random() % 256u), static_cast<std::int64_t>(random() % 9u)};
+                resources const free{static_cast<std::int64_t>(random() % 64u),
+                    static_cast<std::int64_t>(random() % 256u), static_cast<std::int64_t>(random() % 9u)};
                 index.set(worker, free);
                 truth[worker] = free;
             }
-            resources const need{static_cast<std::int64_t>(random() % 64u), static_cast<std::int64_t>(random() % 256u), static_cast<std::int64_t>(random() % 9u)};
-            auto const exists = std::any_of(truth.begin(), truth.end(), [&](auto const &entry) { return fits(need, entry.second); });
+            resources const need{static_cast<std::int64_t>(random() % 64u), static_cast<std::int64_t>(random() % 256u),
+                static_cast<std::int64_t>(random() % 9u)};
+            auto const exists = std::any_of(
+                truth.begin(), truth.end(), [&](auto const &entry) { return fits(need, entry.second); });
             for(auto const found: {index.tightest(need), index.first(need)}) {
                 CHECK(found.has_value() == exists);
                 if(found) {
--- a/test/routing/routing_test.cpp
+++ b/test/routing/routing_test.cpp
@@ -15,7 +15,10 @@
 std::vector<runner_slots> make_runners(std::size_t const count, std::int64_t const slots) {
     std::vector<runner_slots> runners;
     for(std::size_t pos{}; pos < count; ++pos) {
-        runners.push_back({.name = "r" + std::to_string(pos), .address = "10.0.0.1:" + std::to_string(pos + 1u), .slots = slots, .usable = true});
+        runners.push_back({.name = "r" + std::to_string(pos),
+            .address = "10.0.0.1:" + std::to_string(pos + 1u),
+            .slots = slots,
+            .usable = true});
     }
     return runners;
 }
