--- a/test/standin/endpoint_record.cpp
+++ b/test/standin/endpoint_record.cpp
@@ -22,7 +22,9 @@
     breaches_.push_back(std::to_string(clock_ms()) + " " + std::move(text));
 }
 
-void endpoint_record::task_started(std::string const &domain, std::string const &worker, resources const &worker_size, resources const &used_with_it, std::string const &task, std::uint32_t const attempt, std::string const &team, resources const &size) {
+void endpoint_record::task_started(std::string const &domain, std::string const &worker, resources const &worker_size,
+    resources const &used_with_it, std::string const &task, std::uint32_t const attempt, std::string const &team,
+    resources const &size) {
     ++starts_;
     task_runs_[task].push_back(boost::json::object{{"worker", worker}, {"attempt", attempt}, {"at", clock_ms()}});
     if(!fits(used_with_it, worker_size)) {
@@ -41,7 +43,8 @@
     }
 }
 
-void endpoint_record::task_ended(std::string const &worker, std::string const &task, std::string const &team, resources const &size, std::string const &how) {
+void endpoint_record::task_ended(std::string const &worker, std::string const &task, std::string const &team,
+    resources const &size, std::string const &how) {
     in_use_[team] -= size;
     if(auto const entry = running_on_.find(task); entry != running_on_.end() && entry->second == worker) {
         running_on_.erase(entry);
@@ -49,7 +52,8 @@
     task_runs_[task].push_back(boost::json::object{{"worker", worker}, {"ended", how}, {"at", clock_ms()}});
 }
 
-void endpoint_record::request_began(std::string const &runner, std::string const &id, std::int64_t const running, std::int64_t const slots) {
+void endpoint_record::request_began(
+    std::string const &runner, std::string const &id, std::int64_t const running, std::int64_t const slots) {
     ++requests_;
     ++running_requests_;
     ++request_runs_[id];
@@ -80,7 +84,9 @@
     for(auto const &[team, use]: peak_use_) {
         peaks.emplace(team, kingcuplink::to_json(use));
     }
-    return boost::json::object{{"breaches", std::move(breaches)}, {"starts", starts_}, {"requests", requests_}, {"running_requests", running_requests_}, {"running", std::move(running)}, {"peaks", std::move(peaks)}, {"task_runs", std::move(runs)}, {"request_runs", std::move(requests)}, {"now", clock_ms()}};
+    return boost::json::object{{"breaches", std::move(breaches)}, {"starts", starts_}, {"requests", requests_},
+        {"running_requests", running_requests_}, {"running", std::move(running)}, {"peaks", std::move(peaks)},
+        {"task_runs", std::move(runs)}, {"request_runs", std::move(requests)}, {"now", clock_ms()}};
 }
 
 } // namespace kingcuplink::standin
--- a/test/standin/endpoint_record.hpp
+++ b/test/standin/endpoint_record.hpp
@@ -24,8 +24,11 @@
     /*! Notes that operators have taken failure domains out: no start there is allowed from a time on. */
     void forbid_starts(std::set<std::string> domains, std::int64_t from_ms);
 
-    void task_started(std::string const &domain, std::string const &worker, resources const &worker_size, resources const &used_with_it, std::string const &task, std::uint32_t attempt, std::string const &team, resources const &size);
-    void task_ended(std::string const &worker, std::string const &task, std::string const &team, resources const &size, std::string const &how);
+    void task_started(std::string const &domain, std::string const &worker, resources const &worker_size,
+        resources const &used_with_it, std::string const &task, std::uint32_t attempt, std::string const &team,
+        resources const &size);
+    void task_ended(std::string const &worker, std::string const &task, std::string const &team, resources const &size,
+        std::string const &how);
     void request_began(std::string const &runner, std::string const &id, std::int64_t running, std::int64_t slots);
     void request_ended();
 
--- a/test/standin/endpoints_main.cpp
+++ b/test/standin/endpoints_main.cpp
@@ -27,7 +27,8 @@
         : context_{context}, entry_{entry}, record_{record} {}
 
     void start() {
-        service = std::make_shared<http_service>(context_, entry_.address, [self = shared_from_this()](request message) { return self->handle(std::move(message)); });
+        service = std::make_shared<http_service>(context_, entry_.address,
+            [self = shared_from_this()](request message) { return self->handle(std::move(message)); });
         service->start();
     }
 
@@ -110,7 +111,8 @@
     }
 
     void administer(boost::json::object const &body) {
-        std::string const name = body.contains("endpoint") ? std::string{body.at("endpoint").as_string()} : std::string{};
+        std::string const name = body.contains("endpoint") ? std::string{body.at("endpoint").as_string()}
+                                                           : std::string{};
         auto const apply = [&](http_service &service) {
             read_faults(body, service.fault);
             if(body.contains("silence")) {
@@ -155,17 +157,20 @@
     std::stringstream text;
     text << file.rdbuf();
     kingcuplink::problem failure;
-    auto const rules = kingcuplink::value_of([&]() -> kingcuplink::result<kingcuplink::document> {
-        boost::system::error_code error;
-        return kingcuplink::parse_document(boost::json::parse(text.str(), error));
-    }, failure);
+    auto const rules = kingcuplink::value_of(
+        [&]() -> kingcuplink::result<kingcuplink::document> {
+            boost::system::error_code error;
+            return kingcuplink::parse_document(boost::json::parse(text.str(), error));
+        },
+        failure);
     if(!rules) {
         std::cerr << "endpoints: " << kingcuplink::message_of(failure) << "\n";
         return 2;
     }
     boost::asio::io_context context{1};
     endpoints state{context, *rules};
-    auto const admin = std::make_shared<http_service>(context, absl::GetFlag(FLAGS_address), [&state](request message) { return state.handle(std::move(message)); });
+    auto const admin = std::make_shared<http_service>(
+        context, absl::GetFlag(FLAGS_address), [&state](request message) { return state.handle(std::move(message)); });
     admin->start();
     boost::asio::signal_set signals{context, SIGTERM, SIGINT};
     signals.async_wait([&context](auto const &, int) { context.stop(); });
--- a/test/standin/http_service.cpp
+++ b/test/standin/http_service.cpp
@@ -85,7 +85,8 @@
     }
 }
 
-asio::awaitable<void> http_service::serve([[maybe_unused]] std::shared_ptr<http_service> self, std::shared_ptr<connection> link) {
+asio::awaitable<void> http_service::serve(
+    [[maybe_unused]] std::shared_ptr<http_service> self, std::shared_ptr<connection> link) {
     boost::system::error_code error;
     boost::beast::flat_buffer buffer;
     auto goes_on = true;
@@ -120,7 +121,8 @@
         answer.prepare_payload();
         if(handled_with.break_answers) {
             auto const half = "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\nhalf";
-            co_await asio::async_write(link->stream, asio::buffer(std::string_view{half}), asio::redirect_error(asio::use_awaitable, error));
+            co_await asio::async_write(
+                link->stream, asio::buffer(std::string_view{half}), asio::redirect_error(asio::use_awaitable, error));
             break;
         }
         co_await http::async_write(link->stream, answer, asio::redirect_error(asio::use_awaitable, error));
@@ -144,7 +146,8 @@
 }
 
 std::int64_t clock_ms() {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch())
+        .count();
 }
 
 } // namespace kingcuplink::standin
--- a/test/standin/http_service.hpp
+++ b/test/standin/http_service.hpp
@@ -63,8 +63,7 @@
 
 private:
     struct connection {
-        explicit connection(boost::asio::ip::tcp::socket socket)
-            : stream{std::move(socket)} {}
+        explicit connection(boost::asio::ip::tcp::socket socket) : stream{std::move(socket)} {}
 
         boost::beast::tcp_stream stream;
         bool silent{};
--- a/test/standin/platform_main.cpp
+++ b/test/standin/platform_main.cpp
@@ -59,7 +59,8 @@
     }
 
     boost::json::value vms_seen() {
-        boost::json::value seen = boost::json::object{{"live", boost::json::array{}}, {"leaving", boost::json::array{}}};
+        boost::json::value seen = boost::json::object{
+            {"live", boost::json::array{}}, {"leaving", boost::json::array{}}};
         for(auto const &[time, list]: vm_history_) {
             if(time + absl::GetFlag(FLAGS_vm_lag_ms) <= clock_ms()) {
                 seen = list;
@@ -76,7 +77,8 @@
             log.records.pop_front();
             ++log.first;
         }
-        return json_answer(200, boost::json::object{{"offset", static_cast<std::int64_t>(log.first + log.records.size() - 1u)}});
+        return json_answer(
+            200, boost::json::object{{"offset", static_cast<std::int64_t>(log.first + log.records.size() - 1u)}});
     }
 
     response read(std::string const &target) {
@@ -91,10 +93,14 @@
         number_after("from=", from);
         number_after("limit=", limit);
         boost::json::array records;
-        for(auto offset = std::max(from, log.first); offset < log.first + log.records.size() && records.size() < limit; ++offset) {
-            records.push_back(boost::json::object{{"offset", static_cast<std::int64_t>(offset)}, {"body", log.records[offset - log.first]}});
+        for(auto offset = std::max(from, log.first); offset < log.first + log.records.size() && records.size() < limit;
+            ++offset) {
+            records.push_back(boost::json::object{
+                {"offset", static_cast<std::int64_t>(offset)}, {"body", log.records[offset - log.first]}});
         }
-        return json_answer(200, boost::json::object{{"first", static_cast<std::int64_t>(log.first)}, {"next", static_cast<std::int64_t>(log.first + log.records.size())}, {"records", std::move(records)}});
+        return json_answer(200,
+            boost::json::object{{"first", static_cast<std::int64_t>(log.first)},
+                {"next", static_cast<std::int64_t>(log.first + log.records.size())}, {"records", std::move(records)}});
     }
 
     std::map<std::string, stream> streams_;
--- a/test/standin/worker.cpp
+++ b/test/standin/worker.cpp
@@ -32,7 +32,8 @@
     : context_{context}, domain_{std::move(domain)}, entry_{entry}, record_{record} {}
 
 void worker::start() {
-    service = std::make_shared<http_service>(context_, entry_.address, [self = shared_from_this()](request message) { return self->handle(std::move(message)); });
+    service = std::make_shared<http_service>(context_, entry_.address,
+        [self = shared_from_this()](request message) { return self->handle(std::move(message)); });
     service->start();
     boost::asio::co_spawn(context_, watch_lease(shared_from_this()), boost::asio::detached);
 }
@@ -98,23 +99,29 @@
     boost::json::array tasks;
     for(auto const &[key, value]: tasks_) {
         if(value.version > since) {
-            tasks.push_back(boost::json::object{{"job", value.job}, {"ordinal", value.ordinal}, {"attempt", value.attempt}, {"team", value.team}, {"state", value.state}, {"size", to_json(value.size)}, {"used", to_json(value.size)}, {"running_for_ms", clock_ms() - value.started_at}});
+            tasks.push_back(boost::json::object{{"job", value.job}, {"ordinal", value.ordinal},
+                {"attempt", value.attempt}, {"team", value.team}, {"state", value.state}, {"size", to_json(value.size)},
+                {"used", to_json(value.size)}, {"running_for_ms", clock_ms() - value.started_at}});
         }
     }
-    co_return json_answer(200, boost::json::object{{"version", static_cast<std::int64_t>(version_)}, {"tasks", std::move(tasks)}});
+    co_return json_answer(
+        200, boost::json::object{{"version", static_cast<std::int64_t>(version_)}, {"tasks", std::move(tasks)}});
 }
 
 response worker::start_task(boost::json::object const &body) {
     auto const key = key_of(body);
     auto const attempt = static_cast<std::uint32_t>(number(body, "attempt"));
-    if(auto const known = tasks_.find(key); known != tasks_.end() && (known->second.state == "running" || known->second.attempt >= attempt)) {
+    if(auto const known = tasks_.find(key);
+        known != tasks_.end() && (known->second.state == "running" || known->second.attempt >= attempt)) {
         return json_answer(known->second.attempt == attempt ? 200 : 422, boost::json::object{});
     }
     auto const *size_field = body.if_contains("size");
-    auto const size = size_field != nullptr && size_field->is_object() ? resources_from_json(size_field->get_object()) : resources{};
+    auto const size = size_field != nullptr && size_field->is_object() ? resources_from_json(size_field->get_object())
+                                                                       : resources{};
     used_ += size;
     record_.task_started(domain_, entry_.name, entry_.size, used_, key, attempt, text(body, "team"), size);
-    tasks_[key] = task{text(body, "job"), number(body, "ordinal"), attempt, text(body, "team"), "running", size, clock_ms(), ++version_};
+    tasks_[key] = task{text(body, "job"), number(body, "ordinal"), attempt, text(body, "team"), "running", size,
+        clock_ms(), ++version_};
     auto const run_ms = std::max<std::int64_t>(0, number(body, "run_time_ms") - number(body, "progress_ms"));
     if(service->fault.fail_every_start) {
         end_task(tasks_[key], "failed");
@@ -135,9 +142,11 @@
     return json_answer(200, boost::json::object{});
 }
 
-boost::asio::awaitable<void> worker::run([[maybe_unused]] std::shared_ptr<worker> self, std::string key, std::uint32_t const attempt, std::int64_t const run_ms) {
+boost::asio::awaitable<void> worker::run([[maybe_unused]] std::shared_ptr<worker> self, std::string key,
+    std::uint32_t const attempt, std::int64_t const run_ms) {
     co_await wait_for(run_ms);
-    if(auto const known = tasks_.find(key); known != tasks_.end() && known->second.attempt == attempt && known->second.state == "running") {
+    if(auto const known = tasks_.find(key);
+        known != tasks_.end() && known->second.attempt == attempt && known->second.state == "running") {
         end_task(known->second, "succeeded");
     }
 }
@@ -168,7 +177,8 @@
     while(tasks_.size() > ended_kept) {
         auto oldest = tasks_.end();
         for(auto entry = tasks_.begin(); entry != tasks_.end(); ++entry) {
-            if(entry->second.state != "running" && (oldest == tasks_.end() || entry->second.version < oldest->second.version)) {
+            if(entry->second.state != "running" &&
+                (oldest == tasks_.end() || entry->second.version < oldest->second.version)) {
                 oldest = entry;
             }
         }
--- a/test/standin/worker.hpp
+++ b/test/standin/worker.hpp
@@ -38,7 +38,8 @@
 
     boost::asio::awaitable<response> handle(request message);
     boost::asio::awaitable<response> lease(boost::json::object body);
-    boost::asio::awaitable<void> run(std::shared_ptr<worker> self, std::string key, std::uint32_t attempt, std::int64_t run_ms);
+    boost::asio::awaitable<void> run(
+        std::shared_ptr<worker> self, std::string key, std::uint32_t attempt, std::int64_t run_ms);
     boost::asio::awaitable<void> watch_lease(std::shared_ptr<worker> self);
     [[nodiscard]] response start_task(boost::json::object const &body);
     [[nodiscard]] response stop_task(boost::json::object const &body);
