--- a/bench/scenarios.hpp
+++ b/bench/scenarios.hpp
@@ -24,7 +24,7 @@
     failing_workers,
     cancellations,
     wrong_sizes,
-    count_
+    count
 };
 
 /*! Returns the name of a trouble. */
--- /dev/null
+++ b/test/process/fleet.cpp
@@ -0,0 +1,292 @@
+#include "fleet.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <kingcuplink/core/hash.hpp>
+#include <kingcuplink/document/document_fold.hpp>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+extern char **environ;
+
+namespace kingcuplink::test {
+
+namespace {
+
+namespace json = boost::json;
+using verb = boost::beast::http::verb;
+
+constexpr int first_port = 10'000;
+constexpr int last_port = 31'000;
+constexpr int ports_per_fleet = 150;
+constexpr auto poll_interval = std::chrono::milliseconds{20};
+std::string const operator_key{"operator"};
+
+/*! Returns the first port of the next fleet of this machine. */
+int next_first_port() {
+    static int fleets = static_cast<int>(::getpid()) % ((last_port - first_port) / ports_per_fleet);
+    auto const port = first_port + fleets * ports_per_fleet;
+    fleets = (fleets + 1) % ((last_port - first_port) / ports_per_fleet);
+    return port;
+}
+
+} // namespace
+
+fleet::fleet(fleet_options options)
+    : options_{std::move(options)}, next_port_{next_first_port()} {
+    folder_ = (std::filesystem::temp_directory_path() / ("kingcuplink-test-" + std::to_string(::getpid()) + "-" + std::to_string(next_port_))).string();
+    std::filesystem::create_directories(folder_);
+    platform_ = take_address();
+    platform_admin_ = take_address();
+    endpoints_ = take_address();
+    auto const document = make_document();
+    auto const path = folder_ + "/document.json";
+    std::ofstream{path} << json::serialize(document);
+    spawn("platform", {KINGCUPLINK_PLATFORM_STANDIN, "--address=" + platform_});
+    spawn("endpoints", {KINGCUPLINK_ENDPOINTS_STANDIN, "--address=" + endpoints_, "--document=" + path});
+    server_connection platform{{platform_}, {}};
+    auto const published = comes_true([&]() { return platform.send(verb::post, "/log/document", json::serialize(genesis_record("g", document))).answered; });
+    for(auto const &[name, item]: entries_) {
+        start(name);
+    }
+    auto const ready = published && comes_true([&]() {
+        return std::all_of(entries_.begin(), entries_.end(), [&](auto const &item) {
+            auto const value = status(item.first);
+            return value.is_object() && !text_in(value, "leader").empty();
+        });
+    });
+    if(!ready) {
+        throw std::runtime_error{"the fleet did not start; see " + folder_};
+    }
+}
+
+fleet::~fleet() {
+    for(auto const &[name, pid]: processes_) {
+        ::kill(pid, SIGCONT);
+        ::kill(pid, SIGKILL);
+    }
+    for(auto const &[name, pid]: processes_) {
+        ::waitpid(pid, nullptr, 0);
+    }
+}
+
+std::string fleet::take_address() {
+    return "127.0.0.1:" + std::to_string(next_port_++);
+}
+
+json::value fleet::make_document() {
+    json::array domains;
+    for(std::size_t pos{}; pos < options_.entry_vms.size(); ++pos) {
+        std::string const name(1u, static_cast<char>('a' + pos));
+        json::array entry_vms;
+        json::array workers;
+        json::array runners;
+        for(std::size_t count{1}; count <= options_.entry_vms[pos]; ++count) {
+            entry const item{name, take_address(), take_address()};
+            entries_.emplace(name + std::to_string(count), item);
+            entry_vms.push_back(json::object{{"name", name + std::to_string(count)}, {"http", item.http}, {"peer", item.peer}});
+        }
+        for(std::size_t count{1}; count <= options_.workers; ++count) {
+            workers.push_back(json::object{{"name", name + "w" + std::to_string(count)}, {"address", take_address()}, {"rack", name + "r" + std::to_string((count + 1u) / 2u)}, {"size", json::object{{"cores", 8}, {"memory_gib", 32}}}});
+        }
+        for(std::size_t count{1}; count <= options_.runners; ++count) {
+            runners.push_back(json::object{{"name", name + "r" + std::to_string(count)}, {"address", take_address()}});
+        }
+        domains.push_back(json::object{{"name", name}, {"entry_vms", std::move(entry_vms)}, {"workers", std::move(workers)}, {"runners", std::move(runners)}});
+    }
+    auto const team = [&](std::string const &name, std::int64_t const cores) {
+        return json::object{{"name", name}, {"share", 1}, {"ceiling", json::object{{"cores", cores}, {"memory_gib", 10'000}}}, {"request_ceiling", options_.request_ceiling}};
+    };
+    auto const key = [](std::string const &name) { return json::object{{"sha256", sha256_hex("key-" + name)}, {"team", name}}; };
+    json::object owners;
+    for(std::size_t pos{}; pos < section_count; ++pos) {
+        owners.emplace(name_of(static_cast<section>(pos)), json::array{sha256_hex(operator_key)});
+    }
+    return json::object{{"owners", std::move(owners)}, {"teams", json::array{team("red", options_.red_cores), team("blue", 1'000)}}, {"keys", json::array{key("red"), key("blue")}}, {"failure_domains", std::move(domains)}, {"queues", json::array{json::object{{"name", "keyed"}}, json::object{{"name", "held"}, {"when_cut_off", "hold"}}, json::object{{"name", "open"}, {"open", true}, {"team", "blue"}}}}, {"policies", json::object{}}};
+}
+
+void fleet::spawn(std::string const &name, std::vector<std::string> arguments) {
+    std::vector<char *> pointers;
+    for(auto &argument: arguments) {
+        pointers.push_back(argument.data());
+    }
+    pointers.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    ::posix_spawn_file_actions_init(&actions);
+    auto const log = folder_ + "/" + name + ".log";
+    ::posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    ::posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    pid_t pid{};
+    auto const failed = ::posix_spawn(&pid, pointers.front(), &actions, nullptr, pointers.data(), environ);
+    ::posix_spawn_file_actions_destroy(&actions);
+    if(failed != 0) {
+        throw std::runtime_error{"cannot start " + arguments.front()};
+    }
+    processes_[name] = pid;
+}
+
+void fleet::start(std::string const &entry_vm) {
+    auto const &item = entries_.at(entry_vm);
+    spawn(entry_vm, {KINGCUPLINK_DAEMON, "--name=" + entry_vm, "--failure_domain=" + item.domain, "--http_address=" + item.http, "--peer_address=" + item.peer, "--platform_address=" + platform_, "--drain_grace_ms=1000", "--allow_faults"});
+}
+
+void fleet::signal(std::string const &name, int const number) {
+    ::kill(processes_.at(name), number);
+}
+
+void fleet::kill(std::string const &entry_vm) {
+    auto const pid = processes_.at(entry_vm);
+    ::kill(pid, SIGKILL);
+    ::waitpid(pid, nullptr, 0);
+    processes_.erase(entry_vm);
+}
+
+int fleet::stop(std::string const &entry_vm) {
+    auto const pid = processes_.at(entry_vm);
+    ::kill(pid, SIGTERM);
+    int result{};
+    ::waitpid(pid, &result, 0);
+    processes_.erase(entry_vm);
+    return WIFEXITED(result) ? WEXITSTATUS(result) : -1;
+}
+
+server_answer fleet::send(std::string const &entry_vm, verb const method, std::string const &target, std::string body, std::string const &key, std::map<std::string, std::string> const &headers, millis const timeout) const {
+    server_connection server{{entries_.at(entry_vm).http}, key};
+    return server.send(method, target, std::move(body), headers, timeout);
+}
+
+std::string fleet::submit(std::string const &entry_vm, std::string const &team, json::object job) const {
+    auto const answer = send(entry_vm, verb::post, "/v1/jobs", json::serialize(job), "key-" + team);
+    return answer.status == 201u ? text_in(answer.body, "job") : std::string{};
+}
+
+std::string fleet::job_state(std::string const &entry_vm, std::string const &job) const {
+    return text_in(send(entry_vm, verb::get, "/v1/jobs/" + job, {}, operator_key).body, "state");
+}
+
+server_answer fleet::edit(std::string const &entry_vm, std::string const &section, std::function<void(json::value &)> const &change, std::string const &lower) const {
+    auto answer = send(entry_vm, verb::get, "/v1/document/" + section, {}, operator_key);
+    if(answer.status != 200u) {
+        return answer;
+    }
+    change(answer.body);
+    std::map<std::string, std::string> headers{{"If-Match", "\"" + std::to_string(answer.version) + "\""}};
+    if(!lower.empty()) {
+        headers["Kingcuplink-Lower"] = lower;
+    }
+    return send(entry_vm, verb::put, "/v1/document/" + section, json::serialize(answer.body), operator_key, headers);
+}
+
+server_answer fleet::set_domain(std::string const &entry_vm, std::string const &domain, std::string const &state) const {
+    return edit(entry_vm, "failure_domains", [&](json::value &domains) {
+        for(auto &item: domains.as_array()) {
+            if(text_in(item, "name") == domain) {
+                item.as_object()["state"] = state;
+            }
+        }
+    });
+}
+
+void fleet::platform_fault(json::object fault) const {
+    server_connection server{{platform_admin_}, {}};
+    static_cast<void>(server.send(verb::post, "/admin", json::serialize(fault)));
+}
+
+void fleet::endpoint_fault(json::object fault) const {
+    server_connection server{{endpoints_}, {}};
+    static_cast<void>(server.send(verb::post, "/admin", json::serialize(fault)));
+}
+
+void fleet::cut_off(std::string const &domain, bool const cut) const {
+    for(auto const &[name, item]: entries_) {
+        json::array refused;
+        for(auto const &[other, other_item]: entries_) {
+            if(cut && (item.domain == domain) != (other_item.domain == domain)) {
+                refused.emplace_back(other);
+            }
+        }
+        if(cut && item.domain == domain) {
+            refused.emplace_back("platform");
+        }
+        static_cast<void>(send(name, verb::put, "/v1/faults", json::serialize(json::object{{"refuse", std::move(refused)}})));
+    }
+}
+
+json::value fleet::record() const {
+    server_connection server{{endpoints_}, {}};
+    return server.send(verb::get, "/record", {}).body;
+}
+
+std::string fleet::breaches() const {
+    std::string text;
+    for(auto const &breach: record().at("breaches").as_array()) {
+        text.append(breach.as_string()).append("\n");
+    }
+    return text;
+}
+
+std::string fleet::leader(std::string const &domain) const {
+    for(auto const &name: members(domain)) {
+        if(processes_.contains(name) && text_in(status(name), "role") == "leader") {
+            return name;
+        }
+    }
+    return {};
+}
+
+std::vector<std::string> fleet::members(std::string const &domain) const {
+    std::vector<std::string> names;
+    for(auto const &[name, item]: entries_) {
+        if(item.domain == domain) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+std::vector<std::string> fleet::entry_vms() const {
+    std::vector<std::string> names;
+    std::transform(entries_.begin(), entries_.end(), std::back_inserter(names), [](auto const &item) { return item.first; });
+    return names;
+}
+
+std::string fleet::http_address(std::string const &entry_vm) const {
+    return entries_.at(entry_vm).http;
+}
+
+json::value fleet::status(std::string const &entry_vm) const {
+    return send(entry_vm, verb::get, "/status", {}, {}, {}, millis{1'000}).body;
+}
+
+bool comes_true(std::function<bool()> const &condition, std::chrono::milliseconds const limit) {
+    auto const end = std::chrono::steady_clock::now() + limit;
+    while(std::chrono::steady_clock::now() < end) {
+        if(condition()) {
+            return true;
+        }
+        std::this_thread::sleep_for(poll_interval);
+    }
+    return condition();
+}
+
+json::object batch_job(std::string const &name, std::int64_t const count, std::int64_t const run_ms) {
+    return {{"name", name}, {"kind", "batch"}, {"count", count}, {"task_size", json::object{{"cores", 1}, {"memory_gib", 1}}}, {"run_time_ms", run_ms}};
+}
+
+std::string text_in(json::value const &value, std::string_view const name) {
+    auto const *object = value.if_object();
+    auto const *field = object == nullptr ? nullptr : object->if_contains(name);
+    return field == nullptr || !field->is_string() ? std::string{} : std::string{field->get_string()};
+}
+
+} // namespace kingcuplink::test
