Estimate waits by run times; tell what may have run; distrust connections that were silent

Causes found by the traffic tests: - The expected wait came from ends a second, counted over idle time too: after an idle stretch a burst was refused with 'expected wait is ms'. It now comes from the mean run time and the number that run at once. - Under overload requests were started so late that they could not end in time, and ended as 'may have run': what waited too long is passed over now.

--- a/src/kingcuplink/admission/fair_queue.cpp
+++ b/src/kingcuplink/admission/fair_queue.cpp
@@ -6,8 +6,9 @@
 
 namespace internal {
 
-constexpr millis rate_interval{500};
-constexpr double newest_rate_weight = 0.5;
+constexpr double newest_run_weight = 0.05;
+/*! Part of the usual run time that a request which waited must have left to be worth running. */
+constexpr double needed_run_part = 0.9;
 
 } // namespace internal
 
@@ -33,14 +34,15 @@
             refusal::queue_full, std::to_string(team.requests.size()) + " requests of team " + found->first + " wait");
     }
     auto const wait = expected_wait(name);
-    if(now + wait >= deadline) {
+    auto const run = wait > millis{} ? millis{static_cast<std::int64_t>(run_ms_)} : millis{};
+    if(now + wait + run >= deadline) {
         return refuse(refusal::deadline_too_short, "expected wait is " + std::to_string(wait.count()) + " ms");
     }
     if(team.requests.empty()) {
         team.virtual_time = std::max(team.virtual_time, virtual_time_);
     }
     auto const id = ++next_ticket_;
-    team.requests.push_back({id, deadline});
+    team.requests.push_back({id, deadline, now});
     tickets_.emplace(id, found->first);
     return id;
 }
@@ -61,7 +63,7 @@
         auto const request = team->requests.front();
         team->requests.pop_front();
         tickets_.erase(request.id);
-        if(request.deadline <= now) {
+        if(!can_end_in_time(request, now)) {
             continue;
         }
         virtual_time_ = team->virtual_time;
@@ -73,6 +75,12 @@
     return std::nullopt;
 }
 
+bool fair_queue::can_end_in_time(waiting_request const &request, instant const now) const {
+    auto const has_waited = now > request.since;
+    auto const needed = has_waited ? internal::needed_run_part * run_ms_ : 0.0;
+    return request.deadline > now + millis{static_cast<std::int64_t>(needed)};
+}
+
 bool fair_queue::erase(ticket const value) {
     auto const found = tickets_.find(value);
     if(found == tickets_.end()) {
@@ -84,24 +92,15 @@
     return true;
 }
 
-void fair_queue::finished(std::string_view const name, instant const now) {
-    if(auto const found = teams_.find(name); found != teams_.end()) {
-        --found->second.running;
-        --running_;
-        count_service(now);
-    }
-}
-
-void fair_queue::count_service(instant const now) {
-    ++ended_;
-    auto const passed = now - interval_began_;
-    if(passed < internal::rate_interval) {
+void fair_queue::finished(std::string_view const name, millis const took) {
+    auto const found = teams_.find(name);
+    if(found == teams_.end()) {
         return;
     }
-    auto const rate = static_cast<double>(ended_) * 1'000.0 / static_cast<double>(passed.count());
-    ended_per_second_ += internal::newest_rate_weight * (rate - ended_per_second_);
-    ended_ = 0;
-    interval_began_ = now;
+    --found->second.running;
+    --running_;
+    auto const ms = static_cast<double>(took.count());
+    run_ms_ = run_ms_ == 0.0 ? ms : run_ms_ + internal::newest_run_weight * (ms - run_ms_);
 }
 
 std::size_t fair_queue::waiting() const noexcept {
@@ -114,7 +113,7 @@
 
 millis fair_queue::expected_wait(std::string_view const name) const {
     auto const found = teams_.find(name);
-    if(found == teams_.end() || found->second.requests.empty() || ended_per_second_ <= 0.0) {
+    if(found == teams_.end() || found->second.requests.empty()) {
         return millis{};
     }
     std::int64_t active{};
@@ -122,8 +121,8 @@
         active += team.requests.empty() ? 0 : team.share;
     }
     auto const part = static_cast<double>(found->second.share) / static_cast<double>(std::max<std::int64_t>(active, 1));
-    auto const seconds = static_cast<double>(found->second.requests.size()) / (ended_per_second_ * part);
-    return millis{static_cast<std::int64_t>(seconds * 1'000.0)};
+    auto const at_once = static_cast<double>(std::max<std::int64_t>(running_, 1)) * part;
+    return millis{static_cast<std::int64_t>(static_cast<double>(found->second.requests.size()) * run_ms_ / at_once)};
 }
 
 } // namespace kingcuplink
--- a/src/kingcuplink/admission/fair_queue.hpp
+++ b/src/kingcuplink/admission/fair_queue.hpp
@@ -40,14 +40,20 @@
      */
     [[nodiscard]] result<ticket> push(std::string_view team, instant deadline, instant now);
 
-    /*! Takes the request whose turn it is, and counts it as running. */
+    /*!
+     * Takes the request whose turn it is, and counts it as running. Requests that waited and
+     * can hardly end in time are passed over: they are not worth a runner's slot.
+     */
     [[nodiscard]] std::optional<ticket> pop(instant now);
 
     /*! Removes a request that still waits; false if it does not wait. */
     bool erase(ticket value);
 
-    /*! Notes that a request that pop() took has ended. */
-    void finished(std::string_view team, instant now);
+    /*!
+     * Notes that a request that pop() took has ended.
+     * @param took Time since it was taken.
+     */
+    void finished(std::string_view team, millis took);
 
     /*! Returns the number of requests that wait. */
     [[nodiscard]] std::size_t waiting() const noexcept;
@@ -62,6 +68,7 @@
     struct waiting_request {
         ticket id;
         instant deadline;
+        instant since;
     };
 
     struct team_queue {
@@ -73,17 +80,15 @@
     };
 
     [[nodiscard]] team_queue *next_team();
-    void count_service(instant now);
+    [[nodiscard]] bool can_end_in_time(waiting_request const &request, instant now) const;
 
     std::map<std::string, team_queue, std::less<>> teams_;
     std::map<ticket, std::string> tickets_;
     ticket next_ticket_{};
     double virtual_time_{};
     std::int64_t running_{};
-    /*! Requests that ended in the current interval, and the rate of the intervals before. */
-    std::int64_t ended_{};
-    instant interval_began_{};
-    double ended_per_second_{};
+    /*! Moving average of the time that a request runs, in milliseconds; zero before the first. */
+    double run_ms_{};
 };
 
 } // namespace kingcuplink
--- a/src/kingcuplink/core/config.hpp
+++ b/src/kingcuplink/core/config.hpp
@@ -92,7 +92,7 @@
 inline constexpr millis longest_deadline{600'000};
 /*! Time to connect to an endpoint. */
 inline constexpr millis connect_timeout{500};
-/*! Idle time after which a connection is not trusted with a request that must not be repeated. */
+/*! Idle time after which a connection to a runner is not trusted with a request. */
 inline constexpr millis trusted_idle{1'000};
 /*! Idle time after which a connection is closed. */
 inline constexpr millis idle_limit{20'000};
--- a/src/kingcuplink/daemon/control_plane.cpp
+++ b/src/kingcuplink/daemon/control_plane.cpp
@@ -208,6 +208,7 @@
             reign_->paused();
         }
         last = now;
+        jobs_.note_log(documents_.log_reachable(now));
         if(documents_.current() != nullptr && !draining_) {
             apply(lead_.tick(now));
         }
--- a/src/kingcuplink/daemon/document_keeper.cpp
+++ b/src/kingcuplink/daemon/document_keeper.cpp
@@ -210,8 +210,8 @@
         }
         co_await pause(context_, internal::verdict_poll);
     }
-    co_return api_answer{
-        .refused = problem{may_be_in_log ? refusal::edit_unknown : refusal::log_unavailable, "record " + edit.record_id}};
+    co_return api_answer{.refused = problem{may_be_in_log ? refusal::edit_unknown : refusal::log_unavailable,
+                             "record " + edit.record_id}};
 }
 
 api_answer document_keeper::answer_of(document_edit const &edit, edit_verdict const &verdict) const {
--- a/src/kingcuplink/daemon/job_keeper.cpp
+++ b/src/kingcuplink/daemon/job_keeper.cpp
@@ -50,6 +50,11 @@
     last_refresh_ = current_time();
 }
 
+void job_keeper::note_log(bool const answers) noexcept {
+    auto const is_idle = journalled_ + 1u >= next_sequence_;
+    log_answers_ = answers && (log_answers_ || is_idle);
+}
+
 void job_keeper::on_book_changed(std::function<void()> listener) {
     listener_ = std::move(listener);
 }
--- a/src/kingcuplink/daemon/job_keeper.hpp
+++ b/src/kingcuplink/daemon/job_keeper.hpp
@@ -41,6 +41,9 @@
     /*! Sets whether this entry VM leads its failure domain. */
     void set_leading(bool leading);
 
+    /*! Notes whether the log answers others of this process. */
+    void note_log(bool answers) noexcept;
+
     /*! Sets a function that is called when the book grew from another source. */
     void on_book_changed(std::function<void()> listener);
 
--- a/src/kingcuplink/daemon/main.cpp
+++ b/src/kingcuplink/daemon/main.cpp
@@ -19,6 +19,7 @@
 constexpr int exit_failure = 1;
 constexpr int exit_wrong_setting = 2;
 constexpr auto drain_poll = 20ms;
+constexpr auto idle_grace = 1s;
 
 /*! Serves what is under way, then stops. */
 void shut_down(kingcuplink::daemon_settings const &settings, kingcuplink::http_server &server,
@@ -32,6 +33,11 @@
     while(server.active_requests() > 0u && std::chrono::steady_clock::now() < limit) {
         std::this_thread::sleep_for(drain_poll);
     }
+    // Callers that sent a request while the server closed are told so before their connections go.
+    auto const idle_limit = std::min(limit, std::chrono::steady_clock::now() + idle_grace);
+    while(server.connections() > 0u && std::chrono::steady_clock::now() < idle_limit) {
+        std::this_thread::sleep_for(drain_poll);
+    }
     LOG(INFO) << "daemon: stopping requests_left=" << server.active_requests();
     server.stop();
 }
--- a/src/kingcuplink/gateway/http_server.cpp
+++ b/src/kingcuplink/gateway/http_server.cpp
@@ -244,6 +244,8 @@
             response = refusal_response({reason, error.message()}, {}, stats_);
         } else if(!admitted) {
             response = refusal_response({refusal::connections_full, "too many connections"}, {}, stats_);
+        } else if(closing_) {
+            response = refusal_response({refusal::shutting_down}, {}, stats_);
         } else {
             keep_alive = parser.keep_alive();
             stream.expires_never();
--- a/src/kingcuplink/gateway/http_server.hpp
+++ b/src/kingcuplink/gateway/http_server.hpp
@@ -46,7 +46,7 @@
     /*! Makes readiness false; requests are served as before. Thread safe. */
     void drain() noexcept;
 
-    /*! Takes no more connections; open ones are served and told to close. Thread safe. */
+    /*! Takes no more connections; requests under way are served, others refused. Thread safe. */
     void stop_accepting();
 
     /*! Returns the number of requests that are being served. Thread safe. */
--- a/src/kingcuplink/gateway/request_router.cpp
+++ b/src/kingcuplink/gateway/request_router.cpp
@@ -68,7 +68,7 @@
         }
         auto const ticket = queue_.pop(now);
         if(!ticket) {
-            pool_.release(*runner, attempt_outcome::busy, now);
+            pool_.release(*runner, attempt_outcome::busy, false, now);
             return;
         }
         auto const found = waiters_.find(*ticket);
@@ -99,10 +99,11 @@
     runner_id runner;
     auto const refused = co_await wait_for_runner(admitted->team, deadline, runner);
     if(refused) {
-        co_return refusal_response(*refused, request.request_id, stats_);
+        co_return refuse_request(request, *refused);
     }
+    auto const began = current_time();
     auto answer = co_await run(client, std::move(request), deadline, runner);
-    finish(admitted->team);
+    finish(admitted->team, current_time() - began);
     co_return answer;
 }
 
@@ -150,28 +151,29 @@
 
 boost::asio::awaitable<http_response> request_router::run(
     http_client &client, routed_request request, instant const deadline, runner_id runner) {
-    auto may_have_run = false;
     {
         std::lock_guard const lock{mutex_};
         budget_.deposit();
     }
     while(true) {
         std::string address;
+        instant distrust_before;
         {
             std::lock_guard const lock{mutex_};
             address = pool_.address_of(runner);
+            distrust_before = pool_.distrust_before(runner);
         }
-        auto result = co_await try_once(client, request, address, "/run/" + request.queue, deadline, false);
+        auto result = co_await try_once(
+            client, request, address, "/run/" + request.queue, deadline, distrust_before, false);
         auto const now = current_time();
         {
             std::lock_guard const lock{mutex_};
-            pool_.release(runner, result.outcome, now);
+            pool_.release(runner, result.outcome, result.reused, now);
         }
         if(result.outcome == attempt_outcome::answered) {
             stats_.add(event::request_answered);
             co_return std::move(result.response);
         }
-        may_have_run = may_have_run || result.outcome == attempt_outcome::may_have_run;
         auto const has_time = now + internal::least_attempt_time < deadline;
         auto const next = has_time && may_retry(result.outcome, request.repeatable) ? next_runner(runner)
                                                                                     : std::nullopt;
@@ -181,18 +183,21 @@
         stats_.add(internal::reason_of(result.outcome, result.reused));
         runner = *next;
     }
-    if(may_have_run) {
-        stats_.add(event::request_may_have_run);
-        co_return refusal_response(
-            {refusal::may_have_run, "the runner gave no whole answer"}, request.request_id, stats_);
-    }
     auto const reason = current_time() + internal::least_attempt_time < deadline ? refusal::no_runner
                                                                                  : refusal::deadline_passed;
-    co_return refusal_response({reason, "no runner took the request"}, request.request_id, stats_);
+    co_return refuse_request(request, {reason, "no runner took the request"});
+}
+
+http_response request_router::refuse_request(routed_request const &request, problem const &value) {
+    if(!request.may_have_run) {
+        return refusal_response(value, request.request_id, stats_);
+    }
+    stats_.add(event::request_may_have_run);
+    return refusal_response({refusal::may_have_run, "no whole answer came back"}, request.request_id, stats_);
 }
 
-boost::asio::awaitable<request_router::attempt> request_router::try_once(http_client &client,
-    routed_request const &request, std::string address, std::string target, instant const deadline,
+boost::asio::awaitable<request_router::attempt> request_router::try_once(http_client &client, routed_request &request,
+    std::string address, std::string target, instant const deadline, instant const distrust_before,
     bool const passed_on) {
     auto const left = deadline - current_time();
     if(left < internal::least_attempt_time) {
@@ -212,18 +217,21 @@
         }
     }
     message.body() = request.message.body();
-    auto const most_idle = request.repeatable ? config::idle_limit : config::trusted_idle;
-    exchange_options const options{.timeout = left, .most_idle = most_idle, .body_limit = config::body_limit};
+    exchange_options const options{.timeout = left,
+        .most_idle = config::trusted_idle,
+        .body_limit = config::body_limit,
+        .distrust_before = distrust_before};
     auto sent = co_await client.send(std::move(address), std::move(message), options);
     attempt result{.outcome = sent.outcome, .response = std::move(sent.response), .reused = sent.reused};
     if(result.outcome == attempt_outcome::answered && result.response[header::not_run] == "true") {
         result.outcome = attempt_outcome::busy;
     }
+    request.may_have_run = request.may_have_run || result.outcome == attempt_outcome::may_have_run;
     co_return result;
 }
 
 boost::asio::awaitable<std::optional<http_response>> request_router::spill(
-    http_client &client, routed_request const &request, instant const deadline) {
+    http_client &client, routed_request &request, instant const deadline) {
     auto const known = view();
     auto targets = known->spill_targets;
     std::erase_if(targets, [](auto const &target) { return target.free_slots <= 0; });
@@ -232,17 +240,14 @@
         std::shuffle(targets.begin(), targets.end(), random_);
     }
     for(std::size_t pos{}; pos < std::min(targets.size(), internal::spill_tries); ++pos) {
-        auto result = co_await try_once(
-            client, request, targets[pos].http_address, "/v1/queues/" + request.queue + "/requests", deadline, true);
+        auto result = co_await try_once(client, request, targets[pos].http_address,
+            "/v1/queues/" + request.queue + "/requests", deadline, {}, true);
         if(result.outcome == attempt_outcome::answered) {
             stats_.add(retry_reason::spilled);
             co_return std::move(result.response);
         }
-        if(result.outcome == attempt_outcome::may_have_run && !request.repeatable) {
-            stats_.add(event::request_may_have_run);
-            co_return refusal_response(
-                {refusal::may_have_run, "entry VM " + targets[pos].name + " gave no whole answer"}, request.request_id,
-                stats_);
+        if(request.may_have_run && !request.repeatable) {
+            co_return refuse_request(request, {refusal::may_have_run});
         }
     }
     co_return std::nullopt;
@@ -253,11 +258,10 @@
     return budget_.withdraw() ? pool_.acquire(current_time(), failed) : std::nullopt;
 }
 
-void request_router::finish(std::string const &team) {
+void request_router::finish(std::string const &team, millis const took) {
     std::lock_guard const lock{mutex_};
-    auto const now = current_time();
-    queue_.finished(team, now);
-    pump_locked(now);
+    queue_.finished(team, took);
+    pump_locked(current_time());
 }
 
 } // namespace kingcuplink
--- a/src/kingcuplink/gateway/request_router.hpp
+++ b/src/kingcuplink/gateway/request_router.hpp
@@ -24,6 +24,8 @@
     millis deadline{config::default_deadline};
     /*! True if another entry VM passed it on. */
     bool is_hop{};
+    /*! True once an attempt was made that may have had an effect. */
+    bool may_have_run{};
     http_request message;
 };
 
@@ -88,13 +90,14 @@
         std::string team, instant deadline, runner_id &granted);
     boost::asio::awaitable<http_response> run(
         http_client &client, routed_request request, instant deadline, runner_id runner);
-    boost::asio::awaitable<attempt> try_once(http_client &client, routed_request const &request, std::string address,
-        std::string target, instant deadline, bool passed_on);
+    [[nodiscard]] http_response refuse_request(routed_request const &request, problem const &value);
+    boost::asio::awaitable<attempt> try_once(http_client &client, routed_request &request, std::string address,
+        std::string target, instant deadline, instant distrust_before, bool passed_on);
     boost::asio::awaitable<std::optional<http_response>> spill(
-        http_client &client, routed_request const &request, instant deadline);
+        http_client &client, routed_request &request, instant deadline);
     [[nodiscard]] bool has_room_at_home();
     [[nodiscard]] std::optional<runner_id> next_runner(runner_id failed);
-    void finish(std::string const &team);
+    void finish(std::string const &team, millis took);
 
     std::string self_;
     counters &stats_;
--- a/src/kingcuplink/platform/http_client.cpp
+++ b/src/kingcuplink/platform/http_client.cpp
@@ -36,7 +36,7 @@
     exchange result;
     boost::system::error_code error;
     auto token = boost::asio::redirect_error(boost::asio::use_awaitable, error);
-    auto stream = take_idle(address, options.most_idle);
+    auto stream = take_idle(address, options);
     result.reused = stream.has_value();
     if(!stream) {
         auto const endpoint = parse_endpoint(address);
@@ -102,12 +102,13 @@
     co_return result;
 }
 
-std::optional<boost::beast::tcp_stream> http_client::take_idle(std::string const &address, millis const most_idle) {
+std::optional<boost::beast::tcp_stream> http_client::take_idle(
+    std::string const &address, exchange_options const &options) {
     auto const found = idle_.find(address);
     if(found == idle_.end()) {
         return std::nullopt;
     }
-    auto const oldest = clock::now() - most_idle;
+    auto const oldest = std::max(current_time() - options.most_idle, options.distrust_before);
     auto &list = found->second;
     while(!list.empty() && list.back().since > oldest) {
         auto stream = std::move(list.back().stream);
@@ -126,7 +127,7 @@
     if(list.size() >= idle_per_address_) {
         list.pop_front();
     }
-    list.push_back({std::move(stream), clock::now()});
+    list.push_back({std::move(stream), current_time()});
 }
 
 void http_client::discard_idle(std::string const &address) {
@@ -137,7 +138,7 @@
 }
 
 void http_client::close_old() {
-    auto const oldest = clock::now() - config::idle_limit;
+    auto const oldest = current_time() - config::idle_limit;
     for(auto entry = idle_.begin(); entry != idle_.end();) {
         std::erase_if(entry->second, [&](auto const &connection) { return connection.since < oldest; });
         entry = entry->second.empty() ? idle_.erase(entry) : std::next(entry);
--- a/src/kingcuplink/platform/http_client.hpp
+++ b/src/kingcuplink/platform/http_client.hpp
@@ -28,6 +28,8 @@
     /*! Longest idle time of a connection that may be used; zero for a new one. */
     millis most_idle{config::idle_limit};
     std::uint64_t body_limit{config::control_body_limit};
+    /*! Connections that were last used before this time are closed instead of used. */
+    instant distrust_before{};
 };
 
 /*! What became of an exchange. */
@@ -68,14 +70,12 @@
     void close_old();
 
 private:
-    using clock = std::chrono::steady_clock;
-
     struct idle_connection {
         boost::beast::tcp_stream stream;
-        clock::time_point since;
+        instant since;
     };
 
-    std::optional<boost::beast::tcp_stream> take_idle(std::string const &address, millis most_idle);
+    std::optional<boost::beast::tcp_stream> take_idle(std::string const &address, exchange_options const &options);
     void keep(std::string const &address, boost::beast::tcp_stream stream);
     void discard_idle(std::string const &address);
 
--- a/src/kingcuplink/routing/runner_pool.cpp
+++ b/src/kingcuplink/routing/runner_pool.cpp
@@ -93,7 +93,12 @@
     return best;
 }
 
-void runner_pool::release(runner_id const id, attempt_outcome const outcome, instant const now) {
+instant runner_pool::distrust_before(runner_id const id) const {
+    auto const *value = runners_.find(id);
+    return value == nullptr ? instant{} : value->distrust_before;
+}
+
+void runner_pool::release(runner_id const id, attempt_outcome const outcome, bool const reused, instant const now) {
     auto *value = runners_.find(id);
     if(value == nullptr) {
         return;
@@ -102,6 +107,8 @@
     if(outcome == attempt_outcome::answered) {
         value->failures = 0u;
         value->sidelined_until = {};
+    } else if(outcome == attempt_outcome::may_have_run && reused) {
+        value->distrust_before = now;
     } else if(outcome != attempt_outcome::busy) {
         ++value->failures;
         value->sidelined_until = now + config::sideline_time;
--- a/src/kingcuplink/routing/runner_pool.hpp
+++ b/src/kingcuplink/routing/runner_pool.hpp
@@ -46,8 +46,15 @@
      */
     [[nodiscard]] std::optional<runner_id> acquire(instant now, runner_id avoid = {});
 
-    /*! Gives a slot back. */
-    void release(runner_id runner, attempt_outcome outcome, instant now);
+    /*!
+     * Gives a slot back.
+     * @param reused True if the attempt used a connection that had been used before. If no whole
+     * answer came on it, older connections to the runner are not to be trusted.
+     */
+    void release(runner_id runner, attempt_outcome outcome, bool reused, instant now);
+
+    /*! Returns the time such that connections last used before it are not to be trusted. */
+    [[nodiscard]] instant distrust_before(runner_id runner) const;
 
     /*! Returns the address of a runner; empty if the identifier is stale. */
     [[nodiscard]] std::string address_of(runner_id runner) const;
@@ -67,6 +74,7 @@
         std::int64_t outstanding{};
         std::uint32_t failures{};
         instant sidelined_until{};
+        instant distrust_before{};
         bool listed{true};
     };
 
