--- a/src/kingcuplink/placement/planner.cpp
+++ b/src/kingcuplink/placement/planner.cpp
@@ -123,11 +123,13 @@
         if(turn == nullptr) {
             return;
         }
-        take_turn(*turn, which);
+        // A miss changes no team's use, so that the turn stays with the team.
+        while(!turn->closed && !take_turn(*turn, which)) {
+        }
     }
 }
 
-void planner::take_turn(cursor &turn, phase const which) {
+bool planner::take_turn(cursor &turn, phase const which) {
     auto const id = turn.next->second;
     auto const following = std::next(turn.next);
     auto const placed = place_job(id);
@@ -148,6 +150,7 @@
     if(!turn.closed && which == phase::urgent) {
         turn.closed = turn.next->first.normal || !is_within_urgent_reserve(state_.teams[turn.team]);
     }
+    return placed;
 }
 
 bool planner::is_known_misfit(resources const &need) const {
@@ -299,7 +302,7 @@
 }
 
 std::optional<worker_id> planner::find_backfill(job_record const &job, resources const &need) const {
-    if(!options_.backfill || job.spec.kind != job_kind::batch) {
+    if(!options_.backfill || state_.reserved.empty() || job.spec.kind != job_kind::batch) {
         return std::nullopt;
     }
     auto const run_time = state_.history.expected_run(job.spec.team, job.spec.name, job.spec.run_time);
--- a/src/kingcuplink/placement/planner.hpp
+++ b/src/kingcuplink/placement/planner.hpp
@@ -38,7 +38,8 @@
     [[nodiscard]] std::vector<cursor> open_cursors(phase which);
     [[nodiscard]] cursor *next_turn(std::vector<cursor> &cursors, phase which);
     [[nodiscard]] double turn_key(cursor const &turn, phase which) const;
-    void take_turn(cursor &turn, phase which);
+    /*! Tries the next job of a team; false if nothing started. */
+    bool take_turn(cursor &turn, phase which);
 
     [[nodiscard]] bool place_job(job_id job);
     [[nodiscard]] bool place_gang(job_id job);
