--- a/bench/placement_main.cpp
+++ b/bench/placement_main.cpp
@@ -10,7 +10,7 @@
 
 ABSL_FLAG(std::uint64_t, seed, 1, "Seed of all random choices.");
 ABSL_FLAG(int, minutes, 20, "Length of a scenario in virtual minutes.");
-ABSL_FLAG(std::string, size, "", "One of dimaculangan, ege-kafes, plan; empty for all.");
+ABSL_FLAG(std::string, size, "", "One of dimaculangan, ege-kafes, domain, half, plan, double; empty for all.");
 ABSL_FLAG(std::string, trouble, "", "One trouble; empty for all.");
 ABSL_FLAG(std::string, policy, "", "One of kingcuplink, first_come, fair_only; empty for all.");
 
@@ -24,7 +24,8 @@
     scheduler_options options;
 };
 
-constexpr std::array<fleet_size, 3u> sizes{{{"dimaculangan", 48u, 6u}, {"ege-kafes", 48u, 6u}, {"plan", 1'300u, 39u}}};
+constexpr std::array<fleet_size, 6u> sizes{{{"dimaculangan", 48u, 6u}, {"ege-kafes", 48u, 6u}, {"domain", 162u, 39u},
+    {"half", 650u, 39u}, {"plan", 1'300u, 39u}, {"double", 2'600u, 39u}}};
 constexpr std::array<policy_row, 3u> policies{{
     {"kingcuplink", {}},
     {"first_come",
--- a/src/kingcuplink/cli/document_diff.cpp
+++ b/src/kingcuplink/cli/document_diff.cpp
@@ -35,6 +35,14 @@
     return children;
 }
 
+std::string child_path(std::string const &path, std::string const &name) {
+    std::string text{path};
+    if(!text.empty()) {
+        text.append(".");
+    }
+    return text.append(name);
+}
+
 void diff_into(
     std::vector<std::string> &lines, std::string const &path, json::value const *before, json::value const *after) {
     if(before != nullptr && after != nullptr && *before == *after) {
@@ -62,8 +70,7 @@
     for(auto const &name: names) {
         auto const old_child = old_children.find(name);
         auto const new_child = new_children.find(name);
-        diff_into(lines, path.empty() ? name : path + "." + name,
-            old_child == old_children.end() ? nullptr : old_child->second,
+        diff_into(lines, child_path(path, name), old_child == old_children.end() ? nullptr : old_child->second,
             new_child == new_children.end() ? nullptr : new_child->second);
     }
 }
--- a/src/kingcuplink/cli/server_connection.cpp
+++ b/src/kingcuplink/cli/server_connection.cpp
@@ -21,7 +21,7 @@
     : servers_{std::move(servers)}, key_{std::move(key)}, client_{context_, stats_, 1u} {}
 
 server_answer server_connection::send(boost::beast::http::verb const method, std::string const &target,
-    std::string body, std::map<std::string, std::string> const &headers, millis const timeout) {
+    std::string const &body, std::map<std::string, std::string> const &headers, millis const timeout) {
     server_answer answer;
     for(auto const &server: servers_) {
         http_request request{method, target, 11};
--- a/src/kingcuplink/cli/server_connection.hpp
+++ b/src/kingcuplink/cli/server_connection.hpp
@@ -34,8 +34,9 @@
     server_connection(std::vector<std::string> servers, std::string key);
 
     /*! Sends a request and waits for its answer. */
-    [[nodiscard]] server_answer send(boost::beast::http::verb method, std::string const &target, std::string body,
-        std::map<std::string, std::string> const &headers = {}, millis timeout = millis{30'000});
+    [[nodiscard]] server_answer send(boost::beast::http::verb method, std::string const &target,
+        std::string const &body, std::map<std::string, std::string> const &headers = {},
+        millis timeout = millis{30'000});
 
 private:
     std::vector<std::string> servers_;
--- a/src/kingcuplink/platform/worker_client.cpp
+++ b/src/kingcuplink/platform/worker_client.cpp
@@ -83,7 +83,8 @@
     co_return reply;
 }
 
-boost::asio::awaitable<command_reply> worker_client::start(std::string address, lease_holder holder, task_start task) {
+boost::asio::awaitable<command_reply> worker_client::start(
+    std::string address, lease_holder const &holder, task_start const &task) {
     auto body = internal::holder_fields(holder);
     body["job"] = task.job;
     body["ordinal"] = task.ordinal;
@@ -96,19 +97,19 @@
     return command(std::move(address), "/v1/start", std::move(body));
 }
 
-boost::asio::awaitable<command_reply> worker_client::stop(
-    std::string address, lease_holder holder, std::string job, std::int64_t const ordinal, bool const checkpoint) {
+boost::asio::awaitable<command_reply> worker_client::stop(std::string address, lease_holder const &holder,
+    std::string const &job, std::int64_t const ordinal, bool const checkpoint) {
     auto body = internal::holder_fields(holder);
-    body["job"] = std::move(job);
+    body["job"] = job;
     body["ordinal"] = ordinal;
     body["checkpoint"] = checkpoint;
     return command(std::move(address), "/v1/stop", std::move(body));
 }
 
 boost::asio::awaitable<command_reply> worker_client::throttle(
-    std::string address, lease_holder holder, std::string job, std::int64_t const ordinal) {
+    std::string address, lease_holder const &holder, std::string const &job, std::int64_t const ordinal) {
     auto body = internal::holder_fields(holder);
-    body["job"] = std::move(job);
+    body["job"] = job;
     body["ordinal"] = ordinal;
     return command(std::move(address), "/v1/throttle", std::move(body));
 }
--- a/src/kingcuplink/platform/worker_client.hpp
+++ b/src/kingcuplink/platform/worker_client.hpp
@@ -97,15 +97,16 @@
         std::string address, lease_holder holder, std::uint64_t since, millis wait);
 
     /*! Starts a task. Starting the same attempt twice has the effect of one start. */
-    boost::asio::awaitable<command_reply> start(std::string address, lease_holder holder, task_start task);
+    boost::asio::awaitable<command_reply> start(
+        std::string address, lease_holder const &holder, task_start const &task);
 
     /*! Stops a task, after a checkpoint if one is wanted. */
     boost::asio::awaitable<command_reply> stop(
-        std::string address, lease_holder holder, std::string job, std::int64_t ordinal, bool checkpoint);
+        std::string address, lease_holder const &holder, std::string const &job, std::int64_t ordinal, bool checkpoint);
 
     /*! Keeps a task to its declared size. */
     boost::asio::awaitable<command_reply> throttle(
-        std::string address, lease_holder holder, std::string job, std::int64_t ordinal);
+        std::string address, lease_holder const &holder, std::string const &job, std::int64_t ordinal);
 
 private:
     boost::asio::awaitable<command_reply> command(std::string address, std::string target, boost::json::object body);
