Count teams that could use their part alone in the replay's share distance

Cause: a team with one small job waiting counted as one with enough demand, so that 'rack lost' showed 32% for a cell that was shared rightly. Now a team counts only if what it has and waits for reaches its part.

--- a/bench/replay.cpp
+++ b/bench/replay.cpp
@@ -304,37 +304,54 @@
         sample_shares(is_waiting && dominant_fraction(used, total) >= full_part);
     }
 
+    double in_use(team_id const team) const {
+        return dominant_fraction(scheduler_.find(team)->charged, scheduler_.total());
+    }
+
+    /*! Returns what the waiting tasks of each team would take. */
+    std::map<team_id, resources> waiting_by_team() const {
+        std::map<team_id, resources> waiting;
+        for(auto const id: scheduler_.jobs()) {
+            auto const &job = *scheduler_.find(id);
+            if(job.enqueued) {
+                waiting[job.team] += job.task_charge * static_cast<std::int64_t>(job.pending.size());
+            }
+        }
+        return waiting;
+    }
+
     void sample_shares(bool const is_full) {
         if(!is_full) {
             share_samples_ = 0;
             shares_.clear();
             return;
         }
-        // What the teams with enough demand have together, by their dominant dimensions, is
-        // due to them in proportion to their shares. A team with less demand is left out.
-        std::int64_t demanding{};
+        // What the teams with enough demand have together, by their dominant dimensions, is due to
+        // them in proportion to their shares. Teams that could not use their part are left out.
+        auto const waiting = waiting_by_team();
+        auto demanding = waiting;
+        std::int64_t shares{};
         double together{};
-        for(auto const id: scheduler_.teams()) {
-            auto const &team = *scheduler_.find(id);
-            if(team.queued_jobs > 0) {
-                demanding += team.share;
-                together += dominant_fraction(team.charged, scheduler_.total());
-            }
-        }
-        for(auto const id: scheduler_.teams()) {
-            auto const &team = *scheduler_.find(id);
-            if(team.queued_jobs == 0) {
-                shares_.erase(id);
-                continue;
-            }
-            auto const target = together * static_cast<double>(team.share) / static_cast<double>(demanding);
-            auto const &terms = *std::find_if(scenario_.teams.begin(), scenario_.teams.end(),
-                [&](auto const &item) { return item.name == team.name; });
-            if(dominant_fraction(terms.ceiling, scheduler_.total()) > target) {
-                auto &entry = shares_[id];
-                entry.first += dominant_fraction(team.charged, scheduler_.total()) / target - 1.0;
-                ++entry.second;
+        for(auto changed = true; changed;) {
+            shares = 0;
+            together = 0.0;
+            for(auto const &[id, demand]: demanding) {
+                shares += scheduler_.find(id)->share;
+                together += in_use(id);
             }
+            changed = std::erase_if(demanding, [&](auto const &entry) {
+                auto const due = together * static_cast<double>(scheduler_.find(entry.first)->share) /
+                    static_cast<double>(shares);
+                return in_use(entry.first) + dominant_fraction(entry.second, scheduler_.total()) < due;
+            }) > 0u;
+        }
+        std::erase_if(shares_, [&](auto const &entry) { return !demanding.contains(entry.first); });
+        for(auto const &[id, demand]: demanding) {
+            auto const target = together * static_cast<double>(scheduler_.find(id)->share) /
+                static_cast<double>(shares);
+            auto &entry = shares_[id];
+            entry.first += in_use(id) / target - 1.0;
+            ++entry.second;
         }
         ++share_samples_;
         if(share_samples_ * sample_interval < share_interval) {
