--- a/bench/placement_main.cpp
+++ b/bench/placement_main.cpp
@@ -12,7 +12,8 @@
 ABSL_FLAG(int, minutes, 20, "Length of a scenario in virtual minutes.");
 ABSL_FLAG(std::string, size, "", "One of dimaculangan, ege-kafes, domain, half, plan, double; empty for all.");
 ABSL_FLAG(std::string, trouble, "", "One trouble; empty for all.");
-ABSL_FLAG(std::string, policy, "", "One of kingcuplink, first_come, fair_only; empty for all.");
+ABSL_FLAG(std::string, policy, "",
+    "One of kingcuplink, first_come, fair_only, no_preemption, no_reservations; empty for all.");
 
 namespace {
 
@@ -26,7 +27,7 @@
 
 constexpr std::array<fleet_size, 6u> sizes{{{"dimaculangan", 48u, 6u}, {"ege-kafes", 48u, 6u}, {"domain", 162u, 39u},
     {"half", 650u, 39u}, {"plan", 1'300u, 39u}, {"double", 2'600u, 39u}}};
-constexpr std::array<policy_row, 3u> policies{{
+constexpr std::array<policy_row, 5u> policies{{
     {"kingcuplink", {}},
     {"first_come",
         {.fair_order = false,
@@ -44,6 +45,8 @@
             .reservations = false,
             .urgent_first = true,
             .learn_from_history = false}},
+    {"no_preemption", {.preemption = false}},
+    {"no_reservations", {.reservations = false}},
 }};
 
 double sum(std::vector<double> const &values) {
--- a/src/kingcuplink/placement/planner.hpp
+++ b/src/kingcuplink/placement/planner.hpp
@@ -62,6 +62,7 @@
     bool preempt_for(job_id job);
 
     void reserve_for_blocked();
+    [[nodiscard]] bool is_due_reservation(job_record const &job) const;
     bool reserve_for(job_id job);
 
     placement_state &state_;
--- a/src/kingcuplink/placement/preemption.cpp
+++ b/src/kingcuplink/placement/preemption.cpp
@@ -136,6 +136,13 @@
     }
 }
 
+bool planner::is_due_reservation(job_record const &job) const {
+    auto const &team = state_.teams[job.team];
+    auto const is_below_share = dominant_fraction(team.charged, state_.total) <= share_target(state_, job.team);
+    return now_ - job.accepted_at >= config::gang_reservation_age && is_below_share && state_.workers.size() > 0u &&
+        gate_.permits(team, state_.workers.values().front(), job.task_charge * tasks_wanted(job));
+}
+
 bool planner::reserve_for(job_id const id) {
     struct offer {
         instant ready;
@@ -189,14 +196,11 @@
         reserved.insert(state_.workers[id].reserved_for);
     }
     for(auto const id: blocked_) {
-        auto const &job = state_.jobs[id];
-        if(reserved.size() >= reserved_jobs || !job.enqueued || now_ - job.accepted_at < config::gang_reservation_age ||
-            reserved.contains(id)) {
-            continue;
+        if(reserved.size() >= reserved_jobs) {
+            return;
         }
-        if(state_.workers.size() == 0u ||
-            !gate_.permits(
-                state_.teams[job.team], state_.workers.values().front(), job.task_charge * tasks_wanted(job))) {
+        auto const &job = state_.jobs[id];
+        if(!job.enqueued || reserved.contains(id) || !is_due_reservation(job)) {
             continue;
         }
         state_.next_reservation = now_ + reservation_spacing;
