--- a/src/kingcuplink/placement/scheduler.cpp
+++ b/src/kingcuplink/placement/scheduler.cpp
@@ -108,15 +108,19 @@
     job->cancelled = true;
     internal::release_reservations(state_, id);
     internal::requeue(state_, id, now);
-    auto const tasks = job->tasks;
+    end_tasks(id, task_state::cancelled, now);
+    return true;
+}
+
+void scheduler::end_tasks(job_id const id, task_state const final_state, instant const now) {
+    auto const tasks = state_.jobs[id].tasks;
     for(auto const task: tasks) {
         if(is_on_worker(state_.tasks[task].state)) {
             internal::order_stop(state_, task, stop_reason::cancelled);
         } else {
-            internal::finish_task(state_, task, task_state::cancelled, now);
+            internal::finish_task(state_, task, final_state, now);
         }
     }
-    return true;
 }
 
 bool scheduler::give_up(job_id const id, instant const now) {
@@ -141,14 +145,7 @@
     job->reason = std::move(reason);
     job->cancelled = true;
     internal::requeue(state_, id, now);
-    auto const tasks = job->tasks;
-    for(auto const task: tasks) {
-        if(is_on_worker(state_.tasks[task].state)) {
-            internal::order_stop(state_, task, stop_reason::cancelled);
-        } else {
-            internal::finish_task(state_, task, task_state::failed, now);
-        }
-    }
+    end_tasks(id, task_state::failed, now);
 }
 
 void scheduler::adopt(task_id const id, worker_id const worker, resources const &charge, std::uint32_t const attempt,
--- a/src/kingcuplink/placement/scheduler.hpp
+++ b/src/kingcuplink/placement/scheduler.hpp
@@ -133,6 +133,7 @@
     [[nodiscard]] double target_of(team_id team) const;
 
 private:
+    void end_tasks(job_id job, task_state final_state, instant now);
     void requeue_after_failure(task_id task, instant now);
     void break_gang(job_id job);
 
