Keep the record alive while its breaches are read

Cause: a range-for over a temporary in the test harness; the address sanitizer reported heap-use-after-free in five process tests. The daemons' logs held none.

--- a/test/process/fleet.cpp
+++ b/test/process/fleet.cpp
@@ -253,7 +253,8 @@
 
 std::string fleet::breaches() const {
     std::string text;
-    for(auto const &breach: record().at("breaches").as_array()) {
+    auto const known = record();
+    for(auto const &breach: known.at("breaches").as_array()) {
         text.append(breach.as_string()).append("\n");
     }
     return text;
