Go on with a gang that must not be repeated when one of its starts had no effect; ignore SIGHUP

Such a gang is not broken any more; the missing task joins later. A unit test fails without it. A daemon that was stopped (SIGSTOP) while the shell that began its process group ended got SIGHUP from the kernel and died: it is ignored now.

--- a/src/kingcuplink/cli/commands.cpp
+++ b/src/kingcuplink/cli/commands.cpp
@@ -209,12 +209,12 @@
 }
 
 exit_code put_section(
-    command_context &context, std::string const &section, std::string body, std::uint64_t const version) {
+    command_context &context, std::string const &section, std::string const &body, std::uint64_t const version) {
     std::map<std::string, std::string> headers{{"If-Match", "\"" + std::to_string(version) + "\""}};
     if(!context.options.lower.empty()) {
         headers["Kingcuplink-Lower"] = context.options.lower;
     }
-    return print_answer(context, context.server.send(verb::put, "/v1/document/" + section, std::move(body), headers));
+    return print_answer(context, context.server.send(verb::put, "/v1/document/" + section, body, headers));
 }
 
 exit_code document_put(command_context &context) {
--- a/src/kingcuplink/daemon/main.cpp
+++ b/src/kingcuplink/daemon/main.cpp
@@ -2,6 +2,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <chrono>
+#include <csignal>
 #include <glog/logging.h>
 #include <iostream>
 #include <kingcuplink/daemon/control_plane.hpp>
@@ -51,6 +52,8 @@
         std::cerr << "kingcuplinkd: " << error << "\n";
         return exit_wrong_setting;
     }
+    // The end of the terminal, or of a job that started this process, does not end it.
+    std::signal(SIGHUP, SIG_IGN);
     FLAGS_logtostderr = true;
     google::InitGoogleLogging("kingcuplinkd");
     kingcuplink::counters stats;
--- a/src/kingcuplink/placement/scheduler.cpp
+++ b/src/kingcuplink/placement/scheduler.cpp
@@ -284,7 +284,8 @@
 
 void scheduler::break_gang(job_id const id) {
     auto const &job = state_.jobs[id];
-    if(job.spec.kind != job_kind::gang) {
+    // What must not be repeated is not stopped; the missing task joins the others later.
+    if(job.spec.kind != job_kind::gang || !job.spec.repeatable) {
         return;
     }
     for(auto const task: job.tasks) {
--- a/src/kingcuplink/placement/state.cpp
+++ b/src/kingcuplink/placement/state.cpp
@@ -22,7 +22,8 @@
     if(is_final(job.state) || job.cancelled || job.pending.empty() || job.not_before > now) {
         return false;
     }
-    return job.spec.kind != job_kind::gang || static_cast<std::int64_t>(job.pending.size()) == job.unfinished;
+    auto const is_whole = static_cast<std::int64_t>(job.pending.size()) == job.unfinished;
+    return job.spec.kind != job_kind::gang || is_whole || !job.spec.repeatable;
 }
 
 queue_position position_of(job_record const &job) {
--- a/test/placement/scheduler_test.cpp
+++ b/test/placement/scheduler_test.cpp
@@ -80,6 +80,24 @@
     CHECK(domain.orders.starts.size() == 4u);
 }
 
+TEST_CASE("a gang that must not be repeated goes on when one of its starts had no effect") {
+    small_domain domain{2u};
+    auto gang = batch(4, 2);
+    gang.kind = job_kind::gang;
+    gang.repeatable = false;
+    auto const job = domain.submit("gang", gang);
+    domain.plan();
+    REQUIRE(domain.orders.starts.size() == 4u);
+    auto const missing = domain.orders.starts.front().task;
+    domain.plan_maker.task_ended(missing, task_outcome::not_started, domain.now);
+    domain.now += config::task_backoff_limit;
+    domain.plan();
+    CHECK(domain.orders.stops.empty());
+    REQUIRE(domain.orders.starts.size() == 1u);
+    CHECK(domain.orders.starts.front().task == missing);
+    CHECK(domain.plan_maker.find(job)->state == job_state::running);
+}
+
 TEST_CASE("a service is spread over racks") {
     small_domain domain{6u};
     auto service = batch(3, 1);
