Read an inventory as whole only if all of it was asked for

A new leader that learned of jobs after it had read the inventories asked for them again by setting the version to zero while a long poll was under way; the poll's answer, which lists changes alone, was then read as the whole inventory, and tasks missing from it counted as lost and started elsewhere. The answer is now judged by what its own call asked for, and a worker with unknown tasks counts as unaccounted until it is read again, so that inherited tasks stay withheld. Ruled out: late start commands (fenced by the epoch).

--- a/src/kingcuplink/daemon/domain_reign.cpp
+++ b/src/kingcuplink/daemon/domain_reign.cpp
@@ -121,6 +121,7 @@
     }
     for(auto &[name, slot]: slots_) {
         if(!slot.unknown.empty()) {
+            slot.accounted = false;
             slot.version = 0u;
         }
     }
--- a/src/kingcuplink/daemon/reign_workers.cpp
+++ b/src/kingcuplink/daemon/reign_workers.cpp
@@ -82,18 +82,20 @@
     auto const epoch = epoch_of(slot);
     auto const wait = holds_.needs_confirmation() ? millis{} : config::lease_renewal;
     auto const sent = current_time();
-    auto const reply = co_await parts_.workers.lease(slot.address, holder_of(slot), slot.version, wait);
+    auto const since = slot.version;
+    auto const reply = co_await parts_.workers.lease(slot.address, holder_of(slot), since, wait);
     if(over_ || epoch != epoch_of(slot) || !slot.held) {
         co_return;
     }
     auto const now = current_time();
     if(reply.outcome == lease_outcome::granted) {
         holds_.confirmed(slot.id, sent);
-        auto const is_whole = slot.version == 0u;
-        slot.version = reply.version;
-        if(is_whole) {
+        // The whole inventory may have been asked for while this call was under way.
+        slot.version = slot.version == since ? reply.version : 0u;
+        if(since == 0u) {
             forget_unknown(slot);
             take_inventory(slot, reply);
+            slot.accounted = true;
         } else {
             take_changes(slot, reply);
         }
