Give the withheld-tasks mutant of the lease model a limit of two

Cause: with a limit of one no start could make a task run twice, so that spin found no error in the mutant.

--- a/model/lease.pml
+++ b/model/lease.pml
@@ -19,7 +19,10 @@
 #define LEADERS 2
 #define WORKERS 2
 #define SIZE 1
-#ifndef LIMIT
+/* With a limit of one no task could run twice: this mutant needs room for two. */
+#ifdef MUTANT_WITHHELD
+#define LIMIT 2
+#else
 #define LIMIT 1
 #endif
 #define MAX_EPOCH 5
