Remove two public methods that nothing calls

The whole tree builds; the tests of authority and placement pass. The process tests were not run again: no code that runs has changed.

--- a/src/kingcuplink/authority/hold_table.cpp
+++ b/src/kingcuplink/authority/hold_table.cpp
@@ -61,11 +61,6 @@
     return entry != nullptr && entry->held && now < entry->confirmed + config::lease_length;
 }
 
-instant hold_table::last_confirmed(worker_id const worker) const {
-    auto const *entry = find(worker);
-    return entry == nullptr ? instant{} : entry->confirmed;
-}
-
 instant hold_table::hold_began(worker_id const worker) const {
     auto const *entry = find(worker);
     return entry == nullptr || !entry->held ? instant{} : entry->began;
--- a/src/kingcuplink/authority/hold_table.hpp
+++ b/src/kingcuplink/authority/hold_table.hpp
@@ -43,9 +43,6 @@
     /*! Tells whether a worker is held and its lease has not lapsed. */
     [[nodiscard]] bool is_held(worker_id worker, instant now) const;
 
-    /*! Returns the time at which the newest confirmed request was sent; the epoch if there is none. */
-    [[nodiscard]] instant last_confirmed(worker_id worker) const;
-
     /*! Returns the time at which the hold began; the epoch if there is none. */
     [[nodiscard]] instant hold_began(worker_id worker) const;
 
--- a/src/kingcuplink/placement/scheduler.cpp
+++ b/src/kingcuplink/placement/scheduler.cpp
@@ -427,8 +427,4 @@
     return state_.total;
 }
 
-double scheduler::target_of(team_id const team) const {
-    return internal::share_target(state_, team);
-}
-
 } // namespace kingcuplink
--- a/src/kingcuplink/placement/scheduler.hpp
+++ b/src/kingcuplink/placement/scheduler.hpp
@@ -129,9 +129,6 @@
     /*! Returns the size of all usable workers. */
     [[nodiscard]] resources total() const noexcept;
 
-    /*! Returns the part of the failure domain that a team is due among the teams with work. */
-    [[nodiscard]] double target_of(team_id team) const;
-
 private:
     void end_tasks(job_id job, task_state final_state, instant now);
     void requeue_after_failure(task_id task, instant now);
