--- a/src/kingcuplink/daemon/control_plane.hpp
+++ b/src/kingcuplink/daemon/control_plane.hpp
@@ -88,7 +88,6 @@
     std::shared_ptr<domain_reign> reign_;
     vm_list vms_;
     bool draining_{};
-    bool view_due_{true};
     std::mt19937_64 random_;
 };
 
