--- a/src/kingcuplink/daemon/reign_tasks.cpp
+++ b/src/kingcuplink/daemon/reign_tasks.cpp
@@ -151,7 +151,7 @@
             .spec = job.spec,
             .size = record.charge,
             .progress = record.progress};
-        reply = co_await parts_.workers.start(slot.address, holder_of(slot), std::move(order));
+        reply = co_await parts_.workers.start(slot.address, holder_of(slot), order);
     }
     starts_in_flight_.erase(task);
     if(over_) {
