Forget only jobs that ended, and ignore late task events of those

The book forgot a job that had moved away and come back: its first stay stood in the queue of jobs to forget, so 4,096 ends later a live job was neither mirrored nor journalled, and a takeover would have lost it. A job whose handover was not yet answered could go the same way. Task events that came after a job's end made the book depend on their order. Ruled out: more room, which only moves the moment.

--- a/src/kingcuplink/authority/job_book.cpp
+++ b/src/kingcuplink/authority/job_book.cpp
@@ -102,13 +102,15 @@
         entry.cancel_requested = true;
         break;
     case job_event_kind::start_intended:
-        if(auto &task = entry.tasks[event.ordinal]; event.attempt > task.attempt) {
-            task.attempt = event.attempt;
-            task.worker = event.place;
+        if(entry.ended.empty() && event.attempt > entry.tasks[event.ordinal].attempt) {
+            entry.tasks[event.ordinal].attempt = event.attempt;
+            entry.tasks[event.ordinal].worker = event.place;
         }
         break;
     case job_event_kind::task_final:
-        entry.tasks[event.ordinal].final_state = event.state;
+        if(entry.ended.empty()) {
+            entry.tasks[event.ordinal].final_state = event.state;
+        }
         break;
     case job_event_kind::job_ended:
         if(entry.ended.empty() && event.generation >= entry.generation) {
@@ -121,7 +123,6 @@
         if(entry.moved_to.empty() && event.generation >= entry.generation) {
             entry.generation = event.generation;
             entry.moved_to = event.place;
-            note_ended(event.job);
         }
         break;
     }
@@ -130,11 +131,19 @@
 void job_book::note_ended(std::string const &job) {
     ended_order_.push_back(job);
     if(ended_order_.size() > config::ended_jobs_kept) {
-        entries_.erase(ended_order_.front());
+        auto const oldest = entries_.find(ended_order_.front());
+        if(oldest != entries_.end() && !oldest->second.ended.empty()) {
+            entries_.erase(oldest);
+        }
         ended_order_.pop_front();
     }
 }
 
+book_entry const *job_book::find(std::string const &job) const {
+    auto const found = entries_.find(job);
+    return found == entries_.end() ? nullptr : &found->second;
+}
+
 std::map<std::string, book_entry> const &job_book::entries() const noexcept {
     return entries_;
 }
--- a/src/kingcuplink/authority/job_book.hpp
+++ b/src/kingcuplink/authority/job_book.hpp
@@ -71,6 +71,11 @@
     std::string ended{};
     std::string moved_to{};
     std::map<std::int64_t, book_task> tasks{};
+
+    /*! Tells whether the job ended or moved. */
+    [[nodiscard]] bool is_over() const noexcept {
+        return !ended.empty() || !moved_to.empty();
+    }
 };
 
 /*!
@@ -87,6 +92,9 @@
     /*! Returns the entries, by job. */
     [[nodiscard]] std::map<std::string, book_entry> const &entries() const noexcept;
 
+    /*! Returns a job's entry, or null. */
+    [[nodiscard]] book_entry const *find(std::string const &job) const;
+
     /*! Returns events that rebuild the book; jobs that ended come with their end alone. */
     [[nodiscard]] std::vector<job_event> events() const;
 
@@ -100,6 +108,7 @@
     void note_ended(std::string const &job);
 
     std::map<std::string, book_entry> entries_;
+    /*! Jobs that ended, oldest first; some may have come back since. */
     std::deque<std::string> ended_order_;
 };
 
--- a/test/authority/job_book_test.cpp
+++ b/test/authority/job_book_test.cpp
@@ -1,7 +1,9 @@
 #include <algorithm>
+#include <array>
 #include <boost/json/serialize.hpp>
 #include <doctest/doctest.h>
 #include <kingcuplink/authority/job_book.hpp>
+#include <kingcuplink/core/config.hpp>
 #include <random>
 
 using namespace kingcuplink;
@@ -26,6 +28,8 @@
         {.kind = job_event_kind::moved, .job = "a.2", .place = "b", .generation = 0u},
         {.kind = job_event_kind::job_ended, .job = "a.2", .state = "moved", .generation = 0u},
         {.kind = job_event_kind::accepted, .job = "a.3", .spec = spec, .at = instant{millis{7}}},
+        {.kind = job_event_kind::start_intended, .job = "a.3", .ordinal = 0, .attempt = 1u, .place = "w3"},
+        {.kind = job_event_kind::task_final, .job = "a.3", .ordinal = 0, .state = "failed"},
         {.kind = job_event_kind::job_ended, .job = "a.3", .state = "failed"},
     };
 }
@@ -91,3 +95,37 @@
     CHECK(entry.ended.empty());
     CHECK(entry.moved_to.empty());
 }
+
+TEST_CASE("only jobs that are over are forgotten") {
+    struct row {
+        std::string_view name;
+        bool comes_back;
+        std::size_t later_ends;
+        bool is_known;
+    };
+    constexpr auto kept = config::ended_jobs_kept;
+    constexpr std::array<row, 4u> rows{{
+        {"over, few ended since", false, kept - 1u, true},
+        {"over, many ended since", false, kept, false},
+        {"came back, few ended since", true, kept - 1u, true},
+        {"came back, many ended since", true, 3u * kept, true},
+    }};
+    auto const events = sample_events();
+    for(auto const &row: rows) {
+        CAPTURE(row.name);
+        job_book book;
+        // a.2 is accepted, moves and its giver notes its end.
+        std::for_each(events.begin() + 6, events.begin() + 9, [&](auto const &event) { book.apply(event); });
+        if(row.comes_back) {
+            auto back = events[6];
+            back.generation = 1u;
+            book.apply(back);
+        }
+        for(std::size_t number{}; number < row.later_ends; ++number) {
+            auto const job = "b." + std::to_string(number);
+            book.apply({.kind = job_event_kind::accepted, .job = job, .spec = events[0].spec});
+            book.apply({.kind = job_event_kind::job_ended, .job = job, .state = "succeeded"});
+        }
+        CHECK((book.find("a.2") != nullptr) == row.is_known);
+    }
+}
