Make a submission with an Idempotency-Key one job however often it comes

A caller whose answer was lost could only submit again and risk a second job, or look by name. Now team and key name the job; all leaders are asked for the name before its home accepts it, and a job that no second place confirmed is accepted again under the same name. A cancellation is now answered once it is kept in a second place. The tool sends a key with each submission and repeats it.

Tried first: a home among the failure domains that are in. The test (30 jobs submitted twice around strikes, and 4 racing callers) failed in its race: two entry VMs with different documents chose two homes, 32 jobs instead of 31.

--- a/src/kingcuplink/cli/commands.cpp
+++ b/src/kingcuplink/cli/commands.cpp
@@ -11,6 +11,7 @@
 #include <kingcuplink/cli/table.hpp>
 #include <kingcuplink/core/hash.hpp>
 #include <kingcuplink/document/document_fold.hpp>
+#include <random>
 #include <thread>
 
 namespace kingcuplink {
@@ -23,6 +24,9 @@
 
 constexpr auto wait_poll = 200ms;
 constexpr auto top_interval = 1s;
+constexpr auto submit_pause = 500ms;
+constexpr int submit_tries = 4;
+constexpr int random_key_words = 8;
 
 /*! What a command works with. */
 struct command_context {
@@ -133,12 +137,37 @@
     }
 }
 
+/*! Tells whether an answer leaves open if the request had an effect. */
+bool is_unknown(server_answer const &answer) {
+    if(!answer.answered) {
+        return answer.may_have_run;
+    }
+    auto const *object = answer.body.if_object();
+    auto const *error = object == nullptr ? nullptr : object->if_contains("error");
+    return error != nullptr && error->is_object() && !error->get_object().at("not_run").as_bool();
+}
+
+std::string random_key() {
+    std::random_device random;
+    std::string text;
+    for(auto count = 0; count < random_key_words; ++count) {
+        text += std::to_string(random());
+    }
+    return sha256_hex(text);
+}
+
 exit_code job_submit(command_context &context) {
     auto const text = read_file(context.arguments[0]);
     if(!text) {
         return exit_code::wrong_usage;
     }
-    auto const answer = context.server.send(verb::post, "/v1/jobs", *text);
+    auto const &given = context.options.idempotency_key;
+    std::map<std::string, std::string> const headers{{"Idempotency-Key", given.empty() ? random_key() : given}};
+    auto answer = context.server.send(verb::post, "/v1/jobs", *text, headers);
+    for(auto tries = 1; tries < submit_tries && is_unknown(answer); ++tries) {
+        std::this_thread::sleep_for(submit_pause);
+        answer = context.server.send(verb::post, "/v1/jobs", *text, headers);
+    }
     if(!is_success(answer) || !context.options.wait) {
         return print_answer(context, answer);
     }
@@ -426,6 +455,7 @@
                        "  --deadline_ms=N               time that the request may take (30000)\n"
                        "  --version=N                   version that the edit was made against\n"
                        "  --lower=TEAM[,TEAM]           teams whose terms the edit may lower\n"
+                       "  --idempotency_key=KEY         submissions with the same key are one job (random)\n"
                        "  --rounds=N                    rounds of top; 0 for no end\n"
                        "\nexit codes: 0 done, 1 refused and not run, 2 wrong usage, 3 no server reached,\n"
                        "4 may have run, 5 the job did not succeed\n");
--- a/src/kingcuplink/cli/commands.hpp
+++ b/src/kingcuplink/cli/commands.hpp
@@ -34,6 +34,8 @@
     millis deadline{30'000};
     std::uint64_t version{};
     std::string lower;
+    /*! Idempotency-Key of a submission; empty for a random one. */
+    std::string idempotency_key;
     int rounds{};
 };
 
--- a/src/kingcuplink/cli/main.cpp
+++ b/src/kingcuplink/cli/main.cpp
@@ -18,12 +18,13 @@
 ABSL_FLAG(int, deadline_ms, 30000, "Milliseconds that the request may take, 1 to 600000.");
 ABSL_FLAG(std::uint64_t, version, 0, "Version of the section that the edit was made against.");
 ABSL_FLAG(std::string, lower, "", "Teams whose terms the edit may lower, separated by commas.");
+ABSL_FLAG(std::string, idempotency_key, "", "Submissions of a team with the same value are one job; random if empty.");
 ABSL_FLAG(int, rounds, 0, "Rounds of top; 0 for no end.");
 
 namespace {
 
-constexpr std::array<std::string_view, 10u> flag_names{
-    "server", "key", "platform", "output", "wait", "repeatable", "deadline_ms", "version", "lower", "rounds"};
+constexpr std::array<std::string_view, 11u> flag_names{"server", "key", "platform", "output", "wait", "repeatable",
+    "deadline_ms", "version", "lower", "idempotency_key", "rounds"};
 constexpr int longest_deadline_ms = 600'000;
 
 int fail(std::string const &message) {
@@ -65,6 +66,7 @@
     options.deadline = kingcuplink::millis{deadline};
     options.version = absl::GetFlag(FLAGS_version);
     options.lower = absl::GetFlag(FLAGS_lower);
+    options.idempotency_key = absl::GetFlag(FLAGS_idempotency_key);
     options.rounds = absl::GetFlag(FLAGS_rounds);
     return static_cast<int>(kingcuplink::run_command(options, words));
 }
--- a/src/kingcuplink/core/config.hpp
+++ b/src/kingcuplink/core/config.hpp
@@ -81,6 +81,8 @@
 inline constexpr std::size_t ended_jobs_kept{4'096};
 /*! Queued jobs that one failure domain keeps for one team. */
 inline constexpr std::size_t queued_jobs_per_team{20'000};
+/*! Longest Idempotency-Key, in bytes. */
+inline constexpr std::size_t longest_idempotency_key{256};
 /*! Tasks of one job. */
 inline constexpr std::int64_t tasks_per_job{4'096};
 
--- a/src/kingcuplink/core/refusal.hpp
+++ b/src/kingcuplink/core/refusal.hpp
@@ -30,6 +30,7 @@
     job_over_ceiling,
     job_unknown,
     jobs_full,
+    idempotency_mismatch,
     not_durable,
     no_leader,
     outcome_unknown,
--- a/src/kingcuplink/daemon/control_api.cpp
+++ b/src/kingcuplink/daemon/control_api.cpp
@@ -13,6 +13,8 @@
 
 using verb = boost::beast::http::verb;
 
+constexpr std::size_t job_name_length = 24u;
+
 std::string text_in(boost::json::object const &object, std::string_view const name) {
     auto const *value = object.if_contains(name);
     return value == nullptr || !value->is_string() ? std::string{} : std::string{value->get_string()};
@@ -85,8 +87,29 @@
 }
 
 std::string control_plane::new_job_key(std::string const &domain) {
-    return domain + "." +
-        sha256_hex(settings_.name + std::to_string(random_()) + std::to_string(random_())).substr(0u, 16u);
+    auto const name = sha256_hex(settings_.name + std::to_string(random_()) + std::to_string(random_()));
+    return domain + "." + name.substr(0u, internal::job_name_length);
+}
+
+bool control_plane::is_led(std::string const &domain, instant const now) const {
+    return (domain == settings_.failure_domain && reign_ != nullptr) || !peers_.leader_of(domain, now).empty();
+}
+
+std::string control_plane::home_of(std::string const &job_name) const {
+    auto const now = current_time();
+    std::string home;
+    std::uint64_t weight{};
+    for(auto const &domain: documents_.current()->failure_domains) {
+        // Entry VMs that do not yet know of the same change of state agree as long as they reach the domain.
+        auto const is_candidate = domain.state == domain_state::in ||
+            (domain.state == domain_state::out && is_led(domain.name, now));
+        auto const own_weight = rendezvous_weight(job_name, domain.name);
+        if(is_candidate && (home.empty() || own_weight > weight)) {
+            home = domain.name;
+            weight = own_weight;
+        }
+    }
+    return home;
 }
 
 std::string control_plane::domain_for_new_jobs() const {
@@ -115,6 +138,9 @@
     if(refused) {
         co_return api_answer{.refused = refused};
     }
+    if(!request.idempotency_key.empty()) {
+        co_return co_await submit_once(std::move(team), request, std::move(spec));
+    }
     auto const domain = domain_for_new_jobs();
     if(domain.empty()) {
         co_return api_answer{.refused = problem{refusal::no_leader, "no failure domain takes jobs"}};
@@ -127,6 +153,30 @@
     co_return answer;
 }
 
+boost::asio::awaitable<api_answer> control_plane::submit_once(
+    std::string team, api_request const &request, job_spec spec) {
+    auto const rules = documents_.current();
+    auto const name = sha256_hex(team + "\n" + request.idempotency_key).substr(0u, internal::job_name_length);
+    auto const home = home_of(name);
+    if(home.empty()) {
+        co_return api_answer{.refused = problem{refusal::no_leader, "no failure domain takes jobs"}};
+    }
+    // Its home may have been another one when it was first submitted.
+    for(auto const &domain: rules->failure_domains) {
+        boost::json::object body{{"name", name}, {"team", team}, {"spec", to_json(spec)}};
+        auto answer = co_await ask_domain(domain.name, wire::CALL_JOB_FIND, std::move(body));
+        if(!answer.refused || answer.refused->reason == refusal::idempotency_mismatch) {
+            co_return answer;
+        }
+    }
+    boost::json::object body{{"job", home + "." + name}, {"team", team}, {"spec", to_json(spec)}, {"once", true}};
+    LOG(INFO) << "jobs: submit once request=" << request.request_id << " job=" << home << "." << name
+              << " team=" << team;
+    auto answer = co_await ask_domain(home, wire::CALL_JOB_SUBMIT, std::move(body));
+    answer.status = 201;
+    co_return answer;
+}
+
 boost::asio::awaitable<api_answer> control_plane::ask_domain(
     std::string domain, wire::call_kind const kind, boost::json::object body) {
     if(domain == settings_.failure_domain && reign_ != nullptr) {
@@ -195,7 +245,8 @@
     auto const key = internal::text_in(body, "job");
     auto const team = internal::text_in(body, "team");
     switch(kind) {
-    case wire::CALL_JOB_SUBMIT: {
+    case wire::CALL_JOB_SUBMIT:
+    case wire::CALL_JOB_FIND: {
         job_spec spec;
         auto const refused = problem_of([&]() -> result<void> {
             BOOST_LEAF_ASSIGN(spec, parse_job(body["spec"], team));
@@ -204,7 +255,11 @@
         if(refused) {
             co_return api_answer{.refused = refused};
         }
-        co_return co_await reign->submit(key, std::move(spec));
+        if(kind == wire::CALL_JOB_FIND) {
+            co_return reign->find_submitted(internal::text_in(body, "name"), spec);
+        }
+        auto const rule = body.contains("once") ? submission_rule::once : submission_rule::always_new;
+        co_return co_await reign->submit(key, std::move(spec), rule);
     }
     case wire::CALL_JOB_GET:
     case wire::CALL_JOB_CANCEL: {
@@ -214,7 +269,7 @@
             co_return api_answer{.refused = problem{refusal::job_unknown, key}};
         }
         if(!answer.refused && kind == wire::CALL_JOB_CANCEL && internal::text_in(*object, "state") != "moved") {
-            answer = reign->cancel(key);
+            answer = co_await reign->cancel(key);
         }
         co_return answer;
     }
--- a/src/kingcuplink/daemon/control_plane.hpp
+++ b/src/kingcuplink/daemon/control_plane.hpp
@@ -69,6 +69,9 @@
     boost::asio::awaitable<api_answer> answer_call(wire::call_kind kind, boost::json::object body);
     [[nodiscard]] std::string domain_for_new_jobs() const;
     [[nodiscard]] std::string new_job_key(std::string const &domain);
+    [[nodiscard]] bool is_led(std::string const &domain, instant now) const;
+    [[nodiscard]] std::string home_of(std::string const &job_name) const;
+    boost::asio::awaitable<api_answer> submit_once(std::string team, api_request const &request, job_spec spec);
     [[nodiscard]] bool is_operator(std::string const &key) const;
     [[nodiscard]] api_answer status();
     [[nodiscard]] api_answer set_faults(api_request const &request);
--- a/src/kingcuplink/daemon/domain_reign.cpp
+++ b/src/kingcuplink/daemon/domain_reign.cpp
@@ -26,6 +26,11 @@
     return task_state::may_have_run;
 }
 
+/*! Tells whether a job was given up because no second place confirmed it. */
+bool was_not_accepted(book_entry const &entry) {
+    return !entry.accepted || (entry.ended == name_of(job_state::cancelled) && !entry.cancel_requested);
+}
+
 } // namespace internal
 
 domain_reign::domain_reign(
@@ -215,8 +220,44 @@
     LOG(INFO) << "leader: job ended job=" << record->key << " state=" << name_of(record->state);
 }
 
-boost::asio::awaitable<api_answer> domain_reign::submit(std::string key, job_spec spec) {
+std::optional<api_answer> domain_reign::answer_repeated(std::string const &key, job_spec const &spec) const {
+    if(!journal_read_) {
+        return api_answer{.refused = problem{refusal::no_leader, "the leader has not read its journal yet"}};
+    }
+    if(accepting_.contains(key)) {
+        return api_answer{.refused = problem{refusal::outcome_unknown, "job " + key + " is being accepted"}};
+    }
+    auto const *entry = parts_.jobs.book().find(key);
+    if(entry == nullptr || internal::was_not_accepted(*entry)) {
+        return std::nullopt;
+    }
+    if(to_json(entry->spec) != to_json(spec)) {
+        return api_answer{.refused = problem{refusal::idempotency_mismatch, "job " + key}};
+    }
+    return describe(key);
+}
+
+api_answer domain_reign::find_submitted(std::string const &name, job_spec const &spec) const {
+    for(auto const &domain: rules_->failure_domains) {
+        auto const key = domain.name + "." + name;
+        auto const *entry = parts_.jobs.book().find(key);
+        if(entry != nullptr && entry->accepted && entry->spec.team == spec.team) {
+            auto answer = answer_repeated(key, spec);
+            if(answer) {
+                return *answer;
+            }
+        }
+    }
+    return {.refused = problem{refusal::job_unknown, name}};
+}
+
+boost::asio::awaitable<api_answer> domain_reign::submit(std::string key, job_spec spec, submission_rule const rule) {
     auto const self = shared_from_this();
+    if(rule == submission_rule::once) {
+        if(auto const repeated = answer_repeated(key, spec); repeated) {
+            co_return *repeated;
+        }
+    }
     if(auto const refused = problem_of([&]() { return check_job(spec, *rules_); }); refused) {
         co_return api_answer{.refused = refused};
     }
@@ -230,7 +271,10 @@
     }
     auto const now = current_time();
     accepting_.insert(key);
-    auto const sequence = parts_.jobs.record({.kind = job_event_kind::accepted, .job = key, .spec = spec, .at = now});
+    auto const *earlier = parts_.jobs.book().find(key);
+    auto const generation = earlier == nullptr ? 0u : earlier->generation + 1u;
+    job_event accepted{.kind = job_event_kind::accepted, .job = key, .spec = spec, .at = now, .generation = generation};
+    auto const sequence = parts_.jobs.record(std::move(accepted));
     auto const place = co_await parts_.jobs.wait_kept(sequence, keep_rule::anywhere, internal::kept_timeout);
     accepting_.erase(key);
     if(over_ || place.empty()) {
@@ -290,16 +334,22 @@
     co_return api_answer{.body = boost::json::object{{"job", key}}};
 }
 
-api_answer domain_reign::cancel(std::string const &key) {
+boost::asio::awaitable<api_answer> domain_reign::cancel(std::string key) {
+    auto const self = shared_from_this();
     auto const job = scheduler_.job_of(key);
     if(!job) {
-        return {.refused = problem{refusal::job_unknown, key}};
+        co_return api_answer{.refused = problem{refusal::job_unknown, key}};
     }
     if(scheduler_.cancel(*job, current_time())) {
-        parts_.jobs.record({.kind = job_event_kind::cancel_requested, .job = key});
+        job_event event{.kind = job_event_kind::cancel_requested, .job = key};
+        auto const sequence = parts_.jobs.record(std::move(event));
         kicked_ = true;
+        auto const place = co_await parts_.jobs.wait_kept(sequence, keep_rule::anywhere, internal::kept_timeout);
+        if(place.empty()) {
+            co_return api_answer{.refused = problem{refusal::outcome_unknown, "job " + key}};
+        }
     }
-    return describe(key);
+    co_return describe(key);
 }
 
 } // namespace kingcuplink
--- a/src/kingcuplink/daemon/domain_reign.hpp
+++ b/src/kingcuplink/daemon/domain_reign.hpp
@@ -30,6 +30,13 @@
     leadership const &lead;
 };
 
+/*! Whether a submission may be a repetition of an earlier one. */
+enum class submission_rule : std::uint8_t {
+    always_new,
+    /*! One with a known key is the same job. Needs a leader that has read its journal. */
+    once
+};
+
 /*!
  * One uninterrupted time as the leader of a failure domain: it holds the workers'
  * leases, places tasks and keeps the jobs' state. It ends for good with end().
@@ -63,13 +70,20 @@
     void paused();
 
     /*! Accepts a job and waits until it is kept in a second place. */
-    boost::asio::awaitable<api_answer> submit(std::string key, job_spec spec);
+    boost::asio::awaitable<api_answer> submit(std::string key, job_spec spec, submission_rule rule);
+
+    /*!
+     * Describes the job that was submitted under a name, in whichever failure domain.
+     * @param name Key of the job without the failure domain.
+     * @param spec What the job has to be; another one is refused.
+     */
+    [[nodiscard]] api_answer find_submitted(std::string const &name, job_spec const &spec) const;
 
     /*! Takes a job over from another failure domain. */
     boost::asio::awaitable<api_answer> take_over_job(boost::json::value events);
 
-    /*! Cancels a job. */
-    [[nodiscard]] api_answer cancel(std::string const &key);
+    /*! Cancels a job and waits until the wish is kept in a second place. */
+    boost::asio::awaitable<api_answer> cancel(std::string key);
 
     /*! Describes a job. */
     [[nodiscard]] api_answer describe(std::string const &key) const;
@@ -134,6 +148,7 @@
 
     // Jobs and their recovery.
     boost::asio::awaitable<void> recover(self_pointer self);
+    [[nodiscard]] std::optional<api_answer> answer_repeated(std::string const &key, job_spec const &spec) const;
     void load_entry(std::string const &key, book_entry const &entry);
     void release_withheld();
     void release_task(task_id task);
--- a/src/kingcuplink/gateway/control_api.hpp
+++ b/src/kingcuplink/gateway/control_api.hpp
@@ -25,6 +25,8 @@
     /*! Teams in Kingcuplink-Lower. */
     std::vector<std::string> lower;
     std::string request_id;
+    /*! Value of Idempotency-Key; empty for none. */
+    std::string idempotency_key;
 };
 
 /*! Answer of the control thread. */
--- a/src/kingcuplink/gateway/http_server.cpp
+++ b/src/kingcuplink/gateway/http_server.cpp
@@ -318,6 +318,13 @@
     if(auto const lower = internal::header_of(request, header::lower); !lower.empty()) {
         boost::algorithm::split(call.lower, lower, boost::algorithm::is_any_of(","));
     }
+    call.idempotency_key = internal::header_of(request, header::idempotency_key);
+    if(call.idempotency_key.size() > config::longest_idempotency_key) {
+        co_return refusal_response({refusal::request_malformed,
+                                       std::string{header::idempotency_key} + " is longer than " +
+                                           std::to_string(config::longest_idempotency_key) + " bytes"},
+            request_id, stats_);
+    }
     if(request.body().size() > config::control_body_limit) {
         co_return refusal_response({refusal::body_too_large}, request_id, stats_);
     }
--- a/src/kingcuplink/gateway/responses.hpp
+++ b/src/kingcuplink/gateway/responses.hpp
@@ -23,6 +23,9 @@
 /*! Teams whose terms an edit may lower, separated by commas. */
 inline constexpr std::string_view lower{"Kingcuplink-Lower"};
 
+/*! Submissions of a team with the same value are one job. */
+inline constexpr std::string_view idempotency_key{"Idempotency-Key"};
+
 } // namespace header
 
 /*! Makes the answer that refuses a request, and counts the refusal. Thread safe. */
--- a/test/process/failure_test.cpp
+++ b/test/process/failure_test.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <doctest/doctest.h>
 #include <future>
+#include <set>
 
 using namespace kingcuplink;
 using namespace kingcuplink::test;
@@ -328,3 +329,75 @@
     target.start("b1");
     CHECK(comes_true([&]() { return version_of(target, "b1", "queues") == 4; }, in_force_bound));
 }
+
+TEST_CASE("a submission that is repeated is one job") {
+    struct row {
+        std::string_view name;
+        void (*strike)(fleet &);
+        std::string second_vm;
+    };
+    std::vector<row> const rows{
+        {"at the same entry VM", [](fleet &) {}, "a1"},
+        {"in another failure domain", [](fleet &) {}, "b2"},
+        {"after the death of a leader",
+            [](fleet &target) {
+                auto const leader = target.leader("a");
+                target.kill(leader);
+                target.start(leader);
+            },
+            "b1"},
+        {"after its failure domain was taken out",
+            [](fleet &target) {
+                CHECK(target.set_domain("a1", "a", "out").status == 200u);
+                std::this_thread::sleep_for(2s);
+            },
+            "b1"},
+        {"after it was brought back", [](fleet &target) { CHECK(target.set_domain("a1", "a", "in").status == 200u); },
+            "a2"},
+    };
+    fleet target;
+    auto const submit = [&](std::string const &entry_vm, std::string const &key, boost::json::object const &job) {
+        server_answer answer;
+        CHECK(comes_true([&]() {
+            answer = target.send(
+                entry_vm, verb::post, "/v1/jobs", boost::json::serialize(job), "key-red", {{"Idempotency-Key", key}});
+            return answer.status != 503u && answer.status != 504u;
+        }));
+        return answer;
+    };
+    constexpr auto jobs_per_row = 6;
+    std::map<std::string, std::set<std::string>> keys_of_name;
+    for(auto const &row: rows) {
+        CAPTURE(row.name);
+        for(auto number = 0; number < jobs_per_row; ++number) {
+            auto const name = std::string{row.name} + std::to_string(number);
+            keys_of_name[name].insert(text_in(submit("a1", name, batch_job(name, 1, 1'500)).body, "job"));
+        }
+        row.strike(target);
+        for(auto number = 0; number < jobs_per_row; ++number) {
+            auto const name = std::string{row.name} + std::to_string(number);
+            keys_of_name[name].insert(text_in(submit(row.second_vm, name, batch_job(name, 1, 1'500)).body, "job"));
+            CHECK(error_kind(submit(row.second_vm, name, batch_job(name, 2, 1'500))) == "idempotency_mismatch");
+        }
+    }
+    // Callers that race with one key.
+    std::vector<std::future<server_answer>> racers;
+    for(auto const &entry_vm: target.entry_vms()) {
+        racers.push_back(std::async(
+            std::launch::async, [&submit, entry_vm]() { return submit(entry_vm, "race", batch_job("race", 1, 50)); }));
+    }
+    for(auto &racer: racers) {
+        keys_of_name["race"].insert(text_in(racer.get().body, "job"));
+    }
+    for(auto const &[name, keys]: keys_of_name) {
+        CAPTURE(name);
+        CHECK(keys.size() == 1u);
+        CHECK_FALSE(keys.contains(""));
+        CHECK(comes_true([&]() { return target.job_state("b1", *keys.begin()) == "succeeded"; }));
+    }
+    auto const listed = target.send("b1", verb::get, "/v1/jobs", {}, "operator").body.at("jobs").as_array();
+    std::set<std::string> distinct;
+    std::for_each(listed.begin(), listed.end(), [&](auto const &job) { distinct.insert(text_in(job, "job")); });
+    CHECK(distinct.size() == keys_of_name.size());
+    CHECK(target.breaches().empty());
+}
--- a/test/process/fleet.cpp
+++ b/test/process/fleet.cpp
@@ -316,4 +316,10 @@
     return field == nullptr || !field->is_string() ? std::string{} : std::string{field->get_string()};
 }
 
+std::string error_kind(server_answer const &answer) {
+    auto const *object = answer.body.if_object();
+    auto const *error = object == nullptr ? nullptr : object->if_contains("error");
+    return error == nullptr ? std::string{} : text_in(*error, "kind");
+}
+
 } // namespace kingcuplink::test
--- a/test/process/fleet.hpp
+++ b/test/process/fleet.hpp
@@ -126,6 +126,9 @@
 /*! Returns a text field of an object, or an empty text. */
 [[nodiscard]] std::string text_in(boost::json::value const &value, std::string_view name);
 
+/*! Returns the kind of the error in an answer, or an empty text. */
+[[nodiscard]] std::string error_kind(server_answer const &answer);
+
 } // namespace kingcuplink::test
 
 #endif
--- a/test/process/traffic_test.cpp
+++ b/test/process/traffic_test.cpp
@@ -36,12 +36,6 @@
     return count == nullptr ? 0 : count->as_int64();
 }
 
-std::string error_kind(server_answer const &answer) {
-    auto const *object = answer.body.if_object();
-    auto const *error = object == nullptr ? nullptr : object->if_contains("error");
-    return error == nullptr ? std::string{} : text_in(*error, "kind");
-}
-
 /*! Sends raw bytes to an entry VM and returns what comes back until it closes, or a time passes. */
 std::string send_raw(fleet const &target, std::string const &entry_vm, std::string const &bytes) {
     boost::asio::io_context context;
