--- a/test/standin/endpoints_main.cpp
+++ b/test/standin/endpoints_main.cpp
@@ -1,6 +1,7 @@
 // Stand-in for all workers and runners of a document; test/standin/README.md gives its routes.
 #include "endpoint_record.hpp"
 #include "http_service.hpp"
+#include "runner.hpp"
 #include "worker.hpp"
 
 #include <absl/flags/flag.h>
@@ -9,7 +10,6 @@
 #include <boost/json/parse.hpp>
 #include <fstream>
 #include <iostream>
-#include <kingcuplink/core/hash.hpp>
 #include <kingcuplink/document/document.hpp>
 #include <sstream>
 
@@ -20,54 +20,6 @@
 
 using namespace kingcuplink::standin;
 
-/*! Stand-in for one runner. A body "work_ms=N answer_bytes=M" sets its work and its answer. */
-class runner : public std::enable_shared_from_this<runner> {
-public:
-    runner(boost::asio::io_context &context, kingcuplink::runner_entry const &entry, endpoint_record &record)
-        : context_{context}, entry_{entry}, record_{record} {}
-
-    void start() {
-        service = std::make_shared<http_service>(context_, entry_.address,
-            [self = shared_from_this()](request message) { return self->handle(std::move(message)); });
-        service->start();
-    }
-
-    std::shared_ptr<http_service> service;
-
-private:
-    static std::int64_t number_in(std::string const &body, std::string const &name) {
-        auto const found = body.find(name);
-        return found == std::string::npos ? 0 : std::strtoll(body.c_str() + found + name.size(), nullptr, 10);
-    }
-
-    boost::asio::awaitable<response> handle(request message) {
-        if(running_ >= entry_.slots) {
-            auto busy = json_answer(503, boost::json::object{{"busy", true}});
-            busy.set("Kingcuplink-Not-Run", "true");
-            co_return busy;
-        }
-        std::string const id{message["Kingcuplink-Request-Id"]};
-        auto const body = std::move(message.body());
-        record_.request_began(entry_.name, id, ++running_, entry_.slots);
-        co_await wait_for(number_in(body, "work_ms="));
-        --running_;
-        record_.request_ended();
-        response answer{boost::beast::http::status::ok, 11};
-        answer.set("Kingcuplink-Runner", entry_.name);
-        answer.body() = id + " " + kingcuplink::sha256_hex(body) + "\n";
-        auto const bytes = static_cast<std::size_t>(number_in(body, "answer_bytes="));
-        while(answer.body().size() < bytes) {
-            answer.body().append(kingcuplink::sha256_hex(id + std::to_string(answer.body().size())));
-        }
-        co_return answer;
-    }
-
-    boost::asio::io_context &context_;
-    kingcuplink::runner_entry entry_;
-    endpoint_record &record_;
-    std::int64_t running_{};
-};
-
 class endpoints {
 public:
     endpoints(boost::asio::io_context &context, kingcuplink::document const &rules) {
--- a/test/standin/http_service.cpp
+++ b/test/standin/http_service.cpp
@@ -63,6 +63,13 @@
     }
 }
 
+void http_service::stop() {
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    connections_.clear();
+    on_request_ = {};
+}
+
 std::size_t http_service::most_connections() const noexcept {
     return most_connections_;
 }
--- a/test/standin/http_service.hpp
+++ b/test/standin/http_service.hpp
@@ -56,6 +56,9 @@
     /*! Closes all connections. */
     void close_connections();
 
+    /*! Closes everything and forgets the handler. The context must not run any more. */
+    void stop();
+
     /*! Returns the largest number of connections that were open at once. */
     [[nodiscard]] std::size_t most_connections() const noexcept;
 
--- a/test/standin/worker.cpp
+++ b/test/standin/worker.cpp
@@ -50,6 +50,10 @@
     service->close_connections();
 }
 
+void worker::lapse() noexcept {
+    lease_until_ = 0;
+}
+
 boost::asio::awaitable<response> worker::handle(request message) {
     boost::system::error_code error;
     auto const body = boost::json::parse(message.body(), error);
--- a/test/standin/worker.hpp
+++ b/test/standin/worker.hpp
@@ -22,6 +22,9 @@
     /*! Loses all tasks and its lease, as a VM that restarts. */
     void restart();
 
+    /*! Lets the lease lapse now. */
+    void lapse() noexcept;
+
     std::shared_ptr<http_service> service;
 
 private:
