Test the reign against scripted workers

The rule that an inventory is whole if it was asked for as whole had one process test, which showed its fault in one run of several. A worker whose answers the test sets shows it each time.

--- /dev/null
+++ b/test/daemon/reign_test.cpp
@@ -0,0 +1,232 @@
+#include "contract.hpp"
+#include "platform.hpp"
+#include "scripted_worker.hpp"
+
+#include <doctest/doctest.h>
+#include <kingcuplink/daemon/domain_reign.hpp>
+
+using namespace kingcuplink;
+using namespace kingcuplink::test;
+
+namespace {
+
+constexpr millis wait_limit{20'000};
+constexpr millis step{10};
+
+std::shared_ptr<document const> make_rules() {
+    boost::json::array workers;
+    for(auto const *name: {"w1", "w2"}) {
+        workers.push_back(boost::json::object{{"name", name},
+            {"address", name == std::string_view{"w1"} ? "127.0.0.1:26141" : "127.0.0.1:26142"}, {"rack", "r"},
+            {"size", boost::json::object{{"cores", 4}, {"memory_gib", 8}}}});
+    }
+    boost::json::object const vm{{"name", "a1"}, {"http", "127.0.0.1:26143"}, {"peer", "127.0.0.1:26144"}};
+    boost::json::object const domain{{"name", "a"}, {"region", "r"}, {"entry_vms", boost::json::array{vm}},
+        {"workers", std::move(workers)}, {"runners", boost::json::array{}}};
+    boost::json::object const team{{"name", "red"}, {"share", 1},
+        {"ceiling", boost::json::object{{"cores", 100}, {"memory_gib", 100}}}, {"request_ceiling", 10}};
+    boost::json::value const value = boost::json::object{
+        {"owners", boost::json::object{{"owners", boost::json::array{std::string(64u, 'a')}}}},
+        {"teams", boost::json::array{team}}, {"keys", boost::json::array{}},
+        {"failure_domains", boost::json::array{domain}}, {"queues", boost::json::array{}},
+        {"policies", boost::json::object{}}};
+    problem failure;
+    auto rules = value_of([&]() { return parse_document(value); }, failure);
+    CAPTURE(message_of(failure));
+    REQUIRE(rules);
+    return std::make_shared<document const>(std::move(*rules));
+}
+
+job_spec batch(bool const repeatable = true) {
+    return {.name = "n",
+        .team = "red",
+        .kind = job_kind::batch,
+        .count = 1,
+        .task_size = {1'000, 1, 0},
+        .run_time = millis{3'600'000},
+        .repeatable = repeatable};
+}
+
+/*! The leader of a failure domain with two scripted workers. */
+struct reign_fixture : client_fixture {
+    reign_fixture() {
+        log.start(context, settings.platform_address);
+        jobs.start();
+        allotments.start();
+    }
+
+    ~reign_fixture() {
+        reign->end();
+        log.stop();
+    }
+
+    void begin() {
+        jobs.set_leading(true);
+        allotments.set_leading(true, 1u);
+        reign->start();
+        CHECK(comes_true([&]() { return reign->status().at("recovered").as_bool(); }));
+    }
+
+    bool comes_true(std::function<bool()> const &condition) {
+        auto const limit = current_time() + wait_limit;
+        while(!condition() && current_time() < limit) {
+            pass(context, step);
+        }
+        return condition();
+    }
+
+    std::string submit(job_spec spec) {
+        auto const answer = run(context, reign->submit("a.job", std::move(spec), submission_rule::always_new));
+        CHECK_FALSE(answer.refused);
+        return std::string{answer.body.at("job").as_string()};
+    }
+
+    std::int64_t starts() const {
+        return w1.starts + w2.starts;
+    }
+
+    scripted_worker &runner_of_job() {
+        return w1.starts > 0 ? w1 : w2;
+    }
+
+    std::int64_t running() const {
+        return reign->status().at("running_tasks").as_int64();
+    }
+
+    daemon_settings settings{.name = "a1",
+        .failure_domain = "a",
+        .http_address = "127.0.0.1:26143",
+        .peer_address = "127.0.0.1:26144",
+        .platform_address = "127.0.0.1:26145"};
+    std::shared_ptr<document const> rules{make_rules()};
+    standin::platform log{{}};
+    scripted_worker w1{context, "127.0.0.1:26141"};
+    scripted_worker w2{context, "127.0.0.1:26142"};
+    platform_client platform{client, settings.platform_address};
+    worker_client workers{client};
+    peer_directory peers{context, settings, stats, [](wire::envelope const &) {}};
+    job_keeper jobs{context, settings, platform, peers, stats};
+    allotment_keeper allotments{context, settings, platform, stats};
+    leadership lead{"a", "a1", current_time()};
+    std::uint64_t fenced_by{};
+    std::shared_ptr<domain_reign> reign{
+        std::make_shared<domain_reign>(reign_parts{context, settings, stats, workers, peers, jobs, allotments, lead},
+            1u, rules, [this](std::uint64_t const term) { fenced_by = term; })};
+};
+
+} // namespace
+
+TEST_CASE("a task that may run is not started a second time") {
+    struct row {
+        std::string_view name;
+        void (*strike)(reign_fixture &);
+        /*! Starts that the workers may see. */
+        std::int64_t most_starts;
+    };
+    std::vector<row> const rows{
+        {"nothing happens", [](reign_fixture &fixture) { pass(fixture.context, millis{500}); }, 1},
+        {"whole inventories are asked for while changes are under way",
+            [](reign_fixture &fixture) {
+                // A task of no known job makes the leader ask for whole inventories with each change of the book.
+                fixture.runner_of_job().set_task("a.other", 0, 1, "running");
+                for(auto count = 0; count < 40; ++count) {
+                    fixture.reign->load_book();
+                    pass(fixture.context, millis{50});
+                }
+            },
+            1},
+        {"the process was paused",
+            [](reign_fixture &fixture) {
+                fixture.reign->paused();
+                pass(fixture.context, millis{1'000});
+            },
+            1},
+        {"an older attempt is reported as stopped",
+            [](reign_fixture &fixture) {
+                auto &worker = fixture.runner_of_job();
+                auto const attempt = worker.tasks.front().attempt;
+                worker.set_task("a.job", 0, attempt - 1, "stopped");
+                pass(fixture.context, millis{1'000});
+            },
+            1},
+        {"another worker does not know it",
+            [](reign_fixture &fixture) {
+                auto &other = fixture.w1.starts > 0 ? fixture.w2 : fixture.w1;
+                other.set_task("a.job", 0, 1, "stopped");
+                pass(fixture.context, millis{1'000});
+            },
+            1},
+        {"it ended there",
+            [](reign_fixture &fixture) {
+                auto &worker = fixture.runner_of_job();
+                worker.set_task("a.job", 0, worker.tasks.front().attempt, "stopped");
+                CHECK(fixture.comes_true([&]() { return fixture.starts() == 2; }));
+            },
+            2},
+    };
+    for(auto const &row: rows) {
+        CAPTURE(row.name);
+        reign_fixture fixture;
+        fixture.begin();
+        static_cast<void>(fixture.submit(batch()));
+        CHECK(fixture.comes_true([&]() { return fixture.starts() == 1 && fixture.running() == 1; }));
+        row.strike(fixture);
+        CHECK(fixture.starts() <= row.most_starts);
+        CHECK(fixture.comes_true([&]() { return fixture.running() == 1; }));
+    }
+}
+
+TEST_CASE("what became of a start without an answer is read from the inventory") {
+    struct row {
+        std::string_view name;
+        unsigned status;
+        bool takes_effect;
+        bool repeatable;
+        std::int64_t starts;
+    };
+    constexpr std::array<row, 5u> rows{{
+        {"answered", 200u, true, true, 1},
+        {"no answer, it runs", 0u, true, true, 1},
+        {"no answer, it runs, not to be repeated", 0u, true, false, 1},
+        {"no answer, it does not run", 0u, false, true, 2},
+        {"no answer, it does not run, not to be repeated", 0u, false, false, 2},
+    }};
+    for(auto const &row: rows) {
+        CAPTURE(row.name);
+        reign_fixture fixture;
+        for(auto *worker: {&fixture.w1, &fixture.w2}) {
+            worker->start_status = row.status;
+            worker->runs_starts = row.takes_effect;
+        }
+        fixture.begin();
+        static_cast<void>(fixture.submit(batch(row.repeatable)));
+        CHECK(fixture.comes_true([&]() { return fixture.starts() == 1; }));
+        for(auto *worker: {&fixture.w1, &fixture.w2}) {
+            worker->start_status = 200u;
+            worker->runs_starts = true;
+        }
+        CHECK(fixture.comes_true([&]() { return fixture.starts() == row.starts && fixture.running() == 1; }));
+        pass(fixture.context, 2 * config::command_timeout);
+        CHECK(fixture.starts() == row.starts);
+    }
+}
+
+TEST_CASE("a worker that obeys a higher term ends the reign") {
+    reign_fixture fixture;
+    fixture.begin();
+    constexpr std::uint64_t higher_term = 7u;
+    constexpr auto term_bits = 20u;
+    fixture.w1.refusing_epoch = static_cast<std::int64_t>(higher_term << term_bits);
+    CHECK(fixture.comes_true([&]() { return fixture.fenced_by == higher_term; }));
+}
+
+TEST_CASE("a task of no live job is stopped once the journal was read") {
+    reign_fixture fixture;
+    static_cast<void>(fixture.log.administer({{"outage", true}}));
+    fixture.w1.set_task("a.other", 0, 1, "running");
+    fixture.begin();
+    pass(fixture.context, millis{2'500});
+    CHECK(fixture.w1.stops == 0);
+    static_cast<void>(fixture.log.administer({{"outage", false}}));
+    CHECK(fixture.comes_true([&]() { return fixture.w1.stops == 1; }));
+}
