--- a/src/kingcuplink/daemon/domain_reign.cpp
+++ b/src/kingcuplink/daemon/domain_reign.cpp
@@ -137,9 +137,8 @@
     auto const is_over = !entry.ended.empty() || !entry.moved_to.empty();
     auto const known = scheduler_.job_of(key);
     if(!entry.accepted || (is_over && !known)) {
-        if(!entry.moved_to.empty() && entry.ended.empty() && handovers_.insert(key).second) {
-            boost::asio::co_spawn(
-                parts_.context, send_handover(shared_from_this(), key, entry.moved_to), boost::asio::detached);
+        if(!entry.moved_to.empty() && entry.ended.empty()) {
+            hand_over(key, entry.moved_to, entry.generation);
         }
         return;
     }
@@ -322,9 +321,11 @@
         co_return api_answer{.refused = problem{refusal::outcome_unknown, "job " + key}};
     }
     parts_.stats.add(event::handover_received);
-    auto const &entry = parts_.jobs.book().entries().at(key);
-    load_entry(key, entry);
-    if(auto const job = scheduler_.job_of(key); job) {
+    auto const known = scheduler_.job_of(key);
+    auto const is_new = !known || scheduler_.find(*known)->state == job_state::moved;
+    load_entry(key, parts_.jobs.book().entries().at(key));
+    // A repeated handover tells nothing of what an earlier leader here did with the job.
+    if(auto const job = scheduler_.job_of(key); job && is_new) {
         auto const tasks = scheduler_.find(*job)->tasks;
         for(auto const task: tasks) {
             scheduler_.release_withheld(task, false, current_time());
--- a/src/kingcuplink/daemon/domain_reign.hpp
+++ b/src/kingcuplink/daemon/domain_reign.hpp
@@ -122,6 +122,16 @@
         std::map<std::pair<std::string, std::int64_t>, counted_use> unknown{};
     };
 
+    /*! Job that was given to another failure domain and is not confirmed there. */
+    struct handover {
+        std::string job;
+        std::string to;
+        /*! Generation of the job before it moved. */
+        std::uint32_t generation{};
+
+        auto operator<=>(handover const &) const = default;
+    };
+
     using self_pointer = std::shared_ptr<domain_reign>;
 
     // Leases and inventories.
@@ -166,7 +176,9 @@
     void count_use(task_id task);
     void shed_excess();
     boost::asio::awaitable<void> move_jobs(self_pointer self);
-    boost::asio::awaitable<void> send_handover(self_pointer self, std::string key, std::string to);
+    void hand_over(std::string const &key, std::string const &to, std::uint32_t generation);
+    boost::asio::awaitable<void> send_handover(self_pointer self, handover what, std::uint64_t sequence);
+    [[nodiscard]] bool is_under_way(handover const &what) const;
     boost::asio::awaitable<void> ask_for_allotment(self_pointer self, std::string team, resources wanted);
 
     bool permits(team_record const &team, worker_record const &worker, resources const &charge) override;
@@ -198,7 +210,7 @@
     std::set<task_id> starts_in_flight_;
     /*! Jobs that are being accepted and are not kept elsewhere yet. */
     std::set<std::string> accepting_;
-    std::set<std::string> handovers_;
+    std::set<handover> handovers_;
     std::map<std::string, resources> denied_;
     std::set<std::string> asking_;
 };
--- a/src/kingcuplink/daemon/reign_tasks.cpp
+++ b/src/kingcuplink/daemon/reign_tasks.cpp
@@ -263,37 +263,56 @@
             continue;
         }
         auto const key = record->key;
-        auto const generation = parts_.jobs.book().entries().at(key).generation;
-        parts_.jobs.record({.kind = job_event_kind::moved, .job = key, .place = to, .generation = generation});
-        handovers_.insert(key);
-        boost::asio::co_spawn(parts_.context, send_handover(self, key, to), boost::asio::detached);
+        hand_over(key, to, parts_.jobs.book().entries().at(key).generation);
     }
 }
 
+void domain_reign::hand_over(std::string const &key, std::string const &to, std::uint32_t const generation) {
+    handover const what{key, to, generation};
+    if(!handovers_.insert(what).second) {
+        return;
+    }
+    auto const sequence = parts_.jobs.record(
+        {.kind = job_event_kind::moved, .job = key, .place = to, .generation = generation});
+    boost::asio::co_spawn(parts_.context, send_handover(shared_from_this(), what, sequence), boost::asio::detached);
+}
+
+bool domain_reign::is_under_way(handover const &what) const {
+    auto const *entry = parts_.jobs.book().find(what.job);
+    return !over_ && entry != nullptr && entry->ended.empty() && entry->moved_to == what.to &&
+        entry->generation == what.generation;
+}
+
 boost::asio::awaitable<void> domain_reign::send_handover(
-    [[maybe_unused]] self_pointer self, std::string key, std::string to) {
-    auto entry = parts_.jobs.book().entries().at(key);
+    [[maybe_unused]] self_pointer self, handover const what, std::uint64_t const sequence) {
+    auto entry = parts_.jobs.book().entries().at(what.job);
     entry.moved_to.clear();
     ++entry.generation;
     boost::json::array events;
-    for(auto const &item: job_book::events_of(key, entry)) {
+    for(auto const &item: job_book::events_of(what.job, entry)) {
         events.push_back(to_json(item));
     }
-    while(!over_) {
-        auto const leader = parts_.peers.leader_of(to, current_time());
+    // A successor that did not know of the move would start the job here.
+    std::string place;
+    while(is_under_way(what) && place.empty()) {
+        place = co_await parts_.jobs.wait_kept(sequence, keep_rule::for_every_successor, config::peer_timeout);
+    }
+    while(is_under_way(what)) {
+        auto const leader = parts_.peers.leader_of(what.to, current_time());
         if(!leader.empty()) {
             parts_.stats.add(event::handover_sent);
             auto const answer = co_await parts_.peers.call(
                 leader, wire::CALL_JOB_HANDOVER, events, config::peer_timeout);
-            if(!answer.refused && !over_) {
-                parts_.jobs.record(
-                    {.kind = job_event_kind::job_ended, .job = key, .state = std::string{name_of(job_state::moved)}});
-                handovers_.erase(key);
-                co_return;
+            if(!answer.refused && is_under_way(what)) {
+                parts_.jobs.record({.kind = job_event_kind::job_ended,
+                    .job = what.job,
+                    .state = std::string{name_of(job_state::moved)}});
+                break;
             }
         }
         co_await pause(parts_.context, internal::handover_retry);
     }
+    handovers_.erase(what);
 }
 
 boost::asio::awaitable<void> domain_reign::ask_for_allotment(
--- a/test/daemon/reign_test.cpp
+++ b/test/daemon/reign_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 #include <kingcuplink/daemon/domain_reign.hpp>
+#include <mutex>
 
 using namespace kingcuplink;
 using namespace kingcuplink::test;
@@ -13,7 +14,7 @@
 constexpr millis wait_limit{20'000};
 constexpr millis step{10};
 
-std::shared_ptr<document const> make_rules() {
+std::shared_ptr<document const> make_rules(std::string_view const state = "in") {
     boost::json::array workers;
     for(auto const *name: {"w1", "w2"}) {
         workers.push_back(boost::json::object{{"name", name},
@@ -21,14 +22,17 @@
             {"size", boost::json::object{{"cores", 4}, {"memory_gib", 8}}}});
     }
     boost::json::object const vm{{"name", "a1"}, {"http", "127.0.0.1:26143"}, {"peer", "127.0.0.1:26144"}};
-    boost::json::object const domain{{"name", "a"}, {"region", "r"}, {"entry_vms", boost::json::array{vm}},
-        {"workers", std::move(workers)}, {"runners", boost::json::array{}}};
+    boost::json::object const domain{{"name", "a"}, {"region", "r"}, {"state", state},
+        {"entry_vms", boost::json::array{vm}}, {"workers", std::move(workers)}, {"runners", boost::json::array{}}};
+    boost::json::object const far_vm{{"name", "b1"}, {"http", "127.0.0.1:26146"}, {"peer", "127.0.0.1:26147"}};
+    boost::json::object const far_domain{{"name", "b"}, {"region", "r"}, {"entry_vms", boost::json::array{far_vm}},
+        {"workers", boost::json::array{}}, {"runners", boost::json::array{}}};
     boost::json::object const team{{"name", "red"}, {"share", 1},
         {"ceiling", boost::json::object{{"cores", 100}, {"memory_gib", 100}}}, {"request_ceiling", 10}};
     boost::json::value const value = boost::json::object{
         {"owners", boost::json::object{{"owners", boost::json::array{std::string(64u, 'a')}}}},
         {"teams", boost::json::array{team}}, {"keys", boost::json::array{}},
-        {"failure_domains", boost::json::array{domain}}, {"queues", boost::json::array{}},
+        {"failure_domains", boost::json::array{domain, far_domain}}, {"queues", boost::json::array{}},
         {"policies", boost::json::object{}}};
     problem failure;
     auto rules = value_of([&]() { return parse_document(value); }, failure);
@@ -60,11 +64,65 @@
         log.stop();
     }
 
+    /*! Begins the reign and waits until the workers are held. */
     void begin() {
+        begin_reign();
+        CHECK(comes_true([&]() { return reign->status().at("recovered").as_bool(); }));
+    }
+
+    /*! Ends the reign, as if its process had died, and begins another one that finds the journal. */
+    void succeed() {
+        reign->end();
+        ++term;
+        reign = make_reign();
+        jobs.set_leading(false);
+        begin_reign();
+    }
+
+    void begin_reign() {
         jobs.set_leading(true);
-        allotments.set_leading(true, 1u);
+        allotments.set_leading(true, term);
         reign->start();
-        CHECK(comes_true([&]() { return reign->status().at("recovered").as_bool(); }));
+    }
+
+    std::shared_ptr<domain_reign> make_reign() {
+        return std::make_shared<domain_reign>(
+            reign_parts{context, settings, stats, workers, peers, jobs, allotments, lead}, term, rules,
+            [this](std::uint64_t const higher) { fenced_by = higher; });
+    }
+
+    /*! Takes the failure domain out or in. */
+    void set_state(std::string_view const state) {
+        rules = make_rules(state);
+        peers.update(*rules);
+        reign->update(rules);
+    }
+
+    /*! Lets time pass while heartbeats of failure domain b's leader come. */
+    void pass_with_peer(millis const time) {
+        auto const end = current_time() + time;
+        while(current_time() < end) {
+            wire::heartbeat beat;
+            beat.set_leads(true);
+            peers.heard("b1", beat, current_time());
+            pass(context, millis{50});
+        }
+    }
+
+    /*! Hands a job over to this failure domain. */
+    bool take_over(std::string const &key, job_spec const &spec, std::uint32_t const generation) {
+        job_event const accepted{.kind = job_event_kind::accepted, .job = key, .spec = spec, .generation = generation};
+        boost::json::array events;
+        events.push_back(to_json(accepted));
+        return !run(context, reign->take_over_job(std::move(events))).refused;
+    }
+
+    /*! Sets whether the workers take starts. */
+    void set_workers(bool const take_starts) {
+        for(auto *worker: {&w1, &w2}) {
+            worker->start_status = take_starts ? 200u : 422u;
+            worker->runs_starts = take_starts;
+        }
     }
 
     bool comes_true(std::function<bool()> const &condition) {
@@ -104,14 +162,17 @@
     scripted_worker w2{context, "127.0.0.1:26142"};
     platform_client platform{client, settings.platform_address};
     worker_client workers{client};
-    peer_directory peers{context, settings, stats, [](wire::envelope const &) {}};
+    peer_directory peers{context, settings, stats, [this](wire::envelope const &message) {
+                             if(message.has_reply()) {
+                                 peers.replied(message.reply());
+                             }
+                         }};
     job_keeper jobs{context, settings, platform, peers, stats};
     allotment_keeper allotments{context, settings, platform, stats};
     leadership lead{"a", "a1", current_time()};
     std::uint64_t fenced_by{};
-    std::shared_ptr<domain_reign> reign{
-        std::make_shared<domain_reign>(reign_parts{context, settings, stats, workers, peers, jobs, allotments, lead},
-            1u, rules, [this](std::uint64_t const term) { fenced_by = term; })};
+    std::uint64_t term{1};
+    std::shared_ptr<domain_reign> reign{make_reign()};
 };
 
 } // namespace
@@ -230,3 +291,83 @@
     static_cast<void>(fixture.log.administer({{"outage", false}}));
     CHECK(fixture.comes_true([&]() { return fixture.w1.stops == 1; }));
 }
+
+TEST_CASE("a job is handed over once no successor can start it here") {
+    struct row {
+        std::string_view name;
+        bool log_answers;
+        bool is_sent;
+    };
+    constexpr std::array<row, 2u> rows{
+        {{"the log keeps the move", true, true}, {"nobody keeps the move", false, false}}};
+    for(auto const &row: rows) {
+        CAPTURE(row.name);
+        reign_fixture fixture;
+        fixture.begin();
+        fixture.set_workers(false);
+        static_cast<void>(fixture.submit(batch()));
+        static_cast<void>(fixture.log.administer({{"outage", !row.log_answers}}));
+        fixture.set_state("out");
+        fixture.pass_with_peer(millis{4'000});
+        CHECK((fixture.stats.value(event::handover_sent) > 0u) == row.is_sent);
+    }
+}
+
+TEST_CASE("a repeated handover does not start what an earlier leader may have started") {
+    reign_fixture fixture;
+    fixture.begin();
+    fixture.w1.runs_starts = false;
+    fixture.w2.runs_starts = false;
+    auto const spec = batch(false);
+    CHECK(fixture.take_over("b.job", spec, 1u));
+    CHECK(fixture.comes_true([&]() { return fixture.starts() == 1; }));
+    pass(fixture.context, millis{500});
+    fixture.w2.withholds_leases = true;
+    fixture.succeed();
+    pass(fixture.context, millis{2'000});
+    CHECK(fixture.take_over("b.job", spec, 1u));
+    pass(fixture.context, millis{1'000});
+    fixture.w2.withholds_leases = false;
+    CHECK(fixture.comes_true([&]() { return fixture.reign->status().at("recovered").as_bool(); }));
+    pass(fixture.context, millis{1'000});
+    CHECK(fixture.starts() == 1);
+}
+
+TEST_CASE("a late answer to a handover does not end a job that came back") {
+    reign_fixture fixture;
+    std::mutex mutex;
+    std::vector<std::uint64_t> calls;
+    counters far_stats;
+    peer_link far{"b1", "127.0.0.1:26147", far_stats, [&](wire::envelope const &message) {
+                      std::lock_guard const lock{mutex};
+                      if(message.has_call()) {
+                          calls.push_back(message.call().id());
+                      }
+                  }};
+    far.connect("a1", fixture.settings.peer_address);
+    fixture.begin();
+    fixture.set_workers(false);
+    auto const key = fixture.submit(batch());
+    fixture.set_state("out");
+    auto const is_sent = [&]() {
+        fixture.pass_with_peer(millis{50});
+        std::lock_guard const lock{mutex};
+        return !calls.empty();
+    };
+    CHECK(fixture.comes_true(is_sent));
+    fixture.set_state("in");
+    CHECK(fixture.take_over(key, batch(), 2u));
+    {
+        std::lock_guard const lock{mutex};
+        for(auto const id: calls) {
+            wire::envelope answer;
+            answer.mutable_reply()->set_id(id);
+            answer.mutable_reply()->set_json("{}");
+            CHECK(far.send("a1", answer));
+        }
+    }
+    pass(fixture.context, millis{1'000});
+    CHECK(fixture.jobs.book().find(key)->ended.empty());
+    fixture.set_workers(true);
+    CHECK(fixture.comes_true([&]() { return fixture.running() == 1; }));
+}
--- a/test/daemon/scripted_worker.cpp
+++ b/test/daemon/scripted_worker.cpp
@@ -42,6 +42,9 @@
 
 boost::asio::awaitable<standin::response> scripted_worker::lease(boost::json::object body) {
     ++leases;
+    while(withholds_leases) {
+        co_await standin::wait_for(longest_wait_ms);
+    }
     if(refusing_epoch > 0) {
         co_return standin::json_answer(409, boost::json::object{{"epoch", refusing_epoch}});
     }
--- a/test/daemon/scripted_worker.hpp
+++ b/test/daemon/scripted_worker.hpp
@@ -41,6 +41,8 @@
     bool runs_starts{true};
     /*! Epoch that is told with refused leases; 0 to grant. */
     std::int64_t refusing_epoch{};
+    /*! True to give no answer to requests for a lease. */
+    bool withholds_leases{};
     std::int64_t starts{};
     std::int64_t stops{};
     std::int64_t leases{};
