Take a failure domain out while it has a backlog

Without the guard (a domain that is out takes work) the test passed: its jobs were over before the bound of 5 s, so that nothing was left to start. Now 400 tasks of one second wait on 32 cores.

--- a/test/process/failure_test.cpp
+++ b/test/process/failure_test.cpp
@@ -103,6 +103,9 @@
 }
 
 void take_domain_out(fleet &target) {
+    // More work than failure domain a has done by the time after which nothing may start there.
+    auto const backlog = target.submit("a1", "blue", batch_job("backlog", 400, 1'000));
+    CHECK_FALSE(backlog.empty());
     CHECK(target.set_domain("b1", "a", "out").status == 200u);
     target.endpoint_fault({{"out", boost::json::array{"a"}}, {"after_ms", withdrawal_bound.count()}});
     std::this_thread::sleep_for(10s);
@@ -114,6 +117,7 @@
     std::this_thread::sleep_for(4s);
     auto const key = target.submit("a1", "red", batch_job("back", 1, 50));
     CHECK(comes_true([&]() { return target.job_state("a1", key) == "succeeded"; }));
+    CHECK(comes_true([&]() { return target.job_state("a1", backlog) == "succeeded"; }));
 }
 
 void replace_every_vm(fleet &target) {
