--- a/test/process/fleet.cpp
+++ b/test/process/fleet.cpp
@@ -322,4 +322,10 @@
     return error == nullptr ? std::string{} : text_in(*error, "kind");
 }
 
+std::map<std::string, std::string> headers_of(
+    std::string const &id, bool const repeatable, std::int64_t const deadline_ms) {
+    return {{"Kingcuplink-Request-Id", id}, {"Kingcuplink-Repeatable", repeatable ? "true" : "false"},
+        {"Kingcuplink-Deadline-Ms", std::to_string(deadline_ms)}};
+}
+
 } // namespace kingcuplink::test
--- a/test/process/fleet.hpp
+++ b/test/process/fleet.hpp
@@ -123,6 +123,13 @@
 /*! Returns a batch job of one core a task. */
 [[nodiscard]] boost::json::object batch_job(std::string const &name, std::int64_t count, std::int64_t run_ms);
 
+/*! Path of the requests to the queue that needs a key. */
+inline std::string const queue_target{"/v1/queues/keyed/requests"};
+
+/*! Returns the headers of a request to a queue. */
+[[nodiscard]] std::map<std::string, std::string> headers_of(
+    std::string const &id, bool repeatable, std::int64_t deadline_ms = 5'000);
+
 /*! Returns a text field of an object, or an empty text. */
 [[nodiscard]] std::string text_in(boost::json::value const &value, std::string_view name);
 
--- a/test/process/traffic_test.cpp
+++ b/test/process/traffic_test.cpp
@@ -3,11 +3,6 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/connect.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/json/serialize.hpp>
 #include <csignal>
 #include <doctest/doctest.h>
 #include <future>
@@ -22,32 +17,12 @@
 namespace {
 
 constexpr auto leaving_bound = 5s;
-std::string const queue_target{"/v1/queues/keyed/requests"};
-
-std::map<std::string, std::string> headers_of(
-    std::string const &id, bool const repeatable, std::int64_t const deadline_ms = 5'000) {
-    return {{"Kingcuplink-Request-Id", id}, {"Kingcuplink-Repeatable", repeatable ? "true" : "false"},
-        {"Kingcuplink-Deadline-Ms", std::to_string(deadline_ms)}};
-}
-
 std::int64_t runs_of(fleet const &target, std::string const &id) {
     auto const record = target.record();
     auto const *count = record.at("request_runs").as_object().if_contains(id);
     return count == nullptr ? 0 : count->as_int64();
 }
 
-/*! Sends raw bytes to an entry VM and returns what comes back until it closes, or a time passes. */
-std::string send_raw(fleet const &target, std::string const &entry_vm, std::string const &bytes) {
-    boost::asio::io_context context;
-    boost::asio::ip::tcp::socket socket{context};
-    socket.connect(*parse_endpoint(target.http_address(entry_vm)));
-    boost::system::error_code error;
-    boost::asio::write(socket, boost::asio::buffer(bytes), error);
-    std::string answer(4'096u, '\0');
-    answer.resize(socket.read_some(boost::asio::buffer(answer), error));
-    return answer;
-}
-
 } // namespace
 
 TEST_CASE("late and unordered answers reach their own callers whole") {
@@ -289,150 +264,6 @@
     CHECK(target.breaches().empty());
 }
 
-TEST_CASE("bad HTTP is refused and harms nobody") {
-    fleet target{{.entry_vms = {1u}}};
-    struct row {
-        std::string bytes;
-        std::string_view expected;
-    };
-    std::vector<row> const rows{
-        {"NONSENSE\r\n\r\n", "request_malformed"},
-        {"POST /v1/queues/keyed/requests HTTP/1.1\r\nContent-Length: -5\r\n\r\n", "request_malformed"},
-        {"POST /v1/queues/keyed/requests HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n", "body_too_large"},
-        {"GET / HTTP/1.1\r\nX: " + std::string(40'000u, 'x') + "\r\n\r\n", "request_malformed"},
-        {"POST /v1/queues/keyed/requests HTTP/1.1\r\nKingcuplink-Deadline-Ms: soon\r\nContent-Length: 0\r\n\r\n",
-            "request_malformed"},
-        {"GET /nothing HTTP/1.1\r\n\r\n", "route_unknown"},
-    };
-    for(auto const &row: rows) {
-        CAPTURE(row.bytes.substr(0u, 60u));
-        auto const answer = send_raw(target, "a1", row.bytes);
-        CAPTURE(answer);
-        CHECK(answer.find(row.expected) != std::string::npos);
-        CHECK(answer.find("\"remedy\"") != std::string::npos);
-    }
-    // Senders that never finish hold nobody up.
-    boost::asio::io_context context;
-    std::vector<boost::asio::ip::tcp::socket> slow;
-    for(auto count = 0; count < 100; ++count) {
-        slow.emplace_back(context);
-        slow.back().connect(*parse_endpoint(target.http_address("a1")));
-        boost::asio::write(slow.back(),
-            boost::asio::buffer(std::string_view{"POST /v1/queues/keyed/requests HTTP/1.1\r\nContent-Le"}));
-    }
-    CHECK(target.send("a1", verb::post, queue_target, "work_ms=1", "key-red").status == 200u);
-}
-
-TEST_CASE("refusals over HTTP carry their row of the table and are counted") {
-    fleet target{{.entry_vms = {1u}, .red_cores = 8}};
-    struct row {
-        refusal reason;
-        std::function<server_answer()> provoke;
-    };
-    auto const post = [&](std::string const &path, std::string const &body, std::string const &key) {
-        return target.send("a1", verb::post, path, body, key);
-    };
-    auto const job = [&](std::string const &body) { return post("/v1/jobs", body, "key-red"); };
-    std::vector<row> const rows{
-        {refusal::key_missing, [&]() { return post(queue_target, "x", ""); }},
-        {refusal::key_unknown, [&]() { return post(queue_target, "x", "key-green"); }},
-        {refusal::queue_unknown, [&]() { return post("/v1/queues/none/requests", "x", "key-red"); }},
-        {refusal::deadline_passed,
-            [&]() {
-                target.endpoint_fault({{"endpoint", "runners"}, {"outage", true}});
-                auto answer = target.send("a1", verb::post, queue_target, "x", "key-red", headers_of("late", true, 4));
-                target.endpoint_fault({{"endpoint", "runners"}, {"outage", false}});
-                return answer;
-            }},
-        {refusal::job_malformed, [&]() { return job("{}"); }},
-        {refusal::job_never_fits,
-            [&]() { return job(R"({"name": "j", "kind": "batch", "task_size": {"cores": 1, "memory_gib": 900}})"); }},
-        {refusal::job_over_ceiling,
-            [&]() { return job(R"({"name": "j", "kind": "batch", "task_size": {"cores": 9}})"); }},
-        {refusal::job_unknown, [&]() { return target.send("a1", verb::get, "/v1/jobs/a.none", {}, "key-red"); }},
-        {refusal::owner_required, [&]() { return target.send("a1", verb::get, "/v1/document/keys", {}, "key-red"); }},
-        {refusal::section_unknown, [&]() { return target.send("a1", verb::get, "/v1/document/none", {}, "operator"); }},
-        {refusal::section_invalid,
-            [&]() { return target.edit("a1", "queues", [](boost::json::value &body) { body = 5; }); }},
-        {refusal::section_stale,
-            [&]() {
-                return target.send("a1", verb::put, "/v1/document/queues", "[]", "operator", {{"If-Match", "\"77\""}});
-            }},
-        {refusal::terms_lowered,
-            [&]() {
-                return target.edit("a1", "teams", [](boost::json::value &body) {
-                    body.as_array()[0].as_object()["ceiling"].as_object()["cores"] = 1;
-                });
-            }},
-        {refusal::request_malformed,
-            [&]() { return target.send("a1", verb::put, "/v1/document/queues", "[]", "operator"); }},
-        {refusal::body_too_large, [&]() { return job(std::string(9u << 20u, ' ')); }},
-        {refusal::route_unknown, [&]() { return target.send("a1", verb::get, "/v1/none"); }},
-        {refusal::no_runner,
-            [&]() {
-                static_cast<void>(target.set_domain("a1", "a", "out"));
-                std::this_thread::sleep_for(500ms);
-                auto answer = post(queue_target, "x", "key-red");
-                static_cast<void>(target.set_domain("a1", "a", "in"));
-                std::this_thread::sleep_for(500ms);
-                return answer;
-            }},
-        {refusal::may_have_run,
-            [&]() {
-                target.endpoint_fault({{"endpoint", "runners"}, {"lose_answers", true}});
-                auto answer = target.send("a1", verb::post, queue_target, "x", "key-red", headers_of("once", false));
-                target.endpoint_fault({{"endpoint", "runners"}, {"lose_answers", false}});
-                return answer;
-            }},
-        {refusal::ceiling_reached,
-            [&]() {
-                auto const lowered = target.edit(
-                    "a1", "teams",
-                    [](boost::json::value &body) { body.as_array()[0].as_object()["request_ceiling"] = 0; }, "red");
-                CHECK(lowered.status == 200u);
-                std::this_thread::sleep_for(500ms);
-                return post(queue_target, "x", "key-red");
-            }},
-        {refusal::log_unavailable,
-            [&]() {
-                static_cast<void>(target.send("a1", verb::put, "/v1/faults", R"({"refuse": ["platform"]})"));
-                return target.send("a1", verb::put, "/v1/document/policies", "{}", "operator", {{"If-Match", "\"1\""}},
-                    millis{15'000});
-            }},
-        {refusal::held_while_cut_off,
-            [&]() {
-                std::this_thread::sleep_for(6s);
-                return post("/v1/queues/held/requests", "x", "key-blue");
-            }},
-        {refusal::not_durable,
-            [&]() { return post("/v1/jobs", boost::json::serialize(batch_job("j", 1, 10)), "key-blue"); }},
-        {refusal::key_withdrawn,
-            [&]() {
-                static_cast<void>(target.send("a1", verb::put, "/v1/faults", R"({"refuse": []})"));
-                std::this_thread::sleep_for(2s);
-                static_cast<void>(target.edit("a1", "keys",
-                    [](boost::json::value &keys) { keys.as_array()[0].as_object()["state"] = "withdrawn"; }));
-                std::this_thread::sleep_for(500ms);
-                return post(queue_target, "x", "key-red");
-            }},
-    };
-    for(auto const &row: rows) {
-        auto const &expected = row_of(row.reason);
-        CAPTURE(expected.kind);
-        auto const answer = row.provoke();
-        CAPTURE(answer.text);
-        CHECK(answer.status == expected.status);
-        CHECK(error_kind(answer) == expected.kind);
-        REQUIRE(answer.body.is_object());
-        auto const &error = answer.body.at("error").as_object();
-        CHECK(error.at("not_run").as_bool() == expected.not_run);
-        CHECK(std::string_view{error.at("remedy").as_string()} == expected.remedy);
-        auto const metrics = target.send("a1", verb::get, "/metrics").text;
-        CHECK(metrics.find("kingcuplink_refusals_total{reason=\"" + std::string{expected.kind} + "\"} 0\n") ==
-            std::string::npos);
-    }
-}
-
 TEST_CASE("requests go to another failure domain when there is no room at home") {
     fleet target{{.entry_vms = {1u, 1u}}};
     CHECK(target.set_domain("a1", "a", "out").status == 200u);
