--- a/bench/load_main.cpp
+++ b/bench/load_main.cpp
@@ -1,7 +1,8 @@
 // Open-loop load through one entry VM, paired with the same load straight to a runner's address.
+#include "quantile.hpp"
+
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
-#include <algorithm>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/mean.hpp>
@@ -76,15 +77,6 @@
     }
 }
 
-double quantile(std::vector<double> &values, double const part) {
-    if(values.empty()) {
-        return 0.0;
-    }
-    auto const position = values.begin() + static_cast<std::ptrdiff_t>(part * static_cast<double>(values.size() - 1u));
-    std::nth_element(values.begin(), position, values.end());
-    return *position;
-}
-
 } // namespace
 
 int main(int argc, char **argv) {
@@ -99,7 +91,8 @@
     std::printf("rate,answered_per_second,refused,failed,mean_ms,p50_ms,p90_ms,p99_ms,p999_ms\n%d,%.1f,%zu,%zu,%.3f,%."
                 "3f,%.3f,%.3f,%.3f\n",
         absl::GetFlag(FLAGS_rate), static_cast<double>(all.latencies_ms.size()) / seconds, all.refused, all.failed,
-        acc::mean(all.latency), quantile(all.latencies_ms, 0.5), quantile(all.latencies_ms, 0.9),
-        quantile(all.latencies_ms, 0.99), quantile(all.latencies_ms, 0.999));
+        acc::mean(all.latency), kingcuplink::bench::quantile(all.latencies_ms, 0.5),
+        kingcuplink::bench::quantile(all.latencies_ms, 0.9), kingcuplink::bench::quantile(all.latencies_ms, 0.99),
+        kingcuplink::bench::quantile(all.latencies_ms, 0.999));
     return 0;
 }
--- a/bench/placement_main.cpp
+++ b/bench/placement_main.cpp
@@ -1,4 +1,5 @@
 // Replays job lists against the placement package and its baselines; writes CSV.
+#include "quantile.hpp"
 #include "scenarios.hpp"
 
 #include <absl/flags/flag.h>
--- a/bench/replay.cpp
+++ b/bench/replay.cpp
@@ -1,5 +1,7 @@
 #include "replay.hpp"
 
+#include "quantile.hpp"
+
 #include <algorithm>
 #include <chrono>
 #include <kingcuplink/core/config.hpp>
@@ -417,13 +419,4 @@
     return replay{what, options}.run();
 }
 
-double quantile(std::vector<double> values, double const part) {
-    if(values.empty()) {
-        return 0.0;
-    }
-    auto const position = static_cast<std::ptrdiff_t>(part * static_cast<double>(values.size() - 1u));
-    std::nth_element(values.begin(), values.begin() + position, values.end());
-    return values[static_cast<std::size_t>(position)];
-}
-
 } // namespace kingcuplink::bench
--- a/bench/replay.hpp
+++ b/bench/replay.hpp
@@ -75,9 +75,6 @@
 /*! Replays a scenario in virtual time. The same scenario and options give the same decisions. */
 [[nodiscard]] replay_result run_replay(scenario const &what, scheduler_options const &options);
 
-/*! Returns a quantile of values, 0 to 1; zero if there are none. */
-[[nodiscard]] double quantile(std::vector<double> values, double part);
-
 } // namespace kingcuplink::bench
 
 #endif
--- a/test/placement/scheduler_test.cpp
+++ b/test/placement/scheduler_test.cpp
@@ -1,3 +1,4 @@
+#include "../../bench/quantile.hpp"
 #include "../../bench/scenarios.hpp"
 
 #include <doctest/doctest.h>
