--- a/src/kingcuplink/routing/runner_pool.cpp
+++ b/src/kingcuplink/routing/runner_pool.cpp
@@ -83,8 +83,15 @@
 }
 
 std::optional<runner_id> runner_pool::choose_least_outstanding(instant const now, runner_id const avoid) {
+    auto const ids = runners_.ids();
+    if(ids.empty()) {
+        return std::nullopt;
+    }
+    // A random first one, so that entry VMs that see the same runners do not all choose the same.
+    auto const first = std::uniform_int_distribution<std::size_t>{0u, ids.size() - 1u}(random_);
     std::optional<runner_id> best;
-    for(auto const id: runners_.ids()) {
+    for(std::size_t step{}; step < ids.size(); ++step) {
+        auto const id = ids[(first + step) % ids.size()];
         if(id != avoid && has_room(runners_[id], now) &&
             (!best || runners_[id].outstanding < runners_[*best].outstanding)) {
             best = id;
--- a/src/kingcuplink/routing/runner_pool.hpp
+++ b/src/kingcuplink/routing/runner_pool.hpp
@@ -34,7 +34,7 @@
 class runner_pool {
 public:
     /*! Constructs an empty pool with a seed for choices. */
-    explicit runner_pool(std::uint64_t seed, selection how = selection::least_of_two);
+    explicit runner_pool(std::uint64_t seed, selection how = selection::least_outstanding);
 
     /*! Replaces the list of runners; requests that are under way stay counted. */
     void assign(std::span<runner_slots const> runners);
