Start a request that waited only if it can end by its deadline

Cause: a request that waited was started with 90% of the usual run time left, so that those of the longer queue ran past their deadlines, which wastes a slot and the effect. Now it needs the usual run time and two mean deviations, a quarter more at most; one that is passed over is told at once instead of at its deadline.

--- a/src/kingcuplink/admission/fair_queue.cpp
+++ b/src/kingcuplink/admission/fair_queue.cpp
@@ -1,14 +1,18 @@
 #include <algorithm>
+#include <cmath>
 #include <kingcuplink/admission/fair_queue.hpp>
 #include <kingcuplink/core/config.hpp>
+#include <utility>
 
 namespace kingcuplink {
 
 namespace internal {
 
 constexpr double newest_run_weight = 0.05;
-/*! Part of the usual run time that a request which waited must have left to be worth running. */
-constexpr double needed_run_part = 0.9;
+/*! Deviations from the usual run time that a request which waited must have left besides it. */
+constexpr double needed_deviations = 2.0;
+/*! The same, at most, as a part of the usual run time. */
+constexpr double most_deviation_part = 0.25;
 
 } // namespace internal
 
@@ -34,7 +38,7 @@
             refusal::queue_full, std::to_string(team.requests.size()) + " requests of team " + found->first + " wait");
     }
     auto const wait = expected_wait(name);
-    auto const run = wait > millis{} ? millis{static_cast<std::int64_t>(run_ms_)} : millis{};
+    auto const run = wait > millis{} ? millis{static_cast<std::int64_t>(needed_run_ms())} : millis{};
     if(now + wait + run >= deadline) {
         return refuse(refusal::deadline_too_short, "expected wait is " + std::to_string(wait.count()) + " ms");
     }
@@ -64,6 +68,7 @@
         team->requests.pop_front();
         tickets_.erase(request.id);
         if(!can_end_in_time(request, now)) {
+            dropped_.push_back(request.id);
             continue;
         }
         virtual_time_ = team->virtual_time;
@@ -77,10 +82,18 @@
 
 bool fair_queue::can_end_in_time(waiting_request const &request, instant const now) const {
     auto const has_waited = now > request.since;
-    auto const needed = has_waited ? internal::needed_run_part * run_ms_ : 0.0;
+    auto const needed = has_waited ? needed_run_ms() : 0.0;
     return request.deadline > now + millis{static_cast<std::int64_t>(needed)};
 }
 
+double fair_queue::needed_run_ms() const noexcept {
+    return run_ms_ + std::min(internal::needed_deviations * run_deviation_ms_, internal::most_deviation_part * run_ms_);
+}
+
+std::vector<fair_queue::ticket> fair_queue::take_dropped() {
+    return std::exchange(dropped_, {});
+}
+
 bool fair_queue::erase(ticket const value) {
     auto const found = tickets_.find(value);
     if(found == tickets_.end()) {
@@ -100,7 +113,9 @@
     --found->second.running;
     --running_;
     auto const ms = static_cast<double>(took.count());
-    run_ms_ = run_ms_ == 0.0 ? ms : run_ms_ + internal::newest_run_weight * (ms - run_ms_);
+    auto const off = run_ms_ == 0.0 ? 0.0 : ms - run_ms_;
+    run_ms_ = run_ms_ == 0.0 ? ms : run_ms_ + internal::newest_run_weight * off;
+    run_deviation_ms_ += internal::newest_run_weight * (std::abs(off) - run_deviation_ms_);
 }
 
 std::size_t fair_queue::waiting() const noexcept {
--- a/src/kingcuplink/admission/fair_queue.hpp
+++ b/src/kingcuplink/admission/fair_queue.hpp
@@ -58,6 +58,9 @@
     /*! Returns the number of requests that wait. */
     [[nodiscard]] std::size_t waiting() const noexcept;
 
+    /*! Returns the requests that pop() passed over since the last call, since they could not end in time. */
+    [[nodiscard]] std::vector<ticket> take_dropped();
+
     /*! Returns the number of requests that run. */
     [[nodiscard]] std::int64_t running() const noexcept;
 
@@ -81,6 +84,7 @@
 
     [[nodiscard]] team_queue *next_team();
     [[nodiscard]] bool can_end_in_time(waiting_request const &request, instant now) const;
+    [[nodiscard]] double needed_run_ms() const noexcept;
 
     std::map<std::string, team_queue, std::less<>> teams_;
     std::map<ticket, std::string> tickets_;
@@ -89,6 +93,9 @@
     std::int64_t running_{};
     /*! Moving average of the time that a request runs, in milliseconds; zero before the first. */
     double run_ms_{};
+    /*! Moving average of the distance from it. */
+    double run_deviation_ms_{};
+    std::vector<ticket> dropped_{};
 };
 
 } // namespace kingcuplink
--- a/src/kingcuplink/gateway/request_router.cpp
+++ b/src/kingcuplink/gateway/request_router.cpp
@@ -67,6 +67,9 @@
             return;
         }
         auto const ticket = queue_.pop(now);
+        for(auto const dropped: queue_.take_dropped()) {
+            wake(waiters_.at(dropped));
+        }
         if(!ticket) {
             pool_.release(*runner, attempt_outcome::busy, false, now);
             return;
@@ -75,10 +78,14 @@
         auto const waiting = found->second;
         waiters_.erase(found);
         waiting->granted = *runner;
-        boost::asio::post(waiting->timer.get_executor(), [waiting]() { waiting->timer.cancel(); });
+        wake(waiting);
     }
 }
 
+void request_router::wake(std::shared_ptr<waiter> const &waiting) {
+    boost::asio::post(waiting->timer.get_executor(), [waiting]() { waiting->timer.cancel(); });
+}
+
 boost::asio::awaitable<http_response> request_router::serve(http_client &client, routed_request request) {
     auto const known = view();
     if(known == nullptr || known->rules == nullptr) {
--- a/src/kingcuplink/gateway/request_router.hpp
+++ b/src/kingcuplink/gateway/request_router.hpp
@@ -86,6 +86,7 @@
 
     [[nodiscard]] std::shared_ptr<fleet_view const> view();
     void pump_locked(instant now);
+    static void wake(std::shared_ptr<waiter> const &waiting);
     boost::asio::awaitable<std::optional<problem>> wait_for_runner(
         std::string team, instant deadline, runner_id &granted);
     boost::asio::awaitable<http_response> run(
--- a/test/admission/admission_test.cpp
+++ b/test/admission/admission_test.cpp
@@ -165,3 +165,34 @@
     CHECK(queue.waiting() == 0u);
     CHECK(queue.running() == 1);
 }
+
+TEST_CASE("what a request that waited must have left grows with how run times vary") {
+    struct row {
+        std::string_view name;
+        std::vector<std::int64_t> runs;
+        /*! Time to the deadline at which the request is still worth running, and one at which it is not. */
+        millis enough;
+        millis too_little;
+    };
+    std::vector<row> const rows{
+        {"always the same", {100, 100, 100, 100}, millis{101}, millis{99}},
+        {"a little more or less", {100, 110, 90, 100}, millis{105}, millis{99}},
+        {"very different ones", {100, 500, 5, 400}, millis{300}, millis{120}},
+    };
+    for(auto const &row: rows) {
+        CAPTURE(row.name);
+        for(auto const &[left, is_run]: {std::pair{row.enough, true}, std::pair{row.too_little, false}}) {
+            auto queue = make_queue();
+            for(auto const run: row.runs) {
+                CHECK_FALSE(push(queue, "red", start + millis{9'000}, start));
+                REQUIRE(queue.pop(start));
+                queue.finished("red", millis{run});
+            }
+            auto const now = start + millis{50};
+            CHECK_FALSE(push(queue, "red", now + left, start));
+            CHECK(queue.pop(now).has_value() == is_run);
+            CHECK(queue.take_dropped().size() == (is_run ? 0u : 1u));
+            CHECK(queue.take_dropped().empty());
+        }
+    }
+}
