--- a/src/kingcuplink/cli/commands.cpp
+++ b/src/kingcuplink/cli/commands.cpp
@@ -10,6 +10,7 @@
 #include <kingcuplink/cli/server_connection.hpp>
 #include <kingcuplink/cli/table.hpp>
 #include <kingcuplink/core/hash.hpp>
+#include <kingcuplink/core/json_fields.hpp>
 #include <kingcuplink/document/document_fold.hpp>
 #include <random>
 #include <thread>
@@ -85,8 +86,7 @@
             ? fail("no answer: it may have taken effect; look before you try again", exit_code::outcome_unknown)
             : fail("no server can be reached: check --server", exit_code::unreachable);
     }
-    auto const *object = answer.body.if_object();
-    auto const *error = object == nullptr ? nullptr : object->if_contains("error");
+    auto const *error = field_in(answer.body, "error");
     if(error == nullptr || !error->is_object()) {
         return fail("status " + std::to_string(answer.status), exit_code::refused);
     }
@@ -114,17 +114,11 @@
     return exit_code::success;
 }
 
-std::string text_field(json::value const &value, std::string_view const name) {
-    auto const *object = value.if_object();
-    auto const *field = object == nullptr ? nullptr : object->if_contains(name);
-    return field == nullptr || !field->is_string() ? std::string{} : std::string{field->get_string()};
-}
-
 exit_code wait_for_job(command_context &context, std::string const &job) {
     std::string shown;
     while(true) {
         auto const answer = context.server.send(verb::get, "/v1/jobs/" + job, {});
-        auto const state = text_field(answer.body, "state");
+        auto const state = text_in(answer.body, "state");
         if(is_success(answer) && state != shown) {
             std::cerr << "job " << job << ": " << state << "\n";
             shown = state;
@@ -142,8 +136,7 @@
     if(!answer.answered) {
         return answer.may_have_run;
     }
-    auto const *object = answer.body.if_object();
-    auto const *error = object == nullptr ? nullptr : object->if_contains("error");
+    auto const *error = field_in(answer.body, "error");
     return error != nullptr && error->is_object() && !error->get_object().at("not_run").as_bool();
 }
 
@@ -171,7 +164,7 @@
     if(!is_success(answer) || !context.options.wait) {
         return print_answer(context, answer);
     }
-    return wait_for_job(context, text_field(answer.body, "job"));
+    return wait_for_job(context, text_in(answer.body, "job"));
 }
 
 exit_code job_list(command_context &context) {
@@ -319,7 +312,7 @@
 exit_code set_domain(command_context &context, std::string_view const state) {
     return edit_section(context, "failure_domains", [&](json::array &domains) {
         for(auto &domain: domains) {
-            if(text_field(domain, "name") == context.arguments[0]) {
+            if(text_in(domain, "name") == context.arguments[0]) {
                 domain.as_object()["state"] = state;
                 return std::string{};
             }
@@ -363,7 +356,7 @@
 exit_code key_withdraw(command_context &context) {
     return edit_section(context, "keys", [&](json::array &keys) {
         for(auto &key: keys) {
-            if(text_field(key, "sha256") == context.arguments[0]) {
+            if(text_in(key, "sha256") == context.arguments[0]) {
                 key.as_object()["state"] = "withdrawn";
                 return std::string{};
             }
--- a/src/kingcuplink/daemon/control_api.cpp
+++ b/src/kingcuplink/daemon/control_api.cpp
@@ -4,6 +4,7 @@
 #include <glog/logging.h>
 #include <kingcuplink/admission/key_check.hpp>
 #include <kingcuplink/core/hash.hpp>
+#include <kingcuplink/core/json_fields.hpp>
 #include <kingcuplink/core/json_reader.hpp>
 #include <kingcuplink/daemon/control_plane.hpp>
 
@@ -15,11 +16,6 @@
 
 constexpr std::size_t job_name_length = 24u;
 
-std::string text_in(boost::json::object const &object, std::string_view const name) {
-    auto const *value = object.if_contains(name);
-    return value == nullptr || !value->is_string() ? std::string{} : std::string{value->get_string()};
-}
-
 /*! Makes an answer of a peer's. */
 api_answer answer_of(peer_answer answer) {
     return {.refused = std::move(answer.refused), .status = 200, .body = std::move(answer.body)};
@@ -146,8 +142,7 @@
         co_return api_answer{.refused = problem{refusal::no_leader, "no failure domain takes jobs"}};
     }
     boost::json::object body{{"job", new_job_key(domain)}, {"team", team}, {"spec", to_json(spec)}};
-    LOG(INFO) << "jobs: submit request=" << request.request_id << " job=" << internal::text_in(body, "job")
-              << " team=" << team;
+    LOG(INFO) << "jobs: submit request=" << request.request_id << " job=" << text_in(body, "job") << " team=" << team;
     auto answer = co_await ask_domain(domain, wire::CALL_JOB_SUBMIT, std::move(body));
     answer.status = 201;
     co_return answer;
@@ -208,9 +203,7 @@
                 : answer;
             continue;
         }
-        auto const *object = answer.body.if_object();
-        auto const is_moved = object != nullptr && internal::text_in(*object, "state") == "moved";
-        if(!is_moved) {
+        if(text_in(answer.body, "state") != "moved") {
             co_return answer;
         }
         last = answer;
@@ -237,13 +230,13 @@
 boost::asio::awaitable<api_answer> control_plane::answer_call(wire::call_kind const kind, boost::json::object body) {
     auto const reign = reign_;
     if(kind == wire::CALL_BOOK) {
-        co_return api_answer{.body = jobs_.book_of(internal::text_in(body, "domain"))};
+        co_return api_answer{.body = jobs_.book_of(text_in(body, "domain"))};
     }
     if(reign == nullptr) {
         co_return api_answer{.refused = problem{refusal::no_leader, "entry VM " + settings_.name + " does not lead"}};
     }
-    auto const key = internal::text_in(body, "job");
-    auto const team = internal::text_in(body, "team");
+    auto const key = text_in(body, "job");
+    auto const team = text_in(body, "team");
     switch(kind) {
     case wire::CALL_JOB_SUBMIT:
     case wire::CALL_JOB_FIND: {
@@ -256,7 +249,7 @@
             co_return api_answer{.refused = refused};
         }
         if(kind == wire::CALL_JOB_FIND) {
-            co_return reign->find_submitted(internal::text_in(body, "name"), spec);
+            co_return reign->find_submitted(text_in(body, "name"), spec);
         }
         auto const rule = body.contains("once") ? submission_rule::once : submission_rule::always_new;
         co_return co_await reign->submit(key, std::move(spec), rule);
@@ -264,11 +257,10 @@
     case wire::CALL_JOB_GET:
     case wire::CALL_JOB_CANCEL: {
         auto answer = reign->describe(key);
-        auto const *object = answer.body.if_object();
-        if(!answer.refused && !team.empty() && (object == nullptr || internal::text_in(*object, "team") != team)) {
+        if(!answer.refused && !team.empty() && text_in(answer.body, "team") != team) {
             co_return api_answer{.refused = problem{refusal::job_unknown, key}};
         }
-        if(!answer.refused && kind == wire::CALL_JOB_CANCEL && internal::text_in(*object, "state") != "moved") {
+        if(!answer.refused && kind == wire::CALL_JOB_CANCEL && text_in(answer.body, "state") != "moved") {
             answer = co_await reign->cancel(key);
         }
         co_return answer;
@@ -279,7 +271,7 @@
         auto const *wanted = body.if_contains("wanted");
         auto const amount = wanted == nullptr || !wanted->is_object() ? resources{}
                                                                       : resources_from_json(wanted->get_object());
-        co_return co_await reign->donate(team, internal::text_in(body, "to"), amount);
+        co_return co_await reign->donate(team, text_in(body, "to"), amount);
     }
     default:
         co_return api_answer{.refused = problem{refusal::request_malformed, "unknown call"}};
--- a/src/kingcuplink/daemon/job_keeper.cpp
+++ b/src/kingcuplink/daemon/job_keeper.cpp
@@ -5,6 +5,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <glog/logging.h>
+#include <kingcuplink/core/json_fields.hpp>
 #include <kingcuplink/daemon/job_keeper.hpp>
 #include <kingcuplink/daemon/pause.hpp>
 
@@ -363,7 +364,7 @@
         }
         for(auto const &record: page->records) {
             next = record.offset + 1u;
-            auto const *events = record.body.is_object() ? record.body.get_object().if_contains("events") : nullptr;
+            auto const *events = field_in(record.body, "events");
             if(events != nullptr && events->is_array()) {
                 take_events(book_, events->get_array());
             }
--- a/src/kingcuplink/platform/platform_client.cpp
+++ b/src/kingcuplink/platform/platform_client.cpp
@@ -1,4 +1,5 @@
 #include <kingcuplink/core/config.hpp>
+#include <kingcuplink/core/json_fields.hpp>
 #include <kingcuplink/platform/platform_client.hpp>
 
 namespace kingcuplink {
@@ -8,21 +9,13 @@
 namespace json = boost::json;
 using verb = boost::beast::http::verb;
 
-std::optional<std::uint64_t> whole(json::value const &value, std::string_view const name) {
-    auto const *object = value.if_object();
-    auto const *field = object == nullptr ? nullptr : object->if_contains(name);
-    auto const *number = field == nullptr ? nullptr : field->if_int64();
-    return number == nullptr || *number < 0 ? std::nullopt : std::optional{static_cast<std::uint64_t>(*number)};
-}
-
 bool is_success(exchange const &result) {
     return result.outcome == attempt_outcome::answered && result.response.result() == boost::beast::http::status::ok;
 }
 
 std::set<std::string> names_in(json::value const &value, std::string_view const state) {
     std::set<std::string> names;
-    auto const *object = value.if_object();
-    auto const *list = object == nullptr ? nullptr : object->if_contains(state);
+    auto const *list = field_in(value, state);
     if(list != nullptr && list->is_array()) {
         for(auto const &name: list->get_array()) {
             if(name.is_string()) {
@@ -46,7 +39,7 @@
         address_, internal::verb::post, "/log/" + stream, std::move(record), config::platform_timeout);
     append_result result{.outcome = answer.first.outcome};
     if(result.is_done()) {
-        auto const offset = internal::whole(answer.second, "offset");
+        auto const offset = whole_in(answer.second, "offset");
         result.outcome = internal::is_success(answer.first) && offset ? attempt_outcome::answered
                                                                       : attempt_outcome::may_have_run;
         result.offset = offset.value_or(0u);
@@ -61,8 +54,8 @@
     auto target = "/log/" + stream + "?from=" + std::to_string(from) + "&limit=" + std::to_string(config::log_page);
     auto const answer = co_await client_.send_json(
         address_, internal::verb::get, std::move(target), nullptr, config::platform_timeout);
-    auto const first = internal::whole(answer.second, "first");
-    auto const next = internal::whole(answer.second, "next");
+    auto const first = whole_in(answer.second, "first");
+    auto const next = whole_in(answer.second, "next");
     if(!internal::is_success(answer.first) || !first || !next) {
         co_return std::nullopt;
     }
@@ -70,8 +63,8 @@
     if(auto const *records = answer.second.get_object().if_contains("records");
         records != nullptr && records->is_array()) {
         for(auto const &record: records->get_array()) {
-            auto const offset = internal::whole(record, "offset");
-            auto const *body = record.is_object() ? record.get_object().if_contains("body") : nullptr;
+            auto const offset = whole_in(record, "offset");
+            auto const *body = field_in(record, "body");
             if(offset && body != nullptr) {
                 page.records.push_back({*offset, *body});
             }
--- a/src/kingcuplink/platform/worker_client.cpp
+++ b/src/kingcuplink/platform/worker_client.cpp
@@ -1,4 +1,5 @@
 #include <kingcuplink/core/config.hpp>
+#include <kingcuplink/core/json_fields.hpp>
 #include <kingcuplink/core/json_reader.hpp>
 #include <kingcuplink/platform/worker_client.hpp>
 
@@ -44,13 +45,6 @@
     return reply;
 }
 
-std::uint64_t epoch_in(json::value const &value) {
-    auto const *object = value.if_object();
-    auto const *field = object == nullptr ? nullptr : object->if_contains("epoch");
-    auto const *number = field == nullptr ? nullptr : field->if_int64();
-    return number == nullptr ? 0u : static_cast<std::uint64_t>(*number);
-}
-
 json::object holder_fields(lease_holder const &holder) {
     return {{"holder", holder.name}, {"epoch", static_cast<std::int64_t>(holder.epoch)}};
 }
@@ -73,7 +67,7 @@
     }
     if(answer.first.response.result() == internal::status::conflict) {
         reply.outcome = lease_outcome::refused;
-        reply.epoch = internal::epoch_in(answer.second);
+        reply.epoch = whole_in(answer.second, "epoch").value_or(0u);
     } else if(answer.first.response.result() == internal::status::ok) {
         problem failure;
         if(auto parsed = value_of([&]() { return internal::parse_grant(answer.second); }, failure); parsed) {
@@ -118,7 +112,7 @@
     std::string address, std::string target, boost::json::object body) {
     auto const answer = co_await client_.send_json(std::move(address), boost::beast::http::verb::post,
         std::move(target), std::move(body), config::command_timeout);
-    command_reply reply{.epoch = internal::epoch_in(answer.second)};
+    command_reply reply{.epoch = whole_in(answer.second, "epoch").value_or(0u)};
     if(answer.first.outcome == attempt_outcome::not_sent) {
         reply.outcome = command_outcome::not_sent;
     } else if(answer.first.outcome == attempt_outcome::answered) {
--- a/test/process/fleet.cpp
+++ b/test/process/fleet.cpp
@@ -310,15 +310,8 @@
         {"task_size", json::object{{"cores", 1}, {"memory_gib", 1}}}, {"run_time_ms", run_ms}};
 }
 
-std::string text_in(json::value const &value, std::string_view const name) {
-    auto const *object = value.if_object();
-    auto const *field = object == nullptr ? nullptr : object->if_contains(name);
-    return field == nullptr || !field->is_string() ? std::string{} : std::string{field->get_string()};
-}
-
 std::string error_kind(server_answer const &answer) {
-    auto const *object = answer.body.if_object();
-    auto const *error = object == nullptr ? nullptr : object->if_contains("error");
+    auto const *error = field_in(answer.body, "error");
     return error == nullptr ? std::string{} : text_in(*error, "kind");
 }
 
--- a/test/process/fleet.hpp
+++ b/test/process/fleet.hpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <functional>
 #include <kingcuplink/cli/server_connection.hpp>
+#include <kingcuplink/core/json_fields.hpp>
 #include <map>
 #include <string>
 #include <sys/types.h>
@@ -130,9 +131,6 @@
 [[nodiscard]] std::map<std::string, std::string> headers_of(
     std::string const &id, bool repeatable, std::int64_t deadline_ms = 5'000);
 
-/*! Returns a text field of an object, or an empty text. */
-[[nodiscard]] std::string text_in(boost::json::value const &value, std::string_view name);
-
 /*! Returns the kind of the error in an answer, or an empty text. */
 [[nodiscard]] std::string error_kind(server_answer const &answer);
 
