--- a/src/kingcuplink/daemon/reign_tasks.cpp
+++ b/src/kingcuplink/daemon/reign_tasks.cpp
@@ -284,7 +284,7 @@
 }
 
 boost::asio::awaitable<void> domain_reign::send_handover(
-    [[maybe_unused]] self_pointer self, handover const what, std::uint64_t const sequence) {
+    [[maybe_unused]] self_pointer self, handover what, std::uint64_t const sequence) {
     auto entry = parts_.jobs.book().entries().at(what.job);
     entry.moved_to.clear();
     ++entry.generation;
