--- a/src/kingcuplink/core/counters.hpp
+++ b/src/kingcuplink/core/counters.hpp
@@ -47,6 +47,7 @@
     connection_discarded,
     handover_sent,
     handover_received,
+    job_adopted,
     count
 };
 
--- a/src/kingcuplink/daemon/domain_reign.cpp
+++ b/src/kingcuplink/daemon/domain_reign.cpp
@@ -50,6 +50,7 @@
     boost::asio::co_spawn(parts_.context, recover(shared_from_this()), boost::asio::detached);
     boost::asio::co_spawn(parts_.context, run_planner(shared_from_this()), boost::asio::detached);
     boost::asio::co_spawn(parts_.context, run_duties(shared_from_this()), boost::asio::detached);
+    boost::asio::co_spawn(parts_.context, run_adoption(shared_from_this()), boost::asio::detached);
 }
 
 void domain_reign::end() noexcept {
@@ -184,23 +185,32 @@
             continue;
         }
         auto const tasks = record->tasks;
-        std::for_each(tasks.begin(), tasks.end(), [this](auto const task) { release_task(task); });
+        std::for_each(
+            tasks.begin(), tasks.end(), [this](auto const task) { release_task(task, may_have_started(task)); });
     }
 }
 
-void domain_reign::release_task(task_id const task) {
+bool domain_reign::has_intent(task_id const task) const {
+    auto const *record = scheduler_.find(task);
+    auto const *entry = record == nullptr ? nullptr : parts_.jobs.book().find(scheduler_.find(record->job)->key);
+    if(entry == nullptr) {
+        return false;
+    }
+    auto const noted = entry->tasks.find(record->ordinal);
+    return noted != entry->tasks.end() && noted->second.attempt > 0u;
+}
+
+bool domain_reign::may_have_started(task_id const task) const {
+    return !parts_.jobs.was_standby() || has_intent(task);
+}
+
+void domain_reign::release_task(task_id const task, bool const may_have_started) {
     auto const *record = scheduler_.find(task);
     if(record == nullptr || record->state != task_state::withheld) {
         return;
     }
-    auto const now = current_time();
-    auto const job = record->job;
-    auto const &key = scheduler_.find(job)->key;
-    auto const entry = parts_.jobs.book().entries().find(key);
-    auto const noted = entry->second.tasks.find(record->ordinal);
-    auto const was_intended = noted != entry->second.tasks.end() && noted->second.attempt > 0u;
-    auto const has_proof = parts_.jobs.was_standby() && !was_intended;
-    scheduler_.release_withheld(task, !has_proof, now);
+    auto const key = scheduler_.find(record->job)->key;
+    scheduler_.release_withheld(task, may_have_started, current_time());
     if(auto const *after = scheduler_.find(task); after != nullptr && is_final(after->state)) {
         parts_.jobs.record({.kind = job_event_kind::task_final,
             .job = key,
@@ -292,7 +302,8 @@
             {"job", key}, {"failure_domain", parts_.settings.failure_domain}, {"kept_by", place}}};
 }
 
-boost::asio::awaitable<api_answer> domain_reign::take_over_job(boost::json::value events) {
+boost::asio::awaitable<api_answer> domain_reign::take_over_job(
+    boost::json::value events, takeover_origin const origin) {
     auto const self = shared_from_this();
     std::uint64_t sequence{};
     std::string key;
@@ -328,7 +339,7 @@
     if(auto const job = scheduler_.job_of(key); job && is_new) {
         auto const tasks = scheduler_.find(*job)->tasks;
         for(auto const task: tasks) {
-            scheduler_.release_withheld(task, false, current_time());
+            release_task(task, origin == takeover_origin::adopted && has_intent(task));
         }
     }
     kicked_ = true;
--- a/src/kingcuplink/daemon/domain_reign.hpp
+++ b/src/kingcuplink/daemon/domain_reign.hpp
@@ -37,6 +37,14 @@
     once
 };
 
+/*! How a job comes from another failure domain. */
+enum class takeover_origin : std::uint8_t {
+    /*! Its leader gave it up: none of its unfinished tasks runs there. */
+    given,
+    /*! The failure domain is lost: tasks that it meant to start may have run. */
+    adopted
+};
+
 /*!
  * One uninterrupted time as the leader of a failure domain: it holds the workers'
  * leases, places tasks and keeps the jobs' state. It ends for good with end().
@@ -80,7 +88,8 @@
     [[nodiscard]] api_answer find_submitted(std::string const &name, job_spec const &spec) const;
 
     /*! Takes a job over from another failure domain. */
-    boost::asio::awaitable<api_answer> take_over_job(boost::json::value events);
+    boost::asio::awaitable<api_answer> take_over_job(
+        boost::json::value events, takeover_origin origin = takeover_origin::given);
 
     /*! Cancels a job and waits until the wish is kept in a second place. */
     boost::asio::awaitable<api_answer> cancel(std::string key);
@@ -161,7 +170,15 @@
     [[nodiscard]] std::optional<api_answer> answer_repeated(std::string const &key, job_spec const &spec) const;
     void load_entry(std::string const &key, book_entry const &entry);
     void release_withheld();
-    void release_task(task_id task);
+    void release_task(task_id task, bool may_have_started);
+    [[nodiscard]] bool may_have_started(task_id task) const;
+    [[nodiscard]] bool has_intent(task_id task) const;
+
+    // Jobs of lost failure domains.
+    boost::asio::awaitable<void> run_adoption(self_pointer self);
+    boost::asio::awaitable<bool> adopt_jobs_of(std::string domain);
+    boost::asio::awaitable<bool> adopt_job(std::string key, book_entry entry);
+    [[nodiscard]] bool is_adopter() const;
     void record_end(job_id job);
 
     // Placement.
@@ -211,6 +228,8 @@
     /*! Jobs that are being accepted and are not kept elsewhere yet. */
     std::set<std::string> accepting_;
     std::set<handover> handovers_;
+    /*! Lost failure domains whose jobs all have a new one. */
+    std::set<std::string> adopted_;
     std::map<std::string, resources> denied_;
     std::set<std::string> asking_;
 };
--- a/src/kingcuplink/daemon/job_keeper.cpp
+++ b/src/kingcuplink/daemon/job_keeper.cpp
@@ -338,7 +338,7 @@
             boost::asio::co_spawn(context_, ask_for_book(name, pending), boost::asio::detached);
         }
     }
-    auto const complete = co_await read_journal();
+    auto const complete = co_await read_journal(settings_.failure_domain, book_);
     while(*pending > 0u) {
         co_await pause(context_, internal::gather_poll);
     }
@@ -354,10 +354,10 @@
     --*pending;
 }
 
-boost::asio::awaitable<bool> job_keeper::read_journal() {
+boost::asio::awaitable<bool> job_keeper::read_journal(std::string domain, job_book &book) {
     std::uint64_t next{1};
     while(true) {
-        auto const page = co_await platform_.read(internal::journal_of(settings_.failure_domain), next);
+        auto const page = co_await platform_.read(internal::journal_of(domain), next);
         if(!page) {
             stats_.add(event::log_read_failed);
             co_return false;
@@ -366,7 +366,7 @@
             next = record.offset + 1u;
             auto const *events = field_in(record.body, "events");
             if(events != nullptr && events->is_array()) {
-                take_events(book_, events->get_array());
+                take_events(book, events->get_array());
             }
         }
         if(page->records.empty() || next >= page->next) {
@@ -375,6 +375,22 @@
     }
 }
 
+boost::asio::awaitable<std::optional<job_book>> job_keeper::read_journal_of(std::string domain) {
+    job_book book;
+    auto const complete = co_await read_journal(std::move(domain), book);
+    co_return complete ? std::optional{std::move(book)} : std::nullopt;
+}
+
+boost::asio::awaitable<bool> job_keeper::append_to_journal_of(std::string domain, std::vector<job_event> events) {
+    boost::json::array list;
+    std::transform(
+        events.begin(), events.end(), std::back_inserter(list), [](auto const &event) { return to_json(event); });
+    boost::json::object record{{"events", std::move(list)}};
+    auto const appended = co_await platform_.append(internal::journal_of(domain), std::move(record));
+    stats_.add(appended.is_done() ? event::journal_appended : event::log_append_failed);
+    co_return appended.is_done();
+}
+
 boost::asio::awaitable<void> job_keeper::journal_loop() {
     while(true) {
         co_await pause(context_, config::journal_interval);
--- a/src/kingcuplink/daemon/job_keeper.hpp
+++ b/src/kingcuplink/daemon/job_keeper.hpp
@@ -71,6 +71,15 @@
      */
     boost::asio::awaitable<bool> gather();
 
+    /*! Reads the journal of another failure domain; nothing if it was not read to its end. */
+    boost::asio::awaitable<std::optional<job_book>> read_journal_of(std::string domain);
+
+    /*!
+     * Appends events to the journal of a failure domain that has no leader any more.
+     * @return True if they are surely there.
+     */
+    boost::asio::awaitable<bool> append_to_journal_of(std::string domain, std::vector<job_event> events);
+
     /*! Gives the book to the leader that took over. */
     void offer_book(std::string const &leader);
 
@@ -115,7 +124,7 @@
     boost::asio::awaitable<void> mirror_loop();
     boost::asio::awaitable<void> journal_loop();
     boost::asio::awaitable<void> ask_for_book(std::string peer, std::shared_ptr<std::size_t> pending);
-    boost::asio::awaitable<bool> read_journal();
+    boost::asio::awaitable<bool> read_journal(std::string domain, job_book &book);
     void choose_targets(instant now);
     void flush();
     void send_reset(std::string const &peer, target &mirror, instant now);
--- a/test/daemon/reign_test.cpp
+++ b/test/daemon/reign_test.cpp
@@ -3,6 +3,7 @@
 #include "scripted_worker.hpp"
 
 #include <doctest/doctest.h>
+#include <kingcuplink/core/json_fields.hpp>
 #include <kingcuplink/daemon/domain_reign.hpp>
 #include <mutex>
 
@@ -14,7 +15,8 @@
 constexpr millis wait_limit{20'000};
 constexpr millis step{10};
 
-std::shared_ptr<document const> make_rules(std::string_view const state = "in") {
+std::shared_ptr<document const> make_rules(
+    std::string_view const state = "in", std::string_view const far_state = "in") {
     boost::json::array workers;
     for(auto const *name: {"w1", "w2"}) {
         workers.push_back(boost::json::object{{"name", name},
@@ -25,8 +27,9 @@
     boost::json::object const domain{{"name", "a"}, {"region", "r"}, {"state", state},
         {"entry_vms", boost::json::array{vm}}, {"workers", std::move(workers)}, {"runners", boost::json::array{}}};
     boost::json::object const far_vm{{"name", "b1"}, {"http", "127.0.0.1:26146"}, {"peer", "127.0.0.1:26147"}};
-    boost::json::object const far_domain{{"name", "b"}, {"region", "r"}, {"entry_vms", boost::json::array{far_vm}},
-        {"workers", boost::json::array{}}, {"runners", boost::json::array{}}};
+    boost::json::object const far_domain{{"name", "b"}, {"region", "r"}, {"state", far_state},
+        {"entry_vms", boost::json::array{far_vm}}, {"workers", boost::json::array{}},
+        {"runners", boost::json::array{}}};
     boost::json::object const team{{"name", "red"}, {"share", 1},
         {"ceiling", boost::json::object{{"cores", 100}, {"memory_gib", 100}}}, {"request_ceiling", 10}};
     boost::json::value const value = boost::json::object{
@@ -92,8 +95,8 @@
     }
 
     /*! Takes the failure domain out or in. */
-    void set_state(std::string_view const state) {
-        rules = make_rules(state);
+    void set_state(std::string_view const state, std::string_view const far_state = "in") {
+        rules = make_rules(state, far_state);
         peers.update(*rules);
         reign->update(rules);
     }
@@ -371,3 +374,57 @@
     fixture.set_workers(true);
     CHECK(fixture.comes_true([&]() { return fixture.running() == 1; }));
 }
+
+TEST_CASE("the jobs of a lost failure domain are adopted from its journal") {
+    struct row {
+        std::string_view name;
+        /*! What strikes the adopting failure domain. */
+        void (*strike)(reign_fixture &);
+    };
+    std::vector<row> const rows{
+        {"nothing happens", [](reign_fixture &) {}},
+        {"answers of the log are lost for a while",
+            [](reign_fixture &fixture) {
+                static_cast<void>(fixture.log.administer({{"lose_answers", true}}));
+                pass(fixture.context, millis{4'500});
+                static_cast<void>(fixture.log.administer({{"lose_answers", false}}));
+            }},
+        {"its leader dies meanwhile",
+            [](reign_fixture &fixture) {
+                pass(fixture.context, millis{2'050});
+                fixture.succeed();
+            }},
+    };
+    for(auto const &row: rows) {
+        CAPTURE(row.name);
+        reign_fixture fixture;
+        std::vector<job_event> const journal{
+            {.kind = job_event_kind::accepted, .job = "b.waits", .spec = batch()},
+            {.kind = job_event_kind::accepted, .job = "b.ran", .spec = batch()},
+            {.kind = job_event_kind::start_intended, .job = "b.ran", .attempt = 1u, .place = "w9"},
+            {.kind = job_event_kind::accepted, .job = "b.once", .spec = batch(false)},
+            {.kind = job_event_kind::start_intended, .job = "b.once", .attempt = 1u, .place = "w9"},
+            {.kind = job_event_kind::accepted, .job = "b.ended", .spec = batch()},
+            {.kind = job_event_kind::job_ended, .job = "b.ended", .state = "succeeded"},
+            {.kind = job_event_kind::accepted, .job = "b.elsewhere", .spec = batch()},
+            {.kind = job_event_kind::moved, .job = "b.elsewhere", .place = "c"},
+            {.kind = job_event_kind::accepted, .job = "b.sent", .spec = batch()},
+            {.kind = job_event_kind::moved, .job = "b.sent", .place = "a"},
+        };
+        CHECK(run(fixture.context, fixture.jobs.append_to_journal_of("b", journal)));
+        fixture.begin();
+        pass(fixture.context, millis{2'500});
+        CHECK(fixture.starts() == 0);
+        fixture.set_state("in", "lost");
+        row.strike(fixture);
+        // Those that waited, ran, and were sent here run; the one that must not be repeated does not.
+        constexpr std::int64_t adopted = 3;
+        CHECK(fixture.comes_true([&]() { return fixture.running() == adopted; }));
+        pass(fixture.context, millis{3'000});
+        CHECK(fixture.starts() == adopted);
+        CHECK(text_in(fixture.reign->describe("b.once").body, "state") == "may_have_run");
+        for(auto const *key: {"b.ended", "b.elsewhere"}) {
+            CHECK(fixture.reign->describe(key).refused);
+        }
+    }
+}
