Raise the limit of open files at start, and split the answers to calls by kind

An entry VM takes 4,096 connections of callers, which the usual soft limit of 1,024 files would cut short without a refusal. answer_call had grown to 50 lines.

--- a/src/kingcuplink/daemon/control_api.cpp
+++ b/src/kingcuplink/daemon/control_api.cpp
@@ -235,49 +235,60 @@
     if(reign == nullptr) {
         co_return api_answer{.refused = problem{refusal::no_leader, "entry VM " + settings_.name + " does not lead"}};
     }
-    auto const key = text_in(body, "job");
-    auto const team = text_in(body, "team");
     switch(kind) {
     case wire::CALL_JOB_SUBMIT:
-    case wire::CALL_JOB_FIND: {
-        job_spec spec;
-        auto const refused = problem_of([&]() -> result<void> {
-            BOOST_LEAF_ASSIGN(spec, parse_job(body["spec"], team));
-            return {};
-        });
-        if(refused) {
-            co_return api_answer{.refused = refused};
-        }
-        if(kind == wire::CALL_JOB_FIND) {
-            co_return reign->find_submitted(text_in(body, "name"), spec);
-        }
-        auto const rule = body.contains("once") ? submission_rule::once : submission_rule::always_new;
-        co_return co_await reign->submit(key, std::move(spec), rule);
-    }
+    case wire::CALL_JOB_FIND:
+        co_return co_await answer_submission(*reign, kind, std::move(body));
     case wire::CALL_JOB_GET:
-    case wire::CALL_JOB_CANCEL: {
-        auto answer = reign->describe(key);
-        if(!answer.refused && !team.empty() && text_in(answer.body, "team") != team) {
-            co_return api_answer{.refused = problem{refusal::job_unknown, key}};
-        }
-        if(!answer.refused && kind == wire::CALL_JOB_CANCEL && text_in(answer.body, "state") != "moved") {
-            answer = co_await reign->cancel(key);
-        }
-        co_return answer;
-    }
+    case wire::CALL_JOB_CANCEL:
+        co_return co_await answer_about_job(*reign, kind, std::move(body));
     case wire::CALL_JOB_LIST:
-        co_return api_answer{.body = reign->list(team)};
+        co_return api_answer{.body = reign->list(text_in(body, "team"))};
     case wire::CALL_ALLOTMENT: {
         auto const *wanted = body.if_contains("wanted");
         auto const amount = wanted == nullptr || !wanted->is_object() ? resources{}
                                                                       : resources_from_json(wanted->get_object());
-        co_return co_await reign->donate(team, text_in(body, "to"), amount);
+        co_return co_await reign->donate(text_in(body, "team"), text_in(body, "to"), amount);
     }
     default:
         co_return api_answer{.refused = problem{refusal::request_malformed, "unknown call"}};
     }
 }
 
+boost::asio::awaitable<api_answer> control_plane::answer_submission(
+    domain_reign &reign, wire::call_kind const kind, boost::json::object body) {
+    job_spec spec;
+    auto const refused = problem_of([&]() -> result<void> {
+        BOOST_LEAF_ASSIGN(spec, parse_job(body["spec"], text_in(body, "team")));
+        return {};
+    });
+    if(refused) {
+        co_return api_answer{.refused = refused};
+    }
+    if(kind == wire::CALL_JOB_FIND) {
+        co_return reign.find_submitted(text_in(body, "name"), spec);
+    }
+    auto const rule = body.contains("once") ? submission_rule::once : submission_rule::always_new;
+    co_return co_await reign.submit(text_in(body, "job"), std::move(spec), rule);
+}
+
+boost::asio::awaitable<api_answer> control_plane::answer_about_job(
+    domain_reign &reign, wire::call_kind const kind, boost::json::object body) {
+    auto const key = text_in(body, "job");
+    auto const team = text_in(body, "team");
+    auto answer = reign.describe(key);
+    if(answer.refused) {
+        co_return answer;
+    }
+    if(!team.empty() && text_in(answer.body, "team") != team) {
+        co_return api_answer{.refused = problem{refusal::job_unknown, key}};
+    }
+    if(kind == wire::CALL_JOB_CANCEL && text_in(answer.body, "state") != "moved") {
+        answer = co_await reign.cancel(key);
+    }
+    co_return answer;
+}
+
 boost::asio::awaitable<void> control_plane::handle_call(std::string peer, wire::call call) {
     boost::system::error_code error;
     auto body = boost::json::parse(call.json(), error);
--- a/src/kingcuplink/daemon/control_plane.hpp
+++ b/src/kingcuplink/daemon/control_plane.hpp
@@ -67,6 +67,10 @@
     boost::asio::awaitable<api_answer> list_jobs(std::string team);
     boost::asio::awaitable<api_answer> ask_domain(std::string domain, wire::call_kind kind, boost::json::object body);
     boost::asio::awaitable<api_answer> answer_call(wire::call_kind kind, boost::json::object body);
+    static boost::asio::awaitable<api_answer> answer_submission(
+        domain_reign &reign, wire::call_kind kind, boost::json::object body);
+    static boost::asio::awaitable<api_answer> answer_about_job(
+        domain_reign &reign, wire::call_kind kind, boost::json::object body);
     [[nodiscard]] std::string domain_for_new_jobs() const;
     [[nodiscard]] std::string new_job_key(std::string const &domain);
     [[nodiscard]] bool is_led(std::string const &domain, instant now) const;
--- a/src/kingcuplink/daemon/main.cpp
+++ b/src/kingcuplink/daemon/main.cpp
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <glog/logging.h>
 #include <iostream>
+#include <kingcuplink/core/file_limit.hpp>
 #include <kingcuplink/daemon/control_plane.hpp>
 #include <kingcuplink/daemon/settings.hpp>
 #include <kingcuplink/gateway/http_server.hpp>
@@ -56,6 +57,7 @@
     std::signal(SIGHUP, SIG_IGN);
     FLAGS_logtostderr = true;
     google::InitGoogleLogging("kingcuplinkd");
+    auto const most_files = kingcuplink::raise_file_limit();
     kingcuplink::counters stats;
     kingcuplink::request_router router{settings->name, stats, std::random_device{}()};
     boost::asio::io_context control_context{1};
@@ -79,7 +81,7 @@
     signals.async_wait([&signal_context](boost::system::error_code const &, int) { signal_context.stop(); });
     std::thread control_thread{[&control_context]() { control_context.run(); }};
     LOG(INFO) << "daemon: serving name=" << settings->name << " domain=" << settings->failure_domain
-              << " http=" << settings->http_address;
+              << " http=" << settings->http_address << " most_files=" << most_files;
     signal_context.run();
     shut_down(*settings, server, *control, control_context);
     control_context.stop();
--- a/test/process/fleet.cpp
+++ b/test/process/fleet.cpp
@@ -9,6 +9,7 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <kingcuplink/core/file_limit.hpp>
 #include <kingcuplink/core/hash.hpp>
 #include <kingcuplink/document/document_fold.hpp>
 #include <spawn.h>
@@ -43,6 +44,7 @@
 } // namespace
 
 fleet::fleet(fleet_options options) : options_{std::move(options)}, next_port_{next_first_port()} {
+    raise_file_limit();
     folder_ = (std::filesystem::temp_directory_path() /
         ("kingcuplink-test-" + std::to_string(::getpid()) + "-" + std::to_string(next_port_)))
                   .string();
