--- a/src/kingcuplink/daemon/control_api.cpp
+++ b/src/kingcuplink/daemon/control_api.cpp
@@ -160,7 +160,9 @@
     for(auto const &domain: rules->failure_domains) {
         boost::json::object body{{"name", name}, {"team", team}, {"spec", to_json(spec)}};
         auto answer = co_await ask_domain(domain.name, wire::CALL_JOB_FIND, std::move(body));
-        if(!answer.refused || answer.refused->reason == refusal::idempotency_mismatch) {
+        auto const is_absent = answer.refused &&
+            (answer.refused->reason == refusal::job_unknown || answer.refused->reason == refusal::no_leader);
+        if(!is_absent) {
             co_return answer;
         }
     }
--- a/src/kingcuplink/daemon/domain_reign.cpp
+++ b/src/kingcuplink/daemon/domain_reign.cpp
@@ -229,15 +229,12 @@
     LOG(INFO) << "leader: job ended job=" << record->key << " state=" << name_of(record->state);
 }
 
-std::optional<api_answer> domain_reign::answer_repeated(std::string const &key, job_spec const &spec) const {
-    if(!journal_read_) {
-        return api_answer{.refused = problem{refusal::no_leader, "the leader has not read its journal yet"}};
-    }
+std::optional<api_answer> domain_reign::answer_known(std::string const &key, job_spec const &spec) const {
     if(accepting_.contains(key)) {
         return api_answer{.refused = problem{refusal::outcome_unknown, "job " + key + " is being accepted"}};
     }
     auto const *entry = parts_.jobs.book().find(key);
-    if(entry == nullptr || internal::was_not_accepted(*entry)) {
+    if(entry == nullptr || entry->spec.team != spec.team || internal::was_not_accepted(*entry)) {
         return std::nullopt;
     }
     if(to_json(entry->spec) != to_json(spec)) {
@@ -248,13 +245,8 @@
 
 api_answer domain_reign::find_submitted(std::string const &name, job_spec const &spec) const {
     for(auto const &domain: rules_->failure_domains) {
-        auto const key = domain.name + "." + name;
-        auto const *entry = parts_.jobs.book().find(key);
-        if(entry != nullptr && entry->accepted && entry->spec.team == spec.team) {
-            auto answer = answer_repeated(key, spec);
-            if(answer) {
-                return *answer;
-            }
+        if(auto answer = answer_known(domain.name + "." + name, spec); answer) {
+            return *answer;
         }
     }
     return {.refused = problem{refusal::job_unknown, name}};
@@ -263,8 +255,11 @@
 boost::asio::awaitable<api_answer> domain_reign::submit(std::string key, job_spec spec, submission_rule const rule) {
     auto const self = shared_from_this();
     if(rule == submission_rule::once) {
-        if(auto const repeated = answer_repeated(key, spec); repeated) {
-            co_return *repeated;
+        if(auto const known = answer_known(key, spec); known) {
+            co_return *known;
+        }
+        if(!journal_read_) {
+            co_return api_answer{.refused = problem{refusal::no_leader, "the leader has not read its journal yet"}};
         }
     }
     if(auto const refused = problem_of([&]() { return check_job(spec, *rules_); }); refused) {
--- a/src/kingcuplink/daemon/domain_reign.hpp
+++ b/src/kingcuplink/daemon/domain_reign.hpp
@@ -167,7 +167,7 @@
 
     // Jobs and their recovery.
     boost::asio::awaitable<void> recover(self_pointer self);
-    [[nodiscard]] std::optional<api_answer> answer_repeated(std::string const &key, job_spec const &spec) const;
+    [[nodiscard]] std::optional<api_answer> answer_known(std::string const &key, job_spec const &spec) const;
     void load_entry(std::string const &key, book_entry const &entry);
     void release_withheld();
     void release_task(task_id task, bool may_have_started);
--- a/test/daemon/reign_test.cpp
+++ b/test/daemon/reign_test.cpp
@@ -428,3 +428,33 @@
         }
     }
 }
+
+TEST_CASE("a submission that is known is found although the journal was not read") {
+    struct row {
+        std::string_view name;
+        std::string job_name;
+        job_spec spec;
+        std::optional<refusal> refused;
+    };
+    auto other = batch();
+    other.count = 2;
+    std::vector<row> const rows{
+        {"known", "job", batch(), std::nullopt},
+        {"known as another job", "job", other, refusal::idempotency_mismatch},
+        {"not known", "nothing", batch(), refusal::job_unknown},
+    };
+    reign_fixture fixture;
+    fixture.begin();
+    static_cast<void>(fixture.submit(batch()));
+    static_cast<void>(fixture.log.administer({{"outage", true}}));
+    fixture.succeed();
+    pass(fixture.context, millis{500});
+    for(auto const &row: rows) {
+        CAPTURE(row.name);
+        auto const answer = fixture.reign->find_submitted(row.job_name, row.spec);
+        CHECK(answer.refused.has_value() == row.refused.has_value());
+        if(answer.refused && row.refused) {
+            CHECK(answer.refused->reason == *row.refused);
+        }
+    }
+}
