Let the tool repeat a submission that was refused with 503

scripts/demo failed: the tool now sends a key with each submission, the key's home was another failure domain, and its leader was not known yet (no_leader). A repetition with the same key is safe, so the tool repeats it for up to 6 s, as after a lost answer.

--- a/src/kingcuplink/cli/commands.cpp
+++ b/src/kingcuplink/cli/commands.cpp
@@ -26,7 +26,8 @@
 constexpr auto wait_poll = 200ms;
 constexpr auto top_interval = 1s;
 constexpr auto submit_pause = 500ms;
-constexpr int submit_tries = 4;
+constexpr int submit_tries = 12;
+constexpr unsigned status_unavailable = 503u;
 constexpr int random_key_words = 8;
 
 /*! What a command works with. */
@@ -157,7 +158,8 @@
     auto const &given = context.options.idempotency_key;
     std::map<std::string, std::string> const headers{{"Idempotency-Key", given.empty() ? random_key() : given}};
     auto answer = context.server.send(verb::post, "/v1/jobs", *text, headers);
-    for(auto tries = 1; tries < submit_tries && is_unknown(answer); ++tries) {
+    auto const is_passing = [&]() { return is_unknown(answer) || answer.status == status_unavailable; };
+    for(auto tries = 1; tries < submit_tries && is_passing(); ++tries) {
         std::this_thread::sleep_for(submit_pause);
         answer = context.server.send(verb::post, "/v1/jobs", *text, headers);
     }
