Read the document's list sections by one template

parse_teams, parse_domains, parse_queues and the first half of parse_keys were one shape with another member and parser, and wrote the section's name again beside section_names. One template takes the section, the member and the parser.

--- a/src/kingcuplink/document/document.cpp
+++ b/src/kingcuplink/document/document.cpp
@@ -200,31 +200,27 @@
     return {};
 }
 
-result<void> parse_teams(document &value, json::value const &body) {
-    BOOST_LEAF_ASSIGN(value.teams, parse_list<team_terms>(&body, "teams", parse_team));
+/*! Reads a section that is an array into a member of the document. */
+template<section Which, auto Member, auto Parse>
+result<void> parse_list_section(document &value, json::value const &body) {
+    using item_type = typename std::remove_reference_t<decltype(value.*Member)>::value_type;
+    std::string const path{section_names[static_cast<std::size_t>(Which)]};
+    BOOST_LEAF_ASSIGN(value.*Member, parse_list<item_type>(&body, path, Parse));
     return {};
 }
 
 result<void> parse_keys(document &value, json::value const &body) {
-    BOOST_LEAF_ASSIGN(value.keys, parse_list<team_key>(&body, "keys", parse_key));
+    BOOST_LEAF_CHECK((parse_list_section<section::keys, &document::keys, parse_key>(value, body)));
     std::sort(
         value.keys.begin(), value.keys.end(), [](auto const &lhs, auto const &rhs) { return lhs.sha256 < rhs.sha256; });
     return {};
 }
 
-result<void> parse_domains(document &value, json::value const &body) {
-    BOOST_LEAF_ASSIGN(value.failure_domains, parse_list<failure_domain>(&body, "failure_domains", parse_domain));
-    return {};
-}
-
-result<void> parse_queues(document &value, json::value const &body) {
-    BOOST_LEAF_ASSIGN(value.queues, parse_list<request_queue>(&body, "queues", parse_queue));
-    return {};
-}
-
 using section_parser = result<void> (*)(document &, json::value const &);
-constexpr std::array<section_parser, section_count> section_parsers{
-    parse_owners, parse_teams, parse_keys, parse_domains, parse_queues, parse_policies};
+constexpr std::array<section_parser, section_count> section_parsers{parse_owners,
+    parse_list_section<section::teams, &document::teams, parse_team>, parse_keys,
+    parse_list_section<section::failure_domains, &document::failure_domains, parse_domain>,
+    parse_list_section<section::queues, &document::queues, parse_queue>, parse_policies};
 
 template<typename Range>
 auto const *find_named(Range const &range, std::string_view const name) noexcept {
