Ask in one place whether a failure domain is led

domain_for_new_jobs wrote the check of is_led again; the parameter of release_task had the name of a method. Behaviour is the same (its own failure domain is answered for before the loop). Both path tests pass; the other process tests were not run again.

--- a/src/kingcuplink/daemon/control_api.cpp
+++ b/src/kingcuplink/daemon/control_api.cpp
@@ -116,7 +116,7 @@
         return own->name;
     }
     for(auto const &domain: rules.failure_domains) {
-        if(domain.state == domain_state::in && !peers_.leader_of(domain.name, now).empty()) {
+        if(domain.state == domain_state::in && is_led(domain.name, now)) {
             return domain.name;
         }
     }
--- a/src/kingcuplink/daemon/domain_reign.cpp
+++ b/src/kingcuplink/daemon/domain_reign.cpp
@@ -204,13 +204,13 @@
     return !parts_.jobs.was_standby() || has_intent(task);
 }
 
-void domain_reign::release_task(task_id const task, bool const may_have_started) {
+void domain_reign::release_task(task_id const task, bool const may_have_run) {
     auto const *record = scheduler_.find(task);
     if(record == nullptr || record->state != task_state::withheld) {
         return;
     }
     auto const key = scheduler_.find(record->job)->key;
-    scheduler_.release_withheld(task, may_have_started, current_time());
+    scheduler_.release_withheld(task, may_have_run, current_time());
     if(auto const *after = scheduler_.find(task); after != nullptr && is_final(after->state)) {
         parts_.jobs.record({.kind = job_event_kind::task_final,
             .job = key,
--- a/src/kingcuplink/daemon/domain_reign.hpp
+++ b/src/kingcuplink/daemon/domain_reign.hpp
@@ -170,7 +170,7 @@
     [[nodiscard]] std::optional<api_answer> answer_known(std::string const &key, job_spec const &spec) const;
     void load_entry(std::string const &key, book_entry const &entry);
     void release_withheld();
-    void release_task(task_id task, bool may_have_started);
+    void release_task(task_id task, bool may_have_run);
     [[nodiscard]] bool may_have_started(task_id task) const;
     [[nodiscard]] bool has_intent(task_id task) const;
 
