--- a/src/kingcuplink/daemon/main.cpp
+++ b/src/kingcuplink/daemon/main.cpp
@@ -8,6 +8,7 @@
 #include <kingcuplink/core/file_limit.hpp>
 #include <kingcuplink/daemon/control_plane.hpp>
 #include <kingcuplink/daemon/settings.hpp>
+#include <kingcuplink/daemon/site_daemon.hpp>
 #include <kingcuplink/gateway/http_server.hpp>
 #include <kingcuplink/gateway/request_router.hpp>
 #include <random>
@@ -58,6 +59,9 @@
     FLAGS_logtostderr = true;
     google::InitGoogleLogging("kingcuplinkd");
     auto const most_files = kingcuplink::raise_file_limit();
+    if(settings->platform == kingcuplink::platform_form::store) {
+        return kingcuplink::run_site_daemon(settings->site);
+    }
     kingcuplink::counters stats;
     kingcuplink::request_router router{settings->name, stats, std::random_device{}()};
     boost::asio::io_context control_context{1};
--- a/src/kingcuplink/daemon/settings.cpp
+++ b/src/kingcuplink/daemon/settings.cpp
@@ -6,6 +6,7 @@
 #include <kingcuplink/core/flag_environment.hpp>
 #include <kingcuplink/daemon/settings.hpp>
 #include <kingcuplink/platform/http_client.hpp>
+#include <span>
 
 ABSL_FLAG(std::string, name, "", "Name of this entry VM, as in the section failure_domains of the document.");
 ABSL_FLAG(std::string, failure_domain, "", "Name of the failure domain this entry VM is in.");
@@ -17,15 +18,32 @@
     int, drain_grace_ms, 5000, "Milliseconds between readiness going false and the end of accepting, 0 to 600000.");
 ABSL_FLAG(int, drain_limit_ms, 60000, "Milliseconds that requests under way are waited for, 0 to 600000.");
 ABSL_FLAG(bool, allow_faults, false, "Serve /v1/faults, which cuts this process off from named peers. For tests only.");
+ABSL_FLAG(std::string, platform, "endpoints",
+    "What is around this entry VM: 'endpoints' that speak the product's own interfaces, or a 'store' that keeps all "
+    "lasting state.");
+ABSL_FLAG(std::string, callers_address, "", "With a store: IP number and port for callers.");
+ABSL_FLAG(std::string, readiness_address, "", "With a store: IP number and port at which readiness is asked for.");
+ABSL_FLAG(std::string, metrics_address, "", "With a store: IP number and port of the metrics; empty for none.");
+ABSL_FLAG(std::string, log_address, "", "With a store: IP number and port of the store.");
+ABSL_FLAG(std::string, adviser_address, "", "With a store: IP number and port of the adviser; empty for none.");
+ABSL_FLAG(int, lease_limit_ms, 10000, "With a store: longest lease that workers grant, 1000 to 600000 ms.");
+ABSL_FLAG(int, gang_timeout_ms, 3000, "With a store: time that members of a gang wait for each other, 100 to 600000 ms.");
+ABSL_FLAG(int, status_time_s, 120, "With a store: time for which an ended job's state is told, 1 to 86400 s.");
+ABSL_FLAG(int, shutdown_time_ms, 5000, "With a store: time between SIGTERM and the end, 500 to 600000 ms.");
 
 namespace kingcuplink {
 
 namespace internal {
 
-constexpr std::array<std::string_view, 9u> setting_names{"name", "failure_domain", "http_address", "peer_address",
-    "platform_address", "traffic_threads", "drain_grace_ms", "drain_limit_ms", "allow_faults"};
+constexpr std::array<std::string_view, 19u> setting_names{"name", "failure_domain", "http_address", "peer_address",
+    "platform_address", "traffic_threads", "drain_grace_ms", "drain_limit_ms", "allow_faults", "platform",
+    "callers_address", "readiness_address", "metrics_address", "log_address", "adviser_address", "lease_limit_ms",
+    "gang_timeout_ms", "status_time_s", "shutdown_time_ms"};
+constexpr std::string_view name_rule{"1 to 63 of a-z, 0-9 and -"};
+constexpr std::string_view address_rule{"an IP number and a port, such as 10.0.0.1:8080"};
 constexpr int most_threads = 64;
 constexpr int longest_drain_ms = 600'000;
+constexpr int longest_status_s = 86'400;
 
 std::string setting_error(std::string_view const flag, std::string_view const value, std::string_view const allowed) {
     std::string text{"--"};
@@ -58,71 +76,127 @@
     return true;
 }
 
-} // namespace internal
+/*! A text setting and what it must be. */
+struct text_check {
+    std::string_view flag;
+    std::string const &value;
+    bool is_valid;
+    std::string_view allowed;
+};
 
-std::optional<daemon_settings> read_settings(int const argc, char **argv, std::string &error) {
-    absl::SetProgramUsageMessage(
-        "Entry VM daemon of kingcuplink.\nEvery flag can also be set by an environment variable, such as "
-        "KINGCUPLINK_HTTP_ADDRESS.\nExit codes: 0 after a graceful shutdown, 1 on failure, 2 on a wrong setting.");
-    if(!internal::apply_environment(error)) {
-        return std::nullopt;
+/*! A whole number and its range. */
+struct number_check {
+    std::string_view flag;
+    int value;
+    int least;
+    int most;
+};
+
+bool is_address(std::string const &text) {
+    return parse_endpoint(text).has_value();
+}
+
+bool is_address_or_empty(std::string const &text) {
+    return text.empty() || is_address(text);
+}
+
+/*! Returns an error about the first setting that is wrong, or an empty text. */
+std::string first_error(std::span<text_check const> const texts, std::span<number_check const> const numbers) {
+    for(auto const &check: texts) {
+        if(!check.is_valid) {
+            return setting_error(check.flag, check.value, check.allowed);
+        }
     }
-    auto const rest = absl::ParseCommandLine(argc, argv);
-    if(rest.size() > 1u) {
-        error = std::string{"unexpected argument '"} + rest[1] + "': --help lists the flags";
-        return std::nullopt;
+    for(auto const &check: numbers) {
+        if(check.value < check.least || check.value > check.most) {
+            return setting_error(check.flag, std::to_string(check.value),
+                "from " + std::to_string(check.least) + " to " + std::to_string(check.most));
+        }
     }
-    daemon_settings settings;
+    return {};
+}
+
+std::string read_endpoint_settings(daemon_settings &settings) {
     settings.name = absl::GetFlag(FLAGS_name);
     settings.failure_domain = absl::GetFlag(FLAGS_failure_domain);
     settings.http_address = absl::GetFlag(FLAGS_http_address);
     settings.peer_address = absl::GetFlag(FLAGS_peer_address);
     settings.platform_address = absl::GetFlag(FLAGS_platform_address);
     settings.allow_faults = absl::GetFlag(FLAGS_allow_faults);
-    struct text_check {
-        std::string_view flag;
-        std::string const &value;
-        bool is_valid;
-        std::string_view allowed;
-    };
-    auto const is_address = [](std::string const &text) { return parse_endpoint(text).has_value(); };
-    constexpr std::string_view name_rule{"1 to 63 of a-z, 0-9 and -"};
-    constexpr std::string_view address_rule{"an IP number and a port, such as 10.0.0.1:8080"};
-    std::array<text_check, 5u> const checks{{
-        {"name", settings.name, internal::is_name(settings.name), name_rule},
-        {"failure_domain", settings.failure_domain, internal::is_name(settings.failure_domain), name_rule},
+    std::array<text_check, 5u> const texts{{
+        {"name", settings.name, is_name(settings.name), name_rule},
+        {"failure_domain", settings.failure_domain, is_name(settings.failure_domain), name_rule},
         {"http_address", settings.http_address, is_address(settings.http_address), address_rule},
         {"peer_address", settings.peer_address, is_address(settings.peer_address), address_rule},
         {"platform_address", settings.platform_address, is_address(settings.platform_address), address_rule},
     }};
-    for(auto const &check: checks) {
-        if(!check.is_valid) {
-            error = internal::setting_error(check.flag, check.value, check.allowed);
-            return std::nullopt;
-        }
-    }
-    struct number_check {
-        std::string_view flag;
-        int value;
-        int least;
-        int most;
-    };
     std::array<number_check, 3u> const numbers{{
-        {"traffic_threads", absl::GetFlag(FLAGS_traffic_threads), 1, internal::most_threads},
-        {"drain_grace_ms", absl::GetFlag(FLAGS_drain_grace_ms), 0, internal::longest_drain_ms},
-        {"drain_limit_ms", absl::GetFlag(FLAGS_drain_limit_ms), 0, internal::longest_drain_ms},
+        {"traffic_threads", absl::GetFlag(FLAGS_traffic_threads), 1, most_threads},
+        {"drain_grace_ms", absl::GetFlag(FLAGS_drain_grace_ms), 0, longest_drain_ms},
+        {"drain_limit_ms", absl::GetFlag(FLAGS_drain_limit_ms), 0, longest_drain_ms},
     }};
-    for(auto const &check: numbers) {
-        if(check.value < check.least || check.value > check.most) {
-            error = internal::setting_error(check.flag, std::to_string(check.value),
-                "from " + std::to_string(check.least) + " to " + std::to_string(check.most));
-            return std::nullopt;
-        }
-    }
-    settings.traffic_threads = static_cast<std::size_t>(numbers[0].value);
+    settings.traffic_threads = static_cast<std::size_t>(std::max(1, numbers[0].value));
     settings.drain_grace = millis{numbers[1].value};
     settings.drain_limit = millis{numbers[2].value};
-    return settings;
+    return first_error(texts, numbers);
+}
+
+std::string read_site_settings(site_settings &settings) {
+    settings.name = absl::GetFlag(FLAGS_name);
+    settings.failure_domain = absl::GetFlag(FLAGS_failure_domain);
+    settings.callers_address = absl::GetFlag(FLAGS_callers_address);
+    settings.readiness_address = absl::GetFlag(FLAGS_readiness_address);
+    settings.peer_address = absl::GetFlag(FLAGS_peer_address);
+    settings.metrics_address = absl::GetFlag(FLAGS_metrics_address);
+    settings.log_address = absl::GetFlag(FLAGS_log_address);
+    settings.adviser_address = absl::GetFlag(FLAGS_adviser_address);
+    std::array<text_check, 8u> const texts{{
+        {"name", settings.name, is_name(settings.name), name_rule},
+        {"failure_domain", settings.failure_domain, is_name(settings.failure_domain), name_rule},
+        {"callers_address", settings.callers_address, is_address(settings.callers_address), address_rule},
+        {"readiness_address", settings.readiness_address, is_address(settings.readiness_address), address_rule},
+        {"peer_address", settings.peer_address, is_address(settings.peer_address), address_rule},
+        {"metrics_address", settings.metrics_address, is_address_or_empty(settings.metrics_address), address_rule},
+        {"log_address", settings.log_address, is_address(settings.log_address), address_rule},
+        {"adviser_address", settings.adviser_address, is_address_or_empty(settings.adviser_address), address_rule},
+    }};
+    std::array<number_check, 4u> const numbers{{
+        {"lease_limit_ms", absl::GetFlag(FLAGS_lease_limit_ms), 1'000, longest_drain_ms},
+        {"gang_timeout_ms", absl::GetFlag(FLAGS_gang_timeout_ms), 100, longest_drain_ms},
+        {"status_time_s", absl::GetFlag(FLAGS_status_time_s), 1, longest_status_s},
+        {"shutdown_time_ms", absl::GetFlag(FLAGS_shutdown_time_ms), 500, longest_drain_ms},
+    }};
+    settings.lease_limit = millis{numbers[0].value};
+    settings.gang_timeout = millis{numbers[1].value};
+    settings.status_time = std::chrono::seconds{numbers[2].value};
+    settings.shutdown_time = millis{numbers[3].value};
+    return first_error(texts, numbers);
+}
+
+} // namespace internal
+
+std::optional<daemon_settings> read_settings(int const argc, char **argv, std::string &error) {
+    absl::SetProgramUsageMessage(
+        "Entry VM daemon of kingcuplink.\nEvery flag can also be set by an environment variable, such as "
+        "KINGCUPLINK_HTTP_ADDRESS.\nExit codes: 0 after a graceful shutdown, 1 on failure, 2 on a wrong setting.");
+    if(!internal::apply_environment(error)) {
+        return std::nullopt;
+    }
+    auto const rest = absl::ParseCommandLine(argc, argv);
+    if(rest.size() > 1u) {
+        error = std::string{"unexpected argument '"} + rest[1] + "': --help lists the flags";
+        return std::nullopt;
+    }
+    daemon_settings settings;
+    auto const form = absl::GetFlag(FLAGS_platform);
+    if(form != "endpoints" && form != "store") {
+        error = internal::setting_error("platform", form, "endpoints or store");
+        return std::nullopt;
+    }
+    settings.platform = form == "store" ? platform_form::store : platform_form::endpoints;
+    error = settings.platform == platform_form::store ? internal::read_site_settings(settings.site)
+                                                      : internal::read_endpoint_settings(settings);
+    return error.empty() ? std::optional{settings} : std::nullopt;
 }
 
 } // namespace kingcuplink
--- a/src/kingcuplink/daemon/settings.hpp
+++ b/src/kingcuplink/daemon/settings.hpp
@@ -2,14 +2,27 @@
 #define KINGCUPLINK_DAEMON_SETTINGS_HPP_INCLUDED
 
 #include <cstddef>
+#include <cstdint>
 #include <kingcuplink/core/time.hpp>
+#include <kingcuplink/site/site_settings.hpp>
 #include <optional>
 #include <string>
 
 namespace kingcuplink {
 
+/*! What a daemon finds around it. */
+enum class platform_form : std::uint8_t {
+    /*! Workers, runners, log and VM list that speak the product's own interfaces. */
+    endpoints,
+    /*! A site whose store keeps all lasting state, met by the adapter. */
+    store
+};
+
 /*! Settings of one daemon. */
 struct daemon_settings {
+    platform_form platform{platform_form::endpoints};
+    /*! Set for a platform with a store; what follows is then not used. */
+    site_settings site{};
     std::string name;
     std::string failure_domain;
     std::string http_address;
--- /dev/null
+++ b/src/kingcuplink/daemon/site_daemon.cpp
@@ -0,0 +1,158 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <chrono>
+#include <csignal>
+#include <iostream>
+#include <kingcuplink/core/decision_log.hpp>
+#include <kingcuplink/daemon/site_daemon.hpp>
+#include <kingcuplink/gateway/http_listener.hpp>
+#include <kingcuplink/gateway/responses.hpp>
+#include <kingcuplink/site/site_node.hpp>
+#include <kingcuplink/site/timing.hpp>
+#include <platform/advice_client.hpp>
+#include <platform/caller_front.hpp>
+#include <platform/site_reader.hpp>
+#include <platform/store_client.hpp>
+#include <platform/worker_client.hpp>
+#include <thread>
+#include <unistd.h>
+#include <zmq.hpp>
+
+namespace kingcuplink {
+
+namespace internal {
+
+constexpr int exit_failure = 1;
+/*! Idle connections kept to one address; a worker takes 64 from all entry VMs. */
+constexpr std::size_t idle_connections = 8u;
+/*! Largest body of a caller's request; the users' pages name 256 KiB. */
+constexpr std::uint64_t most_caller_body = std::uint64_t{256} << 10u;
+/*! Time between looks for requests under way while the process ends. */
+constexpr millis drain_poll{20};
+/*! Time for the balancer to see that this entry VM is not ready: two of its looks, and one more second. */
+constexpr millis balancer_time{3'000};
+
+/*! Writes collected lines and closes old connections for as long as the process runs. */
+boost::asio::awaitable<void> run_upkeep(boost::asio::io_context &context, decision_log &decisions, http_client &http) {
+    while(true) {
+        co_await pause_for(context, timing::flush_interval);
+        decisions.flush();
+        http.close_old();
+    }
+}
+
+/*! Runs a context on a thread of its own until it is destroyed. */
+class context_thread {
+public:
+    explicit context_thread(boost::asio::io_context &context)
+        : context_{context}, work_{context.get_executor()}, thread_{[&context]() { context.run(); }} {}
+
+    ~context_thread() {
+        context_.stop();
+        thread_.join();
+    }
+
+    context_thread(context_thread const &) = delete;
+    context_thread &operator=(context_thread const &) = delete;
+
+private:
+    boost::asio::io_context &context_;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+    std::thread thread_;
+};
+
+/*! Waits for SIGTERM or SIGINT; SIGHUP is noted and changes nothing, since all settings hold for the process's life. */
+void wait_for_end(decision_log &decisions) {
+    boost::asio::io_context context{1};
+    boost::asio::signal_set signals{context, SIGTERM, SIGINT, SIGHUP};
+    std::function<void(boost::system::error_code const &, int)> const on_signal =
+        [&](boost::system::error_code const &error, int const number) {
+            if(error || number != SIGHUP) {
+                context.stop();
+                return;
+            }
+            decisions.write(decision::settings_reloaded, {{"outcome", "unchanged"}});
+            signals.async_wait(on_signal);
+        };
+    signals.async_wait(on_signal);
+    context.run();
+}
+
+/*! Lets the balancer go elsewhere, then waits for requests under way. */
+void shut_down(
+    site_settings const &settings, site_node &node, http_listener &callers, boost::asio::io_context &control) {
+    auto const limit = std::chrono::steady_clock::now() + settings.shutdown_time;
+    callers.drain();
+    boost::asio::post(control, [&node]() { node.drain(); });
+    std::this_thread::sleep_for(std::min(balancer_time, settings.shutdown_time));
+    callers.stop_accepting();
+    while(callers.active_requests() > 0u && std::chrono::steady_clock::now() < limit) {
+        std::this_thread::sleep_for(drain_poll);
+    }
+}
+
+} // namespace internal
+
+int run_site_daemon(site_settings const &settings) {
+    counters stats;
+    decision_log decisions{STDOUT_FILENO, settings.name};
+    boost::asio::io_context control{1};
+    boost::asio::io_context traffic{1};
+    http_client http{control, stats, internal::idle_connections};
+    adapter::store_client log{http, settings.log_address};
+    adapter::site_reader reader;
+    adapter::worker_client workers{http};
+    adapter::advice_client advice{http, settings.adviser_address};
+    std::unique_ptr<site_node> node;
+    try {
+        node = std::make_unique<site_node>(
+            node_parts{control, settings, stats, decisions, log, reader, workers, advice});
+    } catch(zmq::error_t const &failure) {
+        std::cerr << "kingcuplinkd: --peer_address '" << settings.peer_address << "' cannot be used: " << failure.what()
+                  << ": free the address or name another\n";
+        return internal::exit_failure;
+    }
+    http_listener callers{
+        traffic, stats, adapter::caller_handler(control, *node, stats), {.body_bytes = internal::most_caller_body}};
+    http_listener readiness{traffic, stats, adapter::readiness_handler(*node), {}};
+    http_listener metrics{control, stats,
+        [&node](
+            http_request) -> boost::asio::awaitable<http_response> { co_return text_response(200u, node->metrics()); },
+        {}};
+    struct listening {
+        std::string_view flag;
+        http_listener &listener;
+        std::string const &address;
+    };
+    for(auto const &item: {listening{"callers_address", callers, settings.callers_address},
+            listening{"readiness_address", readiness, settings.readiness_address},
+            listening{"metrics_address", metrics, settings.metrics_address}}) {
+        if(!item.address.empty() && !item.listener.start(item.address)) {
+            std::cerr << "kingcuplinkd: --" << item.flag << " '" << item.address
+                      << "' cannot be used: free the address or name another\n";
+            return internal::exit_failure;
+        }
+    }
+    decisions.write(decision::process_started,
+        {{"domain", settings.failure_domain}, {"callers", settings.callers_address}, {"log", settings.log_address},
+            {"lease_limit_ms", settings.lease_limit.count()}});
+    node->start();
+    boost::asio::co_spawn(control, internal::run_upkeep(control, decisions, http), boost::asio::detached);
+    {
+        internal::context_thread const control_thread{control};
+        internal::context_thread const traffic_thread{traffic};
+        internal::wait_for_end(decisions);
+        decisions.write(decision::process_stopping, {{"requests", callers.active_requests()}});
+        internal::shut_down(settings, *node, callers, control);
+    }
+    decisions.flush();
+    // Open connections and suspended coroutines refer to objects of this frame: the process ends without unwinding
+    // them.
+    std::_Exit(0);
+}
+
+} // namespace kingcuplink
--- /dev/null
+++ b/src/kingcuplink/daemon/site_daemon.hpp
@@ -0,0 +1,16 @@
+#ifndef KINGCUPLINK_DAEMON_SITE_DAEMON_HPP_INCLUDED
+#define KINGCUPLINK_DAEMON_SITE_DAEMON_HPP_INCLUDED
+
+#include <kingcuplink/site/site_settings.hpp>
+
+namespace kingcuplink {
+
+/*!
+ * Runs an entry VM of a site with a store until SIGTERM or SIGINT.
+ * @return Exit code of the process.
+ */
+[[nodiscard]] int run_site_daemon(site_settings const &settings);
+
+} // namespace kingcuplink
+
+#endif
--- /dev/null
+++ b/src/kingcuplink/site/fleet_lead.cpp
@@ -0,0 +1,462 @@
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <kingcuplink/platform/http_client.hpp>
+#include <kingcuplink/site/fleet_lead.hpp>
+#include <kingcuplink/site/record_codec.hpp>
+#include <kingcuplink/site/timing.hpp>
+#include <utility>
+
+namespace kingcuplink {
+
+namespace internal {
+
+std::uint64_t size_of(keyed_record const &record) {
+    return record.key.size() + (record.value ? record.value->size() : 0u);
+}
+
+std::string name_of_run(run_key const &key) {
+    return std::to_string(key.step) + "." + std::to_string(key.index);
+}
+
+boost::json::object fields_of(run_key const &key, std::string const &worker) {
+    return {{"job", key.job}, {"task", name_of_run(key)}, {"run", key.run}, {"worker", worker}};
+}
+
+} // namespace internal
+
+fleet_lead::fleet_lead(
+    lead_parts const parts, std::uint64_t const term, std::uint64_t const sequence, fenced_listener on_fenced)
+    : parts_{parts},
+      term_{term},
+      sequence_{sequence},
+      on_fenced_{std::move(on_fenced)},
+      lease_{std::min(parts.settings.lease_limit, timing::most_lease)},
+      dispatcher_{{lease_, timing::renewal_without_log + lease_ + timing::worker_timeout, parts.settings.gang_timeout},
+          current_time()},
+      registrations_{parts.log, log_stream::workers},
+      plan_wanted_{parts.context},
+      journal_wanted_{parts.context},
+      appended_at_{current_time()} {
+    advisers_.add(parts_.settings.name);
+}
+
+void fleet_lead::start() {
+    auto const self = shared_from_this();
+    parts_.decisions.write(
+        decision::leadership_begun, {{"term", term_}, {"jobs", dispatcher_.figures(current_time()).jobs}});
+    boost::asio::co_spawn(parts_.context, follow_workers(self), boost::asio::detached);
+    boost::asio::co_spawn(parts_.context, run_planner(self), boost::asio::detached);
+    boost::asio::co_spawn(parts_.context, run_journal(self), boost::asio::detached);
+}
+
+void fleet_lead::end() noexcept {
+    over_ = true;
+    plan_wanted_.notify();
+    journal_wanted_.notify();
+}
+
+boost::asio::awaitable<void> fleet_lead::resign() {
+    auto const self = shared_from_this();
+    end();
+    std::vector<keyed_record> records;
+    records.push_back(encode(leader_claim{term_, parts_.settings.name, parts_.settings.peer_address, true}));
+    // Not repeated: without it the others wait for the silence.
+    co_await parts_.log.append(log_stream::jobs, std::move(records), log_writer{term_, ++sequence_});
+    parts_.decisions.write(decision::leadership_ended, {{"term", term_}, {"reason", "resigned"}});
+}
+
+void fleet_lead::set_rules(std::shared_ptr<site_rules const> rules) {
+    dispatcher_.set_rules(std::move(rules));
+    plan_wanted_.notify();
+}
+
+void fleet_lead::add_job(job_entry const &entry) {
+    dispatcher_.add_job(entry);
+    plan_wanted_.notify();
+}
+
+void fleet_lead::cancel_job(std::string const &id) {
+    dispatcher_.cancel_job(id);
+    plan_wanted_.notify();
+    journal_wanted_.notify();
+}
+
+void fleet_lead::forget(std::vector<std::string> const &ids) {
+    for(auto const &id: ids) {
+        auto records = encode_removal(id);
+        removals_.insert(removals_.end(), records.begin(), records.end());
+    }
+    journal_wanted_.notify();
+}
+
+dispatch_figures fleet_lead::figures() const {
+    return dispatcher_.figures(current_time());
+}
+
+void fleet_lead::fenced(std::string_view const by) {
+    if(over_) {
+        return;
+    }
+    parts_.decisions.write(
+        decision::leadership_ended, {{"term", term_}, {"reason", "a higher term is known"}, {"by", by}});
+    end();
+    on_fenced_();
+}
+
+bool fleet_lead::may_extend_leases(instant const now) const {
+    return appended_at_ + timing::renewal_without_log > now;
+}
+
+std::optional<std::int64_t> fleet_lead::clock_of(std::string const &worker, std::uint64_t const boot) const {
+    auto const found = clocks_.find(worker);
+    if(found == clocks_.end() || found->second.boot != boot) {
+        return std::nullopt;
+    }
+    return found->second.told + (current_time() - found->second.told_at).count();
+}
+
+boost::asio::awaitable<void> fleet_lead::follow_workers([[maybe_unused]] self_pointer self) {
+    while(!over_) {
+        auto const batch = co_await registrations_.next(timing::log_wait);
+        if(over_) {
+            break;
+        }
+        if(batch) {
+            take_registrations(*batch);
+            plan_wanted_.notify();
+        }
+        co_await pause_for(parts_.context, batch ? timing::worker_read_spacing : timing::log_retry);
+    }
+}
+
+void fleet_lead::take_registrations(keyed_batch const &batch) {
+    std::set<std::string> present;
+    auto const now = current_time();
+    for(auto const &record: batch.records) {
+        auto entry = record.value ? parts_.decoder.worker(record.key, *record.value) : std::nullopt;
+        if(!entry) {
+            dispatcher_.unregister_worker(record.key);
+            continue;
+        }
+        present.insert(entry->name);
+        auto const name = entry->name;
+        auto const *known = dispatcher_.find_worker(name);
+        if(known == nullptr || known->leaving != entry->leaving || known->boot != entry->boot) {
+            parts_.decisions.write(decision::worker_changed,
+                {{"worker", name}, {"address", entry->address}, {"domain", entry->domain}, {"boot", entry->boot},
+                    {"leaving", entry->leaving}});
+        }
+        dispatcher_.register_worker(std::move(*entry), now);
+        if(watched_.insert(name).second) {
+            boost::asio::co_spawn(parts_.context, watch_worker(shared_from_this(), name), boost::asio::detached);
+        }
+    }
+    if(batch.is_whole) {
+        for(auto const &name: watched_) {
+            if(!present.contains(name)) {
+                dispatcher_.unregister_worker(name);
+            }
+        }
+    }
+}
+
+boost::asio::awaitable<void> fleet_lead::watch_worker([[maybe_unused]] self_pointer self, std::string name) {
+    auto was_answered = false;
+    while(!over_ && dispatcher_.find_worker(name) != nullptr) {
+        auto const answered = co_await look_at(name, was_answered);
+        if(answered != was_answered && !over_) {
+            parts_.decisions.write(answered ? decision::worker_seen : decision::worker_silent, {{"worker", name}});
+        }
+        was_answered = answered;
+        co_await pause_for(parts_.context, answered ? timing::look_spacing : timing::look_retry);
+    }
+    watched_.erase(name);
+}
+
+boost::asio::awaitable<bool> fleet_lead::look_at(std::string const &name, bool const was_answered) {
+    auto const entry = *dispatcher_.find_worker(name);
+    auto const sent_at = current_time();
+    worker_target target{entry.name, entry.address, entry.boot};
+    look_request request{term_, dispatcher_.kept_end(name), timing::look_wait, std::nullopt};
+    if(!was_answered) {
+        // Whichever boot answers: neither its ends nor its leases are touched before they are known.
+        target.boot = 0u;
+        request.kept_end = 0u;
+        request.wait = millis{};
+    } else if(auto const clock = clock_of(name, entry.boot); clock && may_extend_leases(sent_at)) {
+        request.expires_at = *clock + lease_.count();
+        dispatcher_.lease_extended(name, timing::lapsed_at(sent_at, lease_));
+    }
+    auto const answer = co_await parts_.workers.look(std::move(target), request, request.wait + timing::worker_timeout);
+    if(over_) {
+        co_return false;
+    }
+    if(answer.outcome == look_outcome::fenced) {
+        fenced("worker " + name);
+        co_return false;
+    }
+    if(answer.outcome != look_outcome::answered) {
+        co_return false;
+    }
+    auto const now = current_time();
+    auto const known = dispatcher_.find_worker(name);
+    if(known != nullptr && known->boot != 0u && known->boot != answer.inventory.boot) {
+        parts_.decisions.write(
+            decision::worker_restarted, {{"worker", name}, {"boot", answer.inventory.boot}, {"earlier", known->boot}});
+    }
+    clocks_[name] = {answer.inventory.boot, answer.clock, now};
+    for(auto const &end: answer.inventory.ended) {
+        if(end.number > request.kept_end) {
+            auto fields = internal::fields_of(end.key, name);
+            fields["how"] = name_of(end.how);
+            fields["end"] = end.number;
+            parts_.decisions.write(decision::run_ended, std::move(fields));
+            parts_.stats.add(event::task_ended);
+        }
+    }
+    dispatcher_.take_inventory(name, answer.inventory, sent_at, now);
+    plan_wanted_.notify();
+    journal_wanted_.notify();
+    co_return true;
+}
+
+boost::asio::awaitable<void> fleet_lead::run_planner([[maybe_unused]] self_pointer self) {
+    while(!over_) {
+        co_await plan_wanted_.wait(timing::plan_interval);
+        if(!over_) {
+            plan();
+        }
+        co_await pause_for(parts_.context, timing::plan_spacing);
+    }
+}
+
+void fleet_lead::plan() {
+    auto const now = current_time();
+    drop_silent_advisers(now);
+    dispatch_plan decided;
+    dispatcher_.plan(now, decided);
+    for(auto &stop: decided.stops) {
+        boost::asio::co_spawn(parts_.context, stop_run(shared_from_this(), std::move(stop)), boost::asio::detached);
+    }
+    for(auto &query: decided.queries) {
+        ask(std::move(query));
+    }
+    journal_wanted_.notify();
+}
+
+boost::asio::awaitable<void> fleet_lead::run_journal([[maybe_unused]] self_pointer self) {
+    while(!over_) {
+        co_await journal_wanted_.wait(timing::leader_heartbeat);
+        co_await pause_for(parts_.context, timing::append_spacing);
+        if(over_) {
+            break;
+        }
+        auto const batch = dispatcher_.next_batch();
+        std::vector<keyed_record> records;
+        for(auto const &[id, progress]: batch.records) {
+            records.push_back(encode(id, progress));
+            if(is_final(progress.phase)) {
+                parts_.decisions.write(decision::job_ended, {{"job", id}, {"phase", name_of(progress.phase)}});
+            }
+        }
+        records.insert(records.end(), removals_.begin(), removals_.end());
+        removals_.clear();
+        if(records.empty() && appended_at_ + timing::leader_heartbeat <= current_time()) {
+            records.push_back(encode(leader_claim{term_, parts_.settings.name, parts_.settings.peer_address, false}));
+        }
+        if(!records.empty() && !co_await keep(std::move(records))) {
+            break;
+        }
+        if(batch.empty()) {
+            continue;
+        }
+        std::vector<run_start> starts;
+        dispatcher_.batch_kept(batch, current_time(), starts);
+        for(auto &start: starts) {
+            boost::asio::co_spawn(
+                parts_.context, start_run(shared_from_this(), std::move(start)), boost::asio::detached);
+        }
+        plan_wanted_.notify();
+    }
+}
+
+boost::asio::awaitable<bool> fleet_lead::keep(std::vector<keyed_record> records) {
+    auto next = records.begin();
+    while(next != records.end()) {
+        std::vector<keyed_record> chunk;
+        for(std::uint64_t bytes{}; next != records.end() && (chunk.empty() || bytes < timing::append_bytes); ++next) {
+            bytes += internal::size_of(*next);
+            chunk.push_back(std::move(*next));
+        }
+        ++sequence_;
+        auto is_kept = false;
+        while(!is_kept && !over_) {
+            auto const sent_at = current_time();
+            auto const answer = co_await parts_.log.append(log_stream::jobs, chunk, log_writer{term_, sequence_});
+            switch(answer.outcome) {
+            case append_outcome::done:
+                is_kept = true;
+                appended_at_ = sent_at;
+                parts_.stats.add(event::journal_appended);
+                break;
+            case append_outcome::fenced:
+            case append_outcome::out_of_sequence:
+                fenced("log");
+                co_return false;
+            case append_outcome::refused:
+            case append_outcome::unknown:
+                parts_.stats.add(event::log_append_failed);
+                co_await pause_for(parts_.context, timing::log_retry);
+                break;
+            }
+        }
+    }
+    co_return !over_;
+}
+
+boost::asio::awaitable<void> fleet_lead::start_run([[maybe_unused]] self_pointer self, run_start run) {
+    auto const now = current_time();
+    auto const clock = clock_of(run.worker, run.boot);
+    auto fields = internal::fields_of(run.key, run.worker);
+    auto answer = start_answer::not_sent;
+    if(clock && !over_) {
+        dispatcher_.lease_extended(run.worker, timing::lapsed_at(now, lease_));
+        parts_.stats.add(event::task_start_sent);
+        worker_target target{run.worker, run.address, run.boot};
+        answer = co_await parts_.workers.start(
+            std::move(target), run, term_, *clock + lease_.count(), timing::worker_timeout);
+    }
+    if(over_) {
+        co_return;
+    }
+    dispatcher_.start_answered(run.placement, answer, current_time());
+    fields["token"] = term_;
+    fields["answer"] = name_of(answer);
+    switch(answer) {
+    case start_answer::started:
+        parts_.stats.add(event::task_start_confirmed);
+        parts_.decisions.write(decision::run_started, std::move(fields));
+        break;
+    case start_answer::unknown:
+        parts_.stats.add(event::task_start_unknown);
+        parts_.decisions.write(decision::run_start_unanswered, std::move(fields));
+        break;
+    default:
+        parts_.stats.add(event::task_start_refused);
+        parts_.decisions.write(decision::run_start_refused, std::move(fields));
+        break;
+    }
+    if(answer == start_answer::fenced) {
+        fenced("worker " + run.worker);
+    }
+    plan_wanted_.notify();
+    journal_wanted_.notify();
+}
+
+boost::asio::awaitable<void> fleet_lead::stop_run([[maybe_unused]] self_pointer self, run_stop stop) {
+    parts_.stats.add(event::task_stop_sent);
+    worker_target target{stop.worker, stop.address, stop.boot};
+    auto const answered = co_await parts_.workers.stop(std::move(target), stop.key, term_, timing::worker_timeout);
+    if(over_) {
+        co_return;
+    }
+    dispatcher_.stop_answered(stop.placement, answered, current_time());
+    auto fields = internal::fields_of(stop.key, stop.worker);
+    fields["answered"] = answered;
+    parts_.decisions.write(decision::run_stopped, std::move(fields));
+}
+
+void fleet_lead::meet(std::string const &peer, std::string const &address) {
+    parts_.peers.connect(peer, address);
+    advisers_.add(peer);
+    adviser_seen_[peer] = current_time();
+    dispatcher_.set_advisers(advisers_.size());
+}
+
+void fleet_lead::drop_silent_advisers(instant const now) {
+    for(auto entry = adviser_seen_.begin(); entry != adviser_seen_.end();) {
+        if(entry->second + timing::adviser_silence > now) {
+            ++entry;
+            continue;
+        }
+        advisers_.remove(entry->first);
+        entry = adviser_seen_.erase(entry);
+        dispatcher_.set_advisers(advisers_.size());
+    }
+}
+
+void fleet_lead::ask(advice_query query) {
+    auto const asker = advisers_.book(query.duration, current_time());
+    if(asker != parts_.settings.name) {
+        wire::envelope message;
+        auto &question = *message.mutable_advice_question();
+        question.set_id(++next_question_);
+        question.set_job(query.job);
+        question.set_step(query.step);
+        for(auto const &worker: query.workers) {
+            question.add_workers(worker);
+        }
+        if(parts_.peers.send(asker, message)) {
+            auto const limit = query.duration * 2 + timing::advice_slack;
+            questions_.emplace(next_question_, open_question{asker, std::move(query)});
+            boost::asio::co_spawn(
+                parts_.context, expire_question(shared_from_this(), next_question_, limit), boost::asio::detached);
+            return;
+        }
+        advisers_.release(asker, current_time());
+    }
+    boost::asio::co_spawn(parts_.context, ask_adviser(shared_from_this(), std::move(query)), boost::asio::detached);
+}
+
+boost::asio::awaitable<void> fleet_lead::ask_adviser([[maybe_unused]] self_pointer self, advice_query query) {
+    auto const limit = query.duration * 2 + timing::advice_slack;
+    auto const grants = co_await parts_.advice.ask(query, limit);
+    if(!over_) {
+        settle_question(parts_.settings.name, query, grants);
+    }
+}
+
+boost::asio::awaitable<void> fleet_lead::expire_question(
+    [[maybe_unused]] self_pointer self, std::uint64_t const id, millis const time) {
+    co_await pause_for(parts_.context, time);
+    if(auto const found = questions_.find(id); found != questions_.end() && !over_) {
+        auto const question = std::move(found->second);
+        questions_.erase(found);
+        settle_question(question.peer, question.query, std::nullopt);
+    }
+}
+
+void fleet_lead::take_advice(std::string const &peer, wire::advice_answer const &answer) {
+    auto const found = questions_.find(answer.id());
+    if(found == questions_.end() || found->second.peer != peer || over_) {
+        return;
+    }
+    auto const question = std::move(found->second);
+    questions_.erase(found);
+    std::optional<std::vector<advice_grant>> grants;
+    if(answer.answered()) {
+        grants.emplace();
+        for(auto const &grant: answer.grants()) {
+            grants->push_back({grant.worker(), grant.ticket()});
+        }
+    }
+    settle_question(peer, question.query, grants);
+}
+
+void fleet_lead::settle_question(
+    std::string const &asker, advice_query const &query, std::optional<std::vector<advice_grant>> const &grants) {
+    auto const now = current_time();
+    advisers_.release(asker, now);
+    if(grants) {
+        dispatcher_.take_advice(query, *grants, now);
+    } else {
+        dispatcher_.advice_failed(query, now);
+    }
+    parts_.decisions.write(decision::advice_given,
+        {{"job", query.job}, {"step", query.step}, {"asked", query.workers.size()}, {"asker", asker},
+            {"approved", grants ? static_cast<std::int64_t>(grants->size()) : std::int64_t{-1}}});
+    plan_wanted_.notify();
+}
+
+} // namespace kingcuplink
--- /dev/null
+++ b/src/kingcuplink/site/fleet_lead.hpp
@@ -0,0 +1,143 @@
+#ifndef KINGCUPLINK_SITE_FLEET_LEAD_HPP_INCLUDED
+#define KINGCUPLINK_SITE_FLEET_LEAD_HPP_INCLUDED
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <kingcuplink/core/counters.hpp>
+#include <kingcuplink/core/decision_log.hpp>
+#include <kingcuplink/site/keyed_reader.hpp>
+#include <kingcuplink/site/ports.hpp>
+#include <kingcuplink/site/site_settings.hpp>
+#include <kingcuplink/site/wakeup.hpp>
+#include <kingcuplink/wire/peer_link.hpp>
+#include <kingcuplink/workflow/adviser_pool.hpp>
+#include <kingcuplink/workflow/dispatcher.hpp>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace kingcuplink {
+
+/*! What a leader needs of its entry VM; all references must outlive it. */
+struct lead_parts {
+    boost::asio::io_context &context;
+    site_settings const &settings;
+    counters &stats;
+    decision_log &decisions;
+    keyed_log &log;
+    site_decoder &decoder;
+    worker_port &workers;
+    advice_port &advice;
+    peer_link &peers;
+};
+
+/*!
+ * One uninterrupted time as the leader of the fleet: it carries out what its
+ * dispatcher decides, with the term as the token that workers obey and as the epoch
+ * of its appends. It ends for good with end(). To be used by the control thread alone.
+ */
+class fleet_lead : public std::enable_shared_from_this<fleet_lead> {
+public:
+    /*! Called once when the log or a worker knows a higher term. */
+    using fenced_listener = std::function<void()>;
+
+    /*!
+     * Constructs a leader.
+     * @param sequence Number of the append that claimed the term.
+     */
+    fleet_lead(lead_parts parts, std::uint64_t term, std::uint64_t sequence, fenced_listener on_fenced);
+
+    /*! Begins to work. Call once, with the rules and all jobs loaded. */
+    void start();
+
+    /*! Stops for good; nothing is sent any more. */
+    void end() noexcept;
+
+    /*! Gives leadership up in the log. */
+    boost::asio::awaitable<void> resign();
+
+    /*! Takes the operators' rules. */
+    void set_rules(std::shared_ptr<site_rules const> rules);
+
+    /*! Takes a job as the log has it. */
+    void add_job(job_entry const &entry);
+
+    /*! Takes a caller's wish to cancel a job. */
+    void cancel_job(std::string const &id);
+
+    /*! Takes the introduction of an entry VM that can ask for advice. */
+    void meet(std::string const &peer, std::string const &address);
+
+    /*! Takes advice that another entry VM got. */
+    void take_advice(std::string const &peer, wire::advice_answer const &answer);
+
+    /*! Removes jobs from the log. */
+    void forget(std::vector<std::string> const &ids);
+
+    [[nodiscard]] std::uint64_t term() const noexcept {
+        return term_;
+    }
+
+    /*! Returns figures. */
+    [[nodiscard]] dispatch_figures figures() const;
+
+private:
+    /*! A worker's clock as last told. */
+    struct worker_clock {
+        std::uint64_t boot{};
+        std::int64_t told{};
+        instant told_at{};
+    };
+
+    /*! Question that another entry VM asks on the leader's behalf. */
+    struct open_question {
+        std::string peer;
+        advice_query query;
+    };
+
+    using self_pointer = std::shared_ptr<fleet_lead>;
+
+    boost::asio::awaitable<void> follow_workers(self_pointer self);
+    void take_registrations(keyed_batch const &batch);
+    boost::asio::awaitable<void> watch_worker(self_pointer self, std::string name);
+    boost::asio::awaitable<bool> look_at(std::string const &name, bool was_answered);
+    boost::asio::awaitable<void> run_planner(self_pointer self);
+    boost::asio::awaitable<void> run_journal(self_pointer self);
+    boost::asio::awaitable<bool> keep(std::vector<keyed_record> records);
+    boost::asio::awaitable<void> start_run(self_pointer self, run_start run);
+    boost::asio::awaitable<void> stop_run(self_pointer self, run_stop stop);
+    boost::asio::awaitable<void> ask_adviser(self_pointer self, advice_query query);
+    boost::asio::awaitable<void> expire_question(self_pointer self, std::uint64_t id, millis time);
+    void ask(advice_query query);
+    void settle_question(
+        std::string const &asker, advice_query const &query, std::optional<std::vector<advice_grant>> const &grants);
+    void plan();
+    void drop_silent_advisers(instant now);
+    void fenced(std::string_view by);
+    [[nodiscard]] std::optional<std::int64_t> clock_of(std::string const &worker, std::uint64_t boot) const;
+    [[nodiscard]] bool may_extend_leases(instant now) const;
+
+    lead_parts parts_;
+    std::uint64_t term_;
+    std::uint64_t sequence_;
+    fenced_listener on_fenced_;
+    millis lease_;
+    dispatcher dispatcher_;
+    keyed_reader registrations_;
+    adviser_pool advisers_;
+    std::map<std::string, instant> adviser_seen_;
+    std::map<std::uint64_t, open_question> questions_;
+    std::uint64_t next_question_{};
+    std::map<std::string, worker_clock> clocks_;
+    std::set<std::string> watched_;
+    std::vector<keyed_record> removals_;
+    wakeup plan_wanted_;
+    wakeup journal_wanted_;
+    instant appended_at_;
+    bool over_{};
+};
+
+} // namespace kingcuplink
+
+#endif
--- /dev/null
+++ b/src/kingcuplink/site/fwd.hpp
@@ -0,0 +1,22 @@
+#ifndef KINGCUPLINK_SITE_FWD_HPP_INCLUDED
+#define KINGCUPLINK_SITE_FWD_HPP_INCLUDED
+
+namespace kingcuplink {
+
+struct site_settings;
+
+class keyed_log;
+
+class worker_port;
+
+class advice_port;
+
+class keyed_reader;
+
+class fleet_lead;
+
+class site_node;
+
+} // namespace kingcuplink
+
+#endif
--- /dev/null
+++ b/src/kingcuplink/site/keyed_reader.cpp
@@ -0,0 +1,54 @@
+#include <kingcuplink/platform/http_client.hpp>
+#include <kingcuplink/site/keyed_reader.hpp>
+#include <utility>
+
+namespace kingcuplink {
+
+keyed_reader::keyed_reader(keyed_log &log, log_stream const stream) : log_{log}, stream_{stream} {}
+
+boost::asio::awaitable<std::optional<keyed_batch>> keyed_reader::next(millis const wait) {
+    if(!synced_) {
+        co_return co_await read_whole();
+    }
+    auto const sent_at = current_time();
+    auto answer = co_await log_.read(stream_, offset_, wait);
+    switch(answer.outcome) {
+    case read_outcome::done:
+        offset_ = answer.next;
+        fresh_at_ = sent_at;
+        co_return keyed_batch{false, std::move(answer.records)};
+    case read_outcome::expired:
+        synced_ = false;
+        co_return co_await read_whole();
+    case read_outcome::failed:
+        break;
+    }
+    co_return std::nullopt;
+}
+
+boost::asio::awaitable<std::optional<keyed_batch>> keyed_reader::read_whole() {
+    keyed_batch batch{true, {}};
+    auto const sent_at = current_time();
+    std::optional<std::uint64_t> end;
+    std::string after;
+    for(auto has_more = true; has_more;) {
+        auto page = co_await log_.newest(stream_, after);
+        if(!page.answered) {
+            co_return std::nullopt;
+        }
+        // Later pages may hold later records: reading goes on from the end that the first page named.
+        end = end ? end : page.end;
+        has_more = page.has_more && !page.records.empty();
+        if(has_more) {
+            after = page.records.back().key;
+        }
+        batch.records.insert(batch.records.end(), std::make_move_iterator(page.records.begin()),
+            std::make_move_iterator(page.records.end()));
+    }
+    offset_ = *end;
+    synced_ = true;
+    fresh_at_ = sent_at;
+    co_return batch;
+}
+
+} // namespace kingcuplink
--- /dev/null
+++ b/src/kingcuplink/site/record_codec.cpp
@@ -0,0 +1,163 @@
+#include <array>
+#include <kingcuplink/site/record_codec.hpp>
+#include <kingcuplink/wire/generated/messages.pb.h>
+#include <utility>
+
+namespace kingcuplink {
+
+namespace internal {
+
+constexpr std::string_view leader_key{"leader"};
+/*! Prefixes of keys, in the order of record_kind. */
+constexpr std::array<std::string_view, 3u> key_prefixes{"job/", "progress/", "cancel/"};
+
+std::string key_of(record_kind const kind, std::string const &id) {
+    return std::string{key_prefixes[static_cast<std::size_t>(kind)]} + id;
+}
+
+template<typename Message>
+std::optional<Message> parse(std::string_view const bytes) {
+    Message message;
+    if(!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        return std::nullopt;
+    }
+    return message;
+}
+
+wire::step_record to_wire(step_definition const &step) {
+    wire::step_record record;
+    record.set_count(step.count);
+    record.set_millicores(step.task_size.millicores);
+    record.set_memory_mib(step.task_size.memory_mib);
+    record.set_accelerators(step.task_size.accelerators);
+    record.set_estimate_ms(step.estimate.count());
+    for(auto const before: step.after) {
+        record.add_after(before);
+    }
+    record.set_gang(step.gang);
+    record.set_same_rack(step.same_rack);
+    record.set_checkpointing(step.checkpointing);
+    record.set_long_running(step.long_running);
+    record.set_required_label(step.required_label);
+    record.set_data_rack(step.data_rack);
+    record.set_most_per_worker(step.most_per_worker);
+    return record;
+}
+
+step_definition from_wire(wire::step_record const &record) {
+    step_definition step;
+    step.count = record.count();
+    step.task_size = {record.millicores(), record.memory_mib(), record.accelerators()};
+    step.estimate = millis{record.estimate_ms()};
+    step.after.assign(record.after().begin(), record.after().end());
+    step.gang = record.gang();
+    step.same_rack = record.same_rack();
+    step.checkpointing = record.checkpointing();
+    step.long_running = record.long_running();
+    step.required_label = record.required_label();
+    step.data_rack = record.data_rack();
+    step.most_per_worker = record.most_per_worker();
+    return step;
+}
+
+} // namespace internal
+
+std::optional<record_name> parse_record_key(std::string_view const key) {
+    if(key == internal::leader_key) {
+        return record_name{record_kind::leader, {}};
+    }
+    for(std::size_t pos{}; pos < internal::key_prefixes.size(); ++pos) {
+        if(key.starts_with(internal::key_prefixes[pos])) {
+            return record_name{
+                static_cast<record_kind>(pos), std::string{key.substr(internal::key_prefixes[pos].size())}};
+        }
+    }
+    return std::nullopt;
+}
+
+keyed_record encode(job_definition const &job) {
+    wire::job_record record;
+    record.set_queue(job.queue);
+    record.set_account(job.account);
+    record.set_payload(job.payload);
+    record.set_accepted_at(job.accepted_at.time_since_epoch().count());
+    for(auto const &step: job.steps) {
+        *record.add_steps() = internal::to_wire(step);
+    }
+    return {internal::key_of(record_kind::job, job.id), record.SerializeAsString()};
+}
+
+keyed_record encode(std::string const &id, job_progress const &progress) {
+    wire::progress_record record;
+    record.set_phase(static_cast<std::uint32_t>(progress.phase));
+    for(auto const &task: progress.tasks) {
+        auto *row = record.add_tasks();
+        row->set_step(task.step);
+        row->set_index(task.index);
+        row->set_run(task.run);
+        row->set_failures(task.failures);
+        row->set_done(task.done);
+        row->set_worker(task.worker);
+        row->set_checkpoint(task.checkpoint);
+    }
+    return {internal::key_of(record_kind::progress, id), record.SerializeAsString()};
+}
+
+keyed_record encode(leader_claim const &claim) {
+    wire::leader_record record;
+    record.set_term(claim.term);
+    record.set_name(claim.name);
+    record.set_peer_address(claim.peer_address);
+    record.set_resigned(claim.resigned);
+    return {std::string{internal::leader_key}, record.SerializeAsString()};
+}
+
+keyed_record encode_cancellation(std::string const &id) {
+    return {internal::key_of(record_kind::cancellation, id), std::string{"1"}};
+}
+
+std::vector<keyed_record> encode_removal(std::string const &id) {
+    return {{internal::key_of(record_kind::job, id), std::nullopt},
+        {internal::key_of(record_kind::progress, id), std::nullopt},
+        {internal::key_of(record_kind::cancellation, id), std::nullopt}};
+}
+
+std::optional<job_definition> decode_job(std::string id, std::string_view const bytes) {
+    auto const record = internal::parse<wire::job_record>(bytes);
+    if(!record) {
+        return std::nullopt;
+    }
+    job_definition job;
+    job.id = std::move(id);
+    job.queue = record->queue();
+    job.account = record->account();
+    job.payload = record->payload();
+    job.accepted_at = instant{millis{record->accepted_at()}};
+    for(auto const &step: record->steps()) {
+        job.steps.push_back(internal::from_wire(step));
+    }
+    return job;
+}
+
+std::optional<job_progress> decode_progress(std::string_view const bytes) {
+    auto const record = internal::parse<wire::progress_record>(bytes);
+    if(!record || record->phase() > static_cast<std::uint32_t>(job_phase::cancelled)) {
+        return std::nullopt;
+    }
+    job_progress progress{static_cast<job_phase>(record->phase()), {}};
+    for(auto const &row: record->tasks()) {
+        progress.tasks.push_back(
+            {row.step(), row.index(), row.run(), row.failures(), row.done(), row.worker(), row.checkpoint()});
+    }
+    return progress;
+}
+
+std::optional<leader_claim> decode_leader(std::string_view const bytes) {
+    auto const record = internal::parse<wire::leader_record>(bytes);
+    if(!record) {
+        return std::nullopt;
+    }
+    return leader_claim{record->term(), record->name(), record->peer_address(), record->resigned()};
+}
+
+} // namespace kingcuplink
--- /dev/null
+++ b/src/kingcuplink/site/site_node.cpp
@@ -0,0 +1,566 @@
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <cctype>
+#include <kingcuplink/core/config.hpp>
+#include <kingcuplink/core/hash.hpp>
+#include <kingcuplink/platform/http_client.hpp>
+#include <kingcuplink/site/site_node.hpp>
+#include <kingcuplink/site/timing.hpp>
+#include <utility>
+
+namespace kingcuplink {
+
+namespace internal {
+
+constexpr std::size_t job_id_length = 16u;
+/*! Time that an acceptance may take if the caller does not say how long it waits. */
+constexpr millis default_patience{2'000};
+/*! Part of a caller's patience that is left for the answer's way back. */
+constexpr millis answer_reserve{300};
+/*! Time between looks for jobs to forget. */
+constexpr millis forget_interval{5'000};
+/*! Time between looks at the leader. */
+constexpr millis leader_check{100};
+/*! Time for the balancer to notice that this entry VM leaves, before leadership goes. */
+constexpr millis resign_delay{300};
+
+bool is_job_id(std::string_view const id) {
+    return id.size() == job_id_length && std::all_of(id.begin(), id.end(), [](char const letter) {
+        return std::isxdigit(static_cast<unsigned char>(letter)) != 0;
+    });
+}
+
+caller_answer refused(refusal const reason, std::string detail = {}) {
+    return {problem{reason, std::move(detail)}, std::nullopt, std::nullopt};
+}
+
+/*! Returns what is wrong with a draft, or an empty text. */
+std::string fault_of(job_definition const &draft) {
+    if(draft.steps.empty()) {
+        return "a job has at least one step";
+    }
+    if(!is_well_ordered(draft.steps)) {
+        return "a step may only come after earlier steps";
+    }
+    std::int64_t tasks{};
+    for(auto const &step: draft.steps) {
+        tasks += step.count;
+        auto const &size = step.task_size;
+        if(step.count == 0u || size.millicores < 0 || size.memory_mib < 0 || size.accelerators < 0) {
+            return "each step has at least one task of a size that is not negative";
+        }
+    }
+    return tasks > config::tasks_per_job ? "a job has at most 4096 tasks" : std::string{};
+}
+
+} // namespace internal
+
+site_node::site_node(node_parts const parts)
+    : parts_{parts},
+      jobs_{parts.log, log_stream::jobs},
+      rules_reader_{parts.log, log_stream::rules},
+      intake_wanted_{parts.context},
+      random_{std::random_device{}()},
+      peers_{parts.settings.name, parts.settings.peer_address, parts.stats, [this](wire::envelope message) {
+                 boost::asio::post(parts_.context, [this, message = std::move(message)]() { handle(message); });
+             }} {}
+
+void site_node::start() {
+    for(auto const loop: {&site_node::follow_jobs, &site_node::follow_rules, &site_node::run_intake,
+            &site_node::watch_leader, &site_node::introduce}) {
+        boost::asio::co_spawn(parts_.context, (this->*loop)(), boost::asio::detached);
+    }
+}
+
+// Callers.
+
+boost::asio::awaitable<caller_answer> site_node::serve(caller_request request) {
+    auto const rules = rules_;
+    if(rules == nullptr || !jobs_.is_synced()) {
+        co_return internal::refused(refusal::no_configuration);
+    }
+    auto const *queue = find_queue(*rules, request.host, request.path);
+    if(queue == nullptr) {
+        co_return internal::refused(refusal::queue_unknown, request.path);
+    }
+    auto const *account = find_account_of_key(*rules, request.key);
+    if(account == nullptr && !queue->open) {
+        co_return internal::refused(request.key.empty() ? refusal::key_missing : refusal::key_unknown);
+    }
+    auto id = request.path.substr(queue->path_prefix.size());
+    if(id.empty() && request.wish == caller_wish::ask) {
+        co_return tell_pending(*queue);
+    }
+    if(!internal::is_job_id(id)) {
+        co_return internal::refused(refusal::job_malformed, "the identifier must be 16 hexadecimal digits");
+    }
+    auto owner = account == nullptr ? std::string{} : account->name;
+    switch(request.wish) {
+    case caller_wish::submit:
+        co_return co_await submit(std::move(request), *queue, std::move(owner), std::move(id));
+    case caller_wish::cancel:
+        co_return co_await cancel(request, std::move(id));
+    case caller_wish::ask:
+        break;
+    }
+    co_return tell_state(*queue, id);
+}
+
+boost::asio::awaitable<caller_answer> site_node::submit(
+    caller_request request, queue_rules const &queue, std::string account, std::string id) {
+    if(auto const *known = table_.find(id); known != nullptr) {
+        co_return caller_answer{std::nullopt, job_table::visible_phase(*known), std::nullopt};
+    }
+    auto const fault = request.draft ? internal::fault_of(*request.draft) : request.draft_error;
+    if(!fault.empty()) {
+        co_return internal::refused(refusal::job_malformed, fault);
+    }
+    auto job = std::move(*request.draft);
+    job.id = id;
+    job.queue = queue.name;
+    job.account = std::move(account);
+    job.accepted_at = current_time();
+    auto record = encode(job);
+    auto const outcome = co_await hand_in(std::move(record), request.patience);
+    switch(outcome) {
+    case append_outcome::done:
+        parts_.stats.add(event::job_accepted);
+        parts_.decisions.write(decision::job_accepted,
+            {{"job", id}, {"queue", job.queue}, {"account", job.account}, {"rules", rules_->version},
+                {"ms", (current_time() - job.accepted_at).count()}});
+        define(std::move(job));
+        co_return caller_answer{std::nullopt, job_phase::queued, std::nullopt};
+    case append_outcome::unknown:
+        parts_.decisions.write(decision::job_outcome_unknown, {{"job", id}, {"queue", job.queue}});
+        co_return internal::refused(refusal::outcome_unknown, id);
+    default:
+        parts_.decisions.write(
+            decision::job_refused, {{"job", id}, {"queue", job.queue}, {"reason", "log_unavailable"}});
+        co_return internal::refused(refusal::log_unavailable, id);
+    }
+}
+
+boost::asio::awaitable<caller_answer> site_node::cancel(caller_request const &request, std::string id) {
+    auto const *known = table_.find(id);
+    if(known == nullptr) {
+        co_return unknown_job(id);
+    }
+    if(is_final(job_table::visible_phase(*known))) {
+        co_return caller_answer{std::nullopt, job_table::visible_phase(*known), std::nullopt};
+    }
+    auto record = encode_cancellation(id);
+    auto const outcome = co_await hand_in(std::move(record), request.patience);
+    if(outcome == append_outcome::done) {
+        parts_.decisions.write(decision::job_cancelled, {{"job", id}});
+        table_.cancel(id);
+        if(lead_ != nullptr) {
+            lead_->cancel_job(id);
+        }
+        co_return caller_answer{std::nullopt, job_phase::cancelled, std::nullopt};
+    }
+    co_return internal::refused(
+        outcome == append_outcome::unknown ? refusal::outcome_unknown : refusal::log_unavailable, id);
+}
+
+bool site_node::is_fresh() const {
+    return jobs_.fresh_at() + timing::fresh_enough > current_time();
+}
+
+caller_answer site_node::unknown_job(std::string const &id) const {
+    return internal::refused(is_fresh() ? refusal::job_unknown : refusal::log_unavailable, id);
+}
+
+caller_answer site_node::tell_state(queue_rules const &queue, std::string const &id) const {
+    auto const *known = table_.find(id);
+    if(known == nullptr || known->definition.queue != queue.name) {
+        return unknown_job(id);
+    }
+    return {std::nullopt, job_table::visible_phase(*known), std::nullopt};
+}
+
+caller_answer site_node::tell_pending(queue_rules const &queue) const {
+    if(!is_fresh()) {
+        return internal::refused(refusal::log_unavailable, queue.name);
+    }
+    return {std::nullopt, std::nullopt, table_.pending(queue.name)};
+}
+
+boost::asio::awaitable<append_outcome> site_node::hand_in(keyed_record record, millis const patience) {
+    auto const item = std::make_shared<intake_item>(parts_.context);
+    item->record = std::move(record);
+    auto const time = patience > millis{} ? patience - internal::answer_reserve : internal::default_patience;
+    item->give_up_at = current_time() + std::min(time, internal::default_patience);
+    intake_.push_back(item);
+    intake_wanted_.notify();
+    while(!item->is_settled) {
+        co_await item->settled.wait(internal::default_patience);
+    }
+    co_return item->outcome;
+}
+
+boost::asio::awaitable<void> site_node::run_intake() {
+    while(true) {
+        co_await intake_wanted_.wait(timing::log_wait);
+        if(intake_.empty()) {
+            continue;
+        }
+        co_await pause_for(parts_.context, timing::intake_spacing);
+        boost::asio::co_spawn(parts_.context, append_intake(std::exchange(intake_, {})), boost::asio::detached);
+    }
+}
+
+boost::asio::awaitable<void> site_node::append_intake(std::vector<intake_pointer> items) {
+    auto const settle = [](intake_pointer const &item, append_outcome const outcome) {
+        item->outcome = outcome;
+        item->is_settled = true;
+        item->settled.notify();
+    };
+    auto refusals = 0;
+    auto may_be_done = false;
+    while(!items.empty()) {
+        std::vector<keyed_record> records;
+        for(auto const &item: items) {
+            records.push_back(item->record);
+        }
+        auto const answer = co_await parts_.log.append(log_stream::jobs, std::move(records), std::nullopt);
+        auto const is_done = answer.outcome == append_outcome::done;
+        may_be_done = may_be_done || answer.outcome == append_outcome::unknown;
+        refusals += answer.outcome == append_outcome::refused ? 1 : 0;
+        // A record that may be in the log is appended again: a repetition changes nothing.
+        auto const failure = may_be_done ? append_outcome::unknown : append_outcome::refused;
+        auto const is_hopeless = !may_be_done && refusals > 1;
+        auto const now = current_time();
+        std::erase_if(items, [&](auto const &item) {
+            if(!is_done && !is_hopeless && item->give_up_at > now) {
+                return false;
+            }
+            settle(item, is_done ? append_outcome::done : failure);
+            return true;
+        });
+        if(!items.empty()) {
+            parts_.stats.add(event::log_append_failed);
+            co_await pause_for(parts_.context, timing::log_retry);
+        }
+    }
+}
+
+// The log.
+
+boost::asio::awaitable<void> site_node::follow_jobs() {
+    while(true) {
+        auto batch = co_await jobs_.next(timing::log_wait);
+        note_dependency(batch.has_value());
+        if(!batch) {
+            co_await pause_for(parts_.context, timing::log_retry);
+            continue;
+        }
+        apply_jobs(std::move(*batch));
+        refresh_ready();
+        co_await pause_for(
+            parts_.context, lead_ != nullptr ? timing::leader_read_spacing : timing::follower_read_spacing);
+    }
+}
+
+void site_node::note_dependency(bool const reached) {
+    if(reached != log_reached_) {
+        log_reached_ = reached;
+        parts_.decisions.write(
+            reached ? decision::dependency_regained : decision::dependency_lost, {{"dependency", "log"}});
+    }
+}
+
+void site_node::apply_jobs(keyed_batch batch) {
+    if(batch.is_whole) {
+        // Ordered by key: definitions have to come before what is said of them.
+        std::stable_sort(batch.records.begin(), batch.records.end(), [](auto const &lhs, auto const &rhs) {
+            auto const kind_of = [](auto const &record) {
+                auto const name = parse_record_key(record.key);
+                return name ? name->kind : record_kind::leader;
+            };
+            return kind_of(lhs) < kind_of(rhs);
+        });
+        leader_seen_at_ = current_time();
+    }
+    for(auto const &record: batch.records) {
+        apply(record);
+    }
+}
+
+void site_node::apply(keyed_record const &record) {
+    auto name = parse_record_key(record.key);
+    if(!name) {
+        return;
+    }
+    if(!record.value) {
+        if(name->kind == record_kind::job) {
+            table_.forget(name->id);
+        }
+        return;
+    }
+    auto const now = current_time();
+    switch(name->kind) {
+    case record_kind::job:
+        if(auto job = decode_job(name->id, *record.value)) {
+            define(std::move(*job));
+        }
+        break;
+    case record_kind::progress:
+        leader_seen_at_ = now;
+        if(auto progress = decode_progress(*record.value)) {
+            table_.advance(name->id, std::move(*progress), now);
+        }
+        break;
+    case record_kind::cancellation:
+        if(table_.cancel(name->id) && lead_ != nullptr) {
+            lead_->cancel_job(name->id);
+        }
+        break;
+    case record_kind::leader:
+        if(auto claim = decode_leader(*record.value)) {
+            note_leader(std::move(*claim));
+        }
+        break;
+    }
+}
+
+void site_node::define(job_definition job) {
+    auto const id = job.id;
+    if(table_.define(std::move(job)) && lead_ != nullptr) {
+        lead_->add_job(*table_.find(id));
+    }
+}
+
+void site_node::note_leader(leader_claim claim) {
+    leader_seen_at_ = current_time();
+    if(claim.term < leader_.term) {
+        return;
+    }
+    if(claim.term > leader_.term || claim.resigned != leader_.resigned) {
+        parts_.decisions.write(
+            decision::leader_seen, {{"term", claim.term}, {"leader", claim.name}, {"resigned", claim.resigned}});
+    }
+    leader_ = std::move(claim);
+    if(lead_ != nullptr && leader_.term > lead_->term()) {
+        lead_->end();
+        end_lead();
+    }
+}
+
+boost::asio::awaitable<void> site_node::follow_rules() {
+    while(true) {
+        auto const batch = co_await rules_reader_.next(timing::log_wait);
+        if(batch && (!batch->records.empty() || batch->is_whole)) {
+            apply_rules(*batch);
+        }
+        if(!batch) {
+            co_await pause_for(parts_.context, timing::log_retry);
+        }
+    }
+}
+
+void site_node::apply_rules(keyed_batch const &batch) {
+    auto next = std::make_shared<site_rules>();
+    if(!batch.is_whole && rules_ != nullptr) {
+        *next = *rules_;
+    }
+    for(auto const &record: batch.records) {
+        if(!parts_.decoder.apply(record, *next)) {
+            parts_.decisions.write(
+                decision::rules_applied, {{"key", record.key}, {"reason", "cannot be read: ignored"}});
+        }
+    }
+    auto const version = rules_ == nullptr ? 0u : rules_->version;
+    if(next->version == 0u || next->version < version) {
+        return;
+    }
+    if(rules_ != nullptr) {
+        retire_queues(*next, *rules_);
+    }
+    parts_.stats.add(event::document_applied);
+    parts_.decisions.write(decision::rules_applied,
+        {{"version", next->version}, {"earlier", version}, {"queues", next->queues.size()},
+            {"accounts", next->accounts.size()}, {"evacuated", next->evacuated.size()}});
+    rules_ = std::move(next);
+    if(lead_ != nullptr) {
+        lead_->set_rules(rules_);
+    }
+    refresh_ready();
+}
+
+void site_node::refresh_ready() {
+    auto const ready = rules_ != nullptr && jobs_.is_synced() && !draining_;
+    if(ready != ready_.exchange(ready)) {
+        parts_.decisions.write(decision::ready_changed, {{"ready", ready}});
+    }
+}
+
+void site_node::forget_old_jobs() {
+    auto const now = current_time();
+    if(forgot_at_ + internal::forget_interval > now) {
+        return;
+    }
+    forgot_at_ = now;
+    auto const ids = table_.ended_before(now - parts_.settings.status_time);
+    if(!ids.empty()) {
+        lead_->forget(ids);
+    }
+}
+
+// Leadership.
+
+boost::asio::awaitable<void> site_node::watch_leader() {
+    while(true) {
+        co_await pause_for(parts_.context, internal::leader_check);
+        if(lead_ != nullptr) {
+            forget_old_jobs();
+        } else if(should_claim(current_time())) {
+            co_await claim();
+        }
+    }
+}
+
+bool site_node::should_claim(instant const now) const {
+    if(draining_ || rules_ == nullptr || !jobs_.is_synced() || jobs_.fresh_at() + timing::log_wait * 2 < now) {
+        return false;
+    }
+    auto const spread = millis{static_cast<std::int64_t>(
+        stable_hash(parts_.settings.name, leader_.term) % static_cast<std::uint64_t>(timing::claim_spread.count()))};
+    auto const is_vacant = leader_.term == 0u || leader_.resigned;
+    return leader_seen_at_ + spread + (is_vacant ? millis{} : timing::leader_silence) < now;
+}
+
+boost::asio::awaitable<void> site_node::claim() {
+    auto const term = leader_.term + 1u;
+    // Of several claims of one term the log takes the first: the numbers of the others do not follow it.
+    auto const sequence = random_() >> 16u;
+    std::vector<keyed_record> records;
+    records.push_back(encode(leader_claim{term, parts_.settings.name, parts_.settings.peer_address, false}));
+    parts_.decisions.write(decision::leadership_claimed,
+        {{"term", term}, {"earlier", leader_.name}, {"silent_ms", (current_time() - leader_seen_at_).count()}});
+    append_answer answer;
+    do {
+        answer = co_await parts_.log.append(log_stream::jobs, records, log_writer{term, sequence});
+        if(answer.outcome == append_outcome::unknown) {
+            co_await pause_for(parts_.context, timing::log_retry);
+        }
+    } while(answer.outcome == append_outcome::unknown && leader_.term < term);
+    if(answer.outcome != append_outcome::done) {
+        // Another one was first, or the log is away: its next record tells.
+        leader_seen_at_ = current_time();
+        co_return;
+    }
+    while(jobs_.offset() <= answer.offset) {
+        co_await pause_for(parts_.context, timing::leader_read_spacing);
+    }
+    if(leader_.term == term && !draining_) {
+        begin_lead(term, sequence);
+    }
+}
+
+void site_node::begin_lead(std::uint64_t const term, std::uint64_t const sequence) {
+    lead_ = std::make_shared<fleet_lead>(lead_parts{parts_.context, parts_.settings, parts_.stats, parts_.decisions,
+                                             parts_.log, parts_.decoder, parts_.workers, parts_.advice, peers_},
+        term, sequence, [this]() { end_lead(); });
+    parts_.stats.add(event::leadership_taken);
+    lead_->set_rules(rules_);
+    std::vector<job_entry const *> entries;
+    for(auto const &[id, entry]: table_.jobs()) {
+        entries.push_back(&entry);
+    }
+    std::sort(entries.begin(), entries.end(),
+        [](auto const *lhs, auto const *rhs) { return lhs->definition.accepted_at < rhs->definition.accepted_at; });
+    for(auto const *entry: entries) {
+        lead_->add_job(*entry);
+    }
+    lead_->start();
+}
+
+void site_node::end_lead() {
+    parts_.stats.add(event::leadership_lost);
+    leader_seen_at_ = current_time();
+    lead_ = nullptr;
+}
+
+void site_node::drain() {
+    draining_ = true;
+    refresh_ready();
+    boost::asio::co_spawn(
+        parts_.context,
+        [this]() -> boost::asio::awaitable<void> {
+            co_await pause_for(parts_.context, internal::resign_delay);
+            if(auto const lead = std::exchange(lead_, nullptr); lead != nullptr) {
+                co_await lead->resign();
+            }
+        },
+        boost::asio::detached);
+}
+
+// Peers.
+
+boost::asio::awaitable<void> site_node::introduce() {
+    while(true) {
+        co_await pause_for(parts_.context, timing::introduction_interval);
+        if(lead_ != nullptr || leader_.name.empty() || leader_.name == parts_.settings.name || draining_) {
+            continue;
+        }
+        peers_.connect(leader_.name, leader_.peer_address);
+        wire::envelope message;
+        message.mutable_introduction()->set_peer_address(parts_.settings.peer_address);
+        message.mutable_introduction()->set_term(leader_.term);
+        peers_.send(leader_.name, message);
+    }
+}
+
+void site_node::handle(wire::envelope const &message) {
+    if(message.has_introduction() && lead_ != nullptr && message.introduction().term() == lead_->term()) {
+        lead_->meet(message.sender(), message.introduction().peer_address());
+    } else if(message.has_advice_question() && message.sender() == leader_.name) {
+        boost::asio::co_spawn(
+            parts_.context, answer_question(message.sender(), message.advice_question()), boost::asio::detached);
+    } else if(message.has_advice_answer() && lead_ != nullptr) {
+        lead_->take_advice(message.sender(), message.advice_answer());
+    }
+}
+
+boost::asio::awaitable<void> site_node::answer_question(std::string peer, wire::advice_question question) {
+    advice_query query{question.job(), question.step(), {question.workers().begin(), question.workers().end()}, {}};
+    auto const grants = co_await parts_.advice.ask(std::move(query), config::longest_advice);
+    wire::envelope message;
+    auto &answer = *message.mutable_advice_answer();
+    answer.set_id(question.id());
+    answer.set_answered(grants.has_value());
+    if(grants) {
+        for(auto const &grant: *grants) {
+            auto *row = answer.add_grants();
+            row->set_worker(grant.worker);
+            row->set_ticket(grant.ticket);
+        }
+    }
+    peers_.send(peer, message);
+}
+
+std::string site_node::metrics() const {
+    auto text = parts_.stats.prometheus_text();
+    auto const add = [&text](std::string_view const name, auto const value) {
+        text.append("kingcuplink_").append(name).append(" ").append(std::to_string(value)).append("\n");
+    };
+    add("rules_version", rules_ == nullptr ? 0u : rules_->version);
+    add("log_age_ms", (current_time() - jobs_.fresh_at()).count());
+    add("leader_term", leader_.term);
+    add("leads", lead_ != nullptr ? 1 : 0);
+    add("jobs_known", table_.jobs().size());
+    add("log_lines_left_out", parts_.decisions.dropped());
+    if(lead_ != nullptr) {
+        auto const figures = lead_->figures();
+        add("jobs_live", figures.jobs);
+        add("tasks_waiting", figures.waiting_tasks);
+        add("runs", figures.runs);
+        add("workers", figures.workers);
+        add("workers_usable", figures.usable_workers);
+    }
+    return text;
+}
+
+} // namespace kingcuplink
--- /dev/null
+++ b/src/kingcuplink/site/site_node.hpp
@@ -0,0 +1,162 @@
+#ifndef KINGCUPLINK_SITE_SITE_NODE_HPP_INCLUDED
+#define KINGCUPLINK_SITE_SITE_NODE_HPP_INCLUDED
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <kingcuplink/core/counters.hpp>
+#include <kingcuplink/core/decision_log.hpp>
+#include <kingcuplink/site/fleet_lead.hpp>
+#include <kingcuplink/site/keyed_reader.hpp>
+#include <kingcuplink/site/ports.hpp>
+#include <kingcuplink/site/record_codec.hpp>
+#include <kingcuplink/site/site_settings.hpp>
+#include <kingcuplink/wire/peer_link.hpp>
+#include <kingcuplink/workflow/job_table.hpp>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace kingcuplink {
+
+/*! What a caller wants of a queue. */
+enum class caller_wish : std::uint8_t { submit, ask, cancel };
+
+/*! A caller's request, as the adapter read it. */
+struct caller_request {
+    caller_wish wish{caller_wish::ask};
+    std::string host;
+    /*! Leads to the queue; the rest is the job's identifier, or nothing for the queue itself. */
+    std::string path;
+    /*! Empty if none came. */
+    std::string key;
+    /*! What to submit, without identifier, queue and account; nothing if it cannot be read. */
+    std::optional<job_definition> draft;
+    /*! Why the draft cannot be read. */
+    std::string draft_error;
+    /*! Time that the caller waits; zero if it did not say. */
+    millis patience{};
+};
+
+/*! Answer to a caller. */
+struct caller_answer {
+    std::optional<problem> refused;
+    /*! State of the job that was asked for. */
+    std::optional<job_phase> phase;
+    /*! Jobs of the queue of which no task was started, if the queue was asked for. */
+    std::optional<std::size_t> pending;
+};
+
+/*! What an entry VM works with; all references must outlive it. */
+struct node_parts {
+    boost::asio::io_context &context;
+    site_settings const &settings;
+    counters &stats;
+    decision_log &decisions;
+    keyed_log &log;
+    site_decoder &decoder;
+    worker_port &workers;
+    advice_port &advice;
+};
+
+/*!
+ * Control state of an entry VM whose platform keeps all lasting state: it follows
+ * the log, serves callers, and leads the fleet while no other entry VM does. One
+ * thread runs its context; methods are to be called there unless stated otherwise.
+ */
+class site_node {
+public:
+    /*! Constructs a node and listens for peers. Throws zmq::error_t if the address cannot be bound. */
+    explicit site_node(node_parts parts);
+
+    /*! Begins to work. Call once, before the context runs. */
+    void start();
+
+    /*! Serves one request of a caller. */
+    boost::asio::awaitable<caller_answer> serve(caller_request request);
+
+    /*! Makes readiness false and gives leadership up. */
+    void drain();
+
+    /*! Tells whether new connections are welcome. Thread safe. */
+    [[nodiscard]] bool is_ready() const noexcept {
+        return ready_;
+    }
+
+    /*! Returns metrics in the Prometheus text format. */
+    [[nodiscard]] std::string metrics() const;
+
+private:
+    /*! A caller's record on its way to the log. */
+    struct intake_item {
+        explicit intake_item(boost::asio::io_context &context) : settled{context} {}
+
+        keyed_record record;
+        instant give_up_at{};
+        append_outcome outcome{append_outcome::unknown};
+        bool is_settled{};
+        wakeup settled;
+    };
+
+    using intake_pointer = std::shared_ptr<intake_item>;
+
+    // Callers.
+    boost::asio::awaitable<caller_answer> submit(
+        caller_request request, queue_rules const &queue, std::string account, std::string id);
+    boost::asio::awaitable<caller_answer> cancel(caller_request const &request, std::string id);
+    [[nodiscard]] caller_answer tell_state(queue_rules const &queue, std::string const &id) const;
+    [[nodiscard]] caller_answer tell_pending(queue_rules const &queue) const;
+    [[nodiscard]] caller_answer unknown_job(std::string const &id) const;
+    boost::asio::awaitable<append_outcome> hand_in(keyed_record record, millis patience);
+    boost::asio::awaitable<void> run_intake();
+    boost::asio::awaitable<void> append_intake(std::vector<intake_pointer> items);
+    [[nodiscard]] bool is_fresh() const;
+
+    // The log.
+    boost::asio::awaitable<void> follow_jobs();
+    boost::asio::awaitable<void> follow_rules();
+    void apply_jobs(keyed_batch batch);
+    void apply(keyed_record const &record);
+    void define(job_definition job);
+    void apply_rules(keyed_batch const &batch);
+    void note_leader(leader_claim claim);
+    void note_dependency(bool reached);
+    void forget_old_jobs();
+
+    // Leadership.
+    boost::asio::awaitable<void> watch_leader();
+    [[nodiscard]] bool should_claim(instant now) const;
+    boost::asio::awaitable<void> claim();
+    void begin_lead(std::uint64_t term, std::uint64_t sequence);
+    void end_lead();
+
+    // Peers.
+    boost::asio::awaitable<void> introduce();
+    void handle(wire::envelope const &message);
+    boost::asio::awaitable<void> answer_question(std::string peer, wire::advice_question question);
+
+    void refresh_ready();
+
+    node_parts parts_;
+    keyed_reader jobs_;
+    keyed_reader rules_reader_;
+    job_table table_;
+    std::shared_ptr<site_rules const> rules_;
+    std::vector<intake_pointer> intake_;
+    wakeup intake_wanted_;
+    leader_claim leader_;
+    instant leader_seen_at_{};
+    std::shared_ptr<fleet_lead> lead_;
+    instant forgot_at_{};
+    bool log_reached_{true};
+    bool draining_{};
+    std::atomic<bool> ready_{};
+    std::mt19937_64 random_;
+    peer_link peers_;
+};
+
+} // namespace kingcuplink
+
+#endif
--- /dev/null
+++ b/src/kingcuplink/site/timing.hpp
@@ -0,0 +1,70 @@
+#ifndef KINGCUPLINK_SITE_TIMING_HPP_INCLUDED
+#define KINGCUPLINK_SITE_TIMING_HPP_INCLUDED
+
+#include <cstdint>
+#include <kingcuplink/core/time.hpp>
+
+/*! Times of an entry VM whose platform keeps all lasting state. */
+namespace kingcuplink::timing {
+
+/*! Longest lease that is asked for; it bridges a change of leaders, which takes about 4 s. */
+inline constexpr millis most_lease{8'000};
+/*! Silence of the leader in the log after which another entry VM claims leadership. */
+inline constexpr millis leader_silence{2'200};
+/*! Spread of claims, so that one entry VM is mostly first. */
+inline constexpr millis claim_spread{500};
+/*! Time between the leader's records if nothing else is to be recorded. */
+inline constexpr millis leader_heartbeat{700};
+/*! Time without a successful append after which a leader no longer extends leases. */
+inline constexpr millis renewal_without_log{6'000};
+/*! Delay of an append in which more records can join it. */
+inline constexpr millis append_spacing{20};
+/*! Delay of a caller's append in which others can join it. */
+inline constexpr millis intake_spacing{5};
+/*! Delay before an append or read that failed is tried again. */
+inline constexpr millis log_retry{150};
+/*! Time that the log waits for a record. */
+inline constexpr millis log_wait{1'500};
+/*! Time between reads of the stream of jobs by the leader; each is paid for. */
+inline constexpr millis leader_read_spacing{20};
+/*! Time between reads of the stream of jobs by other entry VMs. */
+inline constexpr millis follower_read_spacing{150};
+/*! Time between reads of the workers' registrations, which change all the time. */
+inline constexpr millis worker_read_spacing{300};
+/*! Age up to which an entry VM may say that it does not know a job. */
+inline constexpr millis fresh_enough{2'500};
+/*! Time that a worker may wait for an end before it answers a look. */
+inline constexpr millis look_wait{1'000};
+/*! Time between looks at a worker; each is paid for. */
+inline constexpr millis look_spacing{60};
+/*! Time that a worker has to answer, on top of the time it may wait. */
+inline constexpr millis worker_timeout{1'200};
+/*! Delay before a worker that did not answer is asked again. */
+inline constexpr millis look_retry{300};
+/*! Time between introductions of an entry VM to the leader. */
+inline constexpr millis introduction_interval{1'000};
+/*! Silence after which an entry VM is no longer asked to seek advice. */
+inline constexpr millis adviser_silence{3'200};
+/*! Time that an adviser has on top of what it is expected to take. */
+inline constexpr millis advice_slack{1'500};
+/*! Time between planning rounds that nothing caused. */
+inline constexpr millis plan_interval{100};
+/*! Least time between planning rounds. */
+inline constexpr millis plan_spacing{10};
+/*! Part by which a worker's clock may be slow, in percent, with a margin. */
+inline constexpr std::int64_t clock_error_percent{3};
+/*! Additional time after which a lease has surely lapsed. */
+inline constexpr millis lapse_margin{150};
+/*! Time between writes of collected log lines. */
+inline constexpr millis flush_interval{100};
+/*! Bytes of records in one append; the platform takes 2 MiB. */
+inline constexpr std::uint64_t append_bytes{1u << 20u};
+
+/*! Returns when a lease that is asked for now has lapsed by any clock. */
+[[nodiscard]] constexpr instant lapsed_at(instant const now, millis const lease) noexcept {
+    return now + lease + lease * clock_error_percent / 100 + lapse_margin;
+}
+
+} // namespace kingcuplink::timing
+
+#endif
--- /dev/null
+++ b/src/kingcuplink/workflow/adviser_pool.hpp
@@ -0,0 +1,49 @@
+#ifndef KINGCUPLINK_WORKFLOW_ADVISER_POOL_HPP_INCLUDED
+#define KINGCUPLINK_WORKFLOW_ADVISER_POOL_HPP_INCLUDED
+
+#include <kingcuplink/core/time.hpp>
+#include <map>
+#include <string>
+
+namespace kingcuplink {
+
+/*!
+ * Chooses the entry VM that asks for advice. The adviser serves the calls of one VM
+ * one after the other, so that a short call must not wait behind a long one: long
+ * calls use a part of the VMs alone. Not thread safe.
+ */
+class adviser_pool {
+public:
+    /*! Adds an entry VM. */
+    void add(std::string const &name);
+
+    /*! Removes an entry VM. */
+    void remove(std::string const &name);
+
+    /*!
+     * Chooses the entry VM that is free first, and books the call there.
+     * @param duration Time that the call is expected to take.
+     * @return The name, or an empty one if there is none.
+     */
+    [[nodiscard]] std::string book(millis duration, instant now);
+
+    /*! Tells that a call has ended; its VM counts as free again if it was the last one. */
+    void release(std::string const &name, instant now);
+
+    /*! Returns the number of entry VMs. */
+    [[nodiscard]] std::size_t size() const noexcept {
+        return members_.size();
+    }
+
+private:
+    struct member {
+        instant free_at{};
+        std::size_t calls{};
+    };
+
+    std::map<std::string, member> members_;
+};
+
+} // namespace kingcuplink
+
+#endif
--- /dev/null
+++ b/src/kingcuplink/workflow/dispatch_planner.cpp
@@ -0,0 +1,430 @@
+#include <algorithm>
+#include <kingcuplink/workflow/dispatch_planner.hpp>
+#include <limits>
+
+namespace kingcuplink::internal {
+
+namespace {
+
+/*! Gangs that may keep room free for themselves at the same time. */
+constexpr std::size_t claiming_gangs = 4u;
+/*! Waiting gangs that get fresh tickets at the same time. */
+constexpr std::size_t advised_gangs = 6u;
+/*! Workers in one question; the adviser takes no more. */
+constexpr std::size_t query_workers = 100u;
+/*! Short questions under way for each entry VM; the adviser refuses beyond 32 waiting calls. */
+constexpr std::size_t short_queries_each = 6u;
+/*! Time that a run is left alone before it may be stopped for a gang. */
+constexpr millis settled_time{500};
+/*! Time on top of an expected question in which a ticket counts as about to lapse. */
+constexpr millis renewal_margin{100};
+
+/*! Returns the part of a worker that a start would leave unused, summed over dimensions. */
+double leftover(resources const &room, resources const &capacity) noexcept {
+    auto const part = [](std::int64_t const left, std::int64_t const all) {
+        return all > 0 ? static_cast<double>(left) / static_cast<double>(all) : 0.0;
+    };
+    return part(room.millicores, capacity.millicores) + part(room.memory_mib, capacity.memory_mib) +
+        part(room.accelerators, capacity.accelerators);
+}
+
+bool has_label(worker_registration const &worker, std::string const &label) {
+    return label.empty() || std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
+}
+
+} // namespace
+
+std::uint32_t fit_count(resources const &size, resources const &room) noexcept {
+    auto most = std::int64_t{std::numeric_limits<std::uint32_t>::max()};
+    auto const limit = [&most](std::int64_t const need, std::int64_t const left) {
+        if(need > 0) {
+            most = std::min(most, std::max<std::int64_t>(0, left) / need);
+        }
+    };
+    limit(size.millicores, room.millicores);
+    limit(size.memory_mib, room.memory_mib);
+    limit(size.accelerators, room.accelerators);
+    return static_cast<std::uint32_t>(most);
+}
+
+dispatch_planner::dispatch_planner(
+    dispatch_state &state, dispatch_settings const &settings, instant const now, dispatch_plan &out)
+    : state_{state}, settings_{settings}, now_{now}, out_{out} {}
+
+void dispatch_planner::run() {
+    open_candidates();
+    for(auto const &turn: order_steps()) {
+        serve(turn);
+    }
+    order_stops();
+}
+
+void dispatch_planner::order_stops() {
+    auto const ids = std::vector<placement_id>{state_.placements.ids().begin(), state_.placements.ids().end()};
+    for(auto const id: ids) {
+        auto *run = state_.placements.find(id);
+        if(run == nullptr || !run->stop_wanted || run->stop_in_flight || run->next_stop > now_) {
+            continue;
+        }
+        if(run->stage == placement_stage::intended && !run->is_batched) {
+            state_.remove_placement(id, now_);
+            continue;
+        }
+        auto const &worker = state_.workers[run->worker];
+        auto const was_sent = run->stage == placement_stage::running || run->stage == placement_stage::unresolved;
+        if(was_sent && worker.is_held) {
+            run->stop_in_flight = true;
+            out_.stops.push_back({id, worker.entry.name, worker.entry.address, worker.entry.boot, run->key});
+        }
+    }
+}
+
+void dispatch_planner::open_candidates() {
+    for(auto const id: state_.workers.ids()) {
+        auto &worker = state_.workers[id];
+        if(is_usable(worker, *state_.rules, now_)) {
+            candidates_.push_back({id, &worker, worker.entry.capacity - worker.used});
+        }
+    }
+}
+
+std::vector<dispatch_planner::waiting_step> dispatch_planner::order_steps() const {
+    std::vector<waiting_step> turns;
+    for(auto const id: state_.jobs.ids()) {
+        auto const &job = state_.jobs[id];
+        if(is_final(job.phase)) {
+            continue;
+        }
+        for(std::uint32_t step{}; step < job.steps.size(); ++step) {
+            if(job.steps[step].blocked_by == 0u && job.steps[step].waiting > 0u) {
+                turns.push_back({rank_of(job.objective, step, job.is_excess, now_), id, step});
+            }
+        }
+    }
+    std::sort(turns.begin(), turns.end(), [](auto const &lhs, auto const &rhs) {
+        return std::tie(lhs.rank, lhs.job, lhs.step) < std::tie(rhs.rank, rhs.job, rhs.step);
+    });
+    return turns;
+}
+
+void dispatch_planner::serve(waiting_step const &turn) {
+    auto options = options_for(turn);
+    auto const is_gang = state_.jobs[turn.job].definition.steps[turn.step].gang;
+    if(is_gang) {
+        place_gang(turn, options);
+    } else {
+        place_tasks(turn, options);
+    }
+    if(state_.jobs[turn.job].steps[turn.step].waiting > 0u) {
+        seek_advice(turn, options, is_gang);
+    }
+}
+
+std::vector<dispatch_planner::option> dispatch_planner::options_for(waiting_step const &turn) {
+    auto const &job = state_.jobs[turn.job];
+    auto const &definition = job.definition.steps[turn.step];
+    auto const &advice = job.steps[turn.step].advice;
+    auto const *queue = find_queue(*state_.rules, job.definition.queue);
+    std::vector<option> options;
+    if(queue == nullptr) {
+        return options;
+    }
+    static advice_ticket const not_needed{};
+    for(auto &item: candidates_) {
+        auto const &worker = item.worker->entry;
+        if(worker.service != queue->service || !has_label(worker, definition.required_label)) {
+            continue;
+        }
+        if(!queue->advice) {
+            options.push_back({&item, &not_needed});
+            continue;
+        }
+        auto const approved = advice.approved.find(item.id);
+        if(approved != advice.approved.end()) {
+            options.push_back({&item, approved->second.until > now_ ? &approved->second : nullptr});
+        } else if(!advice.asked.contains(item.id)) {
+            options.push_back({&item, nullptr});
+        }
+    }
+    return options;
+}
+
+bool dispatch_planner::is_within_ceiling(live_job const &job, resources const &charge) const {
+    auto const *rules = find_account(*state_.rules, job.definition.account);
+    if(rules == nullptr) {
+        return true;
+    }
+    auto const found = state_.accounts.find(job.definition.account);
+    auto const used = (found == state_.accounts.end() ? resources{} : found->second.used) + charge;
+    auto const within = [](std::int64_t const amount, std::int64_t const most) { return most <= 0 || amount <= most; };
+    return within(used.millicores, rules->ceiling.millicores) && within(used.memory_mib, rules->ceiling.memory_mib) &&
+        within(used.accelerators, rules->ceiling.accelerators);
+}
+
+std::uint32_t dispatch_planner::tasks_on(live_worker const &worker, job_id const job, std::uint32_t const step) const {
+    return static_cast<std::uint32_t>(
+        std::count_if(worker.placements.begin(), worker.placements.end(), [&](auto const id) {
+            auto const &run = state_.placements[id];
+            return run.is_known && run.job == job && run.key.step == step;
+        }));
+}
+
+void dispatch_planner::start(
+    waiting_step const &turn, std::uint32_t const index, std::uint32_t const run, option const &where) {
+    auto &job = state_.jobs[turn.job];
+    auto &task = job.steps[turn.step].tasks[index];
+    task.run = run;
+    placement intent;
+    intent.worker = where.on->id;
+    intent.job = turn.job;
+    intent.key = {job.definition.id, turn.step, index, run};
+    intent.charge = job.definition.steps[turn.step].task_size;
+    intent.ticket = where.ticket->text;
+    intent.ticket_until = where.ticket->until;
+    intent.since = now_;
+    where.on->room -= intent.charge;
+    state_.add_placement(std::move(intent));
+    state_.jobs[turn.job].phase = job_phase::running;
+    state_.mark_dirty(turn.job);
+}
+
+dispatch_planner::option const *dispatch_planner::tightest(
+    std::vector<option> const &options, live_task const &task, job_id const job, std::uint32_t const step) const {
+    auto const &definition = state_.jobs[job].definition.steps[step];
+    option const *best{};
+    auto least = std::numeric_limits<double>::max();
+    for(auto const &item: options) {
+        if(item.ticket == nullptr || !fits(definition.task_size, item.on->room)) {
+            continue;
+        }
+        auto const &failed = task.failed_on;
+        if(std::find(failed.begin(), failed.end(), item.on->id) != failed.end()) {
+            continue;
+        }
+        if(definition.most_per_worker > 0u && tasks_on(*item.on->worker, job, step) >= definition.most_per_worker) {
+            continue;
+        }
+        auto left = leftover(item.on->room, item.on->worker->entry.capacity);
+        if(!definition.data_rack.empty() && !has_label(item.on->worker->entry, definition.data_rack)) {
+            // Work far from its data takes longer: any worker near it goes first.
+            left += static_cast<double>(std::numeric_limits<std::uint16_t>::max());
+        }
+        if(left < least) {
+            least = left;
+            best = &item;
+        }
+    }
+    return best;
+}
+
+void dispatch_planner::place_tasks(waiting_step const &turn, std::vector<option> const &options) {
+    auto const size = state_.jobs[turn.job].definition.steps[turn.step].task_size;
+    auto const count = state_.jobs[turn.job].steps[turn.step].tasks.size();
+    for(std::uint32_t index{}; index < count; ++index) {
+        auto const &job = state_.jobs[turn.job];
+        auto const &task = job.steps[turn.step].tasks[index];
+        if(task.done || !task.placement.is_null() || task.not_before > now_) {
+            continue;
+        }
+        if(!is_within_ceiling(job, size)) {
+            return;
+        }
+        auto const *where = tightest(options, task, turn.job, turn.step);
+        if(where == nullptr) {
+            if(task.failed_on.empty()) {
+                return;
+            }
+            continue;
+        }
+        start(turn, index, task.run + 1u, *where);
+    }
+}
+
+void dispatch_planner::place_gang(waiting_step const &turn, std::vector<option> &options) {
+    auto const &job = state_.jobs[turn.job];
+    auto const &step = job.steps[turn.step];
+    auto const &definition = job.definition.steps[turn.step];
+    std::vector<std::uint32_t> members;
+    for(std::uint32_t index{}; index < step.tasks.size(); ++index) {
+        auto const &task = step.tasks[index];
+        if(!task.placement.is_null() || task.not_before > now_) {
+            // Runs of an earlier attempt have to go first.
+            return;
+        }
+        members.push_back(index);
+    }
+    if(!is_within_ceiling(job, definition.task_size * definition.count)) {
+        return;
+    }
+    if(!place_members(turn, options, members) && turn.rank.tier < service_tier::hopeless) {
+        claim_for_gang(turn, options, static_cast<std::uint32_t>(members.size()));
+    }
+}
+
+bool dispatch_planner::place_members(
+    waiting_step const &turn, std::vector<option> const &options, std::span<std::uint32_t const> const members) {
+    auto const &job = state_.jobs[turn.job];
+    auto const &definition = job.definition.steps[turn.step];
+    struct share {
+        option const *where;
+        std::uint32_t slots;
+    };
+    std::vector<share> shares;
+    std::uint32_t slots{};
+    for(auto const &item: options) {
+        if(item.ticket == nullptr) {
+            continue;
+        }
+        auto fitting = fit_count(definition.task_size, item.on->room);
+        if(definition.most_per_worker > 0u) {
+            fitting = std::min(fitting, definition.most_per_worker);
+        }
+        if(fitting > 0u) {
+            shares.push_back({&item, fitting});
+            slots += std::min(fitting, static_cast<std::uint32_t>(members.size()));
+        }
+    }
+    if(slots < members.size()) {
+        return false;
+    }
+    // Few workers, so that the rest stays whole; a gang that spans few of them also breaks less often.
+    std::sort(shares.begin(), shares.end(), [](auto const &lhs, auto const &rhs) { return lhs.slots > rhs.slots; });
+    std::uint32_t run{};
+    for(auto const index: members) {
+        run = std::max(run, job.steps[turn.step].tasks[index].run);
+    }
+    std::size_t next{};
+    for(auto const &part: shares) {
+        for(std::uint32_t used{}; used < part.slots && next < members.size(); ++used) {
+            start(turn, members[next++], run + 1u, *part.where);
+        }
+    }
+    return true;
+}
+
+bool dispatch_planner::is_victim(placement const &run, waiting_step const &turn) const {
+    auto const *job = run.is_known ? state_.jobs.find(run.job) : nullptr;
+    if(job == nullptr || run.stop_wanted || run.stage != placement_stage::running || run.since + settled_time > now_) {
+        return false;
+    }
+    auto const &definition = job->definition.steps[run.key.step];
+    return definition.checkpointing && !definition.gang &&
+        turn.rank < rank_of(job->objective, run.key.step, job->is_excess, now_);
+}
+
+std::vector<placement_id> dispatch_planner::victims_for(
+    waiting_step const &turn, live_worker const &worker, resources room, resources const &size) const {
+    std::vector<placement_id> victims;
+    for(auto const id: worker.placements) {
+        if(fits(size, room)) {
+            break;
+        }
+        auto const &run = state_.placements[id];
+        if(is_victim(run, turn)) {
+            victims.push_back(id);
+            room += run.charge;
+        }
+    }
+    if(!fits(size, room)) {
+        victims.clear();
+    }
+    return victims;
+}
+
+void dispatch_planner::claim_for_gang(
+    waiting_step const &turn, std::vector<option> &options, std::uint32_t const count) {
+    if(++blocked_gangs_ > claiming_gangs) {
+        return;
+    }
+    auto const &size = state_.jobs[turn.job].definition.steps[turn.step].task_size;
+    auto const &advice = state_.jobs[turn.job].steps[turn.step].advice;
+    struct claim {
+        candidate *on;
+        /*! Room once runs that are being stopped are gone; no start may use more than is free now. */
+        resources soon;
+    };
+    std::vector<claim> claims;
+    auto missing = count;
+    for(auto &item: options) {
+        if(item.ticket == nullptr && !advice.approved.contains(item.on->id)) {
+            continue;
+        }
+        auto soon = item.on->room;
+        for(auto const id: item.on->worker->placements) {
+            soon += state_.placements[id].stop_wanted ? state_.placements[id].charge : resources{};
+        }
+        auto const claimed = std::min(missing, fit_count(size, soon));
+        item.on->room -= size * claimed;
+        missing -= claimed;
+        claims.push_back({item.on, soon - size * claimed});
+    }
+    std::vector<placement_id> victims;
+    for(auto &item: claims) {
+        while(missing > 0u) {
+            auto const chosen = victims_for(turn, *item.on->worker, item.soon, size);
+            if(chosen.empty()) {
+                break;
+            }
+            for(auto const id: chosen) {
+                state_.placements[id].stop_wanted = true;
+                item.soon += state_.placements[id].charge;
+            }
+            item.soon -= size;
+            item.on->room -= size;
+            victims.insert(victims.end(), chosen.begin(), chosen.end());
+            --missing;
+        }
+    }
+    if(missing > 0u) {
+        // Stopping them would not let the gang start.
+        for(auto const id: victims) {
+            state_.placements[id].stop_wanted = false;
+        }
+    }
+}
+
+void dispatch_planner::seek_advice(waiting_step const &turn, std::vector<option> const &options, bool const is_gang) {
+    auto &job = state_.jobs[turn.job];
+    auto &step = job.steps[turn.step];
+    auto const *queue = find_queue(*state_.rules, job.definition.queue);
+    if(queue == nullptr || !queue->advice || step.advice.in_flight || step.advice.not_before > now_) {
+        return;
+    }
+    auto const duration_of = [queue](std::size_t const workers) {
+        return queue->advice->base + millis{queue->advice->per_worker_us * static_cast<std::int64_t>(workers) / 1'000};
+    };
+    auto const is_first = step.advice.asked.empty();
+    auto const &size = job.definition.steps[turn.step].task_size;
+    auto const soon = now_ + duration_of(options.size()) + renewal_margin;
+    std::vector<option const *> wanted;
+    for(auto const &item: options) {
+        auto const lapses = item.ticket == nullptr || (is_gang && item.ticket->until < soon);
+        if(is_first || (lapses && (is_gang || fits(size, item.on->worker->entry.capacity - item.on->worker->used)))) {
+            wanted.push_back(&item);
+        }
+    }
+    if(wanted.empty() || (is_gang && !is_first && blocked_gangs_ > advised_gangs)) {
+        return;
+    }
+    std::sort(wanted.begin(), wanted.end(),
+        [](auto const *lhs, auto const *rhs) { return lhs->on->room.millicores > rhs->on->room.millicores; });
+    auto most = query_workers;
+    if(!is_first && !is_gang) {
+        most = std::min<std::size_t>(most, 2u * step.waiting + 2u);
+    }
+    wanted.resize(std::min(wanted.size(), most));
+    advice_query query{job.definition.id, turn.step, {}, duration_of(wanted.size())};
+    auto &under_way = queries_like(state_, query.duration);
+    auto const limit = query.duration >= long_query ? state_.advisers + 1u : short_queries_each * state_.advisers;
+    if(under_way >= limit) {
+        return;
+    }
+    ++under_way;
+    for(auto const *item: wanted) {
+        query.workers.push_back(item->on->worker->entry.name);
+    }
+    step.advice.in_flight = true;
+    out_.queries.push_back(std::move(query));
+}
+
+} // namespace kingcuplink::internal
--- /dev/null
+++ b/src/kingcuplink/workflow/dispatch_planner.hpp
@@ -0,0 +1,77 @@
+#ifndef KINGCUPLINK_WORKFLOW_DISPATCH_PLANNER_HPP_INCLUDED
+#define KINGCUPLINK_WORKFLOW_DISPATCH_PLANNER_HPP_INCLUDED
+
+#include <kingcuplink/workflow/dispatcher.hpp>
+#include <optional>
+#include <vector>
+
+namespace kingcuplink::internal {
+
+/*! One planning round of a dispatcher. */
+class dispatch_planner {
+public:
+    /*! Begins a round; all arguments must outlive it. */
+    dispatch_planner(dispatch_state &state, dispatch_settings const &settings, instant now, dispatch_plan &out);
+
+    /*! Runs the round. */
+    void run();
+
+private:
+    /*! A step that has waiting tasks, in the order of waiting. */
+    struct waiting_step {
+        service_rank rank;
+        job_id job;
+        std::uint32_t step;
+    };
+
+    /*! A worker that takes work in this round. */
+    struct candidate {
+        worker_id id;
+        live_worker *worker;
+        /*! Room that neither runs nor claims of earlier steps take. */
+        resources room;
+    };
+
+    /*! A candidate for one step. */
+    struct option {
+        candidate *on;
+        /*! Null if the adviser must be asked for a ticket first. */
+        advice_ticket const *ticket;
+    };
+
+    void order_stops();
+    void open_candidates();
+    [[nodiscard]] std::vector<waiting_step> order_steps() const;
+
+    void serve(waiting_step const &turn);
+    void place_tasks(waiting_step const &turn, std::vector<option> const &options);
+    [[nodiscard]] option const *tightest(
+        std::vector<option> const &options, live_task const &task, job_id job, std::uint32_t step) const;
+    void place_gang(waiting_step const &turn, std::vector<option> &options);
+    [[nodiscard]] bool place_members(
+        waiting_step const &turn, std::vector<option> const &options, std::span<std::uint32_t const> members);
+    void claim_for_gang(waiting_step const &turn, std::vector<option> &options, std::uint32_t count);
+    [[nodiscard]] std::vector<placement_id> victims_for(
+        waiting_step const &turn, live_worker const &worker, resources room, resources const &size) const;
+    [[nodiscard]] bool is_victim(placement const &run, waiting_step const &turn) const;
+
+    [[nodiscard]] std::vector<option> options_for(waiting_step const &turn);
+    void seek_advice(waiting_step const &turn, std::vector<option> const &options, bool is_gang);
+    [[nodiscard]] bool is_within_ceiling(live_job const &job, resources const &charge) const;
+    [[nodiscard]] std::uint32_t tasks_on(live_worker const &worker, job_id job, std::uint32_t step) const;
+    void start(waiting_step const &turn, std::uint32_t index, std::uint32_t run, option const &where);
+
+    dispatch_state &state_;
+    dispatch_settings const &settings_;
+    instant now_;
+    dispatch_plan &out_;
+    std::vector<candidate> candidates_;
+    std::size_t blocked_gangs_{};
+};
+
+/*! Returns how many tasks of a size fit into an amount. */
+[[nodiscard]] std::uint32_t fit_count(resources const &size, resources const &room) noexcept;
+
+} // namespace kingcuplink::internal
+
+#endif
--- /dev/null
+++ b/src/kingcuplink/workflow/dispatch_state.cpp
@@ -0,0 +1,87 @@
+#include <algorithm>
+#include <kingcuplink/workflow/dispatch_state.hpp>
+
+namespace kingcuplink::internal {
+
+namespace {
+
+/*! Silence after which a worker gets no new runs; a bit over one look that waits. */
+constexpr millis usable_silence{2'500};
+
+} // namespace
+
+void dispatch_state::mark_dirty(job_id const job) {
+    if(auto *found = jobs.find(job); found != nullptr && !found->is_dirty) {
+        found->is_dirty = true;
+        dirty.push_back(job);
+    }
+}
+
+live_task *dispatch_state::task_of(placement_id const id) {
+    auto const *run = placements.find(id);
+    auto *job = run != nullptr && run->is_known ? jobs.find(run->job) : nullptr;
+    if(job == nullptr) {
+        return nullptr;
+    }
+    auto &task = job->steps[run->key.step].tasks[run->key.index];
+    return task.placement == id ? &task : nullptr;
+}
+
+placement_id dispatch_state::add_placement(placement value) {
+    auto &worker = workers[value.worker];
+    worker.used += value.charge;
+    auto const id = placements.emplace(std::move(value));
+    worker.placements.push_back(id);
+    auto const &run = placements[id];
+    if(run.is_known) {
+        auto &job = jobs[run.job];
+        auto &step = job.steps[run.key.step];
+        accounts[job.definition.account].used += run.charge;
+        step.tasks[run.key.index].placement = id;
+        ++job.placements;
+        --step.waiting;
+    }
+    return id;
+}
+
+void dispatch_state::remove_placement(placement_id const id, instant const now) {
+    auto *task = task_of(id);
+    auto const run = placements[id];
+    auto &worker = workers[run.worker];
+    worker.used -= run.charge;
+    std::erase(worker.placements, id);
+    placements.erase(id);
+    auto *job = run.is_known ? jobs.find(run.job) : nullptr;
+    if(job == nullptr) {
+        return;
+    }
+    accounts[job->definition.account].used -= run.charge;
+    --job->placements;
+    if(task != nullptr) {
+        task->placement = {};
+        auto &step = job->steps[run.key.step];
+        if(!task->done) {
+            ++step.waiting;
+            task->not_before = std::max(task->not_before, now);
+        }
+        if(!is_final(job->phase)) {
+            mark_dirty(run.job);
+        }
+    }
+    forget_if_over(run.job);
+}
+
+void dispatch_state::forget_if_over(job_id const job) {
+    auto const *found = jobs.find(job);
+    if(found != nullptr && is_final(found->phase) && found->placements == 0u && !found->is_dirty) {
+        job_ids.erase(found->definition.id);
+        jobs.erase(job);
+    }
+}
+
+bool is_usable(live_worker const &worker, site_rules const &rules, instant const now) noexcept {
+    return worker.is_registered && worker.is_held && !worker.entry.leaving && worker.quarantined_until <= now &&
+        worker.seen_at + usable_silence > now && !rules.evacuated.contains(worker.entry.domain);
+}
+
+} // namespace kingcuplink::internal
--- /dev/null
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -0,0 +1,383 @@
+#include <algorithm>
+#include <array>
+#include <kingcuplink/workflow/dispatch_planner.hpp>
+#include <kingcuplink/workflow/dispatcher.hpp>
+
+namespace kingcuplink {
+
+namespace internal {
+
+constexpr std::array<std::string_view, 9u> answer_names{
+    "started", "fenced", "outdated", "late", "no_room", "bad_ticket", "unwell", "not_sent", "unknown"};
+
+/*! Delay before a task is placed again after a start that failed. */
+constexpr millis restart_delay{50};
+/*! Delay before a worker that was unwell is tried again. */
+constexpr millis unwell_pause{1'000};
+/*! Delay before a stop without an answer is sent again. */
+constexpr millis stop_retry{500};
+/*! Delay before advice is asked for again after a failure. */
+constexpr millis advice_retry{100};
+/*! Part of a ticket's time that is left unused for the way to the worker. */
+constexpr millis ticket_margin{150};
+
+void build_steps(live_job &job) {
+    for(auto const &definition: job.definition.steps) {
+        live_step step;
+        step.tasks.resize(definition.count);
+        step.undone = definition.count;
+        step.waiting = definition.count;
+        step.blocked_by = static_cast<std::uint32_t>(definition.after.size());
+        job.steps.push_back(std::move(step));
+    }
+}
+
+job_progress progress_of(live_job const &job, dispatch_state const &state) {
+    job_progress progress{job.phase, {}};
+    for(std::uint32_t step{}; step < job.steps.size(); ++step) {
+        auto const &tasks = job.steps[step].tasks;
+        for(std::uint32_t index{}; index < tasks.size(); ++index) {
+            auto const &task = tasks[index];
+            if(task.run == 0u) {
+                continue;
+            }
+            task_progress row{step, index, task.run, task.failures, task.done, {}, task.checkpoint};
+            if(auto const *run = state.placements.find(task.placement); run != nullptr) {
+                row.worker = state.workers[run->worker].entry.name;
+            }
+            progress.tasks.push_back(std::move(row));
+        }
+    }
+    return progress;
+}
+
+} // namespace internal
+
+std::string_view name_of(start_answer const answer) noexcept {
+    return internal::answer_names[static_cast<std::size_t>(answer)];
+}
+
+dispatcher::dispatcher(dispatch_settings const settings, instant const now) : settings_{settings} {
+    state_.inherited_until = now + settings.inherited_lease;
+}
+
+void dispatcher::set_rules(std::shared_ptr<site_rules const> rules) {
+    state_.rules = std::move(rules);
+}
+
+void dispatcher::set_advisers(std::size_t const count) noexcept {
+    state_.advisers = std::max<std::size_t>(1u, count);
+}
+
+void dispatcher::add_job(job_entry const &entry) {
+    auto const &definition = entry.definition;
+    auto const *queue = find_queue(*state_.rules, definition.queue);
+    if(is_final(entry.progress.phase) || state_.job_ids.contains(definition.id)) {
+        return;
+    }
+    internal::live_job job;
+    job.definition = definition;
+    job.phase = entry.progress.phase;
+    job.objective = objective_of(definition, queue != nullptr ? *queue : queue_rules{});
+    if(auto const *account = find_account(*state_.rules, definition.account); account != nullptr) {
+        job.is_excess = state_.accounts[definition.account].meter.is_excess(account->weight, definition.accepted_at);
+    }
+    internal::build_steps(job);
+    auto const id = state_.jobs.emplace(std::move(job));
+    state_.job_ids.emplace(definition.id, id);
+    adopt_runs(id, entry);
+    if(entry.cancel_wanted) {
+        cancel_job(definition.id);
+    }
+}
+
+void dispatcher::adopt_runs(job_id const id, job_entry const &entry) {
+    for(auto const &row: entry.progress.tasks) {
+        auto &job = state_.jobs[id];
+        if(row.step >= job.steps.size() || row.index >= job.steps[row.step].tasks.size()) {
+            continue;
+        }
+        auto &step = job.steps[row.step];
+        auto &task = step.tasks[row.index];
+        task.run = row.run;
+        task.failures = row.failures;
+        task.checkpoint = row.checkpoint;
+        step.checkpoint = std::max(step.checkpoint, row.checkpoint);
+        if(row.done) {
+            task.done = true;
+            --step.waiting;
+            --step.undone;
+        }
+        if(row.worker.empty()) {
+            continue;
+        }
+        if(!state_.worker_ids.contains(row.worker)) {
+            // Keeps the run on the books until it has surely lapsed.
+            worker_registration gone;
+            gone.name = row.worker;
+            register_worker(std::move(gone), instant{});
+            unregister_worker(row.worker);
+        }
+        if(task.done) {
+            continue;
+        }
+        auto const worker = state_.worker_ids.at(row.worker);
+        state_.workers[worker].lapsed_at = state_.inherited_until;
+        internal::placement run;
+        run.worker = worker;
+        run.job = id;
+        run.key = {entry.definition.id, row.step, row.index, row.run};
+        run.charge = entry.definition.steps[row.step].task_size;
+        run.stage = internal::placement_stage::inherited;
+        state_.add_placement(std::move(run));
+    }
+    auto &job = state_.jobs[id];
+    for(std::uint32_t pos{}; pos < job.steps.size(); ++pos) {
+        auto const &after = job.definition.steps[pos].after;
+        job.steps[pos].blocked_by = static_cast<std::uint32_t>(std::count_if(
+            after.begin(), after.end(), [&job](auto const before) { return job.steps[before].undone > 0u; }));
+    }
+}
+
+void dispatcher::cancel_job(std::string const &id) {
+    if(auto const found = state_.job_ids.find(id); found != state_.job_ids.end()) {
+        if(!is_final(state_.jobs[found->second].phase)) {
+            end_job(found->second, job_phase::cancelled);
+        }
+    }
+}
+
+void dispatcher::end_job(job_id const id, job_phase const phase) {
+    state_.jobs[id].phase = phase;
+    state_.mark_dirty(id);
+    if(phase != job_phase::done) {
+        stop_runs(id);
+    }
+}
+
+void dispatcher::stop_runs(job_id const id) {
+    auto const &job = state_.jobs[id];
+    for(auto const &step: job.steps) {
+        for(auto const &task: step.tasks) {
+            if(auto *run = state_.placements.find(task.placement); run != nullptr) {
+                run->stop_wanted = true;
+            }
+        }
+    }
+}
+
+void dispatcher::stop_gang(job_id const id, std::uint32_t const step) {
+    for(auto const &task: state_.jobs[id].steps[step].tasks) {
+        if(auto *run = state_.placements.find(task.placement); run != nullptr) {
+            run->stop_wanted = true;
+        }
+    }
+}
+
+void dispatcher::lease_extended(std::string const &worker, instant const lapsed_at) {
+    if(auto const found = state_.worker_ids.find(worker); found != state_.worker_ids.end()) {
+        auto &entry = state_.workers[found->second];
+        entry.lapsed_at = std::max(entry.lapsed_at, lapsed_at);
+    }
+}
+
+std::uint64_t dispatcher::kept_end(std::string const &worker) const {
+    auto const found = state_.worker_ids.find(worker);
+    return found == state_.worker_ids.end() ? 0u : state_.workers[found->second].ends_kept;
+}
+
+void dispatcher::start_answered(placement_id const id, start_answer const answer, instant const now) {
+    auto *run = state_.placements.find(id);
+    if(run == nullptr || run->stage != internal::placement_stage::ordered) {
+        return;
+    }
+    run->since = now;
+    switch(answer) {
+    case start_answer::started:
+        run->stage = internal::placement_stage::running;
+        return;
+    case start_answer::unknown:
+    case start_answer::fenced:
+        run->stage = internal::placement_stage::unresolved;
+        return;
+    case start_answer::bad_ticket:
+        if(auto *job = state_.jobs.find(run->job); job != nullptr) {
+            auto &approved = job->steps[run->key.step].advice.approved;
+            if(auto const found = approved.find(run->worker); found != approved.end()) {
+                found->second.until = {};
+            }
+        }
+        break;
+    case start_answer::unwell:
+    case start_answer::not_sent:
+    case start_answer::no_room: {
+        auto &worker = state_.workers[run->worker];
+        worker.quarantined_until = std::max(worker.quarantined_until, now + internal::unwell_pause);
+        break;
+    }
+    case start_answer::outdated:
+    case start_answer::late:
+        break;
+    }
+    lose_run(id, now + internal::restart_delay);
+}
+
+void dispatcher::stop_answered(placement_id const id, bool const answered, instant const now) {
+    auto *run = state_.placements.find(id);
+    if(run == nullptr) {
+        return;
+    }
+    run->stop_in_flight = false;
+    run->next_stop = now + internal::stop_retry;
+    if(answered) {
+        run->stop_answered = now;
+    }
+}
+
+void dispatcher::take_advice(advice_query const &query, std::span<advice_grant const> const grants, instant const now) {
+    --internal::queries_like(state_, query.duration);
+    auto const found = state_.job_ids.find(query.job);
+    if(found == state_.job_ids.end()) {
+        return;
+    }
+    auto &job = state_.jobs[found->second];
+    auto &advice = job.steps[query.step].advice;
+    advice.in_flight = false;
+    auto const *queue = find_queue(*state_.rules, job.definition.queue);
+    auto const valid = queue != nullptr && queue->advice ? queue->advice->valid : millis{};
+    for(auto const &name: query.workers) {
+        if(auto const worker = state_.worker_ids.find(name); worker != state_.worker_ids.end()) {
+            advice.asked.insert(worker->second);
+        }
+    }
+    for(auto const &grant: grants) {
+        if(auto const worker = state_.worker_ids.find(grant.worker); worker != state_.worker_ids.end()) {
+            advice.approved[worker->second] = {grant.ticket, now + valid - internal::ticket_margin};
+        }
+    }
+}
+
+void dispatcher::advice_failed(advice_query const &query, instant const now) {
+    --internal::queries_like(state_, query.duration);
+    if(auto const found = state_.job_ids.find(query.job); found != state_.job_ids.end()) {
+        auto &advice = state_.jobs[found->second].steps[query.step].advice;
+        advice.in_flight = false;
+        advice.not_before = now + internal::advice_retry;
+    }
+}
+
+void dispatcher::plan(instant const now, dispatch_plan &out) {
+    expire_silent_workers(now);
+    internal::dispatch_planner{state_, settings_, now, out}.run();
+}
+
+progress_batch dispatcher::next_batch() {
+    progress_batch batch;
+    for(auto const id: state_.dirty) {
+        auto *job = state_.jobs.find(id);
+        if(job == nullptr) {
+            continue;
+        }
+        job->is_dirty = false;
+        batch.records.emplace_back(job->definition.id, internal::progress_of(*job, state_));
+        for(auto const &step: job->steps) {
+            for(auto const &task: step.tasks) {
+                auto *run = state_.placements.find(task.placement);
+                if(run != nullptr && run->stage == internal::placement_stage::intended && !run->is_batched) {
+                    run->is_batched = true;
+                    batch.starts.push_back(task.placement);
+                }
+            }
+        }
+    }
+    for(auto const id: state_.dirty) {
+        state_.forget_if_over(id);
+    }
+    state_.dirty.clear();
+    for(auto const id: state_.workers.ids()) {
+        auto const &worker = state_.workers[id];
+        if(worker.ends_seen > worker.ends_kept) {
+            batch.ends.emplace_back(id, worker.ends_seen);
+        }
+    }
+    return batch;
+}
+
+bool dispatcher::may_still_start(internal::placement const &run, instant const now) const {
+    auto const &job = state_.jobs[run.job];
+    auto const *queue = find_queue(*state_.rules, job.definition.queue);
+    auto const has_ticket = queue != nullptr && (!queue->advice || run.ticket_until > now);
+    return !run.stop_wanted && !is_final(job.phase) && has_ticket &&
+        internal::is_usable(state_.workers[run.worker], *state_.rules, now);
+}
+
+void dispatcher::batch_kept(progress_batch const &batch, instant const now, std::vector<run_start> &out) {
+    for(auto const &[id, number]: batch.ends) {
+        if(auto *worker = state_.workers.find(id); worker != nullptr && worker->ends_seen >= number) {
+            worker->ends_kept = std::max(worker->ends_kept, number);
+        }
+    }
+    for(auto const id: batch.starts) {
+        auto *run = state_.placements.find(id);
+        if(run == nullptr || run->stage != internal::placement_stage::intended) {
+            continue;
+        }
+        if(!may_still_start(*run, now)) {
+            lose_run(id, now);
+            continue;
+        }
+        run->stage = internal::placement_stage::ordered;
+        run->since = now;
+    }
+    // A gang of which a member was dropped is not begun.
+    for(auto const id: batch.starts) {
+        auto *run = state_.placements.find(id);
+        if(run == nullptr || run->stage != internal::placement_stage::ordered) {
+            continue;
+        }
+        if(run->stop_wanted) {
+            state_.remove_placement(id, now);
+            continue;
+        }
+        auto const &worker = state_.workers[run->worker].entry;
+        auto const &job = state_.jobs[run->job];
+        auto const &step = job.steps[run->key.step];
+        auto const &task = step.tasks[run->key.index];
+        auto const is_gang = job.definition.steps[run->key.step].gang;
+        out.push_back({id, worker.name, worker.address, worker.boot, run->key, job.definition.payload,
+            is_gang ? step.checkpoint : task.checkpoint, run->ticket});
+    }
+}
+
+dispatch_figures dispatcher::figures(instant const now) const {
+    dispatch_figures result;
+    result.jobs = state_.jobs.size();
+    result.runs = state_.placements.size();
+    result.workers = state_.workers.size();
+    for(auto const &job: state_.jobs.values()) {
+        for(auto const &step: job.steps) {
+            result.waiting_tasks += step.blocked_by == 0u && !is_final(job.phase) ? step.waiting : 0u;
+        }
+    }
+    for(auto const &worker: state_.workers.values()) {
+        result.usable_workers += internal::is_usable(worker, *state_.rules, now) ? 1u : 0u;
+    }
+    return result;
+}
+
+worker_registration const *dispatcher::find_worker(std::string const &name) const {
+    auto const found = state_.worker_ids.find(name);
+    auto const *worker = found == state_.worker_ids.end() ? nullptr : state_.workers.find(found->second);
+    return worker != nullptr ? &worker->entry : nullptr;
+}
+
+placement_id dispatcher::find_run(worker_id const worker, run_key const &key) const {
+    for(auto const id: state_.workers[worker].placements) {
+        if(state_.placements[id].key == key) {
+            return id;
+        }
+    }
+    return {};
+}
+
+} // namespace kingcuplink
--- /dev/null
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -0,0 +1,214 @@
+#ifndef KINGCUPLINK_WORKFLOW_DISPATCHER_HPP_INCLUDED
+#define KINGCUPLINK_WORKFLOW_DISPATCHER_HPP_INCLUDED
+
+#include <cstdint>
+#include <kingcuplink/workflow/dispatch_state.hpp>
+#include <kingcuplink/workflow/job_table.hpp>
+#include <memory>
+#include <span>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace kingcuplink {
+
+/*! Bounds within which a dispatcher works; they come from the site. */
+struct dispatch_settings {
+    /*! Length of the leases that runs are started under. */
+    millis lease{8'000};
+    /*! Time for which runs of an earlier leader may go on unseen after a change of leaders. */
+    millis inherited_lease{16'000};
+    /*! Time that the members of a gang have to come together. */
+    millis gang_timeout{3'000};
+};
+
+/*! Order to start a run. */
+struct run_start {
+    placement_id placement;
+    std::string worker;
+    std::string address;
+    std::uint64_t boot{};
+    run_key key;
+    std::string payload;
+    std::string checkpoint;
+    std::string ticket;
+};
+
+/*! Order to stop a run. */
+struct run_stop {
+    placement_id placement;
+    std::string worker;
+    std::string address;
+    std::uint64_t boot{};
+    run_key key;
+};
+
+/*! Question which workers a step may use. */
+struct advice_query {
+    std::string job;
+    std::uint32_t step{};
+    std::vector<std::string> workers;
+    /*! Time that the adviser is expected to take. */
+    millis duration{};
+};
+
+/*! A worker that may run a step. */
+struct advice_grant {
+    std::string worker;
+    std::string ticket;
+};
+
+/*! What a worker answered to a start. */
+enum class start_answer : std::uint8_t {
+    started,
+    /*! A higher token was used there. */
+    fenced,
+    /*! A higher run was seen there. */
+    outdated,
+    /*! The lease that came with it had passed. */
+    late,
+    no_room,
+    bad_ticket,
+    /*! The worker is unwell and did nothing, or is another boot. */
+    unwell,
+    /*! It was surely not sent. */
+    not_sent,
+    /*! It may run now or later. */
+    unknown
+};
+
+/*! Returns the name of an answer. */
+[[nodiscard]] std::string_view name_of(start_answer answer) noexcept;
+
+/*! What the log has to learn; what depends on it waits until it has. */
+struct progress_batch {
+    std::vector<std::pair<std::string, job_progress>> records;
+    std::vector<placement_id> starts;
+    /*! Workers and the number of the last end that the records account for. */
+    std::vector<std::pair<worker_id, std::uint64_t>> ends;
+
+    [[nodiscard]] bool empty() const noexcept {
+        return records.empty() && starts.empty() && ends.empty();
+    }
+};
+
+/*! What one planning round decided besides intents. */
+struct dispatch_plan {
+    std::vector<run_stop> stops;
+    std::vector<advice_query> queries;
+};
+
+/*! Figures for status and metrics. */
+struct dispatch_figures {
+    std::size_t jobs{};
+    std::size_t waiting_tasks{};
+    std::size_t runs{};
+    std::size_t workers{};
+    std::size_t usable_workers{};
+};
+
+/*!
+ * Decides which task runs on which worker for the whole fleet. It performs no I/O
+ * and reads no clock. An intent goes to the log before its start is sent, and the
+ * end of a run before the worker may forget it; so a successor that has read the log
+ * and asked the workers knows all runs. Not thread safe.
+ */
+class dispatcher {
+public:
+    /*!
+     * Begins a reign.
+     * @param now Start of the reign; runs of an earlier leader on workers that cannot
+     * be asked count as alive until the inherited lease has passed.
+     */
+    dispatcher(dispatch_settings settings, instant now);
+
+    /*! Takes the operators' rules. */
+    void set_rules(std::shared_ptr<site_rules const> rules);
+
+    /*! Tells how many entry VMs ask for advice; it bounds the questions under way. */
+    void set_advisers(std::size_t count) noexcept;
+
+    /*! Adds a worker or takes its changed registration. */
+    void register_worker(worker_registration entry, instant now);
+
+    /*! Notes that a worker's registration is gone. */
+    void unregister_worker(std::string const &name);
+
+    /*! Adds a job as the log has it. A job that is known is not added again. */
+    void add_job(job_entry const &entry);
+
+    /*! Cancels a job: its runs are stopped. */
+    void cancel_job(std::string const &id);
+
+    /*!
+     * Notes that a call which extends the lease of a worker's runs is about to be sent.
+     * @param lapsed_at When all that it extends has lapsed by any clock.
+     */
+    void lease_extended(std::string const &worker, instant lapsed_at);
+
+    /*!
+     * Takes a worker's own account of its runs.
+     * @param sent_at When the question was sent: what was ordered later may be missing.
+     */
+    void take_inventory(std::string const &worker, worker_inventory const &inventory, instant sent_at, instant now);
+
+    /*! Returns the number of the last end of a worker that the log accounts for. */
+    [[nodiscard]] std::uint64_t kept_end(std::string const &worker) const;
+
+    /*! Takes the answer to a start. */
+    void start_answered(placement_id placement, start_answer answer, instant now);
+
+    /*! Takes the answer to a stop; false if there was none. */
+    void stop_answered(placement_id placement, bool answered, instant now);
+
+    /*! Takes advice on a step: workers that were asked about and those that were approved. */
+    void take_advice(advice_query const &query, std::span<advice_grant const> grants, instant now);
+
+    /*! Notes that a question for advice failed. */
+    void advice_failed(advice_query const &query, instant now);
+
+    /*! Decides on intents, stops and questions. */
+    void plan(instant now, dispatch_plan &out);
+
+    /*! Returns what the log has to learn next. Only one batch may be under way. */
+    [[nodiscard]] progress_batch next_batch();
+
+    /*!
+     * Notes that the log has a batch.
+     * @param out Receives the starts that may now be sent; those that circumstances
+     * have overtaken are dropped.
+     */
+    void batch_kept(progress_batch const &batch, instant now, std::vector<run_start> &out);
+
+    /*! Returns figures. */
+    [[nodiscard]] dispatch_figures figures(instant now) const;
+
+    /*! Returns a worker that is registered or may have runs, or null. */
+    [[nodiscard]] worker_registration const *find_worker(std::string const &name) const;
+
+private:
+    void adopt_runs(job_id id, job_entry const &entry);
+    void end_job(job_id id, job_phase phase);
+    void stop_runs(job_id id);
+    void stop_gang(job_id id, std::uint32_t step);
+    void finish_task(job_id id, run_key const &key);
+    void finish_step(job_id id, std::uint32_t step);
+    void count_failure(job_id id, run_key const &key, worker_id worker);
+    void judge_worker(worker_id worker, job_id job, run_end how, instant now);
+    void take_end(worker_id worker, listed_end const &end, instant now);
+    void take_listed(worker_id worker, worker_inventory const &inventory, instant sent_at, instant now);
+    void take_stray(worker_id worker, listed_run const &run);
+    void drop_runs(worker_id worker, instant now);
+    /*! Removes a run that did not end well; a gang goes with it. */
+    void lose_run(placement_id id, instant now);
+    void expire_silent_workers(instant now);
+    [[nodiscard]] bool may_still_start(internal::placement const &run, instant now) const;
+    [[nodiscard]] placement_id find_run(worker_id worker, run_key const &key) const;
+
+    dispatch_settings settings_;
+    internal::dispatch_state state_;
+};
+
+} // namespace kingcuplink
+
+#endif
--- /dev/null
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -0,0 +1,293 @@
+#include <algorithm>
+#include <kingcuplink/workflow/dispatcher.hpp>
+
+namespace kingcuplink {
+
+namespace internal {
+
+/*! Delay before a task that failed is placed again. */
+constexpr millis failure_delay{100};
+/*! Different jobs that must fail on a worker, with none ending well, before it is quarantined. */
+constexpr std::size_t quarantine_after = 2u;
+/*! First length of a quarantine; it doubles up to the limit. */
+constexpr millis first_quarantine{4'000};
+/*! Longest quarantine. */
+constexpr millis longest_quarantine{30'000};
+
+} // namespace internal
+
+void dispatcher::register_worker(worker_registration entry, instant const now) {
+    auto const [found, is_new] = state_.worker_ids.try_emplace(entry.name);
+    if(is_new) {
+        internal::live_worker worker;
+        worker.entry = std::move(entry);
+        found->second = state_.workers.emplace(std::move(worker));
+        return;
+    }
+    auto const id = found->second;
+    auto const known_boot = state_.workers[id].entry.boot;
+    if(entry.boot < known_boot) {
+        return;
+    }
+    if(entry.boot > known_boot && known_boot != 0u) {
+        drop_runs(id, now);
+    }
+    auto &worker = state_.workers[id];
+    worker.entry = std::move(entry);
+    worker.is_registered = true;
+}
+
+void dispatcher::unregister_worker(std::string const &name) {
+    if(auto const found = state_.worker_ids.find(name); found != state_.worker_ids.end()) {
+        state_.workers[found->second].is_registered = false;
+    }
+}
+
+void dispatcher::drop_runs(worker_id const id, instant const now) {
+    auto &worker = state_.workers[id];
+    worker.is_held = false;
+    worker.ends_seen = 0u;
+    worker.ends_kept = 0u;
+    worker.failing_jobs.clear();
+    worker.quarantined_until = {};
+    auto const runs = worker.placements;
+    for(auto const run: runs) {
+        lose_run(run, now);
+    }
+    for(auto &job: state_.jobs.values()) {
+        for(auto &step: job.steps) {
+            step.advice.asked.erase(id);
+            step.advice.approved.erase(id);
+        }
+    }
+}
+
+void dispatcher::lose_run(placement_id const id, instant const now) {
+    auto const *run = state_.placements.find(id);
+    if(run == nullptr) {
+        return;
+    }
+    auto const job = run->is_known ? run->job : job_id{};
+    auto const step = run->key.step;
+    state_.remove_placement(id, now);
+    if(auto const *found = state_.jobs.find(job); found != nullptr && !is_final(found->phase)) {
+        if(found->definition.steps[step].gang) {
+            stop_gang(job, step);
+        }
+    }
+}
+
+void dispatcher::take_inventory(
+    std::string const &name, worker_inventory const &inventory, instant const sent_at, instant const now) {
+    auto const found = state_.worker_ids.find(name);
+    if(found == state_.worker_ids.end()) {
+        return;
+    }
+    auto const id = found->second;
+    auto const known_boot = state_.workers[id].entry.boot;
+    if(inventory.boot < known_boot) {
+        return;
+    }
+    if(inventory.boot > known_boot) {
+        if(known_boot != 0u) {
+            drop_runs(id, now);
+        }
+        state_.workers[id].entry.boot = inventory.boot;
+    }
+    for(auto const &end: inventory.ended) {
+        if(end.number > state_.workers[id].ends_seen) {
+            take_end(id, end, now);
+            state_.workers[id].ends_seen = end.number;
+        }
+    }
+    take_listed(id, inventory, sent_at, now);
+    auto &worker = state_.workers[id];
+    worker.is_held = true;
+    worker.seen_at = now;
+}
+
+void dispatcher::take_end(worker_id const worker, listed_end const &end, instant const now) {
+    auto const placed = find_run(worker, end.key);
+    auto const found = state_.job_ids.find(end.key.job);
+    if(found != state_.job_ids.end()) {
+        auto const id = found->second;
+        auto &job = state_.jobs[id];
+        auto const is_known = end.key.step < job.steps.size() && end.key.index < job.steps[end.key.step].tasks.size();
+        auto *task = is_known ? &job.steps[end.key.step].tasks[end.key.index] : nullptr;
+        auto const is_current = task != nullptr && task->run == end.key.run && !task->done &&
+            (task->placement.is_null() || task->placement == placed);
+        if(is_current && !is_final(job.phase)) {
+            auto &step = job.steps[end.key.step];
+            if(!end.checkpoint.empty()) {
+                task->checkpoint = end.checkpoint;
+                step.checkpoint = end.checkpoint;
+            }
+            judge_worker(worker, id, end.how, now);
+            if(end.how == run_end::done && !job.definition.steps[end.key.step].long_running) {
+                finish_task(id, end.key);
+            } else if(end.how == run_end::failed) {
+                count_failure(id, end.key, worker);
+            }
+            state_.mark_dirty(id);
+        }
+    }
+    auto const again_at = end.how == run_end::failed ? now + internal::failure_delay : now;
+    if(end.how == run_end::done) {
+        if(!placed.is_null()) {
+            state_.remove_placement(placed, again_at);
+        }
+    } else {
+        lose_run(placed, again_at);
+    }
+}
+
+void dispatcher::finish_task(job_id const id, run_key const &key) {
+    auto &job = state_.jobs[id];
+    auto &step = job.steps[key.step];
+    auto const finish = [&step](internal::live_task &task) {
+        if(task.done) {
+            return;
+        }
+        task.done = true;
+        --step.undone;
+        step.waiting -= task.placement.is_null() ? 1u : 0u;
+    };
+    if(job.definition.steps[key.step].gang) {
+        // The members of a gang end well together.
+        std::for_each(step.tasks.begin(), step.tasks.end(), finish);
+    } else {
+        finish(step.tasks[key.index]);
+    }
+    if(step.undone == 0u) {
+        finish_step(id, key.step);
+    }
+}
+
+void dispatcher::finish_step(job_id const id, std::uint32_t const step) {
+    auto &job = state_.jobs[id];
+    for(std::uint32_t pos{step + 1u}; pos < job.steps.size(); ++pos) {
+        auto const &after = job.definition.steps[pos].after;
+        job.steps[pos].blocked_by -= static_cast<std::uint32_t>(std::count(after.begin(), after.end(), step));
+    }
+    auto const is_over = std::all_of(
+        job.steps.begin(), job.steps.end(), [](auto const &other) { return other.undone == 0u; });
+    if(is_over) {
+        end_job(id, job_phase::done);
+    }
+}
+
+void dispatcher::count_failure(job_id const id, run_key const &key, worker_id const worker) {
+    auto &job = state_.jobs[id];
+    auto &step = job.steps[key.step];
+    auto const &definition = job.definition.steps[key.step];
+    step.tasks[key.index].failed_on.push_back(worker);
+    if(definition.gang && key.run <= step.failed_run) {
+        return;
+    }
+    step.failed_run = std::max(step.failed_run, key.run);
+    // The first member keeps the count of a gang.
+    auto &counted = step.tasks[definition.gang ? 0u : key.index];
+    ++counted.failures;
+    auto const *queue = find_queue(*state_.rules, job.definition.queue);
+    if(queue != nullptr && counted.failures >= queue->max_attempts && !definition.long_running) {
+        end_job(id, job_phase::failed);
+    }
+}
+
+void dispatcher::judge_worker(worker_id const id, job_id const job, run_end const how, instant const now) {
+    auto &worker = state_.workers[id];
+    if(how == run_end::done) {
+        worker.failing_jobs.clear();
+        worker.quarantine = {};
+        return;
+    }
+    if(how != run_end::failed) {
+        return;
+    }
+    worker.failing_jobs.insert(job);
+    if(worker.failing_jobs.size() >= internal::quarantine_after && worker.quarantined_until <= now) {
+        worker.quarantine = std::clamp(worker.quarantine * 2, internal::first_quarantine, internal::longest_quarantine);
+        worker.quarantined_until = now + worker.quarantine;
+    }
+}
+
+void dispatcher::take_listed(
+    worker_id const id, worker_inventory const &inventory, instant const sent_at, instant const now) {
+    std::map<run_key, listed_run const *> listed;
+    for(auto const &run: inventory.running) {
+        listed.emplace(run.key, &run);
+    }
+    auto const placements = state_.workers[id].placements;
+    for(auto const pos: placements) {
+        auto *run = state_.placements.find(pos);
+        if(run == nullptr || run->stage == internal::placement_stage::intended) {
+            continue;
+        }
+        if(auto const found = listed.find(run->key); found != listed.end()) {
+            if(run->stage != internal::placement_stage::running) {
+                run->stage = internal::placement_stage::running;
+                run->since = now;
+            }
+            if(auto *task = state_.task_of(pos); task != nullptr && !found->second->checkpoint.empty()) {
+                task->checkpoint = found->second->checkpoint;
+                state_.jobs[run->job].steps[run->key.step].checkpoint = found->second->checkpoint;
+            }
+            listed.erase(found);
+            continue;
+        }
+        auto const was_stopped = run->stop_answered && *run->stop_answered < sent_at;
+        auto const was_known = run->stage == internal::placement_stage::running && run->since < sent_at;
+        if(was_stopped || was_known || run->stage == internal::placement_stage::inherited) {
+            lose_run(pos, now);
+        } else if(run->stage == internal::placement_stage::unresolved && run->since < sent_at) {
+            // It may still arrive: only an answered stop keeps it out.
+            run->stop_wanted = true;
+            if(run->is_known && state_.jobs[run->job].definition.steps[run->key.step].gang) {
+                stop_gang(run->job, run->key.step);
+            }
+        }
+    }
+    for(auto const &[key, run]: listed) {
+        take_stray(id, *run);
+    }
+}
+
+void dispatcher::take_stray(worker_id const id, listed_run const &run) {
+    internal::placement stray;
+    stray.worker = id;
+    stray.key = run.key;
+    stray.stage = internal::placement_stage::running;
+    stray.is_known = false;
+    stray.stop_wanted = true;
+    auto const &worker = state_.workers[id];
+    stray.charge = max_of(worker.entry.capacity - worker.used, {});
+    if(auto const found = state_.job_ids.find(run.key.job); found != state_.job_ids.end()) {
+        auto const &job = state_.jobs[found->second];
+        if(run.key.step < job.definition.steps.size()) {
+            stray.charge = job.definition.steps[run.key.step].task_size;
+        }
+    }
+    state_.add_placement(std::move(stray));
+}
+
+void dispatcher::expire_silent_workers(instant const now) {
+    auto const ids = std::vector<worker_id>{state_.workers.ids().begin(), state_.workers.ids().end()};
+    for(auto const id: ids) {
+        auto &worker = state_.workers[id];
+        if(worker.lapsed_at < now && !worker.placements.empty()) {
+            auto const runs = worker.placements;
+            for(auto const pos: runs) {
+                auto const *run = state_.placements.find(pos);
+                if(run != nullptr && run->stage != internal::placement_stage::intended) {
+                    lose_run(pos, now);
+                }
+            }
+        }
+        if(!state_.workers[id].is_registered && state_.workers[id].placements.empty()) {
+            state_.worker_ids.erase(state_.workers[id].entry.name);
+            state_.workers.erase(id);
+        }
+    }
+}
+
+} // namespace kingcuplink
--- /dev/null
+++ b/src/kingcuplink/workflow/job_table.cpp
@@ -0,0 +1,81 @@
+#include <kingcuplink/workflow/job_table.hpp>
+#include <utility>
+
+namespace kingcuplink {
+
+bool job_table::define(job_definition definition) {
+    auto const id = definition.id;
+    auto const [found, inserted] = jobs_.try_emplace(id);
+    if(inserted) {
+        found->second.definition = std::move(definition);
+        count(found->second, 1);
+    }
+    return inserted;
+}
+
+void job_table::advance(std::string const &id, job_progress progress, instant const now) {
+    auto const found = jobs_.find(id);
+    if(found == jobs_.end()) {
+        return;
+    }
+    auto &entry = found->second;
+    count(entry, -1);
+    if(is_final(progress.phase) && !is_final(entry.progress.phase)) {
+        entry.ended_at = now;
+        // Only a live job needs its text.
+        entry.definition.payload = {};
+    }
+    entry.progress = std::move(progress);
+    count(entry, 1);
+}
+
+bool job_table::cancel(std::string const &id) {
+    auto const found = jobs_.find(id);
+    if(found == jobs_.end() || is_final(found->second.progress.phase)) {
+        return false;
+    }
+    count(found->second, -1);
+    found->second.cancel_wanted = true;
+    count(found->second, 1);
+    return true;
+}
+
+void job_table::forget(std::string const &id) {
+    if(auto const found = jobs_.find(id); found != jobs_.end()) {
+        count(found->second, -1);
+        jobs_.erase(found);
+    }
+}
+
+job_entry const *job_table::find(std::string const &id) const {
+    auto const found = jobs_.find(id);
+    return found == jobs_.end() ? nullptr : &found->second;
+}
+
+job_phase job_table::visible_phase(job_entry const &entry) noexcept {
+    auto const phase = entry.progress.phase;
+    return entry.cancel_wanted && !is_final(phase) ? job_phase::cancelled : phase;
+}
+
+std::size_t job_table::pending(std::string const &queue) const {
+    auto const found = pending_.find(queue);
+    return found == pending_.end() ? 0u : static_cast<std::size_t>(found->second);
+}
+
+std::vector<std::string> job_table::ended_before(instant const time) const {
+    std::vector<std::string> ids;
+    for(auto const &[id, entry]: jobs_) {
+        if(is_final(entry.progress.phase) && entry.ended_at < time) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+void job_table::count(job_entry const &entry, std::int64_t const change) {
+    if(visible_phase(entry) == job_phase::queued) {
+        pending_[entry.definition.queue] += change;
+    }
+}
+
+} // namespace kingcuplink
--- /dev/null
+++ b/src/kingcuplink/workflow/objective.cpp
@@ -0,0 +1,86 @@
+#include <algorithm>
+#include <kingcuplink/workflow/objective.hpp>
+
+namespace kingcuplink {
+
+namespace internal {
+
+/*! Workers in the one call for advice that the objective allows for each step; from the users' rules. */
+constexpr std::int64_t advised_workers = 30;
+/*! A job is worth something up to this many times its objective; from the users' rules. */
+constexpr int late_factor = 3;
+/*! Seconds of usual traffic that may come at once before it counts as excess. */
+constexpr double burst_seconds = 2.0;
+
+millis chain_part(step_definition const &step, queue_rules const &queue) {
+    auto part = step.estimate;
+    if(queue.advice) {
+        part += queue.advice->base + millis{queue.advice->per_worker_us * advised_workers / 1'000};
+    }
+    return part;
+}
+
+} // namespace internal
+
+job_objective objective_of(job_definition const &job, queue_rules const &queue) {
+    job_objective result;
+    result.remaining.assign(job.steps.size(), millis{});
+    millis longest{};
+    for(auto pos = job.steps.size(); pos-- > 0u;) {
+        // Followers have been looked at: each names earlier steps only.
+        result.remaining[pos] += internal::chain_part(job.steps[pos], queue);
+        for(auto const before: job.steps[pos].after) {
+            result.remaining[before] = std::max(result.remaining[before], result.remaining[pos]);
+        }
+        longest = std::max(longest, result.remaining[pos]);
+    }
+    auto const scaled = static_cast<std::int64_t>(queue.stretch * static_cast<double>(longest.count()));
+    auto const allowed = millis{scaled} + queue.target;
+    result.in_time = job.accepted_at + allowed;
+    result.late = job.accepted_at + allowed * internal::late_factor;
+    return result;
+}
+
+service_rank rank_of(
+    job_objective const &objective, std::uint32_t const step, bool const is_excess, instant const now) noexcept {
+    auto const remaining = objective.remaining[step];
+    auto const in_time = objective.in_time - remaining;
+    auto const late = objective.late - remaining;
+    if(is_excess) {
+        return {service_tier::excess, in_time};
+    }
+    if(now <= in_time) {
+        return {service_tier::in_time, in_time};
+    }
+    return now <= late ? service_rank{service_tier::late, late} : service_rank{service_tier::hopeless, late};
+}
+
+bool is_well_ordered(std::span<step_definition const> const steps) noexcept {
+    for(std::size_t pos{}; pos < steps.size(); ++pos) {
+        auto const &after = steps[pos].after;
+        if(std::any_of(after.begin(), after.end(), [pos](auto const before) { return before >= pos; })) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool account_meter::is_excess(double const per_second, instant const accepted_at) noexcept {
+    auto const most = per_second * internal::burst_seconds;
+    if(filled_at_ == instant{}) {
+        tokens_ = most;
+        filled_at_ = accepted_at;
+    } else if(accepted_at > filled_at_) {
+        tokens_ = std::min(
+            most, tokens_ + per_second * std::chrono::duration<double>(accepted_at - filled_at_).count());
+        filled_at_ = accepted_at;
+    }
+    tokens_ -= 1.0;
+    if(tokens_ < 0.0) {
+        tokens_ = 0.0;
+        return true;
+    }
+    return false;
+}
+
+} // namespace kingcuplink
--- /dev/null
+++ b/src/kingcuplink/workflow/types.hpp
@@ -0,0 +1,144 @@
+#ifndef KINGCUPLINK_WORKFLOW_TYPES_HPP_INCLUDED
+#define KINGCUPLINK_WORKFLOW_TYPES_HPP_INCLUDED
+
+#include <cstdint>
+#include <kingcuplink/core/resources.hpp>
+#include <kingcuplink/core/time.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace kingcuplink {
+
+/*! One step of a job: tasks of one size that become ready together. */
+struct step_definition {
+    std::uint32_t count{1u};
+    resources task_size;
+    /*! Rough run time of one task, as the caller declared it. */
+    millis estimate{};
+    /*! Earlier steps that must be done first. */
+    std::vector<std::uint32_t> after;
+    /*! True if the tasks work only while all of them are present. */
+    bool gang{};
+    bool same_rack{};
+    /*! True if a stopped task goes on from its last checkpoint. */
+    bool checkpointing{};
+    bool long_running{};
+    /*! Label that a worker must have; empty for none. */
+    std::string required_label;
+    /*! Rack that holds the data; empty for none. */
+    std::string data_rack;
+    /*! Most tasks of the step on one worker; zero for no limit. */
+    std::uint32_t most_per_worker{};
+};
+
+/*! What a caller handed in; it never changes once it is in the log. */
+struct job_definition {
+    /*! Identifier that the caller chose. */
+    std::string id;
+    std::string queue;
+    /*! Client account of the key that came with it. */
+    std::string account;
+    /*! Text that is handed to every task. */
+    std::string payload;
+    std::vector<step_definition> steps;
+    /*! By the clock of the entry VM that accepted it. */
+    instant accepted_at{};
+};
+
+/*! State of a job as callers see it. */
+enum class job_phase : std::uint8_t { queued, running, done, failed, cancelled };
+
+/*! Returns the name of a phase. */
+[[nodiscard]] std::string_view name_of(job_phase phase) noexcept;
+
+/*! Tells whether a phase is final. */
+[[nodiscard]] constexpr bool is_final(job_phase const phase) noexcept {
+    return phase >= job_phase::done;
+}
+
+/*! What is kept of one task that was started at least once. */
+struct task_progress {
+    std::uint32_t step{};
+    std::uint32_t index{};
+    /*! Number of the latest start; later ones must have higher numbers. */
+    std::uint32_t run{};
+    std::uint32_t failures{};
+    bool done{};
+    /*! Worker on which the latest run may exist; empty once its end is known. */
+    std::string worker;
+    std::string checkpoint;
+};
+
+/*! State of a job as it is kept in the log. */
+struct job_progress {
+    job_phase phase{job_phase::queued};
+    std::vector<task_progress> tasks;
+};
+
+/*! How a run ended on its worker. */
+enum class run_end : std::uint8_t {
+    done,
+    /*! By the task's own fault or by the worker's. */
+    failed,
+    stopped,
+    /*! Its lease ran out. */
+    lapsed,
+    /*! Another member of its gang ended. */
+    broken,
+    /*! The other members of its gang did not come. */
+    alone
+};
+
+/*! Returns the name of an end. */
+[[nodiscard]] std::string_view name_of(run_end end) noexcept;
+
+/*! Names one run of one task. */
+struct run_key {
+    std::string job;
+    std::uint32_t step{};
+    std::uint32_t index{};
+    std::uint32_t run{};
+
+    friend auto operator<=>(run_key const &, run_key const &) = default;
+};
+
+/*! A run that a worker lists as present. */
+struct listed_run {
+    run_key key;
+    std::string checkpoint;
+};
+
+/*! A run that a worker lists as ended. */
+struct listed_end {
+    /*! Number of the end in this boot of the worker. */
+    std::uint64_t number{};
+    run_key key;
+    run_end how{run_end::done};
+    std::string checkpoint;
+};
+
+/*! What a worker says of all its runs. */
+struct worker_inventory {
+    /*! Identifies the boot of the worker; nothing of an earlier boot is left. */
+    std::uint64_t boot{};
+    std::vector<listed_run> running;
+    std::vector<listed_end> ended;
+};
+
+/*! A worker as it registered itself. */
+struct worker_registration {
+    std::string name;
+    std::string service;
+    std::string address;
+    std::string domain;
+    std::vector<std::string> labels;
+    resources capacity;
+    std::uint64_t boot{};
+    /*! True if it takes no new work. */
+    bool leaving{};
+};
+
+} // namespace kingcuplink
+
+#endif
