--- a/src/kingcuplink/site/fleet_lead.cpp
+++ b/src/kingcuplink/site/fleet_lead.cpp
@@ -48,6 +48,7 @@
     boost::asio::co_spawn(parts_.context, follow_workers(self), boost::asio::detached);
     boost::asio::co_spawn(parts_.context, run_planner(self), boost::asio::detached);
     boost::asio::co_spawn(parts_.context, run_journal(self), boost::asio::detached);
+    boost::asio::co_spawn(parts_.context, run_beats(self), boost::asio::detached);
 }
 
 void fleet_lead::end() noexcept {
@@ -367,6 +368,27 @@
     parts_.decisions.write(decision::run_stopped, std::move(fields));
 }
 
+boost::asio::awaitable<void> fleet_lead::run_beats([[maybe_unused]] self_pointer self) {
+    while(!over_) {
+        std::size_t receivers{};
+        for(auto const &[peer, seen_at]: adviser_seen_) {
+            if(++receivers > timing::beat_receivers) {
+                break;
+            }
+            send_beat(peer);
+        }
+        co_await pause_for(parts_.context, timing::beat_interval);
+    }
+}
+
+void fleet_lead::send_beat(std::string const &peer) {
+    wire::envelope message;
+    auto &beat = *message.mutable_leader_beat();
+    beat.set_term(term_);
+    beat.set_log_age_ms(static_cast<std::uint64_t>(std::max(millis{}, current_time() - appended_at_).count()));
+    parts_.peers.send(peer, message);
+}
+
 void fleet_lead::meet(std::string const &peer, std::string const &address) {
     parts_.peers.connect(peer, address);
     advisers_.add(peer);
--- a/src/kingcuplink/site/fleet_lead.hpp
+++ b/src/kingcuplink/site/fleet_lead.hpp
@@ -103,6 +103,8 @@
     boost::asio::awaitable<void> watch_worker(self_pointer self, std::string name);
     boost::asio::awaitable<bool> look_at(std::string const &name, bool was_answered);
     boost::asio::awaitable<void> run_planner(self_pointer self);
+    boost::asio::awaitable<void> run_beats(self_pointer self);
+    void send_beat(std::string const &peer);
     boost::asio::awaitable<void> run_journal(self_pointer self);
     boost::asio::awaitable<bool> keep(std::vector<keyed_record> records);
     boost::asio::awaitable<void> start_run(self_pointer self, run_start run);
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -16,13 +16,13 @@
 
 constexpr std::size_t job_id_length = 16u;
 /*! Time that an acceptance may take if the caller does not say how long it waits. */
-constexpr millis default_patience{2'000};
+constexpr millis default_patience{1'200};
 /*! Part of a caller's patience that is left for the answer's way back. */
 constexpr millis answer_reserve{300};
 /*! Time between looks for jobs to forget. */
 constexpr millis forget_interval{5'000};
 /*! Time between looks at the leader. */
-constexpr millis leader_check{100};
+constexpr millis leader_check{50};
 /*! Time for the balancer to notice that this entry VM leaves, before leadership goes. */
 constexpr millis resign_delay{300};
 
@@ -425,10 +425,19 @@
     if(draining_ || rules_ == nullptr || !jobs_.is_synced() || jobs_.fresh_at() + timing::log_wait * 2 < now) {
         return false;
     }
-    auto const spread = millis{static_cast<std::int64_t>(
-        stable_hash(parts_.settings.name, leader_.term) % static_cast<std::uint64_t>(timing::claim_spread.count()))};
-    auto const is_vacant = leader_.term == 0u || leader_.resigned;
-    return leader_seen_at_ + spread + (is_vacant ? millis{} : timing::leader_silence) < now;
+    if(leader_.term == 0u || leader_.resigned || leader_.name == parts_.settings.name) {
+        // Nobody leads, or an earlier process of this entry VM did.
+        return leader_seen_at_ + spread() < now;
+    }
+    auto const has_beats = beat_term_ == leader_.term;
+    auto const silence = has_beats ? timing::beat_silence : timing::log_silence;
+    auto const is_silent = std::max(leader_seen_at_, beat_at_) + silence + spread() < now;
+    return is_silent || (has_beats && beat_log_age_ > timing::useless_leader);
+}
+
+millis site_node::spread() const {
+    return millis{static_cast<std::int64_t>(stable_hash(parts_.settings.name, leader_.term) %
+        static_cast<std::uint64_t>(timing::claim_spread.count()))};
 }
 
 boost::asio::awaitable<void> site_node::claim() {
@@ -501,7 +510,8 @@
 
 boost::asio::awaitable<void> site_node::introduce() {
     while(true) {
-        co_await pause_for(parts_.context, timing::introduction_interval);
+        auto const is_met = beat_term_ == leader_.term;
+        co_await pause_for(parts_.context, is_met ? timing::introduction_interval : timing::first_introduction);
         if(lead_ != nullptr || leader_.name.empty() || leader_.name == parts_.settings.name || draining_) {
             continue;
         }
@@ -516,6 +526,8 @@
 void site_node::handle(wire::envelope const &message) {
     if(message.has_introduction() && lead_ != nullptr && message.introduction().term() == lead_->term()) {
         lead_->meet(message.sender(), message.introduction().peer_address());
+    } else if(message.has_leader_beat()) {
+        take_beat(message.leader_beat());
     } else if(message.has_advice_question() && message.sender() == leader_.name) {
         boost::asio::co_spawn(
             parts_.context, answer_question(message.sender(), message.advice_question()), boost::asio::detached);
@@ -524,6 +536,15 @@
     }
 }
 
+void site_node::take_beat(wire::leader_beat const &beat) {
+    if(beat.term() < leader_.term) {
+        return;
+    }
+    beat_term_ = beat.term();
+    beat_at_ = current_time();
+    beat_log_age_ = millis{static_cast<std::int64_t>(beat.log_age_ms())};
+}
+
 boost::asio::awaitable<void> site_node::answer_question(std::string peer, wire::advice_question question) {
     advice_query query{question.job(), question.step(), {question.workers().begin(), question.workers().end()}, {}};
     auto const grants = co_await parts_.advice.ask(std::move(query), config::longest_advice);
--- a/src/kingcuplink/site/site_node.hpp
+++ b/src/kingcuplink/site/site_node.hpp
@@ -128,6 +128,7 @@
     // Leadership.
     boost::asio::awaitable<void> watch_leader();
     [[nodiscard]] bool should_claim(instant now) const;
+    [[nodiscard]] millis spread() const;
     boost::asio::awaitable<void> claim();
     void begin_lead(std::uint64_t term, std::uint64_t sequence);
     void end_lead();
@@ -135,6 +136,7 @@
     // Peers.
     boost::asio::awaitable<void> introduce();
     void handle(wire::envelope const &message);
+    void take_beat(wire::leader_beat const &beat);
     boost::asio::awaitable<void> answer_question(std::string peer, wire::advice_question question);
 
     void refresh_ready();
@@ -148,6 +150,10 @@
     wakeup intake_wanted_;
     leader_claim leader_;
     instant leader_seen_at_{};
+    /*! Latest beat of the leader, and its term. */
+    instant beat_at_{};
+    std::uint64_t beat_term_{};
+    millis beat_log_age_{};
     std::shared_ptr<fleet_lead> lead_;
     instant forgot_at_{};
     bool log_reached_{true};
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -9,10 +9,18 @@
 
 /*! Longest lease that is asked for; it bridges a change of leaders, which takes about 4 s. */
 inline constexpr millis most_lease{8'000};
-/*! Silence of the leader in the log after which another entry VM claims leadership. */
-inline constexpr millis leader_silence{2'200};
+/*! Time between the leader's beats to other entry VMs. */
+inline constexpr millis beat_interval{200};
+/*! Entry VMs that get beats; the others go by the log. */
+inline constexpr std::size_t beat_receivers{8u};
+/*! Silence of a leader's beats and records after which another entry VM claims leadership: four beats. */
+inline constexpr millis beat_silence{800};
+/*! Silence of a leader in the log after which an entry VM that gets no beats claims leadership. */
+inline constexpr millis log_silence{2'200};
+/*! Time without an append after which a leader that lives is replaced by an entry VM that can read the log. */
+inline constexpr millis useless_leader{2'500};
 /*! Spread of claims, so that one entry VM is mostly first. */
-inline constexpr millis claim_spread{500};
+inline constexpr millis claim_spread{200};
 /*! Time between the leader's records if nothing else is to be recorded. */
 inline constexpr millis leader_heartbeat{700};
 /*! Time without a successful append after which a leader no longer extends leases. */
@@ -43,6 +51,8 @@
 inline constexpr millis look_retry{300};
 /*! Time between introductions of an entry VM to the leader. */
 inline constexpr millis introduction_interval{1'000};
+/*! Time between introductions until the leader has sent a beat. */
+inline constexpr millis first_introduction{100};
 /*! Silence after which an entry VM is no longer asked to seek advice. */
 inline constexpr millis adviser_silence{3'200};
 /*! Time that an adviser has on top of what it is expected to take. */
--- a/src/kingcuplink/workflow/adviser_pool.cpp
+++ b/src/kingcuplink/workflow/adviser_pool.cpp
@@ -1,17 +1,9 @@
 #include <algorithm>
 #include <kingcuplink/workflow/adviser_pool.hpp>
+#include <kingcuplink/workflow/dispatch_state.hpp>
 
 namespace kingcuplink {
 
-namespace internal {
-
-/*! Calls from this length on count as long. */
-constexpr millis long_call{200};
-/*! Part of the entry VMs that long calls may use, in percent. */
-constexpr std::size_t long_call_percent = 60u;
-
-} // namespace internal
-
 void adviser_pool::add(std::string const &name) {
     members_.try_emplace(name);
 }
@@ -21,8 +13,8 @@
 }
 
 std::string adviser_pool::book(millis const duration, instant const now) {
-    auto const is_long = duration >= internal::long_call;
-    auto const limit = std::max<std::size_t>(1u, members_.size() * internal::long_call_percent / 100u);
+    auto const is_long = duration >= internal::long_query;
+    auto const limit = long_capable(members_.size());
     auto best = members_.end();
     std::size_t pos{};
     for(auto entry = members_.begin(); entry != members_.end(); ++entry, ++pos) {
--- a/src/kingcuplink/workflow/adviser_pool.hpp
+++ b/src/kingcuplink/workflow/adviser_pool.hpp
@@ -1,6 +1,8 @@
 #ifndef KINGCUPLINK_WORKFLOW_ADVISER_POOL_HPP_INCLUDED
 #define KINGCUPLINK_WORKFLOW_ADVISER_POOL_HPP_INCLUDED
 
+#include <algorithm>
+#include <cstddef>
 #include <kingcuplink/core/time.hpp>
 #include <map>
 #include <string>
@@ -35,7 +37,15 @@
         return members_.size();
     }
 
+    /*! Returns how many of a number of entry VMs long calls may use. */
+    [[nodiscard]] static constexpr std::size_t long_capable(std::size_t const members) noexcept {
+        return std::max<std::size_t>(1u, members * long_call_percent / 100u);
+    }
+
 private:
+    /*! Part of the entry VMs that long calls may use, in percent. */
+    static constexpr std::size_t long_call_percent = 60u;
+
     struct member {
         instant free_at{};
         std::size_t calls{};
--- a/src/kingcuplink/workflow/dispatch_planner.cpp
+++ b/src/kingcuplink/workflow/dispatch_planner.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <kingcuplink/workflow/adviser_pool.hpp>
 #include <kingcuplink/workflow/dispatch_planner.hpp>
 #include <limits>
 
@@ -415,7 +416,8 @@
     wanted.resize(std::min(wanted.size(), most));
     advice_query query{job.definition.id, turn.step, {}, duration_of(wanted.size())};
     auto &under_way = queries_like(state_, query.duration);
-    auto const limit = query.duration >= long_query ? state_.advisers + 1u : short_queries_each * state_.advisers;
+    auto const limit = query.duration >= long_query ? adviser_pool::long_capable(state_.advisers)
+                                                    : short_queries_each * state_.advisers;
     if(under_way >= limit) {
         return;
     }
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -59,7 +59,10 @@
 /*! One task of a live job. */
 struct live_task {
     bool done{};
+    /*! Number of the latest start. */
     std::uint32_t run{};
+    /*! Latest run whose end was taken note of: a worker may list an end more than once. */
+    std::uint32_t ended_run{};
     std::uint32_t failures{};
     std::string checkpoint{};
     placement_id placement{};
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -109,8 +109,11 @@
             --step.undone;
         }
         if(row.worker.empty()) {
+            task.ended_run = row.run;
+            step.failed_run = std::max(step.failed_run, row.failures > 0u ? row.run : 0u);
             continue;
         }
+        task.ended_run = row.run - 1u;
         if(!state_.worker_ids.contains(row.worker)) {
             // Keeps the run on the books until it has surely lapsed.
             worker_registration gone;
