Seek advice only where room is near; gather room for gangs ahead; no claims while the log is away

Followers claimed leadership during a store outage and changed a working leader. Ruled out: processor time; the time of starts (2 to 5 ms).

--- a/src/kingcuplink/site/fleet_lead.cpp
+++ b/src/kingcuplink/site/fleet_lead.cpp
@@ -165,7 +165,8 @@
 boost::asio::awaitable<void> fleet_lead::watch_worker([[maybe_unused]] self_pointer self, std::string name) {
     auto was_answered = false;
     while(!over_ && dispatcher_.find_worker(name) != nullptr) {
-        auto const answered = co_await look_at(name, was_answered);
+        auto const mode = was_answered ? look_mode::patient : look_mode::first;
+        auto const answered = co_await look_at(name, mode);
         if(answered != was_answered && !over_) {
             parts_.decisions.write(answered ? decision::worker_seen : decision::worker_silent, {{"worker", name}});
         }
@@ -175,16 +176,18 @@
     watched_.erase(name);
 }
 
-boost::asio::awaitable<bool> fleet_lead::look_at(std::string const &name, bool const was_answered) {
+boost::asio::awaitable<bool> fleet_lead::look_at(std::string const name, look_mode const mode) {
     auto const entry = *dispatcher_.find_worker(name);
     auto const sent_at = current_time();
     worker_target target{entry.name, entry.address, entry.boot};
     look_request request{term_, dispatcher_.kept_end(name), timing::look_wait, std::nullopt};
-    if(!was_answered) {
+    if(mode == look_mode::first) {
         // Whichever boot answers: neither its ends nor its leases are touched before they are known.
         target.boot = 0u;
         request.kept_end = 0u;
         request.wait = millis{};
+    } else if(mode == look_mode::prompt) {
+        request.wait = millis{};
     } else if(auto const clock = clock_of(name, entry.boot); clock && may_extend_leases(sent_at)) {
         request.expires_at = *clock + lease_.count();
         dispatcher_.lease_extended(name, timing::lapsed_at(sent_at, lease_));
@@ -222,6 +225,12 @@
     co_return true;
 }
 
+boost::asio::awaitable<void> fleet_lead::look_again([[maybe_unused]] self_pointer self, std::string worker) {
+    if(dispatcher_.find_worker(worker) != nullptr) {
+        co_await look_at(std::move(worker), look_mode::prompt);
+    }
+}
+
 boost::asio::awaitable<void> fleet_lead::run_planner([[maybe_unused]] self_pointer self) {
     while(!over_) {
         co_await plan_wanted_.wait(timing::plan_interval);
@@ -326,12 +335,16 @@
         parts_.stats.add(event::task_start_sent);
         worker_target target{run.worker, run.address, run.boot};
         answer = co_await parts_.workers.start(
-            std::move(target), run, term_, *clock + lease_.count(), timing::worker_timeout);
+            std::move(target), run, term_, *clock + lease_.count(), timing::order_timeout);
     }
     if(over_) {
         co_return;
     }
     dispatcher_.start_answered(run.placement, answer, current_time());
+    if(answer == start_answer::unknown) {
+        boost::asio::co_spawn(
+            parts_.context, look_again(shared_from_this(), run.worker), boost::asio::detached);
+    }
     fields["token"] = term_;
     fields["answer"] = name_of(answer);
     switch(answer) {
@@ -358,11 +371,15 @@
 boost::asio::awaitable<void> fleet_lead::stop_run([[maybe_unused]] self_pointer self, run_stop stop) {
     parts_.stats.add(event::task_stop_sent);
     worker_target target{stop.worker, stop.address, stop.boot};
-    auto const answered = co_await parts_.workers.stop(std::move(target), stop.key, term_, timing::worker_timeout);
+    auto const answered = co_await parts_.workers.stop(std::move(target), stop.key, term_, timing::order_timeout);
     if(over_) {
         co_return;
     }
     dispatcher_.stop_answered(stop.placement, answered, current_time());
+    if(answered) {
+        boost::asio::co_spawn(
+            parts_.context, look_again(shared_from_this(), stop.worker), boost::asio::detached);
+    }
     auto fields = internal::fields_of(stop.key, stop.worker);
     fields["answered"] = answered;
     parts_.decisions.write(decision::run_stopped, std::move(fields));
--- a/src/kingcuplink/site/fleet_lead.hpp
+++ b/src/kingcuplink/site/fleet_lead.hpp
@@ -96,12 +96,24 @@
         advice_query query;
     };
 
+    /*! How a worker is asked for its runs. */
+    enum class look_mode : std::uint8_t {
+        /*! It has not answered last: nothing that an earlier boot needs is named. */
+        first,
+        /*! It may wait for an end. */
+        patient,
+        /*! It answers at once; leases stay as they are. */
+        prompt
+    };
+
     using self_pointer = std::shared_ptr<fleet_lead>;
 
     boost::asio::awaitable<void> follow_workers(self_pointer self);
     void take_registrations(keyed_batch const &batch);
     boost::asio::awaitable<void> watch_worker(self_pointer self, std::string name);
-    boost::asio::awaitable<bool> look_at(std::string const &name, bool was_answered);
+    boost::asio::awaitable<bool> look_at(std::string name, look_mode mode);
+    /*! Looks at once: an end that no look waits for, or a run that may not be there. */
+    boost::asio::awaitable<void> look_again(self_pointer self, std::string worker);
     boost::asio::awaitable<void> run_planner(self_pointer self);
     boost::asio::awaitable<void> run_beats(self_pointer self);
     void send_beat(std::string const &peer);
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -422,7 +422,8 @@
 }
 
 bool site_node::should_claim(instant const now) const {
-    if(draining_ || rules_ == nullptr || !jobs_.is_synced() || jobs_.fresh_at() + timing::log_wait * 2 < now) {
+    auto const reads_log = log_reached_ && jobs_.fresh_at() + timing::log_wait + timing::claim_freshness > now;
+    if(draining_ || rules_ == nullptr || !jobs_.is_synced() || !reads_log) {
         return false;
     }
     if(leader_.term == 0u || leader_.resigned || leader_.name == parts_.settings.name) {
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -19,6 +19,8 @@
 inline constexpr millis log_silence{2'200};
 /*! Time without an append after which a leader that lives is replaced by an entry VM that can read the log. */
 inline constexpr millis useless_leader{2'500};
+/*! Age of the last read, on top of the time it may wait, up to which an entry VM may claim leadership. */
+inline constexpr millis claim_freshness{400};
 /*! Spread of claims, so that one entry VM is mostly first. */
 inline constexpr millis claim_spread{200};
 /*! Time between the leader's records if nothing else is to be recorded. */
@@ -47,6 +49,8 @@
 inline constexpr millis look_spacing{60};
 /*! Time that a worker has to answer, on top of the time it may wait. */
 inline constexpr millis worker_timeout{1'200};
+/*! Time that a worker has to answer an order; it takes some 5 ms. */
+inline constexpr millis order_timeout{500};
 /*! Delay before a worker that did not answer is asked again. */
 inline constexpr millis look_retry{300};
 /*! Time between introductions of an entry VM to the leader. */
--- a/src/kingcuplink/workflow/dispatch_planner.cpp
+++ b/src/kingcuplink/workflow/dispatch_planner.cpp
@@ -9,10 +9,15 @@
 
 /*! Gangs that may keep room free for themselves at the same time. */
 constexpr std::size_t claiming_gangs = 4u;
-/*! Waiting gangs that get fresh tickets at the same time. */
-constexpr std::size_t advised_gangs = 6u;
+/*! Waiting gangs for which advice is sought at the same time, in the order of waiting. */
+constexpr std::size_t advised_gangs = 8u;
+/*! Waiting gangs whose tickets are renewed before they lapse. */
+constexpr std::size_t renewed_gangs = 2u;
 /*! Workers in one question; the adviser takes no more. */
 constexpr std::size_t query_workers = 100u;
+/*! Workers named in a question for each task that waits, and besides. */
+constexpr std::size_t query_workers_each = 4u;
+constexpr std::size_t query_workers_besides = 8u;
 /*! Short questions under way for each entry VM; the adviser refuses beyond 32 waiting calls. */
 constexpr std::size_t short_queries_each = 6u;
 /*! Time that a run is left alone before it may be stopped for a gang. */
@@ -396,23 +401,31 @@
     };
     auto const is_first = step.advice.asked.empty();
     auto const &size = job.definition.steps[turn.step].task_size;
+    if(is_gang && waiting_gangs_++ >= (is_first ? advised_gangs : renewed_gangs)) {
+        return;
+    }
     auto const soon = now_ + duration_of(options.size()) + renewal_margin;
     std::vector<option const *> wanted;
+    auto has_room = false;
     for(auto const &item: options) {
+        auto const fits_now = fits(size, item.on->room);
+        has_room = has_room || fits_now;
         auto const lapses = item.ticket == nullptr || (is_gang && item.ticket->until < soon);
-        if(is_first || (lapses && (is_gang || fits(size, item.on->worker->entry.capacity - item.on->worker->used)))) {
+        if(is_first || (lapses && (is_gang || fits_now))) {
             wanted.push_back(&item);
         }
     }
-    if(wanted.empty() || (is_gang && !is_first && blocked_gangs_ > advised_gangs)) {
+    if(!is_gang && !has_room && steps_ahead_++ >= state_.advisers) {
         return;
     }
-    std::sort(wanted.begin(), wanted.end(),
-        [](auto const *lhs, auto const *rhs) { return lhs->on->room.millicores > rhs->on->room.millicores; });
-    auto most = query_workers;
-    if(!is_first && !is_gang) {
-        most = std::min<std::size_t>(most, 2u * step.waiting + 2u);
+    if(wanted.empty()) {
+        return;
     }
+    std::sort(wanted.begin(), wanted.end(), [](auto const *lhs, auto const *rhs) {
+        return lhs->on->room.millicores > rhs->on->room.millicores;
+    });
+    auto const most = is_gang ? query_workers
+                              : std::min(query_workers, query_workers_each * step.waiting + query_workers_besides);
     wanted.resize(std::min(wanted.size(), most));
     advice_query query{job.definition.id, turn.step, {}, duration_of(wanted.size())};
     auto &under_way = queries_like(state_, query.duration);
--- a/src/kingcuplink/workflow/dispatch_planner.hpp
+++ b/src/kingcuplink/workflow/dispatch_planner.hpp
@@ -67,6 +67,9 @@
     dispatch_plan &out_;
     std::vector<candidate> candidates_;
     std::size_t blocked_gangs_{};
+    /*! Gangs that wait, and other steps without room, that were looked at for advice in this round. */
+    std::size_t waiting_gangs_{};
+    std::size_t steps_ahead_{};
 };
 
 /*! Returns how many tasks of a size fit into an amount. */
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -126,6 +126,8 @@
     bool is_held{};
     /*! When it last answered. */
     instant seen_at{};
+    /*! When the latest question that it answered was sent; answers may overtake each other. */
+    instant asked_at{};
     /*! By then everything that it was ordered has lapsed if nothing more is sent. */
     instant lapsed_at{};
     std::uint64_t ends_seen{};
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -85,9 +85,10 @@
     }
     auto const id = found->second;
     auto const known_boot = state_.workers[id].entry.boot;
-    if(inventory.boot < known_boot) {
+    if(inventory.boot < known_boot || sent_at < state_.workers[id].asked_at) {
         return;
     }
+    state_.workers[id].asked_at = sent_at;
     if(inventory.boot > known_boot) {
         if(known_boot != 0u) {
             drop_runs(id, now);
--- a/src/kingcuplink/workflow/objective.cpp
+++ b/src/kingcuplink/workflow/objective.cpp
@@ -9,6 +9,10 @@
 constexpr std::int64_t advised_workers = 30;
 /*! A job is worth something up to this many times its objective; from the users' rules. */
 constexpr int late_factor = 3;
+/*! Gangs up to this size fit on one or two workers and need no room to be gathered. */
+constexpr std::uint32_t small_gang = 2u;
+/*! Time for which room is gathered before a gang has to start. */
+constexpr millis gathering_time{2'500};
 /*! Seconds of usual traffic that may come at once before it counts as excess. */
 constexpr double burst_seconds = 2.0;
 
@@ -29,6 +33,9 @@
     for(auto pos = job.steps.size(); pos-- > 0u;) {
         // Followers have been looked at: each names earlier steps only.
         result.remaining[pos] += internal::chain_part(job.steps[pos], queue);
+        if(job.steps[pos].gang && job.steps[pos].count > internal::small_gang) {
+            result.lead = std::max(result.lead, internal::gathering_time);
+        }
         for(auto const before: job.steps[pos].after) {
             result.remaining[before] = std::max(result.remaining[before], result.remaining[pos]);
         }
@@ -50,7 +57,7 @@
         return {service_tier::excess, in_time};
     }
     if(now <= in_time) {
-        return {service_tier::in_time, in_time};
+        return {service_tier::in_time, in_time - objective.lead};
     }
     return now <= late ? service_rank{service_tier::late, late} : service_rank{service_tier::hopeless, late};
 }
--- a/src/kingcuplink/workflow/objective.hpp
+++ b/src/kingcuplink/workflow/objective.hpp
@@ -28,6 +28,8 @@
     instant in_time{};
     /*! Time after which it has none. */
     instant late{};
+    /*! Time by which the job goes ahead of others that have to start as late: room for gangs has to be gathered. */
+    millis lead{};
     /*! For each step, the longest chain of estimated work from its start to the job's end. */
     std::vector<millis> remaining;
 };
