Let the leader append callers' records, and tell ends to peers before the log has them

Cause: in a slow store (60 ms an append) 8 entry VMs appended beside each other and filled the partition's queue; in an outage jobs that had ended could not be shown as done. Ruled out: more appends at once (they queue at the partition).

--- a/src/kingcuplink/site/fleet_lead.cpp
+++ b/src/kingcuplink/site/fleet_lead.cpp
@@ -26,11 +26,13 @@
 } // namespace internal
 
 fleet_lead::fleet_lead(
-    lead_parts const parts, std::uint64_t const term, std::uint64_t const sequence, fenced_listener on_fenced)
+    lead_parts const parts, std::uint64_t const term, std::uint64_t const sequence, fenced_listener on_fenced,
+    end_listener on_end)
     : parts_{parts},
       term_{term},
       sequence_{sequence},
       on_fenced_{std::move(on_fenced)},
+      on_end_{std::move(on_end)},
       lease_{std::min(parts.settings.lease_limit, timing::most_lease)},
       dispatcher_{{lease_, timing::renewal_without_log + lease_ + timing::worker_timeout, parts.settings.gang_timeout},
           current_time()},
@@ -220,6 +222,7 @@
         }
     }
     dispatcher_.take_inventory(name, answer.inventory, sent_at, now);
+    tell_ends();
     plan_wanted_.notify();
     journal_wanted_.notify();
     co_return true;
@@ -398,6 +401,25 @@
     }
 }
 
+void fleet_lead::tell_ends() {
+    auto const ended = dispatcher_.take_ended();
+    if(ended.empty()) {
+        return;
+    }
+    wire::envelope message;
+    auto &ends = *message.mutable_job_ends();
+    ends.set_term(term_);
+    for(auto const &[id, phase]: ended) {
+        auto &row = *ends.add_rows();
+        row.set_id(id);
+        row.set_phase(static_cast<std::uint32_t>(phase));
+    }
+    on_end_(ends);
+    for(auto const &[peer, seen_at]: adviser_seen_) {
+        parts_.peers.send(peer, message);
+    }
+}
+
 void fleet_lead::send_beat(std::string const &peer) {
     wire::envelope message;
     auto &beat = *message.mutable_leader_beat();
--- a/src/kingcuplink/site/fleet_lead.hpp
+++ b/src/kingcuplink/site/fleet_lead.hpp
@@ -42,11 +42,15 @@
     /*! Called once when the log or a worker knows a higher term. */
     using fenced_listener = std::function<void()>;
 
+    /*! Called with jobs that ended, before the log has it. */
+    using end_listener = std::function<void(wire::job_ends const &)>;
+
     /*!
      * Constructs a leader.
      * @param sequence Number of the append that claimed the term.
      */
-    fleet_lead(lead_parts parts, std::uint64_t term, std::uint64_t sequence, fenced_listener on_fenced);
+    fleet_lead(lead_parts parts, std::uint64_t term, std::uint64_t sequence, fenced_listener on_fenced,
+        end_listener on_end);
 
     /*! Begins to work. Call once, with the rules and all jobs loaded. */
     void start();
@@ -117,6 +121,7 @@
     boost::asio::awaitable<void> run_planner(self_pointer self);
     boost::asio::awaitable<void> run_beats(self_pointer self);
     void send_beat(std::string const &peer);
+    void tell_ends();
     boost::asio::awaitable<void> run_journal(self_pointer self);
     boost::asio::awaitable<bool> keep(std::vector<keyed_record> records);
     boost::asio::awaitable<void> start_run(self_pointer self, run_start run);
@@ -136,6 +141,7 @@
     std::uint64_t term_;
     std::uint64_t sequence_;
     fenced_listener on_fenced_;
+    end_listener on_end_;
     millis lease_;
     dispatcher dispatcher_;
     keyed_reader registrations_;
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -19,6 +19,8 @@
 constexpr millis default_patience{1'200};
 /*! Part of a caller's patience that is left for the answer's way back. */
 constexpr millis answer_reserve{300};
+/*! Time without the log after which new callers had better go elsewhere. */
+constexpr millis log_loss_grace{1'500};
 /*! Time between looks for jobs to forget. */
 constexpr millis forget_interval{5'000};
 /*! Time between looks at the leader. */
@@ -187,38 +189,96 @@
     return {std::nullopt, std::nullopt, table_.pending(queue.name)};
 }
 
-boost::asio::awaitable<append_outcome> site_node::hand_in(keyed_record record, millis const patience) {
+site_node::intake_pointer site_node::add_intake(keyed_record record, millis const patience) {
     auto const item = std::make_shared<intake_item>(parts_.context);
     item->record = std::move(record);
     auto const time = patience > millis{} ? patience - internal::answer_reserve : internal::default_patience;
     item->give_up_at = current_time() + std::min(time, internal::default_patience);
     intake_.push_back(item);
     intake_wanted_.notify();
-    while(!item->is_settled) {
-        co_await item->settled.wait(internal::default_patience);
+    return item;
+}
+
+boost::asio::awaitable<append_outcome> site_node::hand_in(keyed_record record, millis const patience) {
+    auto const item = add_intake(std::move(record), patience);
+    while(!item->is_settled && current_time() < item->give_up_at) {
+        co_await item->settled.wait(item->give_up_at - current_time());
+    }
+    if(!item->is_settled) {
+        // Whatever becomes of it, the caller is told that it is not known.
+        item->is_settled = true;
+        item->outcome = append_outcome::unknown;
     }
     co_return item->outcome;
 }
 
 boost::asio::awaitable<void> site_node::run_intake() {
     while(true) {
-        co_await intake_wanted_.wait(timing::log_wait);
+        co_await intake_wanted_.wait(timing::slow_append);
         if(intake_.empty()) {
             continue;
         }
         co_await pause_for(parts_.context, timing::intake_spacing);
-        boost::asio::co_spawn(parts_.context, append_intake(std::exchange(intake_, {})), boost::asio::detached);
+        // One append at a time, so that records gather while the log is slow; a stuck one is not waited for.
+        if(intake_appends_ == 0u || intake_sent_at_ + timing::slow_append < current_time()) {
+            boost::asio::co_spawn(
+                parts_.context, append_intake(std::exchange(intake_, {})), boost::asio::detached);
+        }
     }
 }
 
+bool site_node::leader_takes_records() const {
+    return lead_ == nullptr && beat_term_ == leader_.term && leader_.term > 0u &&
+        beat_at_ + timing::relay_beat_age > current_time() && beat_log_age_ < timing::useless_leader;
+}
+
+boost::asio::awaitable<append_outcome> site_node::hand_to_leader(
+    std::vector<intake_pointer> items, millis const patience) {
+    wire::envelope message;
+    auto &request = *message.mutable_append_request();
+    auto const id = ++next_relay_;
+    request.set_id(id);
+    request.set_patience_ms(static_cast<std::uint64_t>(patience.count()));
+    for(auto const &item: items) {
+        auto &record = *request.add_records();
+        record.set_key(item->record.key);
+        record.set_value(item->record.value.value_or(std::string{}));
+    }
+    auto const waiting = std::make_shared<relay>(parts_.context);
+    relays_.emplace(id, waiting);
+    if(peers_.send(leader_.name, message)) {
+        co_await waiting->answered.wait(patience);
+    } else {
+        waiting->outcome = append_outcome::refused;
+    }
+    relays_.erase(id);
+    co_return waiting->outcome;
+}
+
 boost::asio::awaitable<void> site_node::append_intake(std::vector<intake_pointer> items) {
     auto const settle = [](intake_pointer const &item, append_outcome const outcome) {
-        item->outcome = outcome;
-        item->is_settled = true;
+        if(!item->is_settled) {
+            item->outcome = outcome;
+            item->is_settled = true;
+        }
         item->settled.notify();
     };
+    ++intake_appends_;
+    intake_sent_at_ = current_time();
     auto refusals = 0;
     auto may_be_done = false;
+    if(leader_takes_records()) {
+        // The leader appends the records of all entry VMs together.
+        auto const outcome = co_await hand_to_leader(items, timing::relay_timeout);
+        may_be_done = outcome == append_outcome::unknown;
+        refusals += outcome == append_outcome::refused ? 1 : 0;
+        if(outcome == append_outcome::done) {
+            for(auto const &item: items) {
+                settle(item, append_outcome::done);
+            }
+            items.clear();
+        }
+    }
     while(!items.empty()) {
         std::vector<keyed_record> records;
         for(auto const &item: items) {
@@ -244,6 +304,8 @@
             co_await pause_for(parts_.context, timing::log_retry);
         }
     }
+    --intake_appends_;
+    intake_wanted_.notify();
 }
 
 // The log.
@@ -253,6 +315,7 @@
         auto batch = co_await jobs_.next(timing::log_wait);
         note_dependency(batch.has_value());
         if(!batch) {
+            refresh_ready();
             co_await pause_for(parts_.context, timing::log_retry);
             continue;
         }
@@ -266,6 +329,7 @@
 void site_node::note_dependency(bool const reached) {
     if(reached != log_reached_) {
         log_reached_ = reached;
+        log_lost_at_ = current_time();
         parts_.decisions.write(
             reached ? decision::dependency_regained : decision::dependency_lost, {{"dependency", "log"}});
     }
@@ -390,7 +454,8 @@
 }
 
 void site_node::refresh_ready() {
-    auto const ready = rules_ != nullptr && jobs_.is_synced() && !draining_;
+    auto const has_log = log_reached_ || log_lost_at_ + internal::log_loss_grace > current_time();
+    auto const ready = rules_ != nullptr && jobs_.is_synced() && has_log && !draining_;
     if(ready != ready_.exchange(ready)) {
         parts_.decisions.write(decision::ready_changed, {{"ready", ready}});
     }
@@ -472,7 +537,7 @@
 void site_node::begin_lead(std::uint64_t const term, std::uint64_t const sequence) {
     lead_ = std::make_shared<fleet_lead>(lead_parts{parts_.context, parts_.settings, parts_.stats, parts_.decisions,
                                              parts_.log, parts_.decoder, parts_.workers, parts_.advice, peers_},
-        term, sequence, [this]() { end_lead(); });
+        term, sequence, [this]() { end_lead(); }, [this](wire::job_ends const &ends) { take_ends(ends); });
     parts_.stats.add(event::leadership_taken);
     lead_->set_rules(rules_);
     std::vector<job_entry const *> entries;
@@ -529,6 +594,13 @@
         lead_->meet(message.sender(), message.introduction().peer_address());
     } else if(message.has_leader_beat()) {
         take_beat(message.leader_beat());
+    } else if(message.has_job_ends()) {
+        take_ends(message.job_ends());
+    } else if(message.has_append_request()) {
+        boost::asio::co_spawn(
+            parts_.context, answer_append(message.sender(), message.append_request()), boost::asio::detached);
+    } else if(message.has_append_reply()) {
+        take_append_reply(message.append_reply());
     } else if(message.has_advice_question() && message.sender() == leader_.name) {
         boost::asio::co_spawn(
             parts_.context, answer_question(message.sender(), message.advice_question()), boost::asio::detached);
@@ -546,6 +618,53 @@
     beat_log_age_ = millis{static_cast<std::int64_t>(beat.log_age_ms())};
 }
 
+void site_node::take_ends(wire::job_ends const &ends) {
+    if(ends.term() < leader_.term) {
+        return;
+    }
+    for(auto const &row: ends.rows()) {
+        if(row.phase() <= static_cast<std::uint32_t>(job_phase::cancelled)) {
+            table_.tell_end(row.id(), static_cast<job_phase>(row.phase()));
+        }
+    }
+}
+
+boost::asio::awaitable<void> site_node::answer_append(std::string peer, wire::append_request request) {
+    std::vector<intake_pointer> items;
+    auto const patience = millis{static_cast<std::int64_t>(request.patience_ms())} + internal::answer_reserve;
+    for(auto const &record: request.records()) {
+        items.push_back(add_intake({record.key(), record.value()}, patience));
+    }
+    auto is_done = true;
+    auto is_refused = true;
+    for(auto const &item: items) {
+        while(!item->is_settled && current_time() < item->give_up_at) {
+            co_await item->settled.wait(item->give_up_at - current_time());
+        }
+        is_done = is_done && item->is_settled && item->outcome == append_outcome::done;
+        is_refused = is_refused && item->is_settled && item->outcome == append_outcome::refused;
+    }
+    if(is_done) {
+        for(auto const &item: items) {
+            apply(item->record);
+        }
+    }
+    wire::envelope message;
+    message.mutable_append_reply()->set_id(request.id());
+    message.mutable_append_reply()->set_done(is_done);
+    message.mutable_append_reply()->set_refused(is_refused);
+    peers_.send(peer, message);
+}
+
+void site_node::take_append_reply(wire::append_reply const &reply) {
+    if(auto const found = relays_.find(reply.id()); found != relays_.end()) {
+        found->second->outcome = reply.done() ? append_outcome::done
+            : reply.refused()               ? append_outcome::refused
+                                            : append_outcome::unknown;
+        found->second->answered.notify();
+    }
+}
+
 boost::asio::awaitable<void> site_node::answer_question(std::string peer, wire::advice_question question) {
     advice_query query{question.job(), question.step(), {question.workers().begin(), question.workers().end()}, {}};
     auto const grants = co_await parts_.advice.ask(std::move(query), config::longest_advice);
--- a/src/kingcuplink/site/site_node.hpp
+++ b/src/kingcuplink/site/site_node.hpp
@@ -13,6 +13,7 @@
 #include <kingcuplink/site/site_settings.hpp>
 #include <kingcuplink/wire/peer_link.hpp>
 #include <kingcuplink/workflow/job_table.hpp>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -102,6 +103,14 @@
 
     using intake_pointer = std::shared_ptr<intake_item>;
 
+    /*! Records that the leader was asked to append. */
+    struct relay {
+        explicit relay(boost::asio::io_context &context) : answered{context} {}
+
+        append_outcome outcome{append_outcome::unknown};
+        wakeup answered;
+    };
+
     // Callers.
     boost::asio::awaitable<caller_answer> submit(
         caller_request request, queue_rules const &queue, std::string account, std::string id);
@@ -110,6 +119,9 @@
     [[nodiscard]] caller_answer tell_pending(queue_rules const &queue) const;
     [[nodiscard]] caller_answer unknown_job(std::string const &id) const;
     boost::asio::awaitable<append_outcome> hand_in(keyed_record record, millis patience);
+    intake_pointer add_intake(keyed_record record, millis patience);
+    boost::asio::awaitable<append_outcome> hand_to_leader(std::vector<intake_pointer> items, millis patience);
+    [[nodiscard]] bool leader_takes_records() const;
     boost::asio::awaitable<void> run_intake();
     boost::asio::awaitable<void> append_intake(std::vector<intake_pointer> items);
     [[nodiscard]] bool is_fresh() const;
@@ -137,6 +149,9 @@
     boost::asio::awaitable<void> introduce();
     void handle(wire::envelope const &message);
     void take_beat(wire::leader_beat const &beat);
+    void take_ends(wire::job_ends const &ends);
+    boost::asio::awaitable<void> answer_append(std::string peer, wire::append_request request);
+    void take_append_reply(wire::append_reply const &reply);
     boost::asio::awaitable<void> answer_question(std::string peer, wire::advice_question question);
 
     void refresh_ready();
@@ -148,6 +163,12 @@
     std::shared_ptr<site_rules const> rules_;
     std::vector<intake_pointer> intake_;
     wakeup intake_wanted_;
+    /*! Appends of callers' records under way, and when the latest was sent. */
+    std::size_t intake_appends_{};
+    instant intake_sent_at_{};
+    /*! Appends that the leader was asked for. */
+    std::map<std::uint64_t, std::shared_ptr<relay>> relays_;
+    std::uint64_t next_relay_{};
     leader_claim leader_;
     instant leader_seen_at_{};
     /*! Latest beat of the leader, and its term. */
@@ -157,6 +178,7 @@
     std::shared_ptr<fleet_lead> lead_;
     instant forgot_at_{};
     bool log_reached_{true};
+    instant log_lost_at_{};
     bool draining_{};
     std::atomic<bool> ready_{};
     std::mt19937_64 random_;
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -31,6 +31,12 @@
 inline constexpr millis append_spacing{20};
 /*! Delay of a caller's append in which others can join it. */
 inline constexpr millis intake_spacing{5};
+/*! Time that another entry VM has to append a caller's record. */
+inline constexpr millis relay_timeout{400};
+/*! Age of the leader's latest beat up to which callers' records go through it. */
+inline constexpr millis relay_beat_age{500};
+/*! Age of an append from which on another one may be sent beside it. */
+inline constexpr millis slow_append{400};
 /*! Delay before an append or read that failed is tried again. */
 inline constexpr millis log_retry{150};
 /*! Time that the log waits for a record. */
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -2,6 +2,7 @@
 #include <array>
 #include <kingcuplink/workflow/dispatch_planner.hpp>
 #include <kingcuplink/workflow/dispatcher.hpp>
+#include <utility>
 
 namespace kingcuplink {
 
@@ -86,7 +87,10 @@
     auto const id = state_.jobs.emplace(std::move(job));
     state_.job_ids.emplace(definition.id, id);
     adopt_runs(id, entry);
-    if(entry.cancel_wanted) {
+    if(entry.told_end) {
+        // An earlier leader saw it end, and callers were told.
+        end_job(id, *entry.told_end);
+    } else if(entry.cancel_wanted) {
         cancel_job(definition.id);
     }
 }
@@ -153,6 +157,7 @@
 void dispatcher::end_job(job_id const id, job_phase const phase) {
     state_.jobs[id].phase = phase;
     state_.mark_dirty(id);
+    ended_.emplace_back(state_.jobs[id].definition.id, phase);
     if(phase != job_phase::done) {
         stop_runs(id);
     }
@@ -352,6 +357,10 @@
     }
 }
 
+std::vector<std::pair<std::string, job_phase>> dispatcher::take_ended() {
+    return std::exchange(ended_, {});
+}
+
 dispatch_figures dispatcher::figures(instant const now) const {
     dispatch_figures result;
     result.jobs = state_.jobs.size();
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -180,6 +180,9 @@
      */
     void batch_kept(progress_batch const &batch, instant now, std::vector<run_start> &out);
 
+    /*! Returns jobs that ended since the last call, whether the log has it or not. */
+    [[nodiscard]] std::vector<std::pair<std::string, job_phase>> take_ended();
+
     /*! Returns figures. */
     [[nodiscard]] dispatch_figures figures(instant now) const;
 
@@ -207,6 +210,7 @@
 
     dispatch_settings settings_;
     internal::dispatch_state state_;
+    std::vector<std::pair<std::string, job_phase>> ended_;
 };
 
 } // namespace kingcuplink
--- a/src/kingcuplink/workflow/job_table.cpp
+++ b/src/kingcuplink/workflow/job_table.cpp
@@ -40,6 +40,14 @@
     return true;
 }
 
+void job_table::tell_end(std::string const &id, job_phase const phase) {
+    if(auto const found = jobs_.find(id); found != jobs_.end() && is_final(phase)) {
+        count(found->second, -1);
+        found->second.told_end = phase;
+        count(found->second, 1);
+    }
+}
+
 void job_table::forget(std::string const &id) {
     if(auto const found = jobs_.find(id); found != jobs_.end()) {
         count(found->second, -1);
@@ -54,6 +62,9 @@
 
 job_phase job_table::visible_phase(job_entry const &entry) noexcept {
     auto const phase = entry.progress.phase;
+    if(entry.told_end && !is_final(phase)) {
+        return *entry.told_end;
+    }
     return entry.cancel_wanted && !is_final(phase) ? job_phase::cancelled : phase;
 }
 
--- a/src/kingcuplink/workflow/job_table.hpp
+++ b/src/kingcuplink/workflow/job_table.hpp
@@ -3,9 +3,10 @@
 
 #include <cstdint>
 #include <kingcuplink/workflow/types.hpp>
-#include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace kingcuplink {
 
@@ -14,6 +15,8 @@
     job_definition definition;
     job_progress progress;
     bool cancel_wanted{};
+    /*! Phase in which it ended, if the leader said so before the log has it. */
+    std::optional<job_phase> told_end{};
     /*! When this process learnt of its end; for forgetting it. */
     instant ended_at{};
 };
@@ -33,6 +36,9 @@
     /*! Notes that a caller cancelled a job. Returns false if it is not known or has ended. */
     bool cancel(std::string const &id);
 
+    /*! Notes how a job ended before the log has it. */
+    void tell_end(std::string const &id, job_phase phase);
+
     /*! Drops a job. */
     void forget(std::string const &id);
 
