--- a/src/kingcuplink/daemon/site_daemon.cpp
+++ b/src/kingcuplink/daemon/site_daemon.cpp
@@ -1,5 +1,4 @@
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -13,6 +12,7 @@
 #include <kingcuplink/gateway/responses.hpp>
 #include <kingcuplink/site/site_node.hpp>
 #include <kingcuplink/site/timing.hpp>
+#include <kingcuplink/site/wakeup.hpp>
 #include <platform/advice_client.hpp>
 #include <platform/caller_front.hpp>
 #include <platform/site_reader.hpp>
@@ -141,7 +141,7 @@
         {{"domain", settings.failure_domain}, {"callers", settings.callers_address}, {"log", settings.log_address},
             {"lease_limit_ms", settings.lease_limit.count()}});
     node->start();
-    boost::asio::co_spawn(control, internal::run_upkeep(control, decisions, http), boost::asio::detached);
+    boost::asio::co_spawn(control, internal::run_upkeep(control, decisions, http), fail_fast);
     {
         internal::context_thread const control_thread{control};
         internal::context_thread const traffic_thread{traffic};
--- a/src/kingcuplink/site/fleet_lead.cpp
+++ b/src/kingcuplink/site/fleet_lead.cpp
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <kingcuplink/platform/http_client.hpp>
 #include <kingcuplink/site/fleet_lead.hpp>
 #include <kingcuplink/site/record_codec.hpp>
@@ -47,10 +46,10 @@
     auto const self = shared_from_this();
     parts_.decisions.write(
         decision::leadership_begun, {{"term", term_}, {"jobs", dispatcher_.figures(current_time()).jobs}});
-    boost::asio::co_spawn(parts_.context, follow_workers(self), boost::asio::detached);
-    boost::asio::co_spawn(parts_.context, run_planner(self), boost::asio::detached);
-    boost::asio::co_spawn(parts_.context, run_journal(self), boost::asio::detached);
-    boost::asio::co_spawn(parts_.context, run_beats(self), boost::asio::detached);
+    boost::asio::co_spawn(parts_.context, follow_workers(self), fail_fast);
+    boost::asio::co_spawn(parts_.context, run_planner(self), fail_fast);
+    boost::asio::co_spawn(parts_.context, run_journal(self), fail_fast);
+    boost::asio::co_spawn(parts_.context, run_beats(self), fail_fast);
 }
 
 void fleet_lead::end() noexcept {
@@ -152,7 +151,7 @@
         }
         dispatcher_.register_worker(std::move(*entry), now);
         if(watched_.insert(name).second) {
-            boost::asio::co_spawn(parts_.context, watch_worker(shared_from_this(), name), boost::asio::detached);
+            boost::asio::co_spawn(parts_.context, watch_worker(shared_from_this(), name), fail_fast);
         }
     }
     if(batch.is_whole) {
@@ -250,7 +249,7 @@
     dispatch_plan decided;
     dispatcher_.plan(now, decided);
     for(auto &stop: decided.stops) {
-        boost::asio::co_spawn(parts_.context, stop_run(shared_from_this(), std::move(stop)), boost::asio::detached);
+        boost::asio::co_spawn(parts_.context, stop_run(shared_from_this(), std::move(stop)), fail_fast);
     }
     for(auto &query: decided.queries) {
         ask(std::move(query));
@@ -288,7 +287,7 @@
         dispatcher_.batch_kept(batch, current_time(), starts);
         for(auto &start: starts) {
             boost::asio::co_spawn(
-                parts_.context, start_run(shared_from_this(), std::move(start)), boost::asio::detached);
+                parts_.context, start_run(shared_from_this(), std::move(start)), fail_fast);
         }
         plan_wanted_.notify();
     }
@@ -346,7 +345,7 @@
     dispatcher_.start_answered(run.placement, answer, current_time());
     if(answer == start_answer::unknown) {
         boost::asio::co_spawn(
-            parts_.context, look_again(shared_from_this(), run.worker), boost::asio::detached);
+            parts_.context, look_again(shared_from_this(), run.worker), fail_fast);
     }
     fields["token"] = term_;
     fields["answer"] = name_of(answer);
@@ -381,7 +380,7 @@
     dispatcher_.stop_answered(stop.placement, answered, current_time());
     if(answered) {
         boost::asio::co_spawn(
-            parts_.context, look_again(shared_from_this(), stop.worker), boost::asio::detached);
+            parts_.context, look_again(shared_from_this(), stop.worker), fail_fast);
     }
     auto fields = internal::fields_of(stop.key, stop.worker);
     fields["answered"] = answered;
@@ -462,12 +461,12 @@
             auto const limit = query.duration * 2 + timing::advice_slack;
             questions_.emplace(next_question_, open_question{asker, std::move(query)});
             boost::asio::co_spawn(
-                parts_.context, expire_question(shared_from_this(), next_question_, limit), boost::asio::detached);
+                parts_.context, expire_question(shared_from_this(), next_question_, limit), fail_fast);
             return;
         }
         advisers_.release(asker, current_time());
     }
-    boost::asio::co_spawn(parts_.context, ask_adviser(shared_from_this(), std::move(query)), boost::asio::detached);
+    boost::asio::co_spawn(parts_.context, ask_adviser(shared_from_this(), std::move(query)), fail_fast);
 }
 
 boost::asio::awaitable<void> fleet_lead::ask_adviser([[maybe_unused]] self_pointer self, advice_query query) {
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <cctype>
 #include <kingcuplink/core/config.hpp>
@@ -72,7 +71,7 @@
 void site_node::start() {
     for(auto const loop: {&site_node::follow_jobs, &site_node::follow_rules, &site_node::run_intake,
             &site_node::watch_leader, &site_node::introduce}) {
-        boost::asio::co_spawn(parts_.context, (this->*loop)(), boost::asio::detached);
+        boost::asio::co_spawn(parts_.context, (this->*loop)(), fail_fast);
     }
 }
 
@@ -222,7 +221,7 @@
         // One append at a time, so that records gather while the log is slow; a stuck one is not waited for.
         if(intake_appends_ == 0u || intake_sent_at_ + timing::slow_append < current_time()) {
             boost::asio::co_spawn(
-                parts_.context, append_intake(std::exchange(intake_, {})), boost::asio::detached);
+                parts_.context, append_intake(std::exchange(intake_, {})), fail_fast);
         }
     }
 }
@@ -569,7 +568,7 @@
                 co_await lead->resign();
             }
         },
-        boost::asio::detached);
+        fail_fast);
 }
 
 // Peers.
@@ -598,12 +597,12 @@
         take_ends(message.job_ends());
     } else if(message.has_append_request()) {
         boost::asio::co_spawn(
-            parts_.context, answer_append(message.sender(), message.append_request()), boost::asio::detached);
+            parts_.context, answer_append(message.sender(), message.append_request()), fail_fast);
     } else if(message.has_append_reply()) {
         take_append_reply(message.append_reply());
     } else if(message.has_advice_question() && message.sender() == leader_.name) {
         boost::asio::co_spawn(
-            parts_.context, answer_question(message.sender(), message.advice_question()), boost::asio::detached);
+            parts_.context, answer_question(message.sender(), message.advice_question()), fail_fast);
     } else if(message.has_advice_answer() && lead_ != nullptr) {
         lead_->take_advice(message.sender(), message.advice_answer());
     }
--- a/src/kingcuplink/site/wakeup.hpp
+++ b/src/kingcuplink/site/wakeup.hpp
@@ -6,10 +6,18 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <exception>
 #include <kingcuplink/core/time.hpp>
 
 namespace kingcuplink {
 
+/*! Completion of a coroutine that nobody waits for: an exception ends the process with its message. */
+inline constexpr auto fail_fast = [](std::exception_ptr const &error) {
+    if(error) {
+        std::rethrow_exception(error);
+    }
+};
+
 /*! Waits for a time. */
 inline boost::asio::awaitable<void> pause_for(boost::asio::io_context &context, millis const time) {
     boost::asio::steady_timer timer{context, time};
--- a/src/kingcuplink/workflow/dispatch_planner.cpp
+++ b/src/kingcuplink/workflow/dispatch_planner.cpp
@@ -9,10 +9,8 @@
 
 /*! Gangs that may keep room free for themselves at the same time. */
 constexpr std::size_t claiming_gangs = 4u;
-/*! Waiting gangs for which advice is sought at the same time, in the order of waiting. */
+/*! Waiting gangs for which a first advice is sought at the same time, in the order of waiting. */
 constexpr std::size_t advised_gangs = 8u;
-/*! Waiting gangs whose tickets are renewed before they lapse. */
-constexpr std::size_t renewed_gangs = 2u;
 /*! Workers in one question; the adviser takes no more. */
 constexpr std::size_t query_workers = 100u;
 /*! Workers named in a question for each task that waits, and besides. */
@@ -116,12 +114,8 @@
 void dispatch_planner::serve(waiting_step const &turn) {
     auto options = options_for(turn);
     auto const is_gang = state_.jobs[turn.job].definition.steps[turn.step].gang;
-    if(is_gang) {
-        place_gang(turn, options);
-    } else {
-        place_tasks(turn, options);
-    }
-    if(state_.jobs[turn.job].steps[turn.step].waiting > 0u) {
+    auto const wants_advice = is_gang ? place_gang(turn, options) : place_tasks(turn, options);
+    if(wants_advice) {
         seek_advice(turn, options, is_gang);
     }
 }
@@ -223,7 +217,7 @@
     return best;
 }
 
-void dispatch_planner::place_tasks(waiting_step const &turn, std::vector<option> const &options) {
+bool dispatch_planner::place_tasks(waiting_step const &turn, std::vector<option> const &options) {
     auto const size = state_.jobs[turn.job].definition.steps[turn.step].task_size;
     auto const count = state_.jobs[turn.job].steps[turn.step].tasks.size();
     for(std::uint32_t index{}; index < count; ++index) {
@@ -233,20 +227,21 @@
             continue;
         }
         if(!is_within_ceiling(job, size)) {
-            return;
+            return false;
         }
         auto const *where = tightest(options, task, turn.job, turn.step);
         if(where == nullptr) {
             if(task.failed_on.empty()) {
-                return;
+                return true;
             }
             continue;
         }
         start(turn, index, task.run + 1u, *where);
     }
+    return state_.jobs[turn.job].steps[turn.step].waiting > 0u;
 }
 
-void dispatch_planner::place_gang(waiting_step const &turn, std::vector<option> &options) {
+bool dispatch_planner::place_gang(waiting_step const &turn, std::vector<option> &options) {
     auto const &job = state_.jobs[turn.job];
     auto const &step = job.steps[turn.step];
     auto const &definition = job.definition.steps[turn.step];
@@ -255,16 +250,23 @@
         auto const &task = step.tasks[index];
         if(!task.placement.is_null() || task.not_before > now_) {
             // Runs of an earlier attempt have to go first.
-            return;
+            return false;
         }
         members.push_back(index);
     }
-    if(!is_within_ceiling(job, definition.task_size * definition.count)) {
-        return;
+    if(!is_within_ceiling(job, definition.task_size * definition.count) || place_members(turn, options, members)) {
+        return false;
     }
-    if(!place_members(turn, options, members) && turn.rank.tier < service_tier::hopeless) {
-        claim_for_gang(turn, options, static_cast<std::uint32_t>(members.size()));
+    if(step.advice.asked.empty()) {
+        return waiting_gangs_++ < advised_gangs;
+    }
+    // Tickets lapse soon: they are worth renewing only where the gang could start with them.
+    std::uint32_t slots{};
+    for(auto const &item: options) {
+        slots += std::min(definition.count, fit_count(definition.task_size, item.on->room));
     }
+    auto const can_gather = turn.rank.tier < service_tier::hopeless && claim_for_gang(turn, options, definition.count);
+    return can_gather || slots >= definition.count;
 }
 
 bool dispatch_planner::place_members(
@@ -337,10 +339,10 @@
     return victims;
 }
 
-void dispatch_planner::claim_for_gang(
+bool dispatch_planner::claim_for_gang(
     waiting_step const &turn, std::vector<option> &options, std::uint32_t const count) {
     if(++blocked_gangs_ > claiming_gangs) {
-        return;
+        return false;
     }
     auto const &size = state_.jobs[turn.job].definition.steps[turn.step].task_size;
     auto const &advice = state_.jobs[turn.job].steps[turn.step].advice;
@@ -387,6 +389,7 @@
             state_.placements[id].stop_wanted = false;
         }
     }
+    return missing == 0u;
 }
 
 void dispatch_planner::seek_advice(waiting_step const &turn, std::vector<option> const &options, bool const is_gang) {
@@ -401,9 +404,6 @@
     };
     auto const is_first = step.advice.asked.empty();
     auto const &size = job.definition.steps[turn.step].task_size;
-    if(is_gang && waiting_gangs_++ >= (is_first ? advised_gangs : renewed_gangs)) {
-        return;
-    }
     auto const soon = now_ + duration_of(options.size()) + renewal_margin;
     std::vector<option const *> wanted;
     auto has_room = false;
--- a/src/kingcuplink/workflow/dispatch_planner.hpp
+++ b/src/kingcuplink/workflow/dispatch_planner.hpp
@@ -44,13 +44,16 @@
     [[nodiscard]] std::vector<waiting_step> order_steps() const;
 
     void serve(waiting_step const &turn);
-    void place_tasks(waiting_step const &turn, std::vector<option> const &options);
+    /*! Places what can be placed; true if advice may help to place more. */
+    bool place_tasks(waiting_step const &turn, std::vector<option> const &options);
     [[nodiscard]] option const *tightest(
         std::vector<option> const &options, live_task const &task, job_id job, std::uint32_t step) const;
-    void place_gang(waiting_step const &turn, std::vector<option> &options);
+    /*! Places all members or none; true if advice may help. */
+    bool place_gang(waiting_step const &turn, std::vector<option> &options);
     [[nodiscard]] bool place_members(
         waiting_step const &turn, std::vector<option> const &options, std::span<std::uint32_t const> members);
-    void claim_for_gang(waiting_step const &turn, std::vector<option> &options, std::uint32_t count);
+    /*! Keeps room for a gang and has other runs stopped for it; true if that will be enough. */
+    bool claim_for_gang(waiting_step const &turn, std::vector<option> &options, std::uint32_t count);
     [[nodiscard]] std::vector<placement_id> victims_for(
         waiting_step const &turn, live_worker const &worker, resources room, resources const &size) const;
     [[nodiscard]] bool is_victim(placement const &run, waiting_step const &turn) const;
@@ -67,7 +70,7 @@
     dispatch_plan &out_;
     std::vector<candidate> candidates_;
     std::size_t blocked_gangs_{};
-    /*! Gangs that wait, and other steps without room, that were looked at for advice in this round. */
+    /*! Gangs without any advice, and other steps without room, that were looked at in this round. */
     std::size_t waiting_gangs_{};
     std::size_t steps_ahead_{};
 };
