Book advisers by what they still work on; queues of priority 0 before all others

A call is now waited for as long as the calls before it take, and one without an answer keeps its VM from being asked.

--- a/src/kingcuplink/core/config.hpp
+++ b/src/kingcuplink/core/config.hpp
@@ -49,9 +49,6 @@
 /*! Age of a journal record at which a live job is journalled again. */
 inline constexpr millis journal_refresh{900'000};
 
-/*! Time that an adviser has to answer a question, its own queue included. */
-inline constexpr millis longest_advice{6'000};
-
 /*! Time between two planning rounds that no event caused. */
 inline constexpr millis plan_interval{200};
 /*! Least time between two planning rounds. */
--- a/src/kingcuplink/site/fleet_lead.cpp
+++ b/src/kingcuplink/site/fleet_lead.cpp
@@ -447,30 +447,32 @@
 }
 
 void fleet_lead::ask(advice_query query) {
-    auto const asker = advisers_.book(query.duration, current_time());
-    if(asker != parts_.settings.name) {
-        wire::envelope message;
-        auto &question = *message.mutable_advice_question();
-        question.set_id(++next_question_);
-        question.set_job(query.job);
-        question.set_step(query.step);
-        for(auto const &worker: query.workers) {
-            question.add_workers(worker);
-        }
-        if(parts_.peers.send(asker, message)) {
-            auto const limit = query.duration * 2 + timing::advice_slack;
-            questions_.emplace(next_question_, open_question{asker, std::move(query)});
-            boost::asio::co_spawn(
-                parts_.context, expire_question(shared_from_this(), next_question_, limit), fail_fast);
-            return;
-        }
-        advisers_.release(asker, current_time());
+    auto const now = current_time();
+    auto const booked = advisers_.book(query.duration, now);
+    auto const limit = booked.ends_at - now + timing::advice_slack;
+    if(booked.name == parts_.settings.name) {
+        boost::asio::co_spawn(
+            parts_.context, ask_adviser(shared_from_this(), std::move(query), limit), fail_fast);
+        return;
     }
-    boost::asio::co_spawn(parts_.context, ask_adviser(shared_from_this(), std::move(query)), fail_fast);
-}
-
-boost::asio::awaitable<void> fleet_lead::ask_adviser([[maybe_unused]] self_pointer self, advice_query query) {
-    auto const limit = query.duration * 2 + timing::advice_slack;
+    wire::envelope message;
+    auto &question = *message.mutable_advice_question();
+    question.set_id(++next_question_);
+    question.set_job(query.job);
+    question.set_step(query.step);
+    question.set_patience_ms(static_cast<std::uint64_t>(limit.count()));
+    for(auto const &worker: query.workers) {
+        question.add_workers(worker);
+    }
+    questions_.emplace(next_question_, open_question{booked.name, std::move(query)});
+    // A message that cannot be sent counts as one without an answer.
+    auto const time = parts_.peers.send(booked.name, message) ? limit : millis{};
+    boost::asio::co_spawn(
+        parts_.context, expire_question(shared_from_this(), next_question_, time), fail_fast);
+}
+
+boost::asio::awaitable<void> fleet_lead::ask_adviser(
+    [[maybe_unused]] self_pointer self, advice_query query, millis const limit) {
     auto const grants = co_await parts_.advice.ask(query, limit);
     if(!over_) {
         settle_question(parts_.settings.name, query, grants);
@@ -507,7 +509,7 @@
 void fleet_lead::settle_question(
     std::string const &asker, advice_query const &query, std::optional<std::vector<advice_grant>> const &grants) {
     auto const now = current_time();
-    advisers_.release(asker, now);
+    advisers_.release(asker, grants.has_value(), now);
     if(grants) {
         dispatcher_.take_advice(query, *grants, now);
     } else {
--- a/src/kingcuplink/site/fleet_lead.hpp
+++ b/src/kingcuplink/site/fleet_lead.hpp
@@ -126,7 +126,7 @@
     boost::asio::awaitable<bool> keep(std::vector<keyed_record> records);
     boost::asio::awaitable<void> start_run(self_pointer self, run_start run);
     boost::asio::awaitable<void> stop_run(self_pointer self, run_stop stop);
-    boost::asio::awaitable<void> ask_adviser(self_pointer self, advice_query query);
+    boost::asio::awaitable<void> ask_adviser(self_pointer self, advice_query query, millis limit);
     boost::asio::awaitable<void> expire_question(self_pointer self, std::uint64_t id, millis time);
     void ask(advice_query query);
     void settle_question(
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -666,7 +666,8 @@
 
 boost::asio::awaitable<void> site_node::answer_question(std::string peer, wire::advice_question question) {
     advice_query query{question.job(), question.step(), {question.workers().begin(), question.workers().end()}, {}};
-    auto const grants = co_await parts_.advice.ask(std::move(query), config::longest_advice);
+    auto const patience = millis{static_cast<std::int64_t>(question.patience_ms())};
+    auto const grants = co_await parts_.advice.ask(std::move(query), patience);
     wire::envelope message;
     auto &answer = *message.mutable_advice_answer();
     answer.set_id(question.id());
--- a/src/kingcuplink/workflow/adviser_pool.cpp
+++ b/src/kingcuplink/workflow/adviser_pool.cpp
@@ -4,6 +4,13 @@
 
 namespace kingcuplink {
 
+namespace internal {
+
+/*! Time that an entry VM is left alone after a call without an answer: about two long calls. */
+constexpr millis unanswered_pause{2'000};
+
+} // namespace internal
+
 void adviser_pool::add(std::string const &name) {
     members_.try_emplace(name);
 }
@@ -12,16 +19,13 @@
     members_.erase(name);
 }
 
-std::string adviser_pool::book(millis const duration, instant const now) {
+adviser_pool::booking adviser_pool::book(millis const duration, instant const now) {
     auto const is_long = duration >= internal::long_query;
-    auto const limit = long_capable(members_.size());
+    auto const limit = is_long ? long_capable(members_.size()) : members_.size();
     auto best = members_.end();
     std::size_t pos{};
-    for(auto entry = members_.begin(); entry != members_.end(); ++entry, ++pos) {
-        if(is_long && pos >= limit) {
-            break;
-        }
-        if(best == members_.end() || std::max(entry->second.free_at, now) <= std::max(best->second.free_at, now)) {
+    for(auto entry = members_.begin(); entry != members_.end() && pos < limit; ++entry, ++pos) {
+        if(best == members_.end() || entry->second.free_at < best->second.free_at) {
             best = entry;
         }
     }
@@ -30,16 +34,20 @@
     }
     best->second.free_at = std::max(best->second.free_at, now) + duration;
     ++best->second.calls;
-    return best->first;
+    return {best->first, best->second.free_at};
 }
 
-void adviser_pool::release(std::string const &name, instant const now) {
+void adviser_pool::release(std::string const &name, bool const answered, instant const now) {
     auto const found = members_.find(name);
     if(found == members_.end() || found->second.calls == 0u) {
         return;
     }
-    if(--found->second.calls == 0u) {
-        found->second.free_at = now;
+    auto &asker = found->second;
+    --asker.calls;
+    if(!answered) {
+        asker.free_at = std::max(asker.free_at, now + internal::unanswered_pause);
+    } else if(asker.calls == 0u) {
+        asker.free_at = std::min(asker.free_at, now);
     }
 }
 
--- a/src/kingcuplink/workflow/adviser_pool.hpp
+++ b/src/kingcuplink/workflow/adviser_pool.hpp
@@ -22,15 +22,26 @@
     /*! Removes an entry VM. */
     void remove(std::string const &name);
 
+    /*! A call that was given to an entry VM. */
+    struct booking {
+        /*! Name of the entry VM; empty if there is none. */
+        std::string name;
+        /*! When the call is expected to end. */
+        instant ends_at{};
+    };
+
     /*!
-     * Chooses the entry VM that is free first, and books the call there.
-     * @param duration Time that the call is expected to take.
-     * @return The name, or an empty one if there is none.
+     * Chooses the entry VM that is free first, of several the one that has been so the
+     * longest, and books the call there.
+     * @param duration Time that the adviser takes for the call.
      */
-    [[nodiscard]] std::string book(millis duration, instant now);
+    [[nodiscard]] booking book(millis duration, instant now);
 
-    /*! Tells that a call has ended; its VM counts as free again if it was the last one. */
-    void release(std::string const &name, instant now);
+    /*!
+     * Tells that a call has ended. After one without an answer its VM counts as busy for
+     * a while: the adviser goes on with calls that nobody waits for.
+     */
+    void release(std::string const &name, bool answered, instant now);
 
     /*! Returns the number of entry VMs. */
     [[nodiscard]] std::size_t size() const noexcept {
--- a/src/kingcuplink/workflow/objective.cpp
+++ b/src/kingcuplink/workflow/objective.cpp
@@ -28,6 +28,7 @@
 
 job_objective objective_of(job_definition const &job, queue_rules const &queue) {
     job_objective result;
+    result.is_first = queue.priority == 0;
     result.remaining.assign(job.steps.size(), millis{});
     millis longest{};
     for(auto pos = job.steps.size(); pos-- > 0u;) {
@@ -54,12 +55,12 @@
     auto const in_time = objective.in_time - remaining;
     auto const late = objective.late - remaining;
     if(is_excess) {
-        return {service_tier::excess, in_time};
+        return {service_tier::excess, !objective.is_first, in_time};
     }
     if(now <= in_time) {
-        return {service_tier::in_time, in_time - objective.lead};
+        return {service_tier::in_time, !objective.is_first, in_time - objective.lead};
     }
-    return now <= late ? service_rank{service_tier::late, late} : service_rank{service_tier::hopeless, late};
+    return {now <= late ? service_tier::late : service_tier::hopeless, !objective.is_first, late};
 }
 
 bool is_well_ordered(std::span<step_definition const> const steps) noexcept {
--- a/src/kingcuplink/workflow/objective.hpp
+++ b/src/kingcuplink/workflow/objective.hpp
@@ -28,6 +28,8 @@
     instant in_time{};
     /*! Time after which it has none. */
     instant late{};
+    /*! True if its queue comes before all others. */
+    bool is_first{};
     /*! Time by which the job goes ahead of others that have to start as late: room for gangs has to be gathered. */
     millis lead{};
     /*! For each step, the longest chain of estimated work from its start to the job's end. */
@@ -37,6 +39,8 @@
 /*! Place of a step in the order of waiting. */
 struct service_rank {
     service_tier tier{service_tier::in_time};
+    /*! False for queues that operators put before all others. */
+    bool is_ordinary{true};
     /*! Latest start with which the objective of its tier can be met. */
     instant latest_start{};
 
--- a/src/kingcuplink/workflow/site_rules.hpp
+++ b/src/kingcuplink/workflow/site_rules.hpp
@@ -32,7 +32,8 @@
     std::string service;
     /*! True if callers need no key. */
     bool open{};
-    std::int64_t priority{};
+    /*! Zero comes before all others. */
+    std::int64_t priority{1};
     /*! Failed runs of a task, or of a gang, after which the job fails. */
     std::uint32_t max_attempts{1u};
     /*! Objective: this many times the longest chain of work, and the target more. */
--- /dev/null
+++ b/test/workflow/dispatcher_test.cpp
@@ -0,0 +1,286 @@
+#include "fixture.hpp"
+
+#include <doctest/doctest.h>
+
+namespace kingcuplink::test {
+
+namespace {
+
+step_definition step_of(std::uint32_t const count, std::int64_t const millicores, bool const gang = false) {
+    step_definition step;
+    step.count = count;
+    step.task_size = {millicores, 1'024, 0};
+    step.estimate = millis{1'000};
+    step.gang = gang;
+    return step;
+}
+
+} // namespace
+
+TEST_CASE("a job of steps runs them in order and ends once") {
+    scripted_fleet fleet;
+    auto job = scripted_fleet::job("a", step_of(3u, 4'000));
+    auto second = step_of(2u, 4'000);
+    second.after = {0u};
+    job.steps.push_back(second);
+    fleet.submit(job);
+    fleet.run_for(millis{500});
+    CHECK(fleet.runs_of("a") == 3u);
+    fleet.run_for(millis{1'000});
+    CHECK(fleet.runs_of("a") == 2u);
+    fleet.run_for(millis{1'500});
+    CHECK(fleet.phase_of("a") == job_phase::done);
+    CHECK(fleet.starts == 5u);
+}
+
+TEST_CASE("the end of a run decides what becomes of its job") {
+    struct row {
+        run_end how;
+        std::uint32_t max_attempts;
+        job_phase phase;
+        std::size_t starts;
+    };
+    std::array<row, 5u> const rows{{
+        {run_end::done, 2u, job_phase::done, 1u},
+        {run_end::failed, 1u, job_phase::failed, 1u},
+        {run_end::failed, 3u, job_phase::failed, 3u},
+        {run_end::lapsed, 1u, job_phase::running, 4u},
+        {run_end::stopped, 1u, job_phase::running, 4u},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(name_of(item.how));
+        CAPTURE(item.max_attempts);
+        scripted_fleet fleet{{.max_attempts = item.max_attempts}};
+        fleet.behaviour["a"] = {millis{1'000}, item.how};
+        fleet.submit(scripted_fleet::job("a", step_of(1u, 4'000)));
+        // Each run takes 1 s and a round or two.
+        fleet.run_for(millis{3'900});
+        CHECK(fleet.phase_of("a") == item.phase);
+        CHECK(fleet.starts == item.starts);
+    }
+}
+
+TEST_CASE("a failed end that is listed to two leaders counts once") {
+    scripted_fleet fleet{{.max_attempts = 2u}};
+    fleet.behaviour["a"] = {millis{400}, run_end::failed};
+    fleet.submit(scripted_fleet::job("a", step_of(1u, 4'000)));
+    fleet.run_for(millis{440});
+    REQUIRE(fleet.starts == 1u);
+    // The log has the end, the worker has not been told so, and another leader begins.
+    fleet.behaviour["a"] = {millis{400}, run_end::done};
+    fleet.step();
+    fleet.change_leader();
+    fleet.run_for(millis{1'000});
+    CHECK(fleet.phase_of("a") == job_phase::done);
+}
+
+TEST_CASE("nothing is started before the log has the intent") {
+    scripted_fleet fleet;
+    fleet.log_is_up = false;
+    fleet.submit(scripted_fleet::job("a", step_of(1u, 4'000)));
+    fleet.run_for(millis{500});
+    CHECK(fleet.starts == 0u);
+    fleet.log_is_up = true;
+    fleet.run_for(millis{100});
+    CHECK(fleet.starts == 1u);
+}
+
+TEST_CASE("an end is forgotten by the worker only once the log has it") {
+    scripted_fleet fleet;
+    fleet.submit(scripted_fleet::job("a", step_of(1u, 4'000)));
+    fleet.run_for(millis{500});
+    fleet.log_is_up = false;
+    fleet.run_for(millis{1'000});
+    CHECK(fleet.workers[0].ends.size() + fleet.workers[1].ends.size() + fleet.workers[2].ends.size() +
+            fleet.workers[3].ends.size() ==
+        1u);
+    fleet.change_leader();
+    fleet.log_is_up = true;
+    fleet.run_for(millis{200});
+    CHECK(fleet.phase_of("a") == job_phase::done);
+    CHECK(fleet.starts == 1u);
+}
+
+TEST_CASE("a new leader adopts what runs and starts nothing twice") {
+    scripted_fleet fleet;
+    fleet.submit(scripted_fleet::job("a", step_of(6u, 20'000)));
+    fleet.run_for(millis{300});
+    REQUIRE(fleet.runs_of("a") == 6u);
+    fleet.change_leader();
+    fleet.run_for(millis{300});
+    CHECK(fleet.runs_of("a") == 6u);
+    fleet.run_for(millis{1'000});
+    CHECK(fleet.phase_of("a") == job_phase::done);
+    CHECK(fleet.starts == 6u);
+}
+
+TEST_CASE("a task on a worker that cannot be asked starts elsewhere only when its lease has surely lapsed") {
+    scripted_fleet fleet{{.workers = 2u}};
+    fleet.behaviour["a"] = {millis{600'000}, run_end::done};
+    fleet.submit(scripted_fleet::job("a", step_of(1u, 60'000)));
+    fleet.run_for(millis{300});
+    REQUIRE(fleet.starts == 1u);
+    auto const where = fleet.workers[0].runs.empty() ? 1u : 0u;
+    fleet.workers[where].reachable = false;
+    SUBCASE("under the same leader") {
+        fleet.run_for(millis{8'500});
+        CHECK(fleet.starts == 1u);
+    }
+    SUBCASE("under a new leader") {
+        fleet.change_leader();
+        fleet.run_for(millis{15'500});
+        CHECK(fleet.starts == 1u);
+    }
+    fleet.run_for(millis{2'000});
+    CHECK(fleet.starts == 2u);
+}
+
+TEST_CASE("a worker that started anew holds nothing of before") {
+    scripted_fleet fleet{{.workers = 2u}};
+    fleet.submit(scripted_fleet::job("a", step_of(1u, 60'000)));
+    fleet.run_for(millis{300});
+    for(auto &item: fleet.workers) {
+        item.runs.clear();
+        item.ends.clear();
+        item.next_end = 1u;
+        item.entry.boot = 2u;
+    }
+    fleet.run_for(millis{1'500});
+    CHECK(fleet.starts == 2u);
+    CHECK(fleet.phase_of("a") == job_phase::done);
+}
+
+TEST_CASE("a start without an answer counts until the worker has told") {
+    scripted_fleet fleet{{.workers = 1u}};
+    fleet.starts_are_unanswered = true;
+    fleet.submit(scripted_fleet::job("a", step_of(1u, 40'000)));
+    fleet.submit(scripted_fleet::job("b", step_of(1u, 40'000)));
+    fleet.run_for(millis{500});
+    CHECK(fleet.starts == 1u);
+    CHECK(fleet.fullest() <= 1.0);
+    fleet.run_for(millis{2'500});
+    CHECK(fleet.phase_of("a") == job_phase::done);
+    CHECK(fleet.phase_of("b") == job_phase::done);
+    CHECK(fleet.starts == 2u);
+}
+
+TEST_CASE("a gang starts whole or not at all") {
+    struct row {
+        std::string_view name;
+        std::uint32_t members;
+        std::int64_t millicores;
+        bool starts;
+    };
+    std::array<row, 3u> const rows{{
+        {"fits on few workers", 4u, 30'000, true},
+        {"takes every worker", 4u, 64'000, true},
+        {"is larger than the fleet", 5u, 64'000, false},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        scripted_fleet fleet;
+        fleet.submit(scripted_fleet::job("a", step_of(item.members, item.millicores, true)));
+        fleet.run_for(millis{500});
+        CHECK(fleet.runs_of("a") == (item.starts ? item.members : 0u));
+    }
+}
+
+TEST_CASE("a gang that loses a member is stopped and started again as a whole") {
+    scripted_fleet fleet{{.workers = 4u}};
+    fleet.behaviour["a"] = {millis{3'000}, run_end::done};
+    fleet.submit(scripted_fleet::job("a", step_of(4u, 60'000, true)));
+    fleet.run_for(millis{300});
+    REQUIRE(fleet.runs_of("a") == 4u);
+    fleet.workers[0].runs.clear();
+    fleet.workers[0].entry.boot = 2u;
+    fleet.run_for(millis{1'000});
+    CHECK(fleet.runs_of("a") == 4u);
+    CHECK(fleet.starts == 8u);
+    for(auto const &item: fleet.workers) {
+        REQUIRE(item.runs.size() == 1u);
+        CHECK(item.runs.front().key.run == 2u);
+    }
+}
+
+TEST_CASE("a gang that is over its account's ceiling keeps no other gang from advice") {
+    advice_terms const advice{millis{500}, 7'000, millis{2'000}};
+    scripted_fleet fleet{{.workers = 4u, .advice = advice}};
+    account_rules small;
+    small.name = "small";
+    small.weight = 1'000.0;
+    small.ceiling = {10'000, 0, 0};
+    fleet.rules->accounts.push_back(small);
+    for(auto pos = 0; pos < 10; ++pos) {
+        auto job = scripted_fleet::job("blocked" + std::to_string(pos), step_of(4u, 20'000, true));
+        job.account = "small";
+        fleet.submit(job);
+    }
+    fleet.run_for(millis{3'000});
+    fleet.submit(scripted_fleet::job("free", step_of(4u, 20'000, true), millis{3'000}));
+    fleet.run_for(millis{500});
+    CHECK(fleet.runs_of("free") == 4u);
+}
+
+TEST_CASE("a cancelled job has no runs and stays cancelled") {
+    scripted_fleet fleet;
+    fleet.submit(scripted_fleet::job("a", step_of(4u, 10'000)));
+    fleet.run_for(millis{300});
+    fleet.table.cancel("a");
+    fleet.leader->cancel_job("a");
+    fleet.run_for(millis{300});
+    CHECK(fleet.runs_of("a") == 0u);
+    CHECK(fleet.phase_of("a") == job_phase::cancelled);
+    fleet.change_leader();
+    fleet.run_for(millis{300});
+    CHECK(fleet.starts == 4u);
+}
+
+TEST_CASE("an account stays within its ceiling") {
+    scripted_fleet fleet;
+    fleet.rules->accounts.front().ceiling = {30'000, 0, 0};
+    fleet.submit(scripted_fleet::job("a", step_of(8u, 10'000)));
+    fleet.run_for(millis{500});
+    CHECK(fleet.runs_of("a") == 3u);
+    fleet.run_for(millis{4'000});
+    CHECK(fleet.phase_of("a") == job_phase::done);
+}
+
+TEST_CASE("a worker gets no new run while it is leaving, evacuated or failing") {
+    struct row {
+        std::string_view name;
+        void (*change)(scripted_fleet &);
+    };
+    std::array<row, 2u> const rows{{
+        {"leaving",
+            [](scripted_fleet &fleet) {
+                fleet.workers[0].entry.leaving = true;
+                fleet.leader->register_worker(fleet.workers[0].entry, fleet.now);
+            }},
+        {"evacuated", [](scripted_fleet &fleet) { fleet.rules->evacuated.insert("d0"); }},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        scripted_fleet fleet{{.workers = 2u, .workers_per_domain = 1u}};
+        item.change(fleet);
+        fleet.submit(scripted_fleet::job("a", step_of(8u, 10'000)));
+        fleet.run_for(millis{500});
+        CHECK(fleet.workers[0].runs.empty());
+        CHECK(fleet.workers[1].runs.size() == 6u);
+    }
+}
+
+TEST_CASE("a worker that fails several jobs is left alone for a while") {
+    scripted_fleet fleet{{.workers = 1u, .max_attempts = 1u}};
+    for(auto const *id: {"a", "b"}) {
+        fleet.behaviour[id] = {millis{100}, run_end::failed};
+        fleet.submit(scripted_fleet::job(id, step_of(1u, 10'000)));
+    }
+    fleet.run_for(millis{500});
+    fleet.submit(scripted_fleet::job("c", step_of(1u, 10'000), millis{500}));
+    fleet.run_for(millis{500});
+    CHECK(fleet.runs_of("c") == 0u);
+    fleet.run_for(millis{5'000});
+    CHECK(fleet.phase_of("c") == job_phase::done);
+}
+
+} // namespace kingcuplink::test
