--- a/src/kingcuplink/daemon/settings.cpp
+++ b/src/kingcuplink/daemon/settings.cpp
@@ -2,6 +2,7 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/reflection.h>
 #include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
 #include <array>
 #include <kingcuplink/core/flag_environment.hpp>
 #include <kingcuplink/daemon/settings.hpp>
@@ -179,6 +180,13 @@
     absl::SetProgramUsageMessage(
         "Entry VM daemon of kingcuplink.\nEvery flag can also be set by an environment variable, such as "
         "KINGCUPLINK_HTTP_ADDRESS.\nExit codes: 0 after a graceful shutdown, 1 on failure, 2 on a wrong setting.");
+    absl::FlagsUsageConfig usage;
+    auto const is_own = [](absl::string_view const file) {
+        return file.find("kingcuplink/daemon/") != absl::string_view::npos;
+    };
+    usage.contains_help_flags = is_own;
+    usage.contains_helpshort_flags = is_own;
+    absl::SetFlagsUsageConfig(usage);
     if(!internal::apply_environment(error)) {
         return std::nullopt;
     }
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -191,7 +191,8 @@
 site_node::intake_pointer site_node::add_intake(keyed_record record, millis const patience) {
     auto const item = std::make_shared<intake_item>(parts_.context);
     item->record = std::move(record);
-    auto const time = patience > millis{} ? patience - internal::answer_reserve : internal::default_patience;
+    auto const reserve = std::min(internal::answer_reserve, patience / 4);
+    auto const time = patience > millis{} ? patience - reserve : internal::default_patience;
     item->give_up_at = current_time() + std::min(time, internal::default_patience);
     intake_.push_back(item);
     intake_wanted_.notify();
--- a/src/kingcuplink/site/site_node.hpp
+++ b/src/kingcuplink/site/site_node.hpp
@@ -86,6 +86,11 @@
         return ready_;
     }
 
+    /*! Tells whether this entry VM leads the fleet. */
+    [[nodiscard]] bool leads() const noexcept {
+        return lead_ != nullptr;
+    }
+
     /*! Returns metrics in the Prometheus text format. */
     [[nodiscard]] std::string metrics() const;
 
--- /dev/null
+++ b/test/site/scripted_site.cpp
@@ -0,0 +1,282 @@
+#include "scripted_site.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <fcntl.h>
+#include <thread>
+
+namespace kingcuplink::test {
+
+namespace {
+
+constexpr auto longest_run = std::chrono::seconds{5};
+constexpr std::size_t worker_count = 2u;
+/*! Time that passes between two answers of a log without news. */
+constexpr millis read_pause{5};
+
+std::string peer_address(std::size_t const pos) {
+    // A port of each test process, so that tests may run beside each other.
+    return "127.0.0.1:" + std::to_string(20'000u + static_cast<std::size_t>(::getpid()) % 5'000u * 4u + pos);
+}
+
+} // namespace
+
+boost::asio::awaitable<append_answer> memory_log::append(
+    log_stream const stream, std::vector<keyed_record> records, std::optional<log_writer> const writer) {
+    if(!is_up) {
+        co_return append_answer{append_outcome::refused, 0u};
+    }
+    auto &state = streams_[stream];
+    if(writer) {
+        if(writer->epoch < state.epoch) {
+            co_return append_answer{append_outcome::fenced, 0u};
+        }
+        if(writer->epoch == state.epoch && writer->sequence != state.sequence + 1u) {
+            co_return append_answer{append_outcome::out_of_sequence, 0u};
+        }
+        state.epoch = writer->epoch;
+        state.sequence = writer->sequence;
+    }
+    auto const offset = state.first + state.records.size();
+    for(auto &record: records) {
+        add(std::move(record), stream);
+    }
+    co_return append_answer{append_outcome::done, offset};
+}
+
+boost::asio::awaitable<read_answer> memory_log::read(
+    log_stream const stream, std::uint64_t const from, millis const wait) {
+    auto const &state = streams_[stream];
+    if(is_up && from >= state.first + state.records.size() && wait > millis{}) {
+        auto const executor = co_await boost::asio::this_coro::executor;
+        boost::asio::steady_timer timer{executor, read_pause};
+        boost::system::error_code ignored;
+        co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    }
+    read_answer answer;
+    if(!is_up) {
+        co_return answer;
+    }
+    if(from < state.first) {
+        answer.outcome = read_outcome::expired;
+        co_return answer;
+    }
+    answer.outcome = read_outcome::done;
+    answer.next = state.first + state.records.size();
+    auto const skipped = static_cast<std::ptrdiff_t>(std::min<std::uint64_t>(from - state.first, state.records.size()));
+    answer.records.assign(state.records.begin() + skipped, state.records.end());
+    co_return answer;
+}
+
+boost::asio::awaitable<newest_page> memory_log::newest(log_stream const stream, std::string const after) {
+    newest_page page;
+    auto const &state = streams_[stream];
+    page.answered = is_up;
+    page.end = state.first + state.records.size();
+    for(auto entry = state.newest.upper_bound(after); entry != state.newest.end(); ++entry) {
+        page.records.push_back(entry->second);
+    }
+    co_return page;
+}
+
+void memory_log::add(keyed_record record, log_stream const stream) {
+    auto &state = streams_[stream];
+    record.offset = state.first + state.records.size();
+    if(record.value) {
+        state.newest[record.key] = record;
+    } else {
+        state.newest.erase(record.key);
+    }
+    state.records.push_back(std::move(record));
+}
+
+void memory_log::forget_before(std::uint64_t const offset) {
+    auto &state = streams_[log_stream::jobs];
+    while(state.first < offset && !state.records.empty()) {
+        state.records.erase(state.records.begin());
+        ++state.first;
+    }
+}
+
+std::uint64_t memory_log::end(log_stream const stream) {
+    return streams_[stream].first + streams_[stream].records.size();
+}
+
+boost::asio::awaitable<look_answer> memory_workers::look(
+    worker_target const target, look_request const request, millis) {
+    auto &item = workers_[target.name];
+    look_answer answer;
+    if(request.token < item.token) {
+        answer.outcome = look_outcome::fenced;
+        co_return answer;
+    }
+    item.token = request.token;
+    std::erase_if(item.ended, [&request](auto const &end) { return end.number <= request.kept_end; });
+    answer.outcome = look_outcome::answered;
+    answer.inventory = {1u, item.running, item.ended};
+    answer.clock = 1'000;
+    co_return answer;
+}
+
+boost::asio::awaitable<start_answer> memory_workers::start(
+    worker_target const target, run_start const run, std::uint64_t const token, std::int64_t, millis) {
+    auto &item = workers_[target.name];
+    if(token < item.token) {
+        co_return start_answer::fenced;
+    }
+    ++starts_;
+    item.running.push_back({run.key, {}});
+    co_return start_answer::started;
+}
+
+boost::asio::awaitable<bool> memory_workers::stop(
+    worker_target const target, run_key const run, std::uint64_t, millis) {
+    auto &item = workers_[target.name];
+    std::erase_if(item.running, [&](auto const &listed) {
+        if(listed.key != run) {
+            return false;
+        }
+        item.ended.push_back({item.next_end++, run, run_end::stopped, {}});
+        return true;
+    });
+    co_return true;
+}
+
+void memory_workers::end_all() {
+    for(auto &[name, item]: workers_) {
+        for(auto const &run: item.running) {
+            item.ended.push_back({item.next_end++, run.key, run_end::done, {}});
+        }
+        item.running.clear();
+    }
+}
+
+std::size_t memory_workers::runs() const {
+    std::size_t count{};
+    for(auto const &[name, item]: workers_) {
+        count += item.running.size();
+    }
+    return count;
+}
+
+std::optional<worker_registration> plain_decoder::worker(std::string_view const key, std::string_view) {
+    worker_registration entry;
+    entry.name = key;
+    entry.service = "service";
+    entry.address = "127.0.0.1:1";
+    entry.domain = "domain";
+    entry.capacity = {64'000, 65'536, 0};
+    entry.boot = 1u;
+    return entry;
+}
+
+bool plain_decoder::apply(keyed_record const &, site_rules &rules) {
+    rules.version = 1u;
+    queue_rules queue;
+    queue.name = "queue";
+    queue.host = "host";
+    queue.path_prefix = "/p/";
+    queue.service = "service";
+    queue.max_attempts = 2u;
+    queue.advice = advice_terms{millis{10}, 100, millis{2'000}};
+    rules.queues = {queue};
+    account_rules account;
+    account.name = "account";
+    account.keys = {"key"};
+    account.weight = 100.0;
+    rules.accounts = {account};
+    return true;
+}
+
+boost::asio::awaitable<std::optional<std::vector<advice_grant>>> approving_adviser::ask(
+    advice_query const query, millis) {
+    std::vector<advice_grant> grants;
+    for(auto const &worker: query.workers) {
+        grants.push_back({worker, "ticket"});
+    }
+    co_return grants;
+}
+
+scripted_site::vm::vm(scripted_site &site, std::string name, std::string address)
+    : decisions{::open("/dev/null", O_WRONLY | O_CLOEXEC), name}, log{site.log} {
+    settings.name = std::move(name);
+    settings.failure_domain = "domain";
+    settings.peer_address = std::move(address);
+    node = std::make_unique<site_node>(
+        node_parts{context, settings, stats, decisions, log, decoder, site.workers, adviser});
+    node->start();
+}
+
+scripted_site::scripted_site(std::size_t const count) {
+    log.add({"config", "rules"}, log_stream::rules);
+    for(std::size_t pos{}; pos < worker_count; ++pos) {
+        log.add({"w" + std::to_string(pos), "entry"}, log_stream::workers);
+    }
+    for(std::size_t pos{}; pos < count; ++pos) {
+        vms.push_back(std::make_unique<vm>(*this, "vm" + std::to_string(pos), peer_address(pos)));
+    }
+}
+
+void scripted_site::run_until(std::function<bool()> const &condition) {
+    auto const limit = std::chrono::steady_clock::now() + longest_run;
+    while(!condition() && std::chrono::steady_clock::now() < limit) {
+        for(auto const &item: vms) {
+            if(item->is_alive) {
+                item->context.restart();
+                item->context.poll();
+            }
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
+}
+
+caller_answer scripted_site::ask(std::size_t const pos, caller_wish const wish, std::string const &id,
+    std::string const &host, std::string const &key) {
+    caller_request request;
+    request.wish = wish;
+    request.host = host;
+    request.path = "/p/" + id;
+    request.key = key;
+    if(wish == caller_wish::submit) {
+        request.draft.emplace();
+        step_definition step;
+        step.count = 2u;
+        step.task_size = {1'000, 256, 0};
+        step.estimate = millis{1'000};
+        request.draft->steps.push_back(step);
+    }
+    std::optional<caller_answer> result;
+    boost::asio::co_spawn(vms[pos]->context, vms[pos]->node->serve(std::move(request)),
+        [&result](std::exception_ptr const &error, caller_answer answer) {
+            if(error) {
+                std::rethrow_exception(error);
+            }
+            result = std::move(answer);
+        });
+    run_until([&result]() { return result.has_value(); });
+    return result.value_or(caller_answer{problem{refusal::outcome_unknown, "no answer"}, std::nullopt, std::nullopt});
+}
+
+site_node *scripted_site::leader() {
+    for(auto const &item: vms) {
+        if(item->is_alive && item->node->leads()) {
+            return item->node.get();
+        }
+    }
+    return nullptr;
+}
+
+void scripted_site::kill_leader() {
+    for(auto const &item: vms) {
+        if(item->node->leads()) {
+            item->is_alive = false;
+        }
+    }
+}
+
+std::size_t scripted_site::survivor() const {
+    auto const found = std::find_if(vms.begin(), vms.end(), [](auto const &item) { return item->is_alive; });
+    return static_cast<std::size_t>(found - vms.begin());
+}
+
+} // namespace kingcuplink::test
--- /dev/null
+++ b/test/site/site_test.cpp
@@ -0,0 +1,137 @@
+#include "scripted_site.hpp"
+
+#include <doctest/doctest.h>
+#include <kingcuplink/site/record_codec.hpp>
+
+namespace kingcuplink::test {
+
+TEST_CASE("records of the log are read as they are written") {
+    job_definition job;
+    job.id = "0123456789abcdef";
+    job.queue = "queue";
+    job.account = "account";
+    job.payload = std::string{"bytes\0inside", 12u};
+    job.accepted_at = instant{millis{1'234'567}};
+    step_definition step;
+    step.count = 3u;
+    step.task_size = {500, 256, 1};
+    step.estimate = millis{900};
+    step.after = {0u, 2u};
+    step.gang = step.checkpointing = true;
+    step.most_per_worker = 2u;
+    job.steps = {step, step};
+    auto const record = encode(job);
+    auto const name = parse_record_key(record.key);
+    REQUIRE(name);
+    CHECK(name->kind == record_kind::job);
+    auto const read = decode_job(name->id, *record.value);
+    REQUIRE(read);
+    CHECK(read->id == job.id);
+    CHECK(read->payload == job.payload);
+    CHECK(read->accepted_at == job.accepted_at);
+    REQUIRE(read->steps.size() == 2u);
+    CHECK(read->steps[1].after == step.after);
+    CHECK(read->steps[1].gang);
+    CHECK(read->steps[1].most_per_worker == 2u);
+    job_progress const progress{job_phase::running, {{1u, 2u, 3u, 1u, false, "w", "checkpoint"}}};
+    auto const told = decode_progress(*encode(job.id, progress).value);
+    REQUIRE(told);
+    CHECK(told->phase == job_phase::running);
+    REQUIRE(told->tasks.size() == 1u);
+    CHECK(told->tasks[0].run == 3u);
+    CHECK(told->tasks[0].checkpoint == "checkpoint");
+    CHECK_FALSE(decode_progress("\xff\xff\xff"));
+    CHECK_FALSE(parse_record_key("other/1"));
+}
+
+TEST_CASE("a reader begins anew after a gap and misses nothing") {
+    boost::asio::io_context context{1};
+    memory_log log{context};
+    keyed_reader reader{log, log_stream::jobs};
+    log.add({"a", "1"});
+    log.add({"a", "2"});
+    auto const first = run_to_end(context, reader.next(millis{0}));
+    REQUIRE(first);
+    CHECK(first->is_whole);
+    REQUIRE(first->records.size() == 1u);
+    CHECK(first->records[0].value == "2");
+    log.add({"b", "3"});
+    auto const second = run_to_end(context, reader.next(millis{0}));
+    REQUIRE(second);
+    CHECK_FALSE(second->is_whole);
+    CHECK(second->records.size() == 1u);
+    log.add({"c", "4"});
+    log.forget_before(log.end());
+    auto const third = run_to_end(context, reader.next(millis{0}));
+    REQUIRE(third);
+    CHECK(third->is_whole);
+    CHECK(third->records.size() == 3u);
+    log.is_up = false;
+    CHECK_FALSE(run_to_end(context, reader.next(millis{0})));
+}
+
+TEST_CASE("a job goes from a caller to a worker and back, over a change of leaders") {
+    scripted_site site{2u};
+    site.run_until([&]() { return site.leader() != nullptr; });
+    REQUIRE(site.leader() != nullptr);
+    auto const accepted = site.ask(0u, caller_wish::submit, "0123456789abcdef");
+    REQUIRE_FALSE(accepted.refused);
+    site.run_until([&]() { return site.workers.runs() == 2u; });
+    CHECK(site.workers.runs() == 2u);
+    SUBCASE("that stays") {}
+    SUBCASE("that stops at once") {
+        site.kill_leader();
+    }
+    site.workers.end_all();
+    auto const is_done = [&]() {
+        auto const answer = site.ask(site.survivor(), caller_wish::ask, "0123456789abcdef");
+        return !answer.refused && answer.phase == job_phase::done;
+    };
+    site.run_until(is_done);
+    CHECK(is_done());
+    CHECK(site.workers.starts() == 2u);
+}
+
+TEST_CASE("a submission that comes again is one job, at whichever entry VM") {
+    scripted_site site{2u};
+    site.run_until([&]() { return site.leader() != nullptr; });
+    for(auto round = 0; round < 3; ++round) {
+        for(auto vm = 0u; vm < 2u; ++vm) {
+            CHECK_FALSE(site.ask(vm, caller_wish::submit, "0123456789abcdef").refused);
+        }
+    }
+    site.run_until([&]() { return site.workers.runs() >= 2u; });
+    CHECK(site.workers.starts() == 2u);
+}
+
+TEST_CASE("what cannot be served is refused at once, with the reason") {
+    scripted_site site{1u};
+    site.run_until([&]() { return site.leader() != nullptr; });
+    struct row {
+        caller_wish wish;
+        std::string host;
+        std::string key;
+        std::string id;
+        refusal reason;
+    };
+    std::array<row, 5u> const rows{{
+        {caller_wish::ask, "other", "key", "0123456789abcdef", refusal::queue_unknown},
+        {caller_wish::ask, "host", "", "0123456789abcdef", refusal::key_missing},
+        {caller_wish::ask, "host", "wrong", "0123456789abcdef", refusal::key_unknown},
+        {caller_wish::ask, "host", "key", "0123456789abcdef", refusal::job_unknown},
+        {caller_wish::submit, "host", "key", "not-an-id", refusal::job_malformed},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(item.id);
+        CAPTURE(item.host);
+        auto const answer = site.ask(0u, item.wish, item.id, item.host, item.key);
+        REQUIRE(answer.refused);
+        CHECK(answer.refused->reason == item.reason);
+    }
+    site.log.is_up = false;
+    auto const answer = site.ask(0u, caller_wish::submit, "00000000000000aa");
+    REQUIRE(answer.refused);
+    CHECK(answer.refused->reason == refusal::log_unavailable);
+}
+
+} // namespace kingcuplink::test
