--- a/src/kingcuplink/daemon/settings.cpp
+++ b/src/kingcuplink/daemon/settings.cpp
@@ -28,7 +28,6 @@
 ABSL_FLAG(std::string, log_address, "", "With a store: IP number and port of the store.");
 ABSL_FLAG(std::string, adviser_address, "", "With a store: IP number and port of the adviser; empty for none.");
 ABSL_FLAG(int, lease_limit_ms, 10000, "With a store: longest lease that workers grant, 1000 to 600000 ms.");
-ABSL_FLAG(int, gang_timeout_ms, 3000, "With a store: time that members of a gang wait for each other, 100 to 600000 ms.");
 ABSL_FLAG(int, status_time_s, 120, "With a store: time for which an ended job's state is told, 1 to 86400 s.");
 ABSL_FLAG(int, shutdown_time_ms, 5000, "With a store: time between SIGTERM and the end, 500 to 600000 ms.");
 
@@ -36,10 +35,10 @@
 
 namespace internal {
 
-constexpr std::array<std::string_view, 19u> setting_names{"name", "failure_domain", "http_address", "peer_address",
+constexpr std::array<std::string_view, 18u> setting_names{"name", "failure_domain", "http_address", "peer_address",
     "platform_address", "traffic_threads", "drain_grace_ms", "drain_limit_ms", "allow_faults", "platform",
     "callers_address", "readiness_address", "metrics_address", "log_address", "adviser_address", "lease_limit_ms",
-    "gang_timeout_ms", "status_time_s", "shutdown_time_ms"};
+    "status_time_s", "shutdown_time_ms"};
 constexpr std::string_view name_rule{"1 to 63 of a-z, 0-9 and -"};
 constexpr std::string_view address_rule{"an IP number and a port, such as 10.0.0.1:8080"};
 constexpr int most_threads = 64;
@@ -161,16 +160,14 @@
         {"log_address", settings.log_address, is_address(settings.log_address), address_rule},
         {"adviser_address", settings.adviser_address, is_address_or_empty(settings.adviser_address), address_rule},
     }};
-    std::array<number_check, 4u> const numbers{{
+    std::array<number_check, 3u> const numbers{{
         {"lease_limit_ms", absl::GetFlag(FLAGS_lease_limit_ms), 1'000, longest_drain_ms},
-        {"gang_timeout_ms", absl::GetFlag(FLAGS_gang_timeout_ms), 100, longest_drain_ms},
         {"status_time_s", absl::GetFlag(FLAGS_status_time_s), 1, longest_status_s},
         {"shutdown_time_ms", absl::GetFlag(FLAGS_shutdown_time_ms), 500, longest_drain_ms},
     }};
     settings.lease_limit = millis{numbers[0].value};
-    settings.gang_timeout = millis{numbers[1].value};
-    settings.status_time = std::chrono::seconds{numbers[2].value};
-    settings.shutdown_time = millis{numbers[3].value};
+    settings.status_time = std::chrono::seconds{numbers[1].value};
+    settings.shutdown_time = millis{numbers[2].value};
     return first_error(texts, numbers);
 }
 
--- a/src/kingcuplink/site/fleet_lead.cpp
+++ b/src/kingcuplink/site/fleet_lead.cpp
@@ -24,17 +24,15 @@
 
 } // namespace internal
 
-fleet_lead::fleet_lead(
-    lead_parts const parts, std::uint64_t const term, std::uint64_t const sequence, fenced_listener on_fenced,
-    end_listener on_end)
+fleet_lead::fleet_lead(lead_parts const parts, std::uint64_t const term, std::uint64_t const sequence,
+    fenced_listener on_fenced, end_listener on_end)
     : parts_{parts},
       term_{term},
       sequence_{sequence},
       on_fenced_{std::move(on_fenced)},
       on_end_{std::move(on_end)},
       lease_{std::min(parts.settings.lease_limit, timing::most_lease)},
-      dispatcher_{{lease_, timing::renewal_without_log + lease_ + timing::worker_timeout, parts.settings.gang_timeout},
-          current_time()},
+      dispatcher_{timing::renewal_without_log + lease_ + timing::worker_timeout, current_time()},
       registrations_{parts.log, log_stream::workers},
       plan_wanted_{parts.context},
       journal_wanted_{parts.context},
@@ -167,12 +165,15 @@
     auto was_answered = false;
     while(!over_ && dispatcher_.find_worker(name) != nullptr) {
         auto const mode = was_answered ? look_mode::patient : look_mode::first;
+        auto const seen_before = dispatcher_.seen_end(name);
         auto const answered = co_await look_at(name, mode);
         if(answered != was_answered && !over_) {
             parts_.decisions.write(answered ? decision::worker_seen : decision::worker_silent, {{"worker", name}});
         }
         was_answered = answered;
-        co_await pause_for(parts_.context, answered ? timing::look_spacing : timing::look_retry);
+        auto const told_nothing = dispatcher_.has_unkept_ends(name) && dispatcher_.seen_end(name) == seen_before;
+        auto const spacing = told_nothing ? timing::unkept_look_spacing : timing::look_spacing;
+        co_await pause_for(parts_.context, answered ? spacing : timing::look_retry);
     }
     watched_.erase(name);
 }
@@ -212,7 +213,7 @@
     }
     clocks_[name] = {answer.inventory.boot, answer.clock, now};
     for(auto const &end: answer.inventory.ended) {
-        if(end.number > request.kept_end) {
+        if(end.number > dispatcher_.seen_end(name)) {
             auto fields = internal::fields_of(end.key, name);
             fields["how"] = name_of(end.how);
             fields["end"] = end.number;
@@ -286,8 +287,7 @@
         std::vector<run_start> starts;
         dispatcher_.batch_kept(batch, current_time(), starts);
         for(auto &start: starts) {
-            boost::asio::co_spawn(
-                parts_.context, start_run(shared_from_this(), std::move(start)), fail_fast);
+            boost::asio::co_spawn(parts_.context, start_run(shared_from_this(), std::move(start)), fail_fast);
         }
         plan_wanted_.notify();
     }
@@ -344,8 +344,7 @@
     }
     dispatcher_.start_answered(run.placement, answer, current_time());
     if(answer == start_answer::unknown) {
-        boost::asio::co_spawn(
-            parts_.context, look_again(shared_from_this(), run.worker), fail_fast);
+        boost::asio::co_spawn(parts_.context, look_again(shared_from_this(), run.worker), fail_fast);
     }
     fields["token"] = term_;
     fields["answer"] = name_of(answer);
@@ -379,8 +378,7 @@
     }
     dispatcher_.stop_answered(stop.placement, answered, current_time());
     if(answered) {
-        boost::asio::co_spawn(
-            parts_.context, look_again(shared_from_this(), stop.worker), fail_fast);
+        boost::asio::co_spawn(parts_.context, look_again(shared_from_this(), stop.worker), fail_fast);
     }
     auto fields = internal::fields_of(stop.key, stop.worker);
     fields["answered"] = answered;
@@ -451,8 +449,7 @@
     auto const booked = advisers_.book(query.duration, now);
     auto const limit = booked.ends_at - now + timing::advice_slack;
     if(booked.name == parts_.settings.name) {
-        boost::asio::co_spawn(
-            parts_.context, ask_adviser(shared_from_this(), std::move(query), limit), fail_fast);
+        boost::asio::co_spawn(parts_.context, ask_adviser(shared_from_this(), std::move(query), limit), fail_fast);
         return;
     }
     wire::envelope message;
@@ -467,8 +464,7 @@
     questions_.emplace(next_question_, open_question{booked.name, std::move(query)});
     // A message that cannot be sent counts as one without an answer.
     auto const time = parts_.peers.send(booked.name, message) ? limit : millis{};
-    boost::asio::co_spawn(
-        parts_.context, expire_question(shared_from_this(), next_question_, time), fail_fast);
+    boost::asio::co_spawn(parts_.context, expire_question(shared_from_this(), next_question_, time), fail_fast);
 }
 
 boost::asio::awaitable<void> fleet_lead::ask_adviser(
--- a/src/kingcuplink/site/fleet_lead.hpp
+++ b/src/kingcuplink/site/fleet_lead.hpp
@@ -49,8 +49,8 @@
      * Constructs a leader.
      * @param sequence Number of the append that claimed the term.
      */
-    fleet_lead(lead_parts parts, std::uint64_t term, std::uint64_t sequence, fenced_listener on_fenced,
-        end_listener on_end);
+    fleet_lead(
+        lead_parts parts, std::uint64_t term, std::uint64_t sequence, fenced_listener on_fenced, end_listener on_end);
 
     /*! Begins to work. Call once, with the rules and all jobs loaded. */
     void start();
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -15,7 +15,7 @@
 
 constexpr std::size_t job_id_length = 16u;
 /*! Time that an acceptance may take if the caller does not say how long it waits. */
-constexpr millis default_patience{1'200};
+constexpr millis default_patience{2'000};
 /*! Part of a caller's patience that is left for the answer's way back. */
 constexpr millis answer_reserve{300};
 /*! Time without the log after which new callers had better go elsewhere. */
@@ -189,7 +189,7 @@
 }
 
 site_node::intake_pointer site_node::add_intake(keyed_record record, millis const patience) {
-    auto const item = std::make_shared<intake_item>(parts_.context);
+    auto item = std::make_shared<intake_item>(parts_.context);
     item->record = std::move(record);
     auto const reserve = std::min(internal::answer_reserve, patience / 4);
     auto const time = patience > millis{} ? patience - reserve : internal::default_patience;
@@ -221,8 +221,7 @@
         co_await pause_for(parts_.context, timing::intake_spacing);
         // One append at a time, so that records gather while the log is slow; a stuck one is not waited for.
         if(intake_appends_ == 0u || intake_sent_at_ + timing::slow_append < current_time()) {
-            boost::asio::co_spawn(
-                parts_.context, append_intake(std::exchange(intake_, {})), fail_fast);
+            boost::asio::co_spawn(parts_.context, append_intake(std::exchange(intake_, {})), fail_fast);
         }
     }
 }
@@ -247,7 +246,10 @@
     auto const waiting = std::make_shared<relay>(parts_.context);
     relays_.emplace(id, waiting);
     if(peers_.send(leader_.name, message)) {
-        co_await waiting->answered.wait(patience);
+        auto const give_up_at = current_time() + patience;
+        while(!waiting->is_answered && leader_takes_records() && current_time() < give_up_at) {
+            co_await waiting->answered.wait(timing::relay_check);
+        }
     } else {
         waiting->outcome = append_outcome::refused;
     }
@@ -281,6 +283,7 @@
     }
     while(!items.empty()) {
         std::vector<keyed_record> records;
+        records.reserve(items.size());
         for(auto const &item: items) {
             records.push_back(item->record);
         }
@@ -502,8 +505,8 @@
 }
 
 millis site_node::spread() const {
-    return millis{static_cast<std::int64_t>(stable_hash(parts_.settings.name, leader_.term) %
-        static_cast<std::uint64_t>(timing::claim_spread.count()))};
+    return millis{static_cast<std::int64_t>(
+        stable_hash(parts_.settings.name, leader_.term) % static_cast<std::uint64_t>(timing::claim_spread.count()))};
 }
 
 boost::asio::awaitable<void> site_node::claim() {
@@ -535,8 +538,9 @@
 }
 
 void site_node::begin_lead(std::uint64_t const term, std::uint64_t const sequence) {
-    lead_ = std::make_shared<fleet_lead>(lead_parts{parts_.context, parts_.settings, parts_.stats, parts_.decisions,
-                                             parts_.log, parts_.decoder, parts_.workers, parts_.advice, peers_},
+    lead_ = std::make_shared<fleet_lead>(
+        lead_parts{parts_.context, parts_.settings, parts_.stats, parts_.decisions, parts_.log, parts_.decoder,
+            parts_.workers, parts_.advice, peers_},
         term, sequence, [this]() { end_lead(); }, [this](wire::job_ends const &ends) { take_ends(ends); });
     parts_.stats.add(event::leadership_taken);
     lead_->set_rules(rules_);
@@ -597,13 +601,11 @@
     } else if(message.has_job_ends()) {
         take_ends(message.job_ends());
     } else if(message.has_append_request()) {
-        boost::asio::co_spawn(
-            parts_.context, answer_append(message.sender(), message.append_request()), fail_fast);
+        boost::asio::co_spawn(parts_.context, answer_append(message.sender(), message.append_request()), fail_fast);
     } else if(message.has_append_reply()) {
         take_append_reply(message.append_reply());
     } else if(message.has_advice_question() && message.sender() == leader_.name) {
-        boost::asio::co_spawn(
-            parts_.context, answer_question(message.sender(), message.advice_question()), fail_fast);
+        boost::asio::co_spawn(parts_.context, answer_question(message.sender(), message.advice_question()), fail_fast);
     } else if(message.has_advice_answer() && lead_ != nullptr) {
         lead_->take_advice(message.sender(), message.advice_answer());
     }
@@ -659,8 +661,9 @@
 void site_node::take_append_reply(wire::append_reply const &reply) {
     if(auto const found = relays_.find(reply.id()); found != relays_.end()) {
         found->second->outcome = reply.done() ? append_outcome::done
-            : reply.refused()               ? append_outcome::refused
-                                            : append_outcome::unknown;
+            : reply.refused()                 ? append_outcome::refused
+                                              : append_outcome::unknown;
+        found->second->is_answered = true;
         found->second->answered.notify();
     }
 }
--- a/src/kingcuplink/site/site_node.hpp
+++ b/src/kingcuplink/site/site_node.hpp
@@ -113,6 +113,7 @@
         explicit relay(boost::asio::io_context &context) : answered{context} {}
 
         append_outcome outcome{append_outcome::unknown};
+        bool is_answered{};
         wakeup answered;
     };
 
--- a/src/kingcuplink/site/site_settings.hpp
+++ b/src/kingcuplink/site/site_settings.hpp
@@ -23,8 +23,6 @@
     std::string adviser_address;
     /*! Longest lease that workers grant. */
     millis lease_limit{10'000};
-    /*! Time that the members of a gang have to come together. */
-    millis gang_timeout{3'000};
     /*! Time for which the state of an ended job is told. */
     millis status_time{120'000};
     /*! Time between SIGTERM and the end of the process. */
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -32,7 +32,9 @@
 /*! Delay of a caller's append in which others can join it. */
 inline constexpr millis intake_spacing{5};
 /*! Time that another entry VM has to append a caller's record. */
-inline constexpr millis relay_timeout{400};
+inline constexpr millis relay_timeout{1'000};
+/*! Time between looks whether the leader that was asked still lives. */
+inline constexpr millis relay_check{100};
 /*! Age of the leader's latest beat up to which callers' records go through it. */
 inline constexpr millis relay_beat_age{500};
 /*! Age of an append from which on another one may be sent beside it. */
@@ -53,6 +55,8 @@
 inline constexpr millis look_wait{1'000};
 /*! Time between looks at a worker; each is paid for. */
 inline constexpr millis look_spacing{60};
+/*! Time between looks at a worker that lists ends which the log does not have yet: it never waits then. */
+inline constexpr millis unkept_look_spacing{300};
 /*! Time that a worker has to answer, on top of the time it may wait. */
 inline constexpr millis worker_timeout{1'200};
 /*! Time that a worker has to answer an order; it takes some 5 ms. */
--- a/src/kingcuplink/workflow/dispatch_planner.cpp
+++ b/src/kingcuplink/workflow/dispatch_planner.cpp
@@ -51,9 +51,8 @@
     return static_cast<std::uint32_t>(most);
 }
 
-dispatch_planner::dispatch_planner(
-    dispatch_state &state, dispatch_settings const &settings, instant const now, dispatch_plan &out)
-    : state_{state}, settings_{settings}, now_{now}, out_{out} {}
+dispatch_planner::dispatch_planner(dispatch_state &state, instant const now, dispatch_plan &out)
+    : state_{state}, now_{now}, out_{out} {}
 
 void dispatch_planner::run() {
     open_candidates();
@@ -421,9 +420,8 @@
     if(wanted.empty()) {
         return;
     }
-    std::sort(wanted.begin(), wanted.end(), [](auto const *lhs, auto const *rhs) {
-        return lhs->on->room.millicores > rhs->on->room.millicores;
-    });
+    std::sort(wanted.begin(), wanted.end(),
+        [](auto const *lhs, auto const *rhs) { return lhs->on->room.millicores > rhs->on->room.millicores; });
     auto const most = is_gang ? query_workers
                               : std::min(query_workers, query_workers_each * step.waiting + query_workers_besides);
     wanted.resize(std::min(wanted.size(), most));
--- a/src/kingcuplink/workflow/dispatch_planner.hpp
+++ b/src/kingcuplink/workflow/dispatch_planner.hpp
@@ -11,7 +11,7 @@
 class dispatch_planner {
 public:
     /*! Begins a round; all arguments must outlive it. */
-    dispatch_planner(dispatch_state &state, dispatch_settings const &settings, instant now, dispatch_plan &out);
+    dispatch_planner(dispatch_state &state, instant now, dispatch_plan &out);
 
     /*! Runs the round. */
     void run();
@@ -65,7 +65,6 @@
     void start(waiting_step const &turn, std::uint32_t index, std::uint32_t run, option const &where);
 
     dispatch_state &state_;
-    dispatch_settings const &settings_;
     instant now_;
     dispatch_plan &out_;
     std::vector<candidate> candidates_;
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -58,8 +58,8 @@
     return internal::answer_names[static_cast<std::size_t>(answer)];
 }
 
-dispatcher::dispatcher(dispatch_settings const settings, instant const now) : settings_{settings} {
-    state_.inherited_until = now + settings.inherited_lease;
+dispatcher::dispatcher(millis const inherited_lease, instant const now) {
+    state_.inherited_until = now + inherited_lease;
 }
 
 void dispatcher::set_rules(std::shared_ptr<site_rules const> rules) {
@@ -194,6 +194,11 @@
     return found == state_.worker_ids.end() ? 0u : state_.workers[found->second].ends_kept;
 }
 
+std::uint64_t dispatcher::seen_end(std::string const &worker) const {
+    auto const found = state_.worker_ids.find(worker);
+    return found == state_.worker_ids.end() ? 0u : state_.workers[found->second].ends_seen;
+}
+
 void dispatcher::start_answered(placement_id const id, start_answer const answer, instant const now) {
     auto *run = state_.placements.find(id);
     if(run == nullptr || run->stage != internal::placement_stage::ordered) {
@@ -276,7 +281,7 @@
 
 void dispatcher::plan(instant const now, dispatch_plan &out) {
     expire_silent_workers(now);
-    internal::dispatch_planner{state_, settings_, now, out}.run();
+    internal::dispatch_planner{state_, now, out}.run();
 }
 
 progress_batch dispatcher::next_batch() {
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -12,16 +12,6 @@
 
 namespace kingcuplink {
 
-/*! Bounds within which a dispatcher works; they come from the site. */
-struct dispatch_settings {
-    /*! Length of the leases that runs are started under. */
-    millis lease{8'000};
-    /*! Time for which runs of an earlier leader may go on unseen after a change of leaders. */
-    millis inherited_lease{16'000};
-    /*! Time that the members of a gang have to come together. */
-    millis gang_timeout{3'000};
-};
-
 /*! Order to start a run. */
 struct run_start {
     placement_id placement;
@@ -117,10 +107,11 @@
 public:
     /*!
      * Begins a reign.
-     * @param now Start of the reign; runs of an earlier leader on workers that cannot
-     * be asked count as alive until the inherited lease has passed.
+     * @param inherited_lease Time for which runs of an earlier leader may go on at
+     * workers that cannot be asked.
+     * @param now Start of the reign.
      */
-    dispatcher(dispatch_settings settings, instant now);
+    dispatcher(millis inherited_lease, instant now);
 
     /*! Takes the operators' rules. */
     void set_rules(std::shared_ptr<site_rules const> rules);
@@ -155,6 +146,14 @@
     /*! Returns the number of the last end of a worker that the log accounts for. */
     [[nodiscard]] std::uint64_t kept_end(std::string const &worker) const;
 
+    /*! Returns the number of the last end of a worker that was taken note of. */
+    [[nodiscard]] std::uint64_t seen_end(std::string const &worker) const;
+
+    /*! Tells whether the log does not account for all ends that a worker listed. */
+    [[nodiscard]] bool has_unkept_ends(std::string const &worker) const {
+        return seen_end(worker) > kept_end(worker);
+    }
+
     /*! Takes the answer to a start. */
     void start_answered(placement_id placement, start_answer answer, instant now);
 
@@ -208,7 +207,6 @@
     [[nodiscard]] bool may_still_start(internal::placement const &run, instant now) const;
     [[nodiscard]] placement_id find_run(worker_id worker, run_key const &key) const;
 
-    dispatch_settings settings_;
     internal::dispatch_state state_;
     std::vector<std::pair<std::string, job_phase>> ended_;
 };
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -115,8 +115,8 @@
         auto &job = state_.jobs[id];
         auto const is_known = end.key.step < job.steps.size() && end.key.index < job.steps[end.key.step].tasks.size();
         auto *task = is_known ? &job.steps[end.key.step].tasks[end.key.index] : nullptr;
-        auto const is_current = task != nullptr && task->run == end.key.run &&
-            task->ended_run < end.key.run && !task->done;
+        auto const is_current = task != nullptr && task->run == end.key.run && task->ended_run < end.key.run &&
+            !task->done;
         if(is_current && !is_final(job.phase)) {
             auto &step = job.steps[end.key.step];
             task->ended_run = end.key.run;
--- a/test/workflow/fixture.cpp
+++ b/test/workflow/fixture.cpp
@@ -41,7 +41,7 @@
 }
 
 void scripted_fleet::change_leader() {
-    leader = std::make_unique<dispatcher>(dispatch_settings{}, now);
+    leader = std::make_unique<dispatcher>(inherited_lease, now);
     leader->set_rules(rules);
     for(auto const &[id, entry]: table.jobs()) {
         leader->add_job(entry);
--- a/test/workflow/fixture.hpp
+++ b/test/workflow/fixture.hpp
@@ -11,6 +11,9 @@
 /*! Time that passes between two rounds of a fleet. */
 inline constexpr millis round_length{20};
 
+/*! Time for which runs of an earlier leader may go on unseen. */
+inline constexpr millis inherited_lease{16'000};
+
 /*! What a scripted fleet is made of. */
 struct fleet_shape {
     std::size_t workers{4u};
