--- a/src/kingcuplink/cli/commands.cpp
+++ b/src/kingcuplink/cli/commands.cpp
@@ -7,6 +7,7 @@
 #include <iterator>
 #include <kingcuplink/cli/commands.hpp>
 #include <kingcuplink/cli/document_diff.hpp>
+#include <kingcuplink/cli/explain.hpp>
 #include <kingcuplink/cli/server_connection.hpp>
 #include <kingcuplink/cli/table.hpp>
 #include <kingcuplink/core/hash.hpp>
@@ -388,7 +389,23 @@
     return exit_code::success;
 }
 
-constexpr std::array<command_row, 20u> commands{{
+exit_code explain_job(command_context &context) {
+    std::vector<explained_line> lines;
+    for(auto const &name: context.arguments.subspan(1u)) {
+        std::ifstream log{name};
+        if(!log) {
+            std::cerr << "kingcuplink: " << name << " cannot be read: check the path\n";
+            return exit_code::wrong_usage;
+        }
+        collect_decisions(log, context.arguments[0], lines);
+    }
+    sort_decisions(lines);
+    std::cout << explain(lines);
+    return exit_code::success;
+}
+
+constexpr std::array<command_row, 21u> commands{{
+    {"explain", 2u, 1'000u, "JOB FILE...", "put the decisions about a job from logs in order", explain_job},
     {"job submit", 1u, 1u, "FILE", "submit a job; --wait shows its progress", job_submit},
     {"job list", 0u, 0u, "", "list the team's jobs; an operator's key lists all", job_list},
     {"job status", 1u, 1u, "JOB", "show a job and its tasks", job_status},
