Make the dispatcher's tests fail without its guards

Cause: five of seven guards could be removed with all tests green. The tests now let the log fail with a batch under way, end runs between two leaders, and lose starts.

--- a/test/workflow/dispatcher_test.cpp
+++ b/test/workflow/dispatcher_test.cpp
@@ -64,11 +64,16 @@
     scripted_fleet fleet{{.max_attempts = 2u}};
     fleet.behaviour["a"] = {millis{400}, run_end::failed};
     fleet.submit(scripted_fleet::job("a", step_of(1u, 4'000)));
-    fleet.run_for(millis{440});
-    REQUIRE(fleet.starts == 1u);
+    auto const failures = [&fleet]() {
+        auto const &tasks = fleet.table.find("a")->progress.tasks;
+        return tasks.empty() ? 0u : tasks.front().failures;
+    };
+    for(auto round = 0; round < 100 && failures() == 0u; ++round) {
+        fleet.step();
+    }
+    REQUIRE(failures() == 1u);
     // The log has the end, the worker has not been told so, and another leader begins.
     fleet.behaviour["a"] = {millis{400}, run_end::done};
-    fleet.step();
     fleet.change_leader();
     fleet.run_for(millis{1'000});
     CHECK(fleet.phase_of("a") == job_phase::done);
@@ -219,6 +224,51 @@
     fleet.submit(scripted_fleet::job("free", step_of(4u, 20'000, true), millis{3'000}));
     fleet.run_for(millis{500});
     CHECK(fleet.runs_of("free") == 4u);
+    for(auto pos = 0; pos < 10; ++pos) {
+        CHECK(fleet.runs_of("blocked" + std::to_string(pos)) == 0u);
+    }
+}
+
+TEST_CASE("a start that was lost is kept out and made again") {
+    scripted_fleet fleet{{.workers = 1u}};
+    fleet.starts_are_lost = true;
+    fleet.submit(scripted_fleet::job("a", step_of(2u, 30'000)));
+    fleet.run_for(millis{100});
+    fleet.starts_are_lost = false;
+    fleet.run_for(millis{2'500});
+    CHECK(fleet.phase_of("a") == job_phase::done);
+    CHECK(fleet.starts == 2u);
+}
+
+TEST_CASE("a queue of priority 0 goes before others that have to start as early") {
+    scripted_fleet fleet{{.workers = 1u}};
+    fleet.submit(scripted_fleet::job("first", step_of(1u, 60'000)));
+    fleet.run_for(millis{300});
+    auto urgent = scripted_fleet::job("urgent", step_of(1u, 60'000), millis{300});
+    urgent.queue = "urgent";
+    fleet.submit(scripted_fleet::job("ordinary", step_of(1u, 60'000), millis{200}));
+    fleet.submit(urgent);
+    fleet.run_for(millis{4'000});
+    REQUIRE(fleet.first_start.contains("ordinary"));
+    CHECK(fleet.first_start["urgent"] < fleet.first_start["ordinary"]);
+}
+
+TEST_CASE("a wide gang goes before work that has to start somewhat earlier") {
+    queue_rules queue;
+    queue.stretch = 3.0;
+    struct row {
+        std::uint32_t members;
+        bool goes_first;
+    };
+    for(auto const &item: std::array<row, 3u>{{{1u, false}, {2u, false}, {6u, true}}}) {
+        CAPTURE(item.members);
+        auto const gang = scripted_fleet::job("gang", step_of(item.members, 10'000, true), millis{1'000});
+        auto const other = scripted_fleet::job("other", step_of(1u, 10'000));
+        auto const now = gang.accepted_at;
+        auto const first = rank_of(objective_of(gang, queue), 0u, false, now);
+        auto const second = rank_of(objective_of(other, queue), 0u, false, now);
+        CHECK((first < second) == item.goes_first);
+    }
 }
 
 TEST_CASE("a cancelled job has no runs and stays cancelled") {
--- a/test/workflow/fixture.cpp
+++ b/test/workflow/fixture.cpp
@@ -41,6 +41,7 @@
 }
 
 void scripted_fleet::change_leader() {
+    batch_under_way.reset();
     leader = std::make_unique<dispatcher>(inherited_lease, now);
     leader->set_rules(rules);
     for(auto const &[id, entry]: table.jobs()) {
@@ -128,10 +129,14 @@
 }
 
 void scripted_fleet::keep_batch() {
+    if(!batch_under_way || batch_under_way->empty()) {
+        batch_under_way = leader->next_batch();
+    }
     if(!log_is_up) {
         return;
     }
-    auto const batch = leader->next_batch();
+    auto const batch = std::move(*batch_under_way);
+    batch_under_way.reset();
     for(auto const &[id, progress]: batch.records) {
         table.advance(id, progress, now);
         if(is_final(progress.phase)) {
@@ -147,7 +152,7 @@
 
 void scripted_fleet::begin(run_start const &order) {
     auto *where = find(order.worker);
-    if(where == nullptr || !where->reachable) {
+    if(where == nullptr || !where->reachable || starts_are_lost) {
         leader->start_answered(order.placement, start_answer::unknown, now);
         return;
     }
--- a/test/workflow/fixture.hpp
+++ b/test/workflow/fixture.hpp
@@ -89,10 +89,14 @@
     bool log_is_up{true};
     /*! True if answers to starts are lost after they took effect. */
     bool starts_are_unanswered{};
+    /*! True if starts are lost on their way. */
+    bool starts_are_lost{};
     std::size_t starts{};
     std::size_t queries{};
 
 private:
+    std::optional<progress_batch> batch_under_way;
+
     void look_at_workers();
     void end_runs(worker &where);
     void keep_batch();
