Read the leader's own stream less often, and at once while claiming; one reading of bad HTTP

Cause: the leader appends most records itself and read each of them back within 20 ms, a paid call each; a claimant waited up to 150 ms to read its own claim.

--- a/src/kingcuplink/gateway/http_listener.cpp
+++ b/src/kingcuplink/gateway/http_listener.cpp
@@ -12,6 +12,7 @@
 #include <kingcuplink/core/config.hpp>
 #include <kingcuplink/gateway/http_listener.hpp>
 #include <kingcuplink/gateway/responses.hpp>
+#include <optional>
 #include <utility>
 
 namespace kingcuplink {
@@ -21,6 +22,19 @@
 /*! Pause after a failure to accept, such as for want of descriptors. */
 constexpr millis accept_retry{20};
 
+/*! Returns why a request that cannot be read is refused; nothing if the connection has ended. */
+std::optional<refusal> refusal_of(boost::system::error_code const &error) {
+    namespace http = boost::beast::http;
+    if(error == http::error::body_limit) {
+        return refusal::body_too_large;
+    }
+    auto const is_protocol = error.category() == http::make_error_code(http::error::bad_target).category();
+    if(!is_protocol || error == http::error::end_of_stream || error == http::error::partial_message) {
+        return std::nullopt;
+    }
+    return refusal::request_malformed;
+}
+
 } // namespace internal
 
 http_listener::http_listener(boost::asio::io_context &context, counters &stats, handler serve, limits const allowed)
@@ -80,22 +94,15 @@
         parser.body_limit(limits_.body_bytes);
         stream.expires_after(config::caller_idle_limit);
         co_await boost::beast::http::async_read(stream, buffer, parser, token);
-        auto const is_bad = error == boost::beast::http::error::body_limit ||
-            (error &&
-                error.category() ==
-                    boost::beast::http::make_error_code(boost::beast::http::error::bad_target).category() &&
-                error != boost::beast::http::error::end_of_stream &&
-                error != boost::beast::http::error::partial_message);
-        if(error && !is_bad) {
+        auto const fault = error ? internal::refusal_of(error) : std::nullopt;
+        if(error && !fault) {
             break;
         }
         ++active_;
         http_response response;
         auto keep_alive = false;
-        if(error) {
-            auto const reason = error == boost::beast::http::error::body_limit ? refusal::body_too_large
-                                                                               : refusal::request_malformed;
-            response = refusal_response({reason, error.message()}, {}, stats_);
+        if(fault) {
+            response = refusal_response({*fault, error.message()}, {}, stats_);
         } else if(!is_admitted) {
             response = refusal_response({refusal::connections_full, "too many connections"}, {}, stats_);
         } else {
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -324,11 +324,17 @@
         }
         apply_jobs(std::move(*batch));
         refresh_ready();
-        co_await pause_for(
-            parts_.context, lead_ != nullptr ? timing::leader_read_spacing : timing::follower_read_spacing);
+        co_await pause_for(parts_.context, read_spacing());
     }
 }
 
+millis site_node::read_spacing() const noexcept {
+    if(is_claiming_) {
+        return timing::claimant_read_spacing;
+    }
+    return lead_ != nullptr ? timing::leader_read_spacing : timing::follower_read_spacing;
+}
+
 void site_node::note_dependency(bool const reached) {
     if(reached != log_reached_) {
         log_reached_ = reached;
@@ -529,9 +535,11 @@
         leader_seen_at_ = current_time();
         co_return;
     }
+    is_claiming_ = true;
     while(jobs_.offset() <= answer.offset) {
-        co_await pause_for(parts_.context, timing::leader_read_spacing);
+        co_await pause_for(parts_.context, timing::claimant_read_spacing);
     }
+    is_claiming_ = false;
     if(leader_.term == term && !draining_) {
         begin_lead(term, sequence);
     }
--- a/src/kingcuplink/site/site_node.hpp
+++ b/src/kingcuplink/site/site_node.hpp
@@ -140,6 +140,7 @@
     void define(job_definition job);
     void apply_rules(keyed_batch const &batch);
     void note_leader(leader_claim claim);
+    [[nodiscard]] millis read_spacing() const noexcept;
     void note_dependency(bool reached);
     void forget_old_jobs();
 
@@ -181,6 +182,8 @@
     instant beat_at_{};
     std::uint64_t beat_term_{};
     millis beat_log_age_{};
+    /*! True from a claim that the log took until it was read back. */
+    bool is_claiming_{};
     std::shared_ptr<fleet_lead> lead_;
     instant forgot_at_{};
     bool log_reached_{true};
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -30,7 +30,7 @@
 /*! Delay of an append in which more records can join it. */
 inline constexpr millis append_spacing{20};
 /*! Delay of a caller's append in which others can join it. */
-inline constexpr millis intake_spacing{5};
+inline constexpr millis intake_spacing{10};
 /*! Time that another entry VM has to append a caller's record. */
 inline constexpr millis relay_timeout{1'000};
 /*! Time between looks whether the leader that was asked still lives. */
@@ -43,8 +43,10 @@
 inline constexpr millis log_retry{150};
 /*! Time that the log waits for a record. */
 inline constexpr millis log_wait{1'500};
-/*! Time between reads of the stream of jobs by the leader; each is paid for. */
-inline constexpr millis leader_read_spacing{20};
+/*! Time between reads of the stream of jobs by the leader, which appends most of it; each is paid for. */
+inline constexpr millis leader_read_spacing{100};
+/*! Time between reads of an entry VM that has claimed leadership and waits for its own record. */
+inline constexpr millis claimant_read_spacing{5};
 /*! Time between reads of the stream of jobs by other entry VMs. */
 inline constexpr millis follower_read_spacing{150};
 /*! Time between reads of the workers' registrations, which change all the time. */
