--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -289,6 +289,7 @@
         }
         auto const answer = co_await parts_.log.append(log_stream::jobs, std::move(records), std::nullopt);
         auto const is_done = answer.outcome == append_outcome::done;
+        own_append_at_ = is_done ? current_time() : own_append_at_;
         may_be_done = may_be_done || answer.outcome == append_outcome::unknown;
         refusals += answer.outcome == append_outcome::refused ? 1 : 0;
         // A record that may be in the log is appended again: a repetition changes nothing.
@@ -507,7 +508,9 @@
     auto const has_beats = beat_term_ == leader_.term;
     auto const silence = has_beats ? timing::beat_silence : timing::log_silence;
     auto const is_silent = std::max(leader_seen_at_, beat_at_) + silence + spread() < now;
-    return is_silent || (has_beats && beat_log_age_ > timing::useless_leader);
+    auto const takes_own = own_append_at_ + timing::own_append_age > now;
+    auto const most_age = takes_own ? timing::outdone_leader : timing::useless_leader;
+    return is_silent || (has_beats && beat_log_age_ > most_age);
 }
 
 millis site_node::spread() const {
--- a/src/kingcuplink/site/site_node.hpp
+++ b/src/kingcuplink/site/site_node.hpp
@@ -173,6 +173,8 @@
     /*! Appends of callers' records under way, and when the latest was sent. */
     std::size_t intake_appends_{};
     instant intake_sent_at_{};
+    /*! When the log last took a caller's record from this entry VM itself. */
+    instant own_append_at_{};
     /*! Appends that the leader was asked for. */
     std::map<std::uint64_t, std::shared_ptr<relay>> relays_;
     std::uint64_t next_relay_{};
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -19,6 +19,10 @@
 inline constexpr millis log_silence{2'200};
 /*! Time without an append after which a leader that lives is replaced by an entry VM that can read the log. */
 inline constexpr millis useless_leader{2'500};
+/*! The same for an entry VM whose own appends are done meanwhile; above the leader's heartbeat. */
+inline constexpr millis outdone_leader{1'000};
+/*! Age of an own append up to which an entry VM knows that the log takes its records, if not the leader's. */
+inline constexpr millis own_append_age{800};
 /*! Age of the last read, on top of the time it may wait, up to which an entry VM may claim leadership. */
 inline constexpr millis claim_freshness{400};
 /*! Spread of claims, so that one entry VM is mostly first. */
--- a/test/site/scripted_site.cpp
+++ b/test/site/scripted_site.cpp
@@ -79,6 +79,29 @@
     co_return page;
 }
 
+boost::asio::awaitable<append_answer> gated_log::append(
+    log_stream const stream, std::vector<keyed_record> records, std::optional<log_writer> const writer) {
+    if(!is_open) {
+        co_return append_answer{append_outcome::refused, 0u};
+    }
+    co_return co_await log_.append(stream, std::move(records), writer);
+}
+
+boost::asio::awaitable<read_answer> gated_log::read(
+    log_stream const stream, std::uint64_t const from, millis const wait) {
+    if(!is_open) {
+        co_return read_answer{};
+    }
+    co_return co_await log_.read(stream, from, wait);
+}
+
+boost::asio::awaitable<newest_page> gated_log::newest(log_stream const stream, std::string after) {
+    if(!is_open) {
+        co_return newest_page{};
+    }
+    co_return co_await log_.newest(stream, std::move(after));
+}
+
 void memory_log::add(keyed_record record, log_stream const stream) {
     auto &state = streams_[stream];
     record.offset = state.first + state.records.size();
--- a/test/site/scripted_site.hpp
+++ b/test/site/scripted_site.hpp
@@ -62,6 +62,23 @@
     std::map<log_stream, stream_state> streams_;
 };
 
+/*! A log as one entry VM reaches it. */
+class gated_log : public keyed_log {
+public:
+    explicit gated_log(memory_log &log) : log_{log} {}
+
+    boost::asio::awaitable<append_answer> append(
+        log_stream stream, std::vector<keyed_record> records, std::optional<log_writer> writer) override;
+    boost::asio::awaitable<read_answer> read(log_stream stream, std::uint64_t from, millis wait) override;
+    boost::asio::awaitable<newest_page> newest(log_stream stream, std::string after) override;
+
+    /*! False while the log turns this entry VM away. */
+    bool is_open{true};
+
+private:
+    memory_log &log_;
+};
+
 /*! Workers in memory. */
 class memory_workers : public worker_port {
 public:
@@ -133,7 +150,7 @@
         site_settings settings;
         counters stats;
         decision_log decisions;
-        memory_log &log;
+        gated_log log;
         approving_adviser adviser;
         plain_decoder decoder;
         std::unique_ptr<site_node> node;
--- a/test/site/site_test.cpp
+++ b/test/site/site_test.cpp
@@ -104,6 +104,28 @@
     CHECK(site.workers.starts() == 2u);
 }
 
+TEST_CASE("a leader that the log turns away is replaced, and callers are served meanwhile") {
+    scripted_site site{2u};
+    site.run_until([&]() { return site.leader() != nullptr; });
+    auto const *first = site.leader();
+    REQUIRE(first != nullptr);
+    auto const other = site.vms[0]->node.get() == first ? 1u : 0u;
+    site.vms[1u - other]->log.is_open = false;
+    auto number = 0;
+    auto refused = 0;
+    auto const leads = [&]() { return site.vms[other]->node->leads(); };
+    for(; number < 200 && !leads(); ++number) {
+        auto id = std::to_string(number);
+        id.insert(0u, 16u - id.size(), '0');
+        refused += site.ask(other, caller_wish::submit, id).refused ? 1 : 0;
+    }
+    CHECK(leads());
+    CHECK(number > 0);
+    CHECK(refused == 0);
+    site.run_until([&]() { return !site.vms[1u - other]->node->leads(); });
+    CHECK_FALSE(site.vms[1u - other]->node->leads());
+}
+
 TEST_CASE("what cannot be served is refused at once, with the reason") {
     scripted_site site{1u};
     site.run_until([&]() { return site.leader() != nullptr; });
