--- /dev/null
+++ b/test/core/decision_log_test.cpp
@@ -0,0 +1,87 @@
+#include <boost/json/parse.hpp>
+#include <chrono>
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <kingcuplink/core/decision_log.hpp>
+#include <string>
+#include <unistd.h>
+
+namespace kingcuplink::test {
+
+namespace {
+
+/*! A pipe of which only the test reads. */
+struct pipe_pair {
+    pipe_pair() {
+        REQUIRE(::pipe2(ends, O_CLOEXEC | O_NONBLOCK) == 0);
+    }
+
+    ~pipe_pair() {
+        ::close(ends[0]);
+        ::close(ends[1]);
+    }
+
+    pipe_pair(pipe_pair const &) = delete;
+    pipe_pair &operator=(pipe_pair const &) = delete;
+
+    /*! Reads what is there. */
+    std::string read_all() {
+        std::string text;
+        char buffer[4096];
+        for(auto count = ::read(ends[0], buffer, sizeof(buffer)); count > 0;
+            count = ::read(ends[0], buffer, sizeof(buffer))) {
+            text.append(buffer, static_cast<std::size_t>(count));
+        }
+        return text;
+    }
+
+    int ends[2]{};
+};
+
+} // namespace
+
+TEST_CASE("a decision is one JSON object a line") {
+    pipe_pair pipe;
+    decision_log log{pipe.ends[1], "vm-1"};
+    log.write(decision::job_accepted, {{"job", "0123456789abcdef"}, {"ms", 19}});
+    log.flush();
+    auto const text = pipe.read_all();
+    REQUIRE(!text.empty());
+    CHECK(text.back() == '\n');
+    auto const line = boost::json::parse(text.substr(0u, text.size() - 1u)).as_object();
+    CHECK(line.at("vm").as_string() == "vm-1");
+    CHECK(line.at("event").as_string() == "job_accepted");
+    CHECK(line.at("ms").as_int64() == 19);
+    CHECK(line.contains("time_ms"));
+}
+
+TEST_CASE("a reader that does not read costs lines, not time") {
+    pipe_pair pipe;
+    decision_log log{pipe.ends[1], "vm-1"};
+    auto const begin = std::chrono::steady_clock::now();
+    std::string const filler(1'000u, 'x');
+    for(auto number = 0; number < 6'000; ++number) {
+        // Kinds in turn, so that the limit of one kind does not end the flood first.
+        log.write(static_cast<decision>(static_cast<std::size_t>(number) % decision_count), {{"filler", filler}});
+        log.flush();
+    }
+    CHECK(std::chrono::steady_clock::now() - begin < std::chrono::seconds{5});
+    CHECK(log.dropped() > 0u);
+    // What is read later consists of whole lines but for the last one.
+    auto const text = pipe.read_all();
+    auto const first_line = text.substr(0u, text.find('\n'));
+    CHECK_NOTHROW(boost::json::parse(first_line));
+}
+
+TEST_CASE("more lines of one kind than the limit are counted, not written") {
+    pipe_pair pipe;
+    decision_log log{pipe.ends[1], "vm-1"};
+    for(auto number = 0; number < 50'000; ++number) {
+        log.write(decision::run_ended, {});
+    }
+    CHECK(log.dropped() >= 4'000u);
+    log.write(decision::job_ended, {{"job", "other"}});
+    log.flush();
+}
+
+} // namespace kingcuplink::test
