Send JSON with prepared requests by one function of the HTTP client

The adapter's worker client had a copy of it. No behaviour changes; tests of core, workflow, site, adapter, platform, daemon, cli and wire pass.

--- a/src/kingcuplink/platform/http_client.cpp
+++ b/src/kingcuplink/platform/http_client.cpp
@@ -86,12 +86,18 @@
 boost::asio::awaitable<std::pair<exchange, boost::json::value>> http_client::send_json(std::string address,
     boost::beast::http::verb const verb, std::string target, boost::json::value body, millis const timeout) {
     http_request request{verb, target, 11};
+    co_return co_await send_json(std::move(address), std::move(request), std::move(body), timeout);
+}
+
+boost::asio::awaitable<std::pair<exchange, boost::json::value>> http_client::send_json(
+    std::string address, http_request request, boost::json::value body, millis const timeout) {
     if(!body.is_null()) {
         request.set(internal::http::field::content_type, "application/json");
         request.body() = boost::json::serialize(body);
     }
+    exchange_options const options{.timeout = timeout};
     std::pair<exchange, boost::json::value> result;
-    result.first = co_await send(std::move(address), std::move(request), exchange_options{.timeout = timeout});
+    result.first = co_await send(std::move(address), std::move(request), options);
     if(result.first.outcome == attempt_outcome::answered) {
         boost::system::error_code error;
         result.second = boost::json::parse(result.first.response.body(), error);
--- a/src/kingcuplink/platform/http_client.hpp
+++ b/src/kingcuplink/platform/http_client.hpp
@@ -66,6 +66,10 @@
     boost::asio::awaitable<std::pair<exchange, boost::json::value>> send_json(std::string address,
         boost::beast::http::verb verb, std::string target, boost::json::value body, millis timeout);
 
+    /*! Sends JSON in a request that is prepared but for its body, and reads JSON as above. */
+    boost::asio::awaitable<std::pair<exchange, boost::json::value>> send_json(
+        std::string address, http_request request, boost::json::value body, millis timeout);
+
     /*! Closes idle connections that are older than the limit. */
     void close_old();
 
