--- a/src/kingcuplink/site/fleet_lead.cpp
+++ b/src/kingcuplink/site/fleet_lead.cpp
@@ -24,9 +24,10 @@
 
 } // namespace internal
 
-fleet_lead::fleet_lead(lead_parts const parts, std::uint64_t const term, std::uint64_t const sequence,
+fleet_lead::fleet_lead(node_parts const parts, peer_link &peers, std::uint64_t const term, std::uint64_t const sequence,
     fenced_listener on_fenced, end_listener on_end)
     : parts_{parts},
+      peers_{peers},
       term_{term},
       sequence_{sequence},
       on_fenced_{std::move(on_fenced)},
@@ -413,7 +414,7 @@
     }
     on_end_(ends);
     for(auto const &[peer, seen_at]: adviser_seen_) {
-        parts_.peers.send(peer, message);
+        peers_.send(peer, message);
     }
 }
 
@@ -422,11 +423,11 @@
     auto &beat = *message.mutable_leader_beat();
     beat.set_term(term_);
     beat.set_log_age_ms(static_cast<std::uint64_t>(std::max(millis{}, current_time() - appended_at_).count()));
-    parts_.peers.send(peer, message);
+    peers_.send(peer, message);
 }
 
 void fleet_lead::meet(std::string const &peer, std::string const &address) {
-    parts_.peers.connect(peer, address);
+    peers_.connect(peer, address);
     advisers_.add(peer);
     adviser_seen_[peer] = current_time();
     dispatcher_.set_advisers(advisers_.size());
@@ -463,7 +464,7 @@
     }
     questions_.emplace(next_question_, open_question{booked.name, std::move(query)});
     // A message that cannot be sent counts as one without an answer.
-    auto const time = parts_.peers.send(booked.name, message) ? limit : millis{};
+    auto const time = peers_.send(booked.name, message) ? limit : millis{};
     boost::asio::co_spawn(parts_.context, expire_question(shared_from_this(), next_question_, time), fail_fast);
 }
 
--- a/src/kingcuplink/site/fleet_lead.hpp
+++ b/src/kingcuplink/site/fleet_lead.hpp
@@ -1,13 +1,9 @@
 #ifndef KINGCUPLINK_SITE_FLEET_LEAD_HPP_INCLUDED
 #define KINGCUPLINK_SITE_FLEET_LEAD_HPP_INCLUDED
 
-#include <boost/asio/io_context.hpp>
 #include <functional>
-#include <kingcuplink/core/counters.hpp>
-#include <kingcuplink/core/decision_log.hpp>
 #include <kingcuplink/site/keyed_reader.hpp>
-#include <kingcuplink/site/ports.hpp>
-#include <kingcuplink/site/site_settings.hpp>
+#include <kingcuplink/site/node_parts.hpp>
 #include <kingcuplink/site/wakeup.hpp>
 #include <kingcuplink/wire/peer_link.hpp>
 #include <kingcuplink/workflow/adviser_pool.hpp>
@@ -19,19 +15,6 @@
 
 namespace kingcuplink {
 
-/*! What a leader needs of its entry VM; all references must outlive it. */
-struct lead_parts {
-    boost::asio::io_context &context;
-    site_settings const &settings;
-    counters &stats;
-    decision_log &decisions;
-    keyed_log &log;
-    site_decoder &decoder;
-    worker_port &workers;
-    advice_port &advice;
-    peer_link &peers;
-};
-
 /*!
  * One uninterrupted time as the leader of the fleet: it carries out what its
  * dispatcher decides, with the term as the token that workers obey and as the epoch
@@ -46,11 +29,11 @@
     using end_listener = std::function<void(wire::job_ends const &)>;
 
     /*!
-     * Constructs a leader.
+     * Constructs a leader; the references must outlive it.
      * @param sequence Number of the append that claimed the term.
      */
-    fleet_lead(
-        lead_parts parts, std::uint64_t term, std::uint64_t sequence, fenced_listener on_fenced, end_listener on_end);
+    fleet_lead(node_parts parts, peer_link &peers, std::uint64_t term, std::uint64_t sequence,
+        fenced_listener on_fenced, end_listener on_end);
 
     /*! Begins to work. Call once, with the rules and all jobs loaded. */
     void start();
@@ -137,7 +120,8 @@
     [[nodiscard]] std::optional<std::int64_t> clock_of(std::string const &worker, std::uint64_t boot) const;
     [[nodiscard]] bool may_extend_leases(instant now) const;
 
-    lead_parts parts_;
+    node_parts parts_;
+    peer_link &peers_;
     std::uint64_t term_;
     std::uint64_t sequence_;
     fenced_listener on_fenced_;
--- /dev/null
+++ b/src/kingcuplink/site/leader_watch.hpp
@@ -0,0 +1,76 @@
+#ifndef KINGCUPLINK_SITE_LEADER_WATCH_HPP_INCLUDED
+#define KINGCUPLINK_SITE_LEADER_WATCH_HPP_INCLUDED
+
+#include <cstdint>
+#include <kingcuplink/core/time.hpp>
+#include <kingcuplink/site/record_codec.hpp>
+#include <string>
+
+namespace kingcuplink {
+
+/*!
+ * What an entry VM knows of the fleet's leader, and whether it had better claim
+ * leadership itself. It performs no I/O and reads no clock; safety rests on the log,
+ * which takes one claim of each term. Not thread safe.
+ */
+class leader_watch {
+public:
+    /*! Constructs a watch for the entry VM of a name. */
+    explicit leader_watch(std::string own_name);
+
+    /*!
+     * Takes a claim or a resignation that was read from the log.
+     * @return True if it changes who leads.
+     */
+    bool note_claim(leader_claim claim, instant now);
+
+    /*! Notes that the log showed a record that only the leader writes. */
+    void note_record(instant now) noexcept;
+
+    /*!
+     * Takes a beat of a leader; those of earlier terms count for nothing.
+     * @param log_age Time since the log last took an append of the leader.
+     */
+    void note_beat(std::uint64_t term, millis log_age, instant now) noexcept;
+
+    /*! Notes that the log took an append of this entry VM itself. */
+    void note_own_append(instant now) noexcept;
+
+    /*! Returns the latest claim; its term is zero before the first. */
+    [[nodiscard]] leader_claim const &claim() const noexcept {
+        return claim_;
+    }
+
+    /*! Tells whether the leader of the latest claim has sent a beat to this entry VM. */
+    [[nodiscard]] bool has_beats() const noexcept {
+        return claim_.term > 0u && beat_term_ == claim_.term;
+    }
+
+    /*! Returns how long the log has shown nothing of the leader. */
+    [[nodiscard]] millis silence(instant now) const noexcept;
+
+    /*! Tells whether the leader lives and its appends are done, so that it may be asked to append. */
+    [[nodiscard]] bool takes_records(instant now) const noexcept;
+
+    /*!
+     * Tells whether this entry VM should claim leadership.
+     * @param read_at When the last read of the log that succeeded was sent.
+     */
+    [[nodiscard]] bool should_claim(instant read_at, instant now) const noexcept;
+
+private:
+    [[nodiscard]] millis spread() const noexcept;
+
+    std::string own_name_;
+    leader_claim claim_;
+    instant seen_at_{};
+    /*! Latest beat. */
+    std::uint64_t beat_term_{};
+    instant beat_at_{};
+    millis beat_log_age_{};
+    instant own_append_at_{};
+};
+
+} // namespace kingcuplink
+
+#endif
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -3,7 +3,6 @@
 #include <boost/asio/post.hpp>
 #include <cctype>
 #include <kingcuplink/core/config.hpp>
-#include <kingcuplink/core/hash.hpp>
 #include <kingcuplink/platform/http_client.hpp>
 #include <kingcuplink/site/site_node.hpp>
 #include <kingcuplink/site/timing.hpp>
@@ -63,6 +62,7 @@
       jobs_{parts.log, log_stream::jobs},
       rules_reader_{parts.log, log_stream::rules},
       intake_wanted_{parts.context},
+      watch_{parts.settings.name},
       random_{std::random_device{}()},
       peers_{parts.settings.name, parts.settings.peer_address, parts.stats, [this](wire::envelope message) {
                  boost::asio::post(parts_.context, [this, message = std::move(message)]() { handle(message); });
@@ -227,8 +227,7 @@
 }
 
 bool site_node::leader_takes_records() const {
-    return lead_ == nullptr && beat_term_ == leader_.term && leader_.term > 0u &&
-        beat_at_ + timing::relay_beat_age > current_time() && beat_log_age_ < timing::useless_leader;
+    return lead_ == nullptr && watch_.takes_records(current_time());
 }
 
 boost::asio::awaitable<append_outcome> site_node::hand_to_leader(
@@ -245,7 +244,7 @@
     }
     auto const waiting = std::make_shared<relay>(parts_.context);
     relays_.emplace(id, waiting);
-    if(peers_.send(leader_.name, message)) {
+    if(peers_.send(watch_.claim().name, message)) {
         auto const give_up_at = current_time() + patience;
         while(!waiting->is_answered && leader_takes_records() && current_time() < give_up_at) {
             co_await waiting->answered.wait(timing::relay_check);
@@ -289,7 +288,9 @@
         }
         auto const answer = co_await parts_.log.append(log_stream::jobs, std::move(records), std::nullopt);
         auto const is_done = answer.outcome == append_outcome::done;
-        own_append_at_ = is_done ? current_time() : own_append_at_;
+        if(is_done) {
+            watch_.note_own_append(current_time());
+        }
         may_be_done = may_be_done || answer.outcome == append_outcome::unknown;
         refusals += answer.outcome == append_outcome::refused ? 1 : 0;
         // A record that may be in the log is appended again: a repetition changes nothing.
@@ -355,7 +356,7 @@
             };
             return kind_of(lhs) < kind_of(rhs);
         });
-        leader_seen_at_ = current_time();
+        watch_.note_record(current_time());
     }
     for(auto const &record: batch.records) {
         apply(record);
@@ -381,7 +382,7 @@
         }
         break;
     case record_kind::progress:
-        leader_seen_at_ = now;
+        watch_.note_record(now);
         if(auto progress = decode_progress(*record.value)) {
             table_.advance(name->id, std::move(*progress), now);
         }
@@ -407,16 +408,12 @@
 }
 
 void site_node::note_leader(leader_claim claim) {
-    leader_seen_at_ = current_time();
-    if(claim.term < leader_.term) {
-        return;
-    }
-    if(claim.term > leader_.term || claim.resigned != leader_.resigned) {
+    if(watch_.note_claim(std::move(claim), current_time())) {
+        auto const &latest = watch_.claim();
         parts_.decisions.write(
-            decision::leader_seen, {{"term", claim.term}, {"leader", claim.name}, {"resigned", claim.resigned}});
+            decision::leader_seen, {{"term", latest.term}, {"leader", latest.name}, {"resigned", latest.resigned}});
     }
-    leader_ = std::move(claim);
-    if(lead_ != nullptr && leader_.term > lead_->term()) {
+    if(lead_ != nullptr && watch_.claim().term > lead_->term()) {
         lead_->end();
         end_lead();
     }
@@ -497,45 +494,28 @@
 }
 
 bool site_node::should_claim(instant const now) const {
-    auto const reads_log = log_reached_ && jobs_.fresh_at() + timing::log_wait + timing::claim_freshness > now;
-    if(draining_ || rules_ == nullptr || !jobs_.is_synced() || !reads_log) {
-        return false;
-    }
-    if(leader_.term == 0u || leader_.resigned || leader_.name == parts_.settings.name) {
-        // Nobody leads, or an earlier process of this entry VM did.
-        return leader_seen_at_ + spread() < now;
-    }
-    auto const has_beats = beat_term_ == leader_.term;
-    auto const silence = has_beats ? timing::beat_silence : timing::log_silence;
-    auto const is_silent = std::max(leader_seen_at_, beat_at_) + silence + spread() < now;
-    auto const takes_own = own_append_at_ + timing::own_append_age > now;
-    auto const most_age = takes_own ? timing::outdone_leader : timing::useless_leader;
-    return is_silent || (has_beats && beat_log_age_ > most_age);
-}
-
-millis site_node::spread() const {
-    return millis{static_cast<std::int64_t>(
-        stable_hash(parts_.settings.name, leader_.term) % static_cast<std::uint64_t>(timing::claim_spread.count()))};
+    auto const can_lead = !draining_ && rules_ != nullptr && jobs_.is_synced() && log_reached_;
+    return can_lead && watch_.should_claim(jobs_.fresh_at(), now);
 }
 
 boost::asio::awaitable<void> site_node::claim() {
-    auto const term = leader_.term + 1u;
+    auto const term = watch_.claim().term + 1u;
     // Of several claims of one term the log takes the first: the numbers of the others do not follow it.
     auto const sequence = random_() >> 16u;
     std::vector<keyed_record> records;
     records.push_back(encode(leader_claim{term, parts_.settings.name, parts_.settings.peer_address, false}));
     parts_.decisions.write(decision::leadership_claimed,
-        {{"term", term}, {"earlier", leader_.name}, {"silent_ms", (current_time() - leader_seen_at_).count()}});
+        {{"term", term}, {"earlier", watch_.claim().name}, {"silent_ms", watch_.silence(current_time()).count()}});
     append_answer answer;
     do {
         answer = co_await parts_.log.append(log_stream::jobs, records, log_writer{term, sequence});
         if(answer.outcome == append_outcome::unknown) {
             co_await pause_for(parts_.context, timing::log_retry);
         }
-    } while(answer.outcome == append_outcome::unknown && leader_.term < term);
+    } while(answer.outcome == append_outcome::unknown && watch_.claim().term < term);
     if(answer.outcome != append_outcome::done) {
         // Another one was first, or the log is away: its next record tells.
-        leader_seen_at_ = current_time();
+        watch_.note_record(current_time());
         co_return;
     }
     is_claiming_ = true;
@@ -543,16 +523,15 @@
         co_await pause_for(parts_.context, timing::claimant_read_spacing);
     }
     is_claiming_ = false;
-    if(leader_.term == term && !draining_) {
+    if(watch_.claim().term == term && !draining_) {
         begin_lead(term, sequence);
     }
 }
 
 void site_node::begin_lead(std::uint64_t const term, std::uint64_t const sequence) {
     lead_ = std::make_shared<fleet_lead>(
-        lead_parts{parts_.context, parts_.settings, parts_.stats, parts_.decisions, parts_.log, parts_.decoder,
-            parts_.workers, parts_.advice, peers_},
-        term, sequence, [this]() { end_lead(); }, [this](wire::job_ends const &ends) { take_ends(ends); });
+        parts_, peers_, term, sequence, [this]() { end_lead(); },
+        [this](wire::job_ends const &ends) { take_ends(ends); });
     parts_.stats.add(event::leadership_taken);
     lead_->set_rules(rules_);
     std::vector<job_entry const *> entries;
@@ -569,7 +548,7 @@
 
 void site_node::end_lead() {
     parts_.stats.add(event::leadership_lost);
-    leader_seen_at_ = current_time();
+    watch_.note_record(current_time());
     lead_ = nullptr;
 }
 
@@ -591,16 +570,17 @@
 
 boost::asio::awaitable<void> site_node::introduce() {
     while(true) {
-        auto const is_met = beat_term_ == leader_.term;
+        auto const is_met = watch_.has_beats();
         co_await pause_for(parts_.context, is_met ? timing::introduction_interval : timing::first_introduction);
-        if(lead_ != nullptr || leader_.name.empty() || leader_.name == parts_.settings.name || draining_) {
+        auto const leader = watch_.claim();
+        if(lead_ != nullptr || leader.name.empty() || leader.name == parts_.settings.name || draining_) {
             continue;
         }
-        peers_.connect(leader_.name, leader_.peer_address);
+        peers_.connect(leader.name, leader.peer_address);
         wire::envelope message;
         message.mutable_introduction()->set_peer_address(parts_.settings.peer_address);
-        message.mutable_introduction()->set_term(leader_.term);
-        peers_.send(leader_.name, message);
+        message.mutable_introduction()->set_term(leader.term);
+        peers_.send(leader.name, message);
     }
 }
 
@@ -615,7 +595,7 @@
         boost::asio::co_spawn(parts_.context, answer_append(message.sender(), message.append_request()), fail_fast);
     } else if(message.has_append_reply()) {
         take_append_reply(message.append_reply());
-    } else if(message.has_advice_question() && message.sender() == leader_.name) {
+    } else if(message.has_advice_question() && message.sender() == watch_.claim().name) {
         boost::asio::co_spawn(parts_.context, answer_question(message.sender(), message.advice_question()), fail_fast);
     } else if(message.has_advice_answer() && lead_ != nullptr) {
         lead_->take_advice(message.sender(), message.advice_answer());
@@ -623,16 +603,11 @@
 }
 
 void site_node::take_beat(wire::leader_beat const &beat) {
-    if(beat.term() < leader_.term) {
-        return;
-    }
-    beat_term_ = beat.term();
-    beat_at_ = current_time();
-    beat_log_age_ = millis{static_cast<std::int64_t>(beat.log_age_ms())};
+    watch_.note_beat(beat.term(), millis{static_cast<std::int64_t>(beat.log_age_ms())}, current_time());
 }
 
 void site_node::take_ends(wire::job_ends const &ends) {
-    if(ends.term() < leader_.term) {
+    if(ends.term() < watch_.claim().term) {
         return;
     }
     for(auto const &row: ends.rows()) {
@@ -704,7 +679,7 @@
     };
     add("rules_version", rules_ == nullptr ? 0u : rules_->version);
     add("log_age_ms", (current_time() - jobs_.fresh_at()).count());
-    add("leader_term", leader_.term);
+    add("leader_term", watch_.claim().term);
     add("leads", lead_ != nullptr ? 1 : 0);
     add("jobs_known", table_.jobs().size());
     add("log_lines_left_out", parts_.decisions.dropped());
--- a/src/kingcuplink/site/site_node.hpp
+++ b/src/kingcuplink/site/site_node.hpp
@@ -3,14 +3,11 @@
 
 #include <atomic>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/io_context.hpp>
-#include <kingcuplink/core/counters.hpp>
-#include <kingcuplink/core/decision_log.hpp>
 #include <kingcuplink/site/fleet_lead.hpp>
 #include <kingcuplink/site/keyed_reader.hpp>
-#include <kingcuplink/site/ports.hpp>
+#include <kingcuplink/site/leader_watch.hpp>
+#include <kingcuplink/site/node_parts.hpp>
 #include <kingcuplink/site/record_codec.hpp>
-#include <kingcuplink/site/site_settings.hpp>
 #include <kingcuplink/wire/peer_link.hpp>
 #include <kingcuplink/workflow/job_table.hpp>
 #include <map>
@@ -50,18 +47,6 @@
     std::optional<std::size_t> pending;
 };
 
-/*! What an entry VM works with; all references must outlive it. */
-struct node_parts {
-    boost::asio::io_context &context;
-    site_settings const &settings;
-    counters &stats;
-    decision_log &decisions;
-    keyed_log &log;
-    site_decoder &decoder;
-    worker_port &workers;
-    advice_port &advice;
-};
-
 /*!
  * Control state of an entry VM whose platform keeps all lasting state: it follows
  * the log, serves callers, and leads the fleet while no other entry VM does. One
@@ -147,7 +132,6 @@
     // Leadership.
     boost::asio::awaitable<void> watch_leader();
     [[nodiscard]] bool should_claim(instant now) const;
-    [[nodiscard]] millis spread() const;
     boost::asio::awaitable<void> claim();
     void begin_lead(std::uint64_t term, std::uint64_t sequence);
     void end_lead();
@@ -173,17 +157,10 @@
     /*! Appends of callers' records under way, and when the latest was sent. */
     std::size_t intake_appends_{};
     instant intake_sent_at_{};
-    /*! When the log last took a caller's record from this entry VM itself. */
-    instant own_append_at_{};
     /*! Appends that the leader was asked for. */
     std::map<std::uint64_t, std::shared_ptr<relay>> relays_;
     std::uint64_t next_relay_{};
-    leader_claim leader_;
-    instant leader_seen_at_{};
-    /*! Latest beat of the leader, and its term. */
-    instant beat_at_{};
-    std::uint64_t beat_term_{};
-    millis beat_log_age_{};
+    leader_watch watch_;
     /*! True from a claim that the log took until it was read back. */
     bool is_claiming_{};
     std::shared_ptr<fleet_lead> lead_;
--- a/test/site/scripted_site.cpp
+++ b/test/site/scripted_site.cpp
@@ -23,6 +23,11 @@
 
 boost::asio::awaitable<append_answer> memory_log::append(
     log_stream const stream, std::vector<keyed_record> records, std::optional<log_writer> const writer) {
+    if(append_time > millis{}) {
+        boost::asio::steady_timer timer{co_await boost::asio::this_coro::executor, append_time};
+        boost::system::error_code ignored;
+        co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    }
     if(!is_up) {
         co_return append_answer{append_outcome::refused, 0u};
     }
@@ -81,6 +86,7 @@
 
 boost::asio::awaitable<append_answer> gated_log::append(
     log_stream const stream, std::vector<keyed_record> records, std::optional<log_writer> const writer) {
+    ++appends;
     if(!is_open) {
         co_return append_answer{append_outcome::refused, 0u};
     }
@@ -135,6 +141,7 @@
     }
     item.token = request.token;
     std::erase_if(item.ended, [&request](auto const &end) { return end.number <= request.kept_end; });
+    looks_with_ends_ += item.ended.empty() ? 0u : 1u;
     answer.outcome = look_outcome::answered;
     answer.inventory = {1u, item.running, item.ended};
     answer.clock = 1'000;
@@ -253,6 +260,11 @@
     }
 }
 
+void scripted_site::run_for(millis const time) {
+    auto const end = std::chrono::steady_clock::now() + time;
+    run_until([end]() { return std::chrono::steady_clock::now() >= end; });
+}
+
 caller_answer scripted_site::ask(std::size_t const pos, caller_wish const wish, std::string const &id,
     std::string const &host, std::string const &key) {
     caller_request request;
--- a/test/site/scripted_site.hpp
+++ b/test/site/scripted_site.hpp
@@ -48,6 +48,8 @@
     [[nodiscard]] std::uint64_t end(log_stream stream = log_stream::jobs);
 
     bool is_up{true};
+    /*! Time that each append takes. */
+    millis append_time{};
 
 private:
     struct stream_state {
@@ -74,6 +76,8 @@
 
     /*! False while the log turns this entry VM away. */
     bool is_open{true};
+    /*! Appends that this entry VM sent. */
+    std::size_t appends{};
 
 private:
     memory_log &log_;
@@ -96,6 +100,11 @@
         return starts_;
     }
 
+    /*! Returns how many looks were answered with ends; others would wait for one. */
+    [[nodiscard]] std::size_t looks_with_ends() const noexcept {
+        return looks_with_ends_;
+    }
+
 private:
     struct worker {
         std::uint64_t token{};
@@ -106,6 +115,7 @@
 
     std::map<std::string, worker> workers_;
     std::size_t starts_{};
+    std::size_t looks_with_ends_{};
 };
 
 /*! Reads registrations and rules that the tests write. */
@@ -129,6 +139,9 @@
     /*! Runs everything until a condition holds, at most for five seconds. */
     void run_until(std::function<bool()> const &condition);
 
+    /*! Lets everything run for a time. */
+    void run_for(millis time);
+
     /*! Serves one request of a caller. */
     caller_answer ask(std::size_t vm, caller_wish wish, std::string const &id, std::string const &host = "host",
         std::string const &key = "key");
--- a/test/site/site_test.cpp
+++ b/test/site/site_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 #include <kingcuplink/site/record_codec.hpp>
+#include <kingcuplink/site/timing.hpp>
 
 namespace kingcuplink::test {
 
@@ -126,6 +127,38 @@
     CHECK_FALSE(site.vms[1u - other]->node->leads());
 }
 
+TEST_CASE("pattern: a slow log gets callers' records from the leader alone") {
+    // Appends beside the leader's would queue behind it in the one partition.
+    scripted_site site{2u};
+    site.run_until([&]() { return site.leader() != nullptr; });
+    auto const *first = site.leader();
+    REQUIRE(first != nullptr);
+    auto const other = site.vms[0]->node.get() == first ? 1u : 0u;
+    // Until a record went through the leader, the other entry VM does not know it.
+    site.run_for(millis{500});
+    auto const sent_before = site.vms[other]->log.appends;
+    site.log.append_time = timing::slow_append + millis{100};
+    for(auto const *id: {"00000000000000aa", "00000000000000ab"}) {
+        CHECK_FALSE(site.ask(other, caller_wish::submit, id).refused);
+    }
+    CHECK(site.vms[other]->log.appends == sent_before);
+}
+
+TEST_CASE("pattern: workers whose ends the log does not have are not looked at all the time") {
+    scripted_site site{1u};
+    site.run_until([&]() { return site.leader() != nullptr; });
+    CHECK_FALSE(site.ask(0u, caller_wish::submit, "0123456789abcdef").refused);
+    site.run_until([&]() { return site.workers.runs() == 2u; });
+    site.log.is_up = false;
+    site.workers.end_all();
+    site.run_for(timing::unkept_look_spacing);
+    auto const before = site.workers.looks_with_ends();
+    constexpr auto rounds = 5;
+    site.run_for(timing::unkept_look_spacing * rounds);
+    // One look of each of two workers in each spacing, and one that was due when the time began.
+    CHECK(site.workers.looks_with_ends() - before <= 2u * (rounds + 1u));
+}
+
 TEST_CASE("what cannot be served is refused at once, with the reason") {
     scripted_site site{1u};
     site.run_until([&]() { return site.leader() != nullptr; });
