Lead from an entry VM with much processor time; look at approved workers alone

A leader that is less than half the size of a VM that lives resigns; small VMs claim 400 ms later; beats go to the largest first. The share comes from the setting processor_share. A planning round looked at every worker for every waiting step; it now looks at those that the adviser approved, and at the others only where it is about to ask. The planner rests three times its own length, so that it never takes the thread for itself.

--- a/src/kingcuplink/daemon/settings.cpp
+++ b/src/kingcuplink/daemon/settings.cpp
@@ -28,6 +28,8 @@
 ABSL_FLAG(std::string, log_address, "", "With a store: IP number and port of the store.");
 ABSL_FLAG(std::string, adviser_address, "", "With a store: IP number and port of the adviser; empty for none.");
 ABSL_FLAG(int, lease_limit_ms, 10000, "With a store: longest lease that workers grant, 1000 to 600000 ms.");
+ABSL_FLAG(double, processor_share, 0.0,
+    "With a store: cores that this entry VM has, 0 (not known) to 1024. One that has much leads the fleet.");
 ABSL_FLAG(int, status_time_s, 120, "With a store: time for which an ended job's state is told, 1 to 86400 s.");
 ABSL_FLAG(int, shutdown_time_ms, 5000, "With a store: time between SIGTERM and the end, 500 to 600000 ms.");
 
@@ -35,15 +37,17 @@
 
 namespace internal {
 
-constexpr std::array<std::string_view, 18u> setting_names{"name", "failure_domain", "http_address", "peer_address",
+constexpr std::array<std::string_view, 19u> setting_names{"name", "failure_domain", "http_address", "peer_address",
     "platform_address", "traffic_threads", "drain_grace_ms", "drain_limit_ms", "allow_faults", "platform",
     "callers_address", "readiness_address", "metrics_address", "log_address", "adviser_address", "lease_limit_ms",
-    "status_time_s", "shutdown_time_ms"};
+    "processor_share", "status_time_s", "shutdown_time_ms"};
 constexpr std::string_view name_rule{"1 to 63 of a-z, 0-9 and -"};
 constexpr std::string_view address_rule{"an IP number and a port, such as 10.0.0.1:8080"};
 constexpr int most_threads = 64;
 constexpr int longest_drain_ms = 600'000;
 constexpr int longest_status_s = 86'400;
+constexpr double most_cores = 1'024.0;
+constexpr double millicores_each = 1'000.0;
 
 std::string setting_error(std::string_view const flag, std::string_view const value, std::string_view const allowed) {
     std::string text{"--"};
@@ -150,9 +154,14 @@
     settings.metrics_address = absl::GetFlag(FLAGS_metrics_address);
     settings.log_address = absl::GetFlag(FLAGS_log_address);
     settings.adviser_address = absl::GetFlag(FLAGS_adviser_address);
-    std::array<text_check, 8u> const texts{{
+    auto const cores = absl::GetFlag(FLAGS_processor_share);
+    auto const is_share = cores >= 0.0 && cores <= most_cores;
+    settings.processor_millicores = is_share ? static_cast<std::uint32_t>(cores * millicores_each) : 0u;
+    auto const cores_text = std::to_string(cores);
+    std::array<text_check, 9u> const texts{{
         {"name", settings.name, is_name(settings.name), name_rule},
         {"failure_domain", settings.failure_domain, is_name(settings.failure_domain), name_rule},
+        {"processor_share", cores_text, is_share, "from 0 to 1024"},
         {"callers_address", settings.callers_address, is_address(settings.callers_address), address_rule},
         {"readiness_address", settings.readiness_address, is_address(settings.readiness_address), address_rule},
         {"peer_address", settings.peer_address, is_address(settings.peer_address), address_rule},
--- a/src/kingcuplink/site/fleet_lead.cpp
+++ b/src/kingcuplink/site/fleet_lead.cpp
@@ -1,7 +1,10 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
+#include <chrono>
+#include <functional>
 #include <kingcuplink/platform/http_client.hpp>
 #include <kingcuplink/site/fleet_lead.hpp>
+#include <kingcuplink/site/leader_watch.hpp>
 #include <kingcuplink/site/record_codec.hpp>
 #include <kingcuplink/site/timing.hpp>
 #include <utility>
@@ -37,7 +40,8 @@
       registrations_{parts.log, log_stream::workers},
       plan_wanted_{parts.context},
       journal_wanted_{parts.context},
-      appended_at_{current_time()} {
+      begun_at_{current_time()},
+      appended_at_{begun_at_} {
     advisers_.add(parts_.settings.name);
 }
 
@@ -57,14 +61,19 @@
     journal_wanted_.notify();
 }
 
-boost::asio::awaitable<void> fleet_lead::resign() {
+bool fleet_lead::should_yield(instant const now) const noexcept {
+    return begun_at_ + timing::least_reign <= now &&
+        has_much_more(most_millicores(), parts_.settings.processor_millicores);
+}
+
+boost::asio::awaitable<void> fleet_lead::resign(std::string_view const reason) {
     auto const self = shared_from_this();
     end();
     std::vector<keyed_record> records;
     records.push_back(encode(leader_claim{term_, parts_.settings.name, parts_.settings.peer_address, true}));
     // Not repeated: without it the others wait for the silence.
     co_await parts_.log.append(log_stream::jobs, std::move(records), log_writer{term_, ++sequence_});
-    parts_.decisions.write(decision::leadership_ended, {{"term", term_}, {"reason", "resigned"}});
+    parts_.decisions.write(decision::leadership_ended, {{"term", term_}, {"reason", reason}});
 }
 
 void fleet_lead::set_rules(std::shared_ptr<site_rules const> rules) {
@@ -238,10 +247,12 @@
 boost::asio::awaitable<void> fleet_lead::run_planner([[maybe_unused]] self_pointer self) {
     while(!over_) {
         co_await plan_wanted_.wait(timing::plan_interval);
+        auto const begun = std::chrono::steady_clock::now();
         if(!over_) {
             plan();
         }
-        co_await pause_for(parts_.context, timing::plan_spacing);
+        auto const length = std::chrono::duration_cast<millis>(std::chrono::steady_clock::now() - begun);
+        co_await pause_for(parts_.context, std::max(timing::plan_spacing, length * timing::plan_rest));
     }
 }
 
@@ -388,13 +399,7 @@
 
 boost::asio::awaitable<void> fleet_lead::run_beats([[maybe_unused]] self_pointer self) {
     while(!over_) {
-        std::size_t receivers{};
-        for(auto const &[peer, seen_at]: adviser_seen_) {
-            if(++receivers > timing::beat_receivers) {
-                break;
-            }
-            send_beat(peer);
-        }
+        send_beats();
         co_await pause_for(parts_.context, timing::beat_interval);
     }
 }
@@ -413,34 +418,52 @@
         row.set_phase(static_cast<std::uint32_t>(phase));
     }
     on_end_(ends);
-    for(auto const &[peer, seen_at]: adviser_seen_) {
+    for(auto const &[peer, entry]: peers_known_) {
         peers_.send(peer, message);
     }
 }
 
-void fleet_lead::send_beat(std::string const &peer) {
+std::uint32_t fleet_lead::most_millicores() const noexcept {
+    auto most = parts_.settings.processor_millicores;
+    for(auto const &[peer, entry]: peers_known_) {
+        most = std::max(most, entry.processor_millicores);
+    }
+    return most;
+}
+
+void fleet_lead::send_beats() {
+    // Those with the most processor time, since they are to lead next.
+    std::vector<std::pair<std::uint32_t, std::string_view>> receivers;
+    for(auto const &[peer, entry]: peers_known_) {
+        receivers.emplace_back(entry.processor_millicores, peer);
+    }
+    std::sort(receivers.begin(), receivers.end(), std::greater<>{});
+    receivers.resize(std::min(receivers.size(), timing::beat_receivers));
     wire::envelope message;
     auto &beat = *message.mutable_leader_beat();
     beat.set_term(term_);
     beat.set_log_age_ms(static_cast<std::uint64_t>(std::max(millis{}, current_time() - appended_at_).count()));
-    peers_.send(peer, message);
+    beat.set_most_millicores(most_millicores());
+    for(auto const &[millicores, peer]: receivers) {
+        peers_.send(std::string{peer}, message);
+    }
 }
 
-void fleet_lead::meet(std::string const &peer, std::string const &address) {
-    peers_.connect(peer, address);
+void fleet_lead::meet(std::string const &peer, wire::introduction const &introduction) {
+    peers_.connect(peer, introduction.peer_address());
     advisers_.add(peer);
-    adviser_seen_[peer] = current_time();
+    peers_known_[peer] = {current_time(), introduction.processor_millicores()};
     dispatcher_.set_advisers(advisers_.size());
 }
 
 void fleet_lead::drop_silent_advisers(instant const now) {
-    for(auto entry = adviser_seen_.begin(); entry != adviser_seen_.end();) {
-        if(entry->second + timing::adviser_silence > now) {
+    for(auto entry = peers_known_.begin(); entry != peers_known_.end();) {
+        if(entry->second.seen_at + timing::adviser_silence > now) {
             ++entry;
             continue;
         }
         advisers_.remove(entry->first);
-        entry = adviser_seen_.erase(entry);
+        entry = peers_known_.erase(entry);
         dispatcher_.set_advisers(advisers_.size());
     }
 }
--- a/src/kingcuplink/site/fleet_lead.hpp
+++ b/src/kingcuplink/site/fleet_lead.hpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace kingcuplink {
 
@@ -42,7 +43,10 @@
     void end() noexcept;
 
     /*! Gives leadership up in the log. */
-    boost::asio::awaitable<void> resign();
+    boost::asio::awaitable<void> resign(std::string_view reason);
+
+    /*! Tells whether an entry VM that lives had better lead. */
+    [[nodiscard]] bool should_yield(instant now) const noexcept;
 
     /*! Takes the operators' rules. */
     void set_rules(std::shared_ptr<site_rules const> rules);
@@ -54,7 +58,7 @@
     void cancel_job(std::string const &id);
 
     /*! Takes the introduction of an entry VM that can ask for advice. */
-    void meet(std::string const &peer, std::string const &address);
+    void meet(std::string const &peer, wire::introduction const &introduction);
 
     /*! Takes advice that another entry VM got. */
     void take_advice(std::string const &peer, wire::advice_answer const &answer);
@@ -77,6 +81,12 @@
         instant told_at{};
     };
 
+    /*! Another entry VM that introduced itself. */
+    struct known_peer {
+        instant seen_at{};
+        std::uint32_t processor_millicores{};
+    };
+
     /*! Question that another entry VM asks on the leader's behalf. */
     struct open_question {
         std::string peer;
@@ -103,7 +113,8 @@
     boost::asio::awaitable<void> look_again(self_pointer self, std::string worker);
     boost::asio::awaitable<void> run_planner(self_pointer self);
     boost::asio::awaitable<void> run_beats(self_pointer self);
-    void send_beat(std::string const &peer);
+    void send_beats();
+    [[nodiscard]] std::uint32_t most_millicores() const noexcept;
     void tell_ends();
     boost::asio::awaitable<void> run_journal(self_pointer self);
     boost::asio::awaitable<bool> keep(std::vector<keyed_record> records);
@@ -130,7 +141,7 @@
     dispatcher dispatcher_;
     keyed_reader registrations_;
     adviser_pool advisers_;
-    std::map<std::string, instant> adviser_seen_;
+    std::map<std::string, known_peer> peers_known_;
     std::map<std::uint64_t, open_question> questions_;
     std::uint64_t next_question_{};
     std::map<std::string, worker_clock> clocks_;
@@ -138,6 +149,7 @@
     std::vector<keyed_record> removals_;
     wakeup plan_wanted_;
     wakeup journal_wanted_;
+    instant begun_at_;
     instant appended_at_;
     bool over_{};
 };
--- a/src/kingcuplink/site/leader_watch.hpp
+++ b/src/kingcuplink/site/leader_watch.hpp
@@ -8,6 +8,13 @@
 
 namespace kingcuplink {
 
+/*!
+ * Tells whether an entry VM has so much more processor time than another that it had
+ * better lead; at least twice as much, since a change of leaders costs time as well.
+ * @param than Thousandths of a core; with zero it is not known.
+ */
+[[nodiscard]] bool has_much_more(std::uint32_t millicores, std::uint32_t than) noexcept;
+
 /*!
  * What an entry VM knows of the fleet's leader, and whether it had better claim
  * leadership itself. It performs no I/O and reads no clock; safety rests on the log,
@@ -15,8 +22,11 @@
  */
 class leader_watch {
 public:
-    /*! Constructs a watch for the entry VM of a name. */
-    explicit leader_watch(std::string own_name);
+    /*!
+     * Constructs a watch for an entry VM.
+     * @param own_millicores Its processor time in thousandths of a core; zero if it is not known.
+     */
+    leader_watch(std::string own_name, std::uint32_t own_millicores);
 
     /*!
      * Takes a claim or a resignation that was read from the log.
@@ -30,8 +40,9 @@
     /*!
      * Takes a beat of a leader; those of earlier terms count for nothing.
      * @param log_age Time since the log last took an append of the leader.
+     * @param most_millicores Most processor time that an entry VM is known to have.
      */
-    void note_beat(std::uint64_t term, millis log_age, instant now) noexcept;
+    void note_beat(std::uint64_t term, millis log_age, std::uint32_t most_millicores, instant now) noexcept;
 
     /*! Notes that the log took an append of this entry VM itself. */
     void note_own_append(instant now) noexcept;
@@ -59,9 +70,12 @@
     [[nodiscard]] bool should_claim(instant read_at, instant now) const noexcept;
 
 private:
-    [[nodiscard]] millis spread() const noexcept;
+    /*! Returns how long this entry VM lets others claim before it. */
+    [[nodiscard]] millis deference() const noexcept;
 
     std::string own_name_;
+    std::uint32_t own_millicores_;
+    std::uint32_t most_millicores_{};
     leader_claim claim_;
     instant seen_at_{};
     /*! Latest beat. */
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -62,7 +62,7 @@
       jobs_{parts.log, log_stream::jobs},
       rules_reader_{parts.log, log_stream::rules},
       intake_wanted_{parts.context},
-      watch_{parts.settings.name},
+      watch_{parts.settings.name, parts.settings.processor_millicores},
       random_{std::random_device{}()},
       peers_{parts.settings.name, parts.settings.peer_address, parts.stats, [this](wire::envelope message) {
                  boost::asio::post(parts_.context, [this, message = std::move(message)]() { handle(message); });
@@ -485,7 +485,9 @@
 boost::asio::awaitable<void> site_node::watch_leader() {
     while(true) {
         co_await pause_for(parts_.context, internal::leader_check);
-        if(lead_ != nullptr) {
+        if(lead_ != nullptr && lead_->should_yield(current_time())) {
+            co_await resign("another entry VM has much more processor time");
+        } else if(lead_ != nullptr) {
             forget_old_jobs();
         } else if(should_claim(current_time())) {
             co_await claim();
@@ -559,13 +561,19 @@
         parts_.context,
         [this]() -> boost::asio::awaitable<void> {
             co_await pause_for(parts_.context, internal::resign_delay);
-            if(auto const lead = std::exchange(lead_, nullptr); lead != nullptr) {
-                co_await lead->resign();
-            }
+            co_await resign("the process ends");
         },
         fail_fast);
 }
 
+boost::asio::awaitable<void> site_node::resign(std::string_view const reason) {
+    if(auto const lead = std::exchange(lead_, nullptr); lead != nullptr) {
+        parts_.stats.add(event::leadership_lost);
+        co_await lead->resign(reason);
+        watch_.note_record(current_time());
+    }
+}
+
 // Peers.
 
 boost::asio::awaitable<void> site_node::introduce() {
@@ -580,13 +588,14 @@
         wire::envelope message;
         message.mutable_introduction()->set_peer_address(parts_.settings.peer_address);
         message.mutable_introduction()->set_term(leader.term);
+        message.mutable_introduction()->set_processor_millicores(parts_.settings.processor_millicores);
         peers_.send(leader.name, message);
     }
 }
 
 void site_node::handle(wire::envelope const &message) {
     if(message.has_introduction() && lead_ != nullptr && message.introduction().term() == lead_->term()) {
-        lead_->meet(message.sender(), message.introduction().peer_address());
+        lead_->meet(message.sender(), message.introduction());
     } else if(message.has_leader_beat()) {
         take_beat(message.leader_beat());
     } else if(message.has_job_ends()) {
@@ -603,7 +612,8 @@
 }
 
 void site_node::take_beat(wire::leader_beat const &beat) {
-    watch_.note_beat(beat.term(), millis{static_cast<std::int64_t>(beat.log_age_ms())}, current_time());
+    auto const log_age = millis{static_cast<std::int64_t>(beat.log_age_ms())};
+    watch_.note_beat(beat.term(), log_age, beat.most_millicores(), current_time());
 }
 
 void site_node::take_ends(wire::job_ends const &ends) {
--- a/src/kingcuplink/site/site_node.hpp
+++ b/src/kingcuplink/site/site_node.hpp
@@ -15,6 +15,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace kingcuplink {
@@ -135,6 +136,7 @@
     boost::asio::awaitable<void> claim();
     void begin_lead(std::uint64_t term, std::uint64_t sequence);
     void end_lead();
+    boost::asio::awaitable<void> resign(std::string_view reason);
 
     // Peers.
     boost::asio::awaitable<void> introduce();
--- a/src/kingcuplink/site/site_settings.hpp
+++ b/src/kingcuplink/site/site_settings.hpp
@@ -1,6 +1,7 @@
 #ifndef KINGCUPLINK_SITE_SITE_SETTINGS_HPP_INCLUDED
 #define KINGCUPLINK_SITE_SITE_SETTINGS_HPP_INCLUDED
 
+#include <cstdint>
 #include <kingcuplink/core/time.hpp>
 #include <string>
 
@@ -25,6 +26,8 @@
     millis lease_limit{10'000};
     /*! Time for which the state of an ended job is told. */
     millis status_time{120'000};
+    /*! Processor time of this entry VM in thousandths of a core; zero if it is not known. */
+    std::uint32_t processor_millicores{};
     /*! Time between SIGTERM and the end of the process. */
     millis shutdown_time{5'000};
 };
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -27,6 +27,10 @@
 inline constexpr millis claim_freshness{400};
 /*! Spread of claims, so that one entry VM is mostly first. */
 inline constexpr millis claim_spread{200};
+/*! Time for which an entry VM with little processor time lets others claim leadership; two spreads. */
+inline constexpr millis small_claim_delay{400};
+/*! Age of a reign from which on it is handed to an entry VM with much more processor time. */
+inline constexpr millis least_reign{1'000};
 /*! Time between the leader's records if nothing else is to be recorded. */
 inline constexpr millis leader_heartbeat{700};
 /*! Time without a successful append after which a leader no longer extends leases. */
@@ -81,6 +85,8 @@
 inline constexpr millis plan_interval{100};
 /*! Least time between planning rounds. */
 inline constexpr millis plan_spacing{10};
+/*! Rest after a planning round, in lengths of it: planning takes a quarter of the control thread at most. */
+inline constexpr int plan_rest = 3;
 /*! Part by which a worker's clock may be slow, in percent, with a margin. */
 inline constexpr std::int64_t clock_error_percent{3};
 /*! Additional time after which a lease has surely lapsed. */
--- a/src/kingcuplink/workflow/dispatch_planner.cpp
+++ b/src/kingcuplink/workflow/dispatch_planner.cpp
@@ -22,6 +22,7 @@
 constexpr millis settled_time{500};
 /*! Time on top of an expected question in which a ticket counts as about to lapse. */
 constexpr millis renewal_margin{100};
+constexpr auto no_candidate = std::numeric_limits<std::size_t>::max();
 
 /*! Returns the part of a worker that a start would leave unused, summed over dimensions. */
 double leftover(resources const &room, resources const &capacity) noexcept {
@@ -86,6 +87,8 @@
     for(auto const id: state_.workers.ids()) {
         auto &worker = state_.workers[id];
         if(is_usable(worker, *state_.rules, now_)) {
+            candidate_at_.resize(std::max<std::size_t>(candidate_at_.size(), id.index + 1u), no_candidate);
+            candidate_at_[id.index] = candidates_.size();
             candidates_.push_back({id, &worker, worker.entry.capacity - worker.used});
         }
     }
@@ -114,38 +117,67 @@
     auto options = options_for(turn);
     auto const is_gang = state_.jobs[turn.job].definition.steps[turn.step].gang;
     auto const wants_advice = is_gang ? place_gang(turn, options) : place_tasks(turn, options);
-    if(wants_advice) {
+    if(wants_advice && may_ask(turn)) {
+        add_unknown_options(turn, options);
         seek_advice(turn, options, is_gang);
     }
 }
 
+bool dispatch_planner::may_run(candidate const &where, queue_rules const &queue, step_definition const &step) {
+    return where.worker->entry.service == queue.service && has_label(where.worker->entry, step.required_label);
+}
+
+std::uint32_t dispatch_planner::slots_in(std::vector<option> const &options, step_definition const &step) {
+    std::uint32_t slots{};
+    for(auto const &item: options) {
+        slots += std::min(step.count, fit_count(step.task_size, item.on->room));
+    }
+    return slots;
+}
+
 std::vector<dispatch_planner::option> dispatch_planner::options_for(waiting_step const &turn) {
     auto const &job = state_.jobs[turn.job];
     auto const &definition = job.definition.steps[turn.step];
-    auto const &advice = job.steps[turn.step].advice;
     auto const *queue = find_queue(*state_.rules, job.definition.queue);
     std::vector<option> options;
     if(queue == nullptr) {
         return options;
     }
+    if(queue->advice) {
+        // Few of a large fleet's workers are approved: the others are not looked at.
+        for(auto const &[id, ticket]: job.steps[turn.step].advice.approved) {
+            auto const pos = id.index < candidate_at_.size() ? candidate_at_[id.index] : no_candidate;
+            if(pos != no_candidate && may_run(candidates_[pos], *queue, definition)) {
+                options.push_back({&candidates_[pos], ticket.until > now_ ? &ticket : nullptr});
+            }
+        }
+        return options;
+    }
     static advice_ticket const not_needed{};
     for(auto &item: candidates_) {
-        auto const &worker = item.worker->entry;
-        if(worker.service != queue->service || !has_label(worker, definition.required_label)) {
-            continue;
-        }
-        if(!queue->advice) {
+        if(may_run(item, *queue, definition)) {
             options.push_back({&item, &not_needed});
-            continue;
         }
-        auto const approved = advice.approved.find(item.id);
-        if(approved != advice.approved.end()) {
-            options.push_back({&item, approved->second.until > now_ ? &approved->second : nullptr});
-        } else if(!advice.asked.contains(item.id)) {
+    }
+    return options;
+}
+
+void dispatch_planner::add_unknown_options(waiting_step const &turn, std::vector<option> &options) {
+    auto const &job = state_.jobs[turn.job];
+    auto const &asked = job.steps[turn.step].advice.asked;
+    auto const *queue = find_queue(*state_.rules, job.definition.queue);
+    for(auto &item: candidates_) {
+        if(!asked.contains(item.id) && may_run(item, *queue, job.definition.steps[turn.step])) {
             options.push_back({&item, nullptr});
         }
     }
-    return options;
+}
+
+bool dispatch_planner::may_ask(waiting_step const &turn) const {
+    auto const &job = state_.jobs[turn.job];
+    auto const &advice = job.steps[turn.step].advice;
+    auto const *queue = find_queue(*state_.rules, job.definition.queue);
+    return queue != nullptr && queue->advice && !advice.in_flight && advice.not_before <= now_;
 }
 
 bool dispatch_planner::is_within_ceiling(live_job const &job, resources const &charge) const {
@@ -260,12 +292,15 @@
         return waiting_gangs_++ < advised_gangs;
     }
     // Tickets lapse soon: they are worth renewing only where the gang could start with them.
-    std::uint32_t slots{};
-    for(auto const &item: options) {
-        slots += std::min(definition.count, fit_count(definition.task_size, item.on->room));
+    auto const slots = slots_in(options, definition);
+    if(turn.rank.tier < service_tier::hopeless && claim_for_gang(turn, options, definition.count)) {
+        return true;
+    }
+    std::vector<option> unknown;
+    if(may_ask(turn)) {
+        add_unknown_options(turn, unknown);
     }
-    auto const can_gather = turn.rank.tier < service_tier::hopeless && claim_for_gang(turn, options, definition.count);
-    return can_gather || slots >= definition.count;
+    return slots + slots_in(unknown, definition) >= definition.count;
 }
 
 bool dispatch_planner::place_members(
@@ -344,7 +379,6 @@
         return false;
     }
     auto const &size = state_.jobs[turn.job].definition.steps[turn.step].task_size;
-    auto const &advice = state_.jobs[turn.job].steps[turn.step].advice;
     struct claim {
         candidate *on;
         /*! Room once runs that are being stopped are gone; no start may use more than is free now. */
@@ -353,9 +387,6 @@
     std::vector<claim> claims;
     auto missing = count;
     for(auto &item: options) {
-        if(item.ticket == nullptr && !advice.approved.contains(item.on->id)) {
-            continue;
-        }
         auto soon = item.on->room;
         for(auto const id: item.on->worker->placements) {
             soon += state_.placements[id].stop_wanted ? state_.placements[id].charge : resources{};
@@ -395,9 +426,6 @@
     auto &job = state_.jobs[turn.job];
     auto &step = job.steps[turn.step];
     auto const *queue = find_queue(*state_.rules, job.definition.queue);
-    if(queue == nullptr || !queue->advice || step.advice.in_flight || step.advice.not_before > now_) {
-        return;
-    }
     auto const duration_of = [queue](std::size_t const workers) {
         return queue->advice->base + millis{queue->advice->per_worker_us * static_cast<std::int64_t>(workers) / 1'000};
     };
--- a/src/kingcuplink/workflow/dispatch_planner.hpp
+++ b/src/kingcuplink/workflow/dispatch_planner.hpp
@@ -58,7 +58,14 @@
         waiting_step const &turn, live_worker const &worker, resources room, resources const &size) const;
     [[nodiscard]] bool is_victim(placement const &run, waiting_step const &turn) const;
 
+    /*! Returns the workers on which a step may start, with or without a ticket that still holds. */
     [[nodiscard]] std::vector<option> options_for(waiting_step const &turn);
+    /*! Adds the workers that the adviser was not asked about. */
+    void add_unknown_options(waiting_step const &turn, std::vector<option> &options);
+    [[nodiscard]] static bool may_run(candidate const &where, queue_rules const &queue, step_definition const &step);
+    /*! Returns how many tasks of a step fit into the room of options. */
+    [[nodiscard]] static std::uint32_t slots_in(std::vector<option> const &options, step_definition const &step);
+    [[nodiscard]] bool may_ask(waiting_step const &turn) const;
     void seek_advice(waiting_step const &turn, std::vector<option> const &options, bool is_gang);
     [[nodiscard]] bool is_within_ceiling(live_job const &job, resources const &charge) const;
     [[nodiscard]] std::uint32_t tasks_on(live_worker const &worker, job_id job, std::uint32_t step) const;
@@ -68,6 +75,8 @@
     instant now_;
     dispatch_plan &out_;
     std::vector<candidate> candidates_;
+    /*! Position of each worker's candidate, by the index of its identifier. */
+    std::vector<std::size_t> candidate_at_;
     std::size_t blocked_gangs_{};
     /*! Gangs without any advice, and other steps without room, that were looked at in this round. */
     std::size_t waiting_gangs_{};
--- a/test/site/leader_watch_test.cpp
+++ b/test/site/leader_watch_test.cpp
@@ -24,18 +24,20 @@
     millis leader_log_age{};
     std::optional<millis> own_append_age{};
     millis read_age{100};
+    /*! Processor time of the largest entry VM that the leader knows; this one has 250. */
+    std::uint32_t most_millicores{250};
     bool claims{};
 };
 
 leader_watch watch_of(seen const &row) {
-    leader_watch watch{"self"};
+    leader_watch watch{"self", 250u};
     if(row.leader.empty()) {
         watch.note_record(start - row.record_age);
     } else {
         watch.note_claim({7u, std::string{row.leader}, "address", row.resigned}, start - row.record_age);
     }
     if(row.beat_age) {
-        watch.note_beat(7u, row.leader_log_age, start - *row.beat_age);
+        watch.note_beat(7u, row.leader_log_age, row.most_millicores, start - *row.beat_age);
     }
     if(row.own_append_age) {
         watch.note_own_append(start - *row.own_append_age);
@@ -47,7 +49,7 @@
 
 TEST_CASE("leadership is claimed from a leader that is silent or useless, by whoever can read the log") {
     // Bounds: four beats of 200 ms, or three heartbeats of 700 ms in the log; claims spread over 200 ms.
-    std::array<seen, 13u> const rows{{
+    std::array<seen, 16u> const rows{{
         {.what = "nobody leads", .leader = "", .record_age = millis{300}, .claims = true},
         {.what = "it resigned", .leader = "other", .resigned = true, .record_age = millis{300}, .claims = true},
         {.what = "an earlier process of this VM led", .leader = "self", .record_age = millis{300}, .claims = true},
@@ -56,6 +58,23 @@
             .record_age = millis{1'100},
             .beat_age = millis{1'100},
             .claims = true},
+        {.what = "beats stopped, others are larger",
+            .leader = "other",
+            .record_age = millis{1'100},
+            .beat_age = millis{1'100},
+            .most_millicores = 500u},
+        {.what = "beats stopped, larger ones do not claim",
+            .leader = "other",
+            .record_age = millis{1'500},
+            .beat_age = millis{1'500},
+            .most_millicores = 500u,
+            .claims = true},
+        {.what = "beats stopped, others are a little larger",
+            .leader = "other",
+            .record_age = millis{1'100},
+            .beat_age = millis{1'100},
+            .most_millicores = 400u,
+            .claims = true},
         {.what = "beats come", .leader = "other", .record_age = millis{2'000}, .beat_age = millis{100}},
         {.what = "records come, beats do not", .leader = "other", .record_age = millis{100}, .beat_age = millis{3'000}},
         {.what = "no beats at all, records are due", .leader = "other", .record_age = millis{1'500}},
@@ -109,11 +128,11 @@
 }
 
 TEST_CASE("claims and beats of earlier terms count for nothing") {
-    leader_watch watch{"self"};
+    leader_watch watch{"self", 250u};
     CHECK(watch.note_claim({7u, "new", "address", false}, start));
     CHECK_FALSE(watch.note_claim({6u, "old", "address", false}, start));
     CHECK(watch.claim().name == "new");
-    watch.note_beat(6u, millis{}, start);
+    watch.note_beat(6u, millis{}, 250u, start);
     CHECK_FALSE(watch.has_beats());
     CHECK_FALSE(watch.note_claim({7u, "new", "address", false}, start));
     CHECK(watch.note_claim({7u, "new", "address", true}, start));
--- a/test/site/scripted_site.cpp
+++ b/test/site/scripted_site.cpp
@@ -227,23 +227,26 @@
     co_return grants;
 }
 
-scripted_site::vm::vm(scripted_site &site, std::string name, std::string address)
+scripted_site::vm::vm(scripted_site &site, std::string name, std::string address, std::uint32_t const millicores)
     : decisions{::open("/dev/null", O_WRONLY | O_CLOEXEC), name}, log{site.log} {
     settings.name = std::move(name);
     settings.failure_domain = "domain";
     settings.peer_address = std::move(address);
+    settings.processor_millicores = millicores;
     node = std::make_unique<site_node>(
         node_parts{context, settings, stats, decisions, log, decoder, site.workers, adviser});
     node->start();
 }
 
-scripted_site::scripted_site(std::size_t const count) {
+scripted_site::scripted_site(std::size_t const count) : scripted_site{std::vector<std::uint32_t>(count, 0u)} {}
+
+scripted_site::scripted_site(std::span<std::uint32_t const> const millicores) {
     log.add({"config", "rules"}, log_stream::rules);
     for(std::size_t pos{}; pos < worker_count; ++pos) {
         log.add({"w" + std::to_string(pos), "entry"}, log_stream::workers);
     }
-    for(std::size_t pos{}; pos < count; ++pos) {
-        vms.push_back(std::make_unique<vm>(*this, "vm" + std::to_string(pos), peer_address(pos)));
+    for(std::size_t pos{}; pos < millicores.size(); ++pos) {
+        vms.push_back(std::make_unique<vm>(*this, "vm" + std::to_string(pos), peer_address(pos), millicores[pos]));
     }
 }
 
--- a/test/site/scripted_site.hpp
+++ b/test/site/scripted_site.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -134,8 +135,12 @@
 /*! Entry VMs over a log and workers in memory; peers talk over the loopback interface. */
 class scripted_site {
 public:
+    /*! Constructs entry VMs; their processor time is not known. */
     explicit scripted_site(std::size_t vms);
 
+    /*! Constructs an entry VM for each amount of processor time, in thousandths of a core. */
+    explicit scripted_site(std::span<std::uint32_t const> millicores);
+
     /*! Runs everything until a condition holds, at most for five seconds. */
     void run_until(std::function<bool()> const &condition);
 
@@ -157,7 +162,7 @@
 
     /*! Everything of one process; it has a context of its own, so that it can be stopped. */
     struct vm {
-        vm(scripted_site &site, std::string name, std::string peer_address);
+        vm(scripted_site &site, std::string name, std::string peer_address, std::uint32_t millicores);
 
         boost::asio::io_context context{1};
         site_settings settings;
--- a/test/site/site_test.cpp
+++ b/test/site/site_test.cpp
@@ -127,6 +127,21 @@
     CHECK_FALSE(site.vms[1u - other]->node->leads());
 }
 
+TEST_CASE("the entry VM with much more processor time leads, and another one once it is gone") {
+    std::array<std::uint32_t, 3u> const millicores{120u, 500u, 120u};
+    scripted_site site{millicores};
+    auto const large_leads = [&]() { return site.vms[1]->node->leads(); };
+    site.run_until(large_leads);
+    CHECK(large_leads());
+    site.kill_leader();
+    site.run_until([&]() { return site.leader() != nullptr; });
+    CHECK(site.leader() != nullptr);
+    // The small one has nobody larger to yield to.
+    auto const *second = site.leader();
+    site.run_for(timing::least_reign + timing::small_claim_delay);
+    CHECK(site.leader() == second);
+}
+
 TEST_CASE("pattern: a slow log gets callers' records from the leader alone") {
     // Appends beside the leader's would queue behind it in the one partition.
     scripted_site site{2u};
