Count a reader as fresh only at the end of the log; keep little of ended jobs

Cause: a read returns what fits into one answer, and its success alone counted as fresh, however far the reader was behind.

An ended job keeps its phase, queue and account alone in the log, so that an entry VM that starts anew reads about 100 bytes of it instead of its payload and all its tasks.

Tests: site, "a reader that lags behind", "little is kept of a job that has ended".

--- a/src/kingcuplink/site/fleet_lead.cpp
+++ b/src/kingcuplink/site/fleet_lead.cpp
@@ -290,6 +290,10 @@
         if(records.empty() && appended_at_ + timing::leader_heartbeat <= current_time()) {
             records.push_back(encode(leader_claim{term_, parts_.settings.name, parts_.settings.peer_address, false}));
         }
+        for(auto const &job: batch.ended_jobs) {
+            // Whoever reads all newest records need not read what ended jobs were.
+            records.push_back(encode(job));
+        }
         if(!records.empty() && !co_await keep(std::move(records))) {
             break;
         }
--- a/src/kingcuplink/site/keyed_reader.cpp
+++ b/src/kingcuplink/site/keyed_reader.cpp
@@ -15,7 +15,10 @@
     switch(answer.outcome) {
     case read_outcome::done:
         offset_ = answer.next;
-        fresh_at_ = sent_at;
+        behind_ = offset_ < answer.end;
+        if(!behind_) {
+            fresh_at_ = sent_at;
+        }
         co_return keyed_batch{false, std::move(answer.records)};
     case read_outcome::expired:
         synced_ = false;
--- a/src/kingcuplink/site/keyed_reader.hpp
+++ b/src/kingcuplink/site/keyed_reader.hpp
@@ -34,12 +34,17 @@
         return offset_;
     }
 
+    /*! Tells whether the last read left records for the next one. */
+    [[nodiscard]] bool is_behind() const noexcept {
+        return behind_;
+    }
+
     /*! Tells whether the newest records of all keys were delivered once. */
     [[nodiscard]] bool is_synced() const noexcept {
         return synced_;
     }
 
-    /*! Returns when the last successful read was sent. */
+    /*! Returns when the last read was sent that reached the end of the stream. */
     [[nodiscard]] instant fresh_at() const noexcept {
         return fresh_at_;
     }
@@ -51,6 +56,7 @@
     log_stream stream_;
     std::uint64_t offset_{};
     bool synced_{};
+    bool behind_{};
     instant fresh_at_{};
 };
 
--- a/src/kingcuplink/site/ports.hpp
+++ b/src/kingcuplink/site/ports.hpp
@@ -73,6 +73,8 @@
     std::vector<keyed_record> records;
     /*! Offset to read from next. */
     std::uint64_t next{};
+    /*! End of the stream when the answer was made; beyond `next` if there was more than fits into one. */
+    std::uint64_t end{};
 };
 
 /*! One page of the newest records of all keys. */
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -326,7 +326,9 @@
         }
         apply_jobs(std::move(*batch));
         refresh_ready();
-        co_await pause_for(parts_.context, read_spacing());
+        if(!jobs_.is_behind()) {
+            co_await pause_for(parts_.context, read_spacing());
+        }
     }
 }
 
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -35,6 +35,10 @@
 
 job_progress progress_of(live_job const &job, dispatch_state const &state) {
     job_progress progress{job.phase, {}};
+    if(is_final(job.phase)) {
+        // Nobody takes up its tasks again: workers list what is left of them.
+        return progress;
+    }
     for(std::uint32_t step{}; step < job.steps.size(); ++step) {
         auto const &tasks = job.steps[step].tasks;
         for(std::uint32_t index{}; index < tasks.size(); ++index) {
@@ -43,6 +47,9 @@
                 continue;
             }
             task_progress row{step, index, task.run, task.failures, task.done, {}, task.checkpoint};
+            if(task.done) {
+                row.checkpoint = {};
+            }
             if(auto const *run = state.placements.find(task.placement); run != nullptr) {
                 row.worker = state.workers[run->worker].entry.name;
             }
@@ -73,7 +80,8 @@
 void dispatcher::add_job(job_entry const &entry) {
     auto const &definition = entry.definition;
     auto const *queue = find_queue(*state_.rules, definition.queue);
-    if(is_final(entry.progress.phase) || state_.job_ids.contains(definition.id)) {
+    // The definition of an ended job has no steps.
+    if(is_final(entry.progress.phase) || definition.steps.empty() || state_.job_ids.contains(definition.id)) {
         return;
     }
     internal::live_job job;
@@ -293,6 +301,10 @@
         }
         job->is_dirty = false;
         batch.records.emplace_back(job->definition.id, internal::progress_of(*job, state_));
+        if(is_final(job->phase)) {
+            auto const &whole = job->definition;
+            batch.ended_jobs.push_back({whole.id, whole.queue, whole.account, {}, {}, whole.accepted_at});
+        }
         for(auto const &step: job->steps) {
             for(auto const &task: step.tasks) {
                 auto *run = state_.placements.find(task.placement);
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -73,6 +73,8 @@
 /*! What the log has to learn; what depends on it waits until it has. */
 struct progress_batch {
     std::vector<std::pair<std::string, job_progress>> records;
+    /*! What is still needed of the definitions of jobs that ended: whose they were. */
+    std::vector<job_definition> ended_jobs;
     std::vector<placement_id> starts;
     /*! Workers and the number of the last end that the records account for. */
     std::vector<std::pair<worker_id, std::uint64_t>> ends;
--- a/src/kingcuplink/workflow/job_table.cpp
+++ b/src/kingcuplink/workflow/job_table.cpp
@@ -22,8 +22,9 @@
     count(entry, -1);
     if(is_final(progress.phase) && !is_final(entry.progress.phase)) {
         entry.ended_at = now;
-        // Only a live job needs its text.
+        // Only a live job needs its text and its steps.
         entry.definition.payload = {};
+        entry.definition.steps = {};
     }
     entry.progress = std::move(progress);
     count(entry, 1);
--- a/test/site/scripted_site.cpp
+++ b/test/site/scripted_site.cpp
@@ -70,6 +70,11 @@
     answer.next = state.first + state.records.size();
     auto const skipped = static_cast<std::ptrdiff_t>(std::min<std::uint64_t>(from - state.first, state.records.size()));
     answer.records.assign(state.records.begin() + skipped, state.records.end());
+    answer.end = answer.next;
+    if(answer.records.size() > most_read) {
+        answer.records.resize(most_read);
+        answer.next = from + most_read;
+    }
     co_return answer;
 }
 
@@ -245,11 +250,16 @@
     for(std::size_t pos{}; pos < worker_count; ++pos) {
         log.add({"w" + std::to_string(pos), "entry"}, log_stream::workers);
     }
-    for(std::size_t pos{}; pos < millicores.size(); ++pos) {
-        vms.push_back(std::make_unique<vm>(*this, "vm" + std::to_string(pos), peer_address(pos), millicores[pos]));
+    for(auto const amount: millicores) {
+        add_vm(amount);
     }
 }
 
+void scripted_site::add_vm(std::uint32_t const millicores) {
+    auto const pos = vms.size();
+    vms.push_back(std::make_unique<vm>(*this, "vm" + std::to_string(pos), peer_address(pos), millicores));
+}
+
 void scripted_site::run_until(std::function<bool()> const &condition) {
     auto const limit = std::chrono::steady_clock::now() + longest_run;
     while(!condition() && std::chrono::steady_clock::now() < limit) {
@@ -277,6 +287,7 @@
     request.key = key;
     if(wish == caller_wish::submit) {
         request.draft.emplace();
+        request.draft->payload = std::string(payload_bytes, 'x');
         step_definition step;
         step.count = 2u;
         step.task_size = {1'000, 256, 0};
--- a/test/site/scripted_site.hpp
+++ b/test/site/scripted_site.hpp
@@ -30,6 +30,9 @@
     return std::move(*result);
 }
 
+/*! Length of the payload of jobs that are handed in. */
+inline constexpr std::size_t payload_bytes = 2'000u;
+
 /*! A log in memory. */
 class memory_log : public keyed_log {
 public:
@@ -51,6 +54,8 @@
     bool is_up{true};
     /*! Time that each append takes. */
     millis append_time{};
+    /*! Records that one read returns. */
+    std::size_t most_read{1'000};
 
 private:
     struct stream_state {
@@ -141,6 +146,9 @@
     /*! Constructs an entry VM for each amount of processor time, in thousandths of a core. */
     explicit scripted_site(std::span<std::uint32_t const> millicores);
 
+    /*! Starts another entry VM. */
+    void add_vm(std::uint32_t millicores = 0u);
+
     /*! Runs everything until a condition holds, at most for five seconds. */
     void run_until(std::function<bool()> const &condition);
 
--- a/test/site/site_test.cpp
+++ b/test/site/site_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 #include <kingcuplink/site/record_codec.hpp>
 #include <kingcuplink/site/timing.hpp>
+#include <thread>
 
 namespace kingcuplink::test {
 
@@ -71,6 +72,24 @@
     CHECK_FALSE(run_to_end(context, reader.next(millis{0})));
 }
 
+TEST_CASE("a reader that lags behind the end of the log does not count as fresh") {
+    // A read returns what fits into one answer: a job that was accepted may stand behind it.
+    boost::asio::io_context context{1};
+    memory_log log{context};
+    keyed_reader reader{log, log_stream::jobs};
+    REQUIRE(run_to_end(context, reader.next(millis{0})));
+    auto const fresh_at = reader.fresh_at();
+    std::this_thread::sleep_for(millis{5});
+    log.most_read = 2u;
+    for(auto const *key: {"a", "b", "c"}) {
+        log.add({key, "1"});
+    }
+    REQUIRE(run_to_end(context, reader.next(millis{0})));
+    CHECK(reader.fresh_at() == fresh_at);
+    REQUIRE(run_to_end(context, reader.next(millis{0})));
+    CHECK(reader.fresh_at() > fresh_at);
+}
+
 TEST_CASE("a job goes from a caller to a worker and back, over a change of leaders") {
     scripted_site site{2u};
     site.run_until([&]() { return site.leader() != nullptr; });
@@ -93,6 +112,28 @@
     CHECK(site.workers.starts() == 2u);
 }
 
+TEST_CASE("little is kept of a job that has ended, and an entry VM that comes later tells its end") {
+    scripted_site site{1u};
+    site.run_until([&]() { return site.leader() != nullptr; });
+    CHECK_FALSE(site.ask(0u, caller_wish::submit, "0123456789abcdef").refused);
+    site.run_until([&]() { return site.workers.runs() == 2u; });
+    auto const bytes_kept = [&]() {
+        std::size_t bytes{};
+        for(auto const &record: run_to_end(site.log_context, site.log.newest(log_stream::jobs, {})).records) {
+            bytes += record.key.size() + record.value->size();
+        }
+        return bytes;
+    };
+    CHECK(bytes_kept() > payload_bytes);
+    site.workers.end_all();
+    site.run_until([&]() { return bytes_kept() < payload_bytes / 4u; });
+    CHECK(bytes_kept() < payload_bytes / 4u);
+    site.log.forget_before(site.log.end());
+    site.add_vm();
+    site.run_until([&]() { return site.vms[1]->node->is_ready(); });
+    CHECK(site.ask(1u, caller_wish::ask, "0123456789abcdef").phase == job_phase::done);
+}
+
 TEST_CASE("a submission that comes again is one job, at whichever entry VM") {
     scripted_site site{2u};
     site.run_until([&]() { return site.leader() != nullptr; });
