A stand-in of the users' platform, tests of real processes over it, and a fault soak

The platform's store, workers and adviser are met by a stand-in with real sockets (test/adapter/standin) that records what really ran: a task twice at the same time or after its good end, a step too early, a worker overcommitted. Eight tests of real processes go the whole path over it.

Found and mended, each with a test that failed first: - A job that another entry VM accepted just now was unknown for about 150 ms: a cancellation was answered 410 and had no effect. An entry VM now reads all that the log has before it says that it does not know a job. (site_path, "a job that is cancelled"; site, "a job that another entry VM accepted just now") - A second SIGTERM, or a SIGHUP, ended a process that was ending gracefully, with requests under way.

Faults of the soak itself: waitpid does not take WNOWAIT; jobs that no worker may run; a check that raced with another caller's cancellation; ports of test processes that follow each other overlapped.

--- /dev/null
+++ b/soak/soak_run.cpp
@@ -0,0 +1,283 @@
+#include "soak_run.hpp"
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <iostream>
+#include <kingcuplink/core/json_fields.hpp>
+#include <optional>
+
+namespace kingcuplink::soak {
+
+namespace {
+
+namespace json = boost::json;
+
+using std::chrono::milliseconds;
+
+/*! Faults that may overlap. */
+constexpr std::size_t most_open = 3u;
+constexpr std::size_t shortest_fault_ms = 200u;
+constexpr std::size_t longest_fault_ms = 4'000u;
+constexpr std::size_t longest_calm_ms = 900u;
+constexpr auto step = milliseconds{50};
+/*! Time for everything to be done once all faults are healed: inherited leases of 13 s, and the backlog. */
+constexpr auto settle_limit = std::chrono::seconds{60};
+
+} // namespace
+
+soak_run::soak_run(std::uint64_t const seed) : random_{seed}, seed_{seed} {
+    test::site_options options;
+    options.route = [this](std::string const &user, std::string const &part, std::string const &address) {
+        return route(user, part, address);
+    };
+    proxy_thread_ = std::thread{[this]() { context_.run(); }};
+    site_ = std::make_unique<test::site_fleet>(std::move(options));
+    result_.folder = site_->processes().folder();
+}
+
+soak_run::~soak_run() {
+    site_.reset();
+    context_.stop();
+    proxy_thread_.join();
+}
+
+std::string soak_run::route(std::string const &user, std::string const &part, std::string const &address) {
+    auto own = ports_.take_address();
+    auto const proxy = std::make_shared<fault_proxy>(context_, own, address);
+    proxy->start();
+    proxies_[user.empty() ? part : user + " to " + part] = proxy;
+    return own;
+}
+
+std::size_t soak_run::draw(std::size_t const count) {
+    return random_() % count;
+}
+
+void soak_run::note(std::string const &text) const {
+    auto const at = std::chrono::duration_cast<milliseconds>(clock::now() - begun_at_).count();
+    std::cout << "seed " << seed_ << " at " << at << " ms: " << text << std::endl;
+}
+
+std::optional<soak_run::open_fault> soak_run::end_vm() {
+    auto const vm = site_->entry_vms()[draw(site_->entry_vms().size())];
+    auto const is_graceful = draw(3u) == 0u;
+    if(!harmed_.insert(vm).second) {
+        return std::nullopt;
+    }
+    if(is_graceful) {
+        site_->processes().signal(vm, SIGTERM);
+    } else {
+        site_->processes().kill(vm);
+    }
+    return open_fault{{}, vm + (is_graceful ? " is stopped" : " is killed"), [this, vm, is_graceful]() {
+                          if(is_graceful && site_->processes().stop(vm) != 0) {
+                              result_.breaches.push_back(vm + " did not end well when it was stopped");
+                          }
+                          site_->start(vm);
+                          harmed_.erase(vm);
+                      }};
+}
+
+std::optional<soak_run::open_fault> soak_run::freeze_vm() {
+    auto const vm = site_->entry_vms()[draw(site_->entry_vms().size())];
+    if(!harmed_.insert(vm).second) {
+        return std::nullopt;
+    }
+    site_->processes().signal(vm, SIGSTOP);
+    return open_fault{{}, vm + " is frozen", [this, vm]() {
+                          site_->processes().signal(vm, SIGCONT);
+                          harmed_.erase(vm);
+                      }};
+}
+
+std::optional<soak_run::open_fault> soak_run::reload_vm() {
+    auto const vm = site_->entry_vms()[draw(site_->entry_vms().size())];
+    if(harmed_.contains(vm)) {
+        return std::nullopt;
+    }
+    site_->processes().signal(vm, SIGHUP);
+    return open_fault{{}, vm + " gets SIGHUP", []() {}};
+}
+
+std::optional<soak_run::open_fault> soak_run::harm_store() {
+    struct row {
+        std::string_view what;
+        json::object begin;
+        json::object end;
+    };
+    std::array<row, 4u> const rows{{
+        {"the store is down", {{"store", json::object{{"outage", true}}}},
+            {{"store", json::object{{"outage", false}}}}},
+        {"the store is slow", {{"store", json::object{{"slow_ms", 300}}}}, {{"store", json::object{{"slow_ms", 0}}}}},
+        {"the store loses answers", {{"store", json::object{{"lose_answers", true}}}},
+            {{"store", json::object{{"lose_answers", false}}}}},
+        {"the store forgets its history", {{"forget_history", true}}, {{"forget_history", true}}},
+    }};
+    auto const item = rows[draw(rows.size())];
+    if(!harmed_.insert("store").second) {
+        return std::nullopt;
+    }
+    site_->change_platform(item.begin);
+    return open_fault{{}, std::string{item.what}, [this, item]() {
+                          site_->change_platform(item.end);
+                          harmed_.erase("store");
+                      }};
+}
+
+std::optional<soak_run::open_fault> soak_run::harm_link() {
+    constexpr std::array<link_fault, 5u> kinds{
+        link_fault::delayed, link_fault::reset, link_fault::cut_forward, link_fault::cut_back, link_fault::silent};
+    auto const kind = kinds[draw(kinds.size())];
+    auto entry = proxies_.begin();
+    std::advance(entry, static_cast<std::ptrdiff_t>(draw(proxies_.size())));
+    auto const [name, proxy] = *entry;
+    if(!harmed_.insert("link " + name).second) {
+        return std::nullopt;
+    }
+    proxy->set(kind);
+    return open_fault{{}, "link " + name + " is " + std::string{name_of(kind)}, [this, name, proxy]() {
+                          proxy->set(link_fault::none);
+                          harmed_.erase("link " + name);
+                      }};
+}
+
+std::optional<soak_run::open_fault> soak_run::harm_worker() {
+    auto const worker = site_->workers()[draw(site_->workers().size())];
+    struct row {
+        std::string_view what;
+        json::object begin;
+        json::object end;
+    };
+    std::array<row, 4u> const rows{{
+        {" restarts", {{"worker", worker}, {"restart_ms", 500}}, {}},
+        {" is stuck", {{"worker", worker}, {"stuck", true}}, {{"worker", worker}, {"stuck", false}}},
+        {" carries orders out late", {{"worker", worker}, {"late_percent", 50}},
+            {{"worker", worker}, {"late_percent", 0}}},
+        {" leaves", {{"worker", worker}, {"leaving", true}}, {{"worker", worker}, {"leaving", false}}},
+    }};
+    auto const item = rows[draw(rows.size())];
+    if(!harmed_.insert(worker).second) {
+        return std::nullopt;
+    }
+    site_->change_platform(item.begin);
+    return open_fault{{}, worker + std::string{item.what}, [this, worker, item]() {
+                          site_->change_platform(item.end);
+                          harmed_.erase(worker);
+                      }};
+}
+
+std::optional<soak_run::open_fault> soak_run::change_rules() {
+    auto const domain = "domain-" + std::to_string(draw(3u));
+    if(!harmed_.insert("rules").second) {
+        return std::nullopt;
+    }
+    site_->change_platform({{"configure", true}, {"evacuate", domain}});
+    return open_fault{{}, domain + " is evacuated", [this, domain]() {
+                          site_->change_platform({{"configure", true}, {"take_back", domain}});
+                          harmed_.erase("rules");
+                      }};
+}
+
+void soak_run::begin_fault() {
+    constexpr std::array<fault_maker, 10u> makers{&soak_run::end_vm, &soak_run::end_vm, &soak_run::freeze_vm,
+        &soak_run::reload_vm, &soak_run::harm_store, &soak_run::harm_store, &soak_run::harm_link, &soak_run::harm_link,
+        &soak_run::harm_worker, &soak_run::change_rules};
+    auto const maker = makers[draw(makers.size())];
+    auto const length = milliseconds{shortest_fault_ms + draw(longest_fault_ms - shortest_fault_ms)};
+    if(auto begun = (this->*maker)()) {
+        begun->until = clock::now() + length;
+        note(begun->what + " for " + std::to_string(length.count()) + " ms");
+        ++result_.faults;
+        open_.push_back(std::move(*begun));
+    }
+}
+
+void soak_run::heal_due(clock::time_point const now) {
+    for(std::size_t pos{}; pos < open_.size();) {
+        if(open_[pos].until > now) {
+            ++pos;
+            continue;
+        }
+        auto const due = std::move(open_[pos]);
+        open_.erase(open_.begin() + static_cast<std::ptrdiff_t>(pos));
+        due.heal();
+    }
+}
+
+void soak_run::heal_all() {
+    heal_due(clock::time_point::max());
+    note("all faults are healed");
+}
+
+void soak_run::check_processes() {
+    for(auto const &vm: site_->entry_vms()) {
+        if(!harmed_.contains(vm) && site_->processes().has_ended(vm)) {
+            result_.breaches.push_back(vm + " ended by itself");
+            site_->processes().kill(vm);
+            site_->start(vm);
+        }
+    }
+}
+
+void soak_run::check_jobs(caller_load const &load) {
+    auto const limit = clock::now() + settle_limit;
+    for(auto const &[id, fate]: load.jobs()) {
+        ++result_.jobs;
+        result_.accepted += fate.accepted ? 1u : 0u;
+        if(!fate.accepted) {
+            continue;
+        }
+        auto const &vm = site_->entry_vms()[draw(site_->entry_vms().size())];
+        std::string state;
+        auto const is_over = [&]() {
+            state = site_->state(vm, fate.queue, id);
+            return state == "done" || (state == "cancelled" && fate.cancel_sent);
+        };
+        auto const rest = std::chrono::duration_cast<milliseconds>(limit - clock::now());
+        if(!test::comes_true(is_over, std::max(milliseconds{}, rest))) {
+            result_.breaches.push_back("accepted and not done: job " + id + " is told as '" + state + "' by " + vm);
+        }
+    }
+    auto const record = site_->record();
+    for(auto const &text: record.at("breaches").as_array()) {
+        result_.breaches.emplace_back(text.as_string());
+    }
+    for(auto const &item: record.at("started_jobs").as_array()) {
+        auto const found = load.jobs().find(std::string{item.as_string()});
+        if(found == load.jobs().end() || found->second.only_refused) {
+            result_.breaches.push_back("started although it was refused: job " + std::string{item.as_string()});
+        }
+    }
+    result_.starts = record.at("starts").to_number<std::size_t>();
+    auto const is_idle = [this]() { return site_->record().at("running").to_number<std::size_t>() == 0u; };
+    if(!test::comes_true(is_idle)) {
+        result_.breaches.push_back("runs go on although all jobs are over");
+    }
+}
+
+soak_result soak_run::play(std::chrono::seconds const time) {
+    caller_load load{*site_, seed_};
+    auto const end = clock::now() + time;
+    auto next = clock::now();
+    while(clock::now() < end) {
+        auto const now = clock::now();
+        heal_due(now);
+        check_processes();
+        if(next <= now) {
+            if(open_.size() < most_open) {
+                begin_fault();
+            }
+            next = now + milliseconds{draw(longest_calm_ms)};
+        }
+        std::this_thread::sleep_for(step);
+    }
+    heal_all();
+    load.stop();
+    result_.breaches.insert(result_.breaches.end(), load.breaches().begin(), load.breaches().end());
+    check_jobs(load);
+    check_processes();
+    return result_;
+}
+
+} // namespace kingcuplink::soak
--- /dev/null
+++ b/soak/soak_run.hpp
@@ -0,0 +1,97 @@
+#ifndef KINGCUPLINK_SOAK_SOAK_RUN_HPP_INCLUDED
+#define KINGCUPLINK_SOAK_SOAK_RUN_HPP_INCLUDED
+
+#include "caller_load.hpp"
+#include "fault_proxy.hpp"
+#include "site_fleet.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace kingcuplink::soak {
+
+/*! What one seed showed. */
+struct soak_result {
+    std::vector<std::string> breaches;
+    std::size_t jobs{};
+    std::size_t accepted{};
+    std::size_t starts{};
+    std::size_t faults{};
+    /*! Where the processes' output is. */
+    std::string folder;
+};
+
+/*!
+ * Real processes under faults that a seed draws, in series and overlapping, while
+ * callers check what they are told. It ends only processes that it started.
+ */
+class soak_run {
+public:
+    /*! Starts a site. */
+    explicit soak_run(std::uint64_t seed);
+
+    ~soak_run();
+
+    soak_run(soak_run const &) = delete;
+    soak_run &operator=(soak_run const &) = delete;
+
+    /*! Plays faults for a time, heals everything, and checks what became of all jobs. */
+    [[nodiscard]] soak_result play(std::chrono::seconds time);
+
+private:
+    using clock = std::chrono::steady_clock;
+
+    /*! A fault that goes on, and how it is healed. */
+    struct open_fault {
+        clock::time_point until;
+        std::string what;
+        std::function<void()> heal;
+    };
+
+    /*! Begins a fault on something that has none; returns how it is healed, or nothing. */
+    using fault_maker = std::optional<open_fault> (soak_run::*)();
+
+    [[nodiscard]] std::optional<open_fault> end_vm();
+    [[nodiscard]] std::optional<open_fault> freeze_vm();
+    [[nodiscard]] std::optional<open_fault> reload_vm();
+    [[nodiscard]] std::optional<open_fault> harm_store();
+    [[nodiscard]] std::optional<open_fault> harm_link();
+    [[nodiscard]] std::optional<open_fault> harm_worker();
+    [[nodiscard]] std::optional<open_fault> change_rules();
+
+    void begin_fault();
+    void heal_due(clock::time_point now);
+    void heal_all();
+    void check_jobs(caller_load const &load);
+    void check_processes();
+    [[nodiscard]] std::size_t draw(std::size_t count);
+    [[nodiscard]] std::string route(std::string const &user, std::string const &part, std::string const &address);
+    void note(std::string const &text) const;
+
+    std::mt19937_64 random_;
+    std::uint64_t seed_;
+    boost::asio::io_context context_{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_{context_.get_executor()};
+    /*! Names the proxies' addresses; no process is started in it. */
+    test::process_set ports_;
+    std::map<std::string, std::shared_ptr<fault_proxy>> proxies_;
+    std::thread proxy_thread_;
+    std::unique_ptr<test::site_fleet> site_;
+    clock::time_point begun_at_{clock::now()};
+    std::vector<open_fault> open_;
+    /*! Parts that have a fault. */
+    std::set<std::string> harmed_;
+    soak_result result_;
+};
+
+} // namespace kingcuplink::soak
+
+#endif
--- a/src/kingcuplink/daemon/site_daemon.cpp
+++ b/src/kingcuplink/daemon/site_daemon.cpp
@@ -65,22 +65,37 @@
     std::thread thread_;
 };
 
-/*! Waits for SIGTERM or SIGINT; SIGHUP is noted and changes nothing, since all settings hold for the process's life. */
-void wait_for_end(decision_log &decisions) {
-    boost::asio::io_context context{1};
-    boost::asio::signal_set signals{context, SIGTERM, SIGINT, SIGHUP};
-    std::function<void(boost::system::error_code const &, int)> const on_signal =
-        [&](boost::system::error_code const &error, int const number) {
+/*!
+ * Signals to the process for as long as it lives. SIGTERM or SIGINT begins its end; a
+ * further one, and any SIGHUP, changes nothing: all settings hold for the process's life.
+ */
+class process_signals {
+public:
+    explicit process_signals(decision_log &decisions) : decisions_{decisions} {
+        wait_for_next();
+    }
+
+    /*! Returns once the process is to end. */
+    void wait_for_end() {
+        context_.run();
+    }
+
+private:
+    void wait_for_next() {
+        signals_.async_wait([this](boost::system::error_code const &error, int const number) {
             if(error || number != SIGHUP) {
-                context.stop();
+                context_.stop();
                 return;
             }
-            decisions.write(decision::settings_reloaded, {{"outcome", "unchanged"}});
-            signals.async_wait(on_signal);
-        };
-    signals.async_wait(on_signal);
-    context.run();
-}
+            decisions_.write(decision::settings_reloaded, {{"outcome", "unchanged"}});
+            wait_for_next();
+        });
+    }
+
+    decision_log &decisions_;
+    boost::asio::io_context context_{1};
+    boost::asio::signal_set signals_{context_, SIGTERM, SIGINT, SIGHUP};
+};
 
 /*! Lets the balancer go elsewhere, then waits for requests under way. */
 void shut_down(
@@ -137,6 +152,7 @@
             return internal::exit_failure;
         }
     }
+    internal::process_signals signals{decisions};
     decisions.write(decision::process_started,
         {{"domain", settings.failure_domain}, {"callers", settings.callers_address}, {"log", settings.log_address},
             {"lease_limit_ms", settings.lease_limit.count()}});
@@ -145,7 +161,7 @@
     {
         internal::context_thread const control_thread{control};
         internal::context_thread const traffic_thread{traffic};
-        internal::wait_for_end(decisions);
+        signals.wait_for_end();
         decisions.write(decision::process_stopping, {{"requests", callers.active_requests()}});
         internal::shut_down(settings, *node, callers, control);
     }
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -97,6 +97,9 @@
     if(!internal::is_job_id(id)) {
         co_return internal::refused(refusal::job_malformed, "the identifier must be 16 hexadecimal digits");
     }
+    if(request.wish != caller_wish::submit && table_.find(id) == nullptr && !co_await catch_up()) {
+        co_return internal::refused(refusal::log_unavailable, id);
+    }
     auto owner = account == nullptr ? std::string{} : account->name;
     switch(request.wish) {
     case caller_wish::submit:
@@ -146,7 +149,7 @@
 boost::asio::awaitable<caller_answer> site_node::cancel(caller_request const &request, std::string id) {
     auto const *known = table_.find(id);
     if(known == nullptr) {
-        co_return unknown_job(id);
+        co_return internal::refused(refusal::job_unknown, id);
     }
     if(is_final(job_table::visible_phase(*known))) {
         co_return caller_answer{std::nullopt, job_table::visible_phase(*known), std::nullopt};
@@ -169,14 +172,23 @@
     return jobs_.fresh_at() + timing::fresh_enough > current_time();
 }
 
-caller_answer site_node::unknown_job(std::string const &id) const {
-    return internal::refused(is_fresh() ? refusal::job_unknown : refusal::log_unavailable, id);
+boost::asio::awaitable<bool> site_node::catch_up() {
+    // Another entry VM may have accepted the job just now: all that the log has at this moment is read first.
+    if(!log_reached_) {
+        co_return false;
+    }
+    auto const answer = co_await parts_.log.read(log_stream::jobs, jobs_.offset(), millis{});
+    auto const give_up_at = current_time() + timing::catch_up_limit;
+    while(answer.outcome == read_outcome::done && jobs_.offset() < answer.end && current_time() < give_up_at) {
+        co_await pause_for(parts_.context, timing::catch_up_check);
+    }
+    co_return answer.outcome == read_outcome::done && jobs_.offset() >= answer.end;
 }
 
 caller_answer site_node::tell_state(queue_rules const &queue, std::string const &id) const {
     auto const *known = table_.find(id);
     if(known == nullptr || known->definition.queue != queue.name) {
-        return unknown_job(id);
+        return internal::refused(refusal::job_unknown, id);
     }
     return {std::nullopt, job_table::visible_phase(*known), std::nullopt};
 }
--- a/src/kingcuplink/site/site_node.hpp
+++ b/src/kingcuplink/site/site_node.hpp
@@ -109,7 +109,8 @@
     boost::asio::awaitable<caller_answer> cancel(caller_request const &request, std::string id);
     [[nodiscard]] caller_answer tell_state(queue_rules const &queue, std::string const &id) const;
     [[nodiscard]] caller_answer tell_pending(queue_rules const &queue) const;
-    [[nodiscard]] caller_answer unknown_job(std::string const &id) const;
+    /*! Reads all that the log has now; false if it cannot be read. */
+    boost::asio::awaitable<bool> catch_up();
     boost::asio::awaitable<append_outcome> hand_in(keyed_record record, millis patience);
     intake_pointer add_intake(keyed_record record, millis patience);
     boost::asio::awaitable<append_outcome> hand_to_leader(std::vector<intake_pointer> items, millis patience);
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -59,8 +59,12 @@
 inline constexpr millis follower_read_spacing{150};
 /*! Time between reads of the workers' registrations, which change all the time. */
 inline constexpr millis worker_read_spacing{300};
-/*! Age up to which an entry VM may say that it does not know a job. */
+/*! Age up to which an entry VM tells how many jobs of a queue wait. */
 inline constexpr millis fresh_enough{2'500};
+/*! Time for reading what the log has before a job counts as unknown; callers wait about 3 s. */
+inline constexpr millis catch_up_limit{1'500};
+/*! Time between looks whether it was read. */
+inline constexpr millis catch_up_check{10};
 /*! Time that a worker may wait for an end before it answers a look. */
 inline constexpr millis look_wait{1'000};
 /*! Time between looks at a worker; each is paid for. */
--- /dev/null
+++ b/test/adapter/site_process_test.cpp
@@ -0,0 +1,192 @@
+#include "site_fleet.hpp"
+
+#include <array>
+#include <boost/json/parse.hpp>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <kingcuplink/core/json_fields.hpp>
+
+namespace kingcuplink::test {
+
+namespace {
+
+namespace json = boost::json;
+
+std::string id_of(std::uint64_t const number) {
+    auto text = std::to_string(number);
+    return std::string(16u - text.size(), '0') + text;
+}
+
+/*! Waits until an entry VM tells a state of a job. */
+bool becomes(site_fleet const &site, std::string const &vm, std::string const &id, std::string const &state,
+    std::chrono::seconds const limit = std::chrono::seconds{20}) {
+    return comes_true([&]() { return site.state(vm, "batch", id) == state; }, limit);
+}
+
+} // namespace
+
+TEST_CASE("jobs of steps and gangs go from callers to workers and back") {
+    site_fleet site;
+    struct row {
+        std::string_view what;
+        std::vector<test_step> steps;
+    };
+    std::array<row, 4u> const rows{{
+        {"one task", {{}}},
+        {"many tasks", {{.count = 20u, .run_ms = 100}}},
+        {"steps in order", {{.count = 3u}, {.count = 2u, .after = {0u}}, {.after = {0u, 1u}}}},
+        {"a gang over several workers", {{.count = 6u, .millicores = 6'000, .run_ms = 500, .gang = true}}},
+    }};
+    std::uint64_t number{};
+    for(auto const &item: rows) {
+        CAPTURE(item.what);
+        auto const vm = site.entry_vms()[number % 3u];
+        CHECK(site.submit(vm, "batch", id_of(number), item.steps) == told::accepted);
+        CHECK(site.submit(vm, "batch", id_of(number), item.steps) == told::accepted);
+        ++number;
+    }
+    for(std::uint64_t pos{}; pos < number; ++pos) {
+        CAPTURE(pos);
+        CHECK(becomes(site, site.entry_vms()[(pos + 1u) % 3u], id_of(pos), "done"));
+    }
+    CHECK(site.record().at("starts").to_number<std::size_t>() == 33u);
+    CHECK(site.breaches().empty());
+}
+
+TEST_CASE("work goes on over the end of its leader's process") {
+    struct row {
+        std::string_view what;
+        int signal;
+    };
+    std::array<row, 2u> const rows{{{"killed", SIGKILL}, {"frozen", SIGSTOP}}};
+    for(auto const &item: rows) {
+        CAPTURE(item.what);
+        site_fleet site;
+        auto const first = site.leader();
+        std::vector<std::string> others;
+        for(auto const &vm: site.entry_vms()) {
+            if(vm != first) {
+                others.push_back(vm);
+            }
+        }
+        for(std::uint64_t number{}; number < 10u; ++number) {
+            CHECK(site.submit(others[0], "batch", id_of(number), {{.count = 4u, .run_ms = 1'000}}) == told::accepted);
+        }
+        CHECK(comes_true([&]() { return site.record().at("running").to_number<std::size_t>() > 4u; }));
+        site.processes().signal(first, item.signal);
+        for(std::uint64_t number{}; number < 10u; ++number) {
+            CAPTURE(number);
+            CHECK(becomes(site, others[1], id_of(number), "done", std::chrono::seconds{40}));
+        }
+        CHECK(site.record().at("starts").to_number<std::size_t>() == 40u);
+        CHECK(site.breaches().empty());
+    }
+}
+
+TEST_CASE("all processes are killed after an acknowledgement, and nothing is lost") {
+    site_fleet site;
+    for(std::uint64_t number{}; number < 5u; ++number) {
+        CHECK(site.submit(site.entry_vms()[0], "batch", id_of(number), {{.count = 2u}}) == told::accepted);
+    }
+    for(auto const &vm: site.entry_vms()) {
+        site.processes().kill(vm);
+    }
+    for(auto const &vm: site.entry_vms()) {
+        site.start(vm);
+    }
+    for(std::uint64_t number{}; number < 5u; ++number) {
+        CAPTURE(number);
+        CHECK(becomes(site, site.entry_vms()[1], id_of(number), "done", std::chrono::seconds{40}));
+    }
+    CHECK(site.breaches().empty());
+}
+
+TEST_CASE("without the store callers are refused at once, and the backlog is done once it is back") {
+    site_fleet site;
+    auto const vm = site.entry_vms()[0];
+    CHECK(site.submit(vm, "batch", id_of(1u), {{.count = 2u, .run_ms = 1'500}}) == told::accepted);
+    site.change_platform({{"store", json::object{{"outage", true}}}});
+    auto const asked_at = std::chrono::steady_clock::now();
+    CHECK(site.submit(vm, "batch", id_of(2u), {{}}) != told::accepted);
+    CHECK(std::chrono::steady_clock::now() - asked_at < std::chrono::milliseconds{2'500});
+    site.change_platform({{"store", json::object{{"outage", false}}}});
+    CHECK(becomes(site, vm, id_of(1u), "done"));
+    CHECK(site.submit(vm, "batch", id_of(3u), {{}}) == told::accepted);
+    CHECK(becomes(site, vm, id_of(3u), "done"));
+    CHECK(site.breaches().empty());
+}
+
+TEST_CASE("workers that restart, leave, or carry out orders late start nothing twice") {
+    struct row {
+        std::string_view what;
+        json::object change;
+        json::object undo;
+    };
+    std::array<row, 3u> const rows{{
+        {"restart", {{"worker", "w0"}, {"restart_ms", 700}}, {}},
+        {"leave", {{"worker", "w0"}, {"leaving", true}}, {{"worker", "w0"}, {"leaving", false}}},
+        {"late orders", {{"worker", "w0"}, {"late_percent", 60}}, {{"worker", "w0"}, {"late_percent", 0}}},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(item.what);
+        site_fleet site;
+        site.change_platform(item.change);
+        for(std::uint64_t number{}; number < 20u; ++number) {
+            auto const vm = site.entry_vms()[number % 3u];
+            CHECK(site.submit(vm, "urgent", id_of(number), {{.count = 3u, .run_ms = 400}}) == told::accepted);
+        }
+        site.change_platform(item.undo);
+        for(std::uint64_t number{}; number < 20u; ++number) {
+            CAPTURE(number);
+            CHECK(comes_true([&]() { return site.state(site.entry_vms()[0], "urgent", id_of(number)) == "done"; },
+                std::chrono::seconds{40}));
+        }
+        CHECK(site.breaches().empty());
+    }
+}
+
+TEST_CASE("a job that is cancelled stops, and is told as cancelled everywhere") {
+    site_fleet site;
+    auto const vm = site.entry_vms()[0];
+    CHECK(site.submit(vm, "batch", id_of(1u), {{.count = 4u, .run_ms = 60'000}}) == told::accepted);
+    CHECK(comes_true([&]() { return site.record().at("running").to_number<std::size_t>() == 4u; }));
+    CHECK(site.cancel(site.entry_vms()[1], "batch", id_of(1u)));
+    CHECK(becomes(site, site.entry_vms()[2], id_of(1u), "cancelled"));
+    CHECK(comes_true(
+        [&]() { return site.record().at("running").to_number<std::size_t>() == 0u; }, std::chrono::seconds{3}));
+    CHECK(site.breaches().empty());
+}
+
+TEST_CASE("further signals while a process ends change nothing") {
+    for(auto const number: {SIGTERM, SIGHUP}) {
+        CAPTURE(number);
+        site_fleet site;
+        auto const vm = site.entry_vms()[0];
+        site.processes().signal(vm, SIGHUP);
+        CHECK(site.is_ready(vm));
+        site.processes().signal(vm, SIGTERM);
+        CHECK(comes_true([&]() { return !site.is_ready(vm); }));
+        site.processes().signal(vm, number);
+        CHECK(site.processes().stop(vm) == 0);
+    }
+}
+
+TEST_CASE("a new configuration is in force, and an evacuated domain gets no work") {
+    site_fleet site;
+    site.change_platform({{"evacuate", "domain-0"}, {"configure", true}});
+    auto const vm = site.entry_vms()[0];
+    CHECK(comes_true([&]() { return site.metrics(vm).find("kingcuplink_rules_version 2") != std::string::npos; },
+        std::chrono::seconds{2}));
+    for(std::uint64_t number{}; number < 5u; ++number) {
+        CHECK(site.submit(vm, "batch", id_of(number), {{.count = 2u}}) == told::accepted);
+    }
+    for(std::uint64_t number{}; number < 5u; ++number) {
+        CHECK(becomes(site, vm, id_of(number), "done"));
+    }
+    site.change_platform({{"take_back", "domain-0"}, {"forget_history", true}});
+    CHECK(site.submit(vm, "batch", id_of(9u), {{.count = 8u}}) == told::accepted);
+    CHECK(becomes(site, vm, id_of(9u), "done"));
+    CHECK(site.breaches().empty());
+}
+
+} // namespace kingcuplink::test
--- /dev/null
+++ b/test/adapter/standin/site_record.cpp
@@ -0,0 +1,97 @@
+#include "site_record.hpp"
+
+#include <boost/json/parse.hpp>
+
+namespace kingcuplink::standin {
+
+std::vector<scripted_step> parse_steps(std::string const &spec) {
+    std::vector<scripted_step> steps;
+    auto const rows = boost::json::parse(spec);
+    for(auto const &item: rows.as_array()) {
+        auto const &row = item.as_object();
+        scripted_step step;
+        step.count = row.at("count").to_number<std::uint32_t>();
+        step.millicores = row.at("millicores").to_number<std::int64_t>();
+        step.run_ms = row.at("run_ms").to_number<std::int64_t>();
+        step.gang = row.at("gang").as_bool();
+        for(auto const &before: row.at("after").as_array()) {
+            step.after.push_back(before.to_number<std::uint32_t>());
+        }
+        steps.push_back(std::move(step));
+    }
+    return steps;
+}
+
+void site_record::breach(std::string text) {
+    breaches_.push_back(std::move(text));
+}
+
+bool site_record::step_ended(std::string const &job, std::uint32_t const step, scripted_step const &what) const {
+    for(std::uint32_t index{}; index < what.count; ++index) {
+        auto const found = tasks_.find({job, step, index});
+        if(found != tasks_.end() && found->second.ended_done) {
+            // The good end of one member stands for its gang.
+            if(what.gang) {
+                return true;
+            }
+        } else if(!what.gang) {
+            return false;
+        }
+    }
+    return !what.gang;
+}
+
+void site_record::started(run_key const &key, std::vector<scripted_step> const &steps, std::string const &worker) {
+    ++starts_;
+    started_jobs_.insert(key.job);
+    auto const name = key.job + " step " + std::to_string(key.step) + " task " + std::to_string(key.index) + " run " +
+        std::to_string(key.run) + " on " + worker;
+    auto &task = tasks_[{key.job, key.step, key.index}];
+    if(!task.running.empty()) {
+        breach("twice at the same time: " + name + " beside run " + std::to_string(*task.running.begin()));
+    }
+    if(task.is_done) {
+        breach("started after its good end was taken note of: " + name);
+    }
+    for(auto const before: steps.at(key.step).after) {
+        if(!step_ended(key.job, before, steps.at(before))) {
+            breach("started before step " + std::to_string(before) + ": " + name);
+        }
+    }
+    task.running.insert(key.run);
+}
+
+void site_record::ended(run_key const &key, run_end const how) {
+    auto &task = tasks_[{key.job, key.step, key.index}];
+    task.running.erase(key.run);
+    task.ended_done = task.ended_done || how == run_end::done;
+}
+
+void site_record::taken_note(run_key const &key, run_end const how) {
+    if(how == run_end::done) {
+        tasks_[{key.job, key.step, key.index}].is_done = true;
+    }
+}
+
+void site_record::overcommitted(std::string const &worker, std::int64_t const millicores) {
+    breach("overcommitted: " + worker + " has runs of " + std::to_string(millicores) + " millicores");
+}
+
+boost::json::value site_record::as_json() const {
+    boost::json::array breaches;
+    for(auto const &text: breaches_) {
+        breaches.emplace_back(text);
+    }
+    boost::json::array jobs;
+    for(auto const &job: started_jobs_) {
+        jobs.emplace_back(job);
+    }
+    std::size_t running{};
+    for(auto const &[id, task]: tasks_) {
+        running += task.running.size();
+    }
+    return boost::json::object{{"breaches", std::move(breaches)}, {"started_jobs", std::move(jobs)},
+        {"starts", starts_}, {"running", running}};
+}
+
+} // namespace kingcuplink::standin
--- /dev/null
+++ b/test/adapter/standin/site_worker.hpp
@@ -0,0 +1,144 @@
+#ifndef KINGCUPLINK_STANDIN_SITE_WORKER_HPP_INCLUDED
+#define KINGCUPLINK_STANDIN_SITE_WORKER_HPP_INCLUDED
+
+#include "http_service.hpp"
+#include "site_record.hpp"
+#include "site_store.hpp"
+
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace kingcuplink::standin {
+
+/*! Members of gangs that are present on any worker. One thread. */
+class gang_board {
+public:
+    /*! Notes that a member came; returns true if all are present now. */
+    bool join(run_key const &member, std::uint32_t count);
+
+    /*! Notes that a member is gone; its gang is broken if it had begun to work. */
+    void leave(run_key const &member);
+
+    /*! Returns when the gang of a member began to work; nothing while members are missing. */
+    [[nodiscard]] std::optional<std::int64_t> began_at(run_key const &member) const;
+
+    /*! Tells whether the gang of a member lost one after it had begun. */
+    [[nodiscard]] bool is_broken(run_key const &member) const;
+
+private:
+    struct gang {
+        std::set<std::uint32_t> present;
+        std::optional<std::int64_t> began_at;
+        bool is_broken{};
+    };
+
+    [[nodiscard]] static run_key gang_of(run_key member);
+
+    std::map<run_key, gang> gangs_;
+};
+
+/*! What all stand-ins of workers share. */
+struct site_shared {
+    boost::asio::io_context &context;
+    site_store &store;
+    site_record &record;
+    gang_board &gangs;
+};
+
+/*! A worker of the users' platform over HTTP: it starts whatever it is told to, on leases. One thread. */
+class site_worker : public std::enable_shared_from_this<site_worker> {
+public:
+    /*!
+     * Constructs a worker; what it shares must outlive it.
+     * @param address Where it listens.
+     * @param announced Address that it registers.
+     */
+    site_worker(site_shared shared, std::string name, std::string address, std::string announced, std::string domain);
+
+    /*! Registers and begins to work. */
+    void start();
+
+    /*! Loses everything that it held; it is back under its name after a time. */
+    void restart(std::int64_t down_ms);
+
+    /*! Registers as one that takes no new work, or takes it again. */
+    void set_leaving(bool leaving);
+
+    /*! Returns the faults of the address. */
+    [[nodiscard]] faults &fault() noexcept {
+        return service_->fault;
+    }
+
+    /*! Closes all connections. */
+    void close_connections() {
+        service_->close_connections();
+    }
+
+    /*! Part of the orders, in percent, that get no answer and are carried out two seconds later. */
+    std::int64_t late_percent{};
+
+    /*! True while no run gets any further. */
+    bool is_stuck{};
+
+private:
+    struct run {
+        run_key key;
+        scripted_step step;
+        std::int64_t begun_at{};
+        /*! Time that was worked, at the latest look at it. */
+        std::int64_t worked_ms{};
+        std::int64_t seen_at{};
+    };
+
+    struct ended_run {
+        std::uint64_t number{};
+        run_key key;
+        run_end how{run_end::done};
+    };
+
+    boost::asio::awaitable<response> handle(request message);
+    boost::asio::awaitable<response> hold(boost::json::value body);
+    [[nodiscard]] response start_run(boost::json::value const &body);
+    [[nodiscard]] response stop_run(boost::json::value const &body);
+    [[nodiscard]] bool takes_token(boost::json::value const &body);
+    [[nodiscard]] bool has_ticket(boost::json::value const &body, run_key const &key) const;
+    [[nodiscard]] response refused(std::string_view reason) const;
+    [[nodiscard]] response listed() const;
+    void extend_lease(boost::json::value const &body);
+    boost::asio::awaitable<void> run_clock(std::shared_ptr<site_worker> self);
+    void advance(std::int64_t now);
+    void end(std::list<run>::iterator item, run_end how);
+    void register_self();
+    [[nodiscard]] std::int64_t own_clock() const;
+
+    site_shared shared_;
+    std::string name_;
+    std::string address_;
+    std::string announced_;
+    std::string domain_;
+    std::shared_ptr<http_service> service_;
+    std::uint64_t born_{};
+    std::int64_t clock_start_{};
+    std::int64_t lease_until_{};
+    std::uint64_t token_{};
+    std::uint64_t next_end_{1u};
+    std::list<run> runs_;
+    std::vector<ended_run> ended_;
+    /*! Highest run of each task that was stopped or has ended here. */
+    std::map<scripted_task, std::uint32_t> closed_;
+    bool is_leaving_{};
+};
+
+/*! Returns a ticket with which a step may start on a worker. */
+[[nodiscard]] std::string make_ticket(std::string const &step, std::string const &worker);
+
+/*! Tells whether a step may run on a worker; it never changes. */
+[[nodiscard]] bool is_allowed(std::string const &step, std::string const &worker);
+
+} // namespace kingcuplink::standin
+
+#endif
--- a/test/process/fleet.cpp
+++ b/test/process/fleet.cpp
@@ -4,21 +4,10 @@
 #include <array>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
-#include <csignal>
-#include <cstdlib>
-#include <fcntl.h>
-#include <filesystem>
 #include <fstream>
-#include <kingcuplink/core/file_limit.hpp>
 #include <kingcuplink/core/hash.hpp>
 #include <kingcuplink/document/document_fold.hpp>
-#include <spawn.h>
 #include <stdexcept>
-#include <sys/wait.h>
-#include <thread>
-#include <unistd.h>
-
-extern char **environ;
 
 namespace kingcuplink::test {
 
@@ -27,36 +16,20 @@
 namespace json = boost::json;
 using verb = boost::beast::http::verb;
 
-constexpr int first_port = 10'000;
-constexpr int last_port = 31'000;
-constexpr int ports_per_fleet = 150;
-constexpr auto poll_interval = std::chrono::milliseconds{20};
 std::string const operator_key{"operator"};
 
-/*! Returns the first port of the next fleet of this machine. */
-int next_first_port() {
-    static int fleets = static_cast<int>(::getpid()) % ((last_port - first_port) / ports_per_fleet);
-    auto const port = first_port + fleets * ports_per_fleet;
-    fleets = (fleets + 1) % ((last_port - first_port) / ports_per_fleet);
-    return port;
-}
-
 } // namespace
 
-fleet::fleet(fleet_options options) : options_{std::move(options)}, next_port_{next_first_port()} {
-    raise_file_limit();
-    folder_ = (std::filesystem::temp_directory_path() /
-        ("kingcuplink-test-" + std::to_string(::getpid()) + "-" + std::to_string(next_port_)))
-                  .string();
-    std::filesystem::create_directories(folder_);
-    platform_ = take_address();
-    platform_admin_ = take_address();
-    endpoints_ = take_address();
+fleet::fleet(fleet_options options)
+    : options_{std::move(options)},
+      platform_{processes_.take_address()},
+      platform_admin_{processes_.take_address()},
+      endpoints_{processes_.take_address()} {
     auto const document = make_document();
-    auto const path = folder_ + "/document.json";
+    auto const path = processes_.folder() + "/document.json";
     std::ofstream{path} << json::serialize(document);
-    spawn("platform", {KINGCUPLINK_PLATFORM_STANDIN, "--address=" + platform_});
-    spawn("endpoints", {KINGCUPLINK_ENDPOINTS_STANDIN, "--address=" + endpoints_, "--document=" + path});
+    processes_.spawn("platform", {KINGCUPLINK_PLATFORM_STANDIN, "--address=" + platform_});
+    processes_.spawn("endpoints", {KINGCUPLINK_ENDPOINTS_STANDIN, "--address=" + endpoints_, "--document=" + path});
     server_connection platform{{platform_}, {}};
     auto const published = comes_true([&]() {
         return platform.send(verb::post, "/log/document", json::serialize(genesis_record("g", document))).answered;
@@ -71,24 +44,10 @@
         });
     });
     if(!ready) {
-        throw std::runtime_error{"the fleet did not start; see " + folder_};
+        throw std::runtime_error{"the fleet did not start; see " + processes_.folder()};
     }
 }
 
-fleet::~fleet() {
-    for(auto const &[name, pid]: processes_) {
-        ::kill(pid, SIGCONT);
-        ::kill(pid, SIGKILL);
-    }
-    for(auto const &[name, pid]: processes_) {
-        ::waitpid(pid, nullptr, 0);
-    }
-}
-
-std::string fleet::take_address() {
-    return "127.0.0.1:" + std::to_string(next_port_++);
-}
-
 json::value fleet::make_document() {
     json::array domains;
     for(std::size_t pos{}; pos < options_.entry_vms.size(); ++pos) {
@@ -97,18 +56,19 @@
         json::array workers;
         json::array runners;
         for(std::size_t count{1}; count <= options_.entry_vms[pos]; ++count) {
-            entry const item{name, take_address(), take_address()};
+            entry const item{name, processes_.take_address(), processes_.take_address()};
             entries_.emplace(name + std::to_string(count), item);
             entry_vms.push_back(
                 json::object{{"name", name + std::to_string(count)}, {"http", item.http}, {"peer", item.peer}});
         }
         for(std::size_t count{1}; count <= options_.workers; ++count) {
-            workers.push_back(json::object{{"name", name + "w" + std::to_string(count)}, {"address", take_address()},
-                {"rack", name + "r" + std::to_string((count + 1u) / 2u)},
+            workers.push_back(json::object{{"name", name + "w" + std::to_string(count)},
+                {"address", processes_.take_address()}, {"rack", name + "r" + std::to_string((count + 1u) / 2u)},
                 {"size", json::object{{"cores", 8}, {"memory_gib", 32}}}});
         }
         for(std::size_t count{1}; count <= options_.runners; ++count) {
-            runners.push_back(json::object{{"name", name + "r" + std::to_string(count)}, {"address", take_address()}});
+            runners.push_back(
+                json::object{{"name", name + "r" + std::to_string(count)}, {"address", processes_.take_address()}});
         }
         domains.push_back(json::object{{"name", name}, {"entry_vms", std::move(entry_vms)},
             {"workers", std::move(workers)}, {"runners", std::move(runners)}});
@@ -134,52 +94,24 @@
         {"policies", json::object{}}};
 }
 
-void fleet::spawn(std::string const &name, std::vector<std::string> arguments) {
-    std::vector<char *> pointers;
-    for(auto &argument: arguments) {
-        pointers.push_back(argument.data());
-    }
-    pointers.push_back(nullptr);
-    posix_spawn_file_actions_t actions;
-    ::posix_spawn_file_actions_init(&actions);
-    auto const log = folder_ + "/" + name + ".log";
-    ::posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-    ::posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-    pid_t pid{};
-    auto const failed = ::posix_spawn(&pid, pointers.front(), &actions, nullptr, pointers.data(), environ);
-    ::posix_spawn_file_actions_destroy(&actions);
-    if(failed != 0) {
-        throw std::runtime_error{"cannot start " + arguments.front()};
-    }
-    processes_[name] = pid;
-}
-
 void fleet::start(std::string const &entry_vm) {
     auto const &item = entries_.at(entry_vm);
-    spawn(entry_vm,
+    processes_.spawn(entry_vm,
         {KINGCUPLINK_DAEMON, "--name=" + entry_vm, "--failure_domain=" + item.domain, "--http_address=" + item.http,
             "--peer_address=" + item.peer, "--platform_address=" + platform_, "--drain_grace_ms=1000",
             "--allow_faults"});
 }
 
 void fleet::signal(std::string const &name, int const number) {
-    ::kill(processes_.at(name), number);
+    processes_.signal(name, number);
 }
 
 void fleet::kill(std::string const &entry_vm) {
-    auto const pid = processes_.at(entry_vm);
-    ::kill(pid, SIGKILL);
-    ::waitpid(pid, nullptr, 0);
-    processes_.erase(entry_vm);
+    processes_.kill(entry_vm);
 }
 
 int fleet::stop(std::string const &entry_vm) {
-    auto const pid = processes_.at(entry_vm);
-    ::kill(pid, SIGTERM);
-    int result{};
-    ::waitpid(pid, &result, 0);
-    processes_.erase(entry_vm);
-    return WIFEXITED(result) ? WEXITSTATUS(result) : -1;
+    return processes_.stop(entry_vm);
 }
 
 server_answer fleet::send(std::string const &entry_vm, verb const method, std::string const &target, std::string body,
@@ -296,17 +228,6 @@
     return send(entry_vm, verb::get, "/status", {}, {}, {}, millis{1'000}).body;
 }
 
-bool comes_true(std::function<bool()> const &condition, std::chrono::milliseconds const limit) {
-    auto const end = std::chrono::steady_clock::now() + limit;
-    while(std::chrono::steady_clock::now() < end) {
-        if(condition()) {
-            return true;
-        }
-        std::this_thread::sleep_for(poll_interval);
-    }
-    return condition();
-}
-
 json::object batch_job(std::string const &name, std::int64_t const count, std::int64_t const run_ms) {
     return {{"name", name}, {"kind", "batch"}, {"count", count},
         {"task_size", json::object{{"cores", 1}, {"memory_gib", 1}}}, {"run_time_ms", run_ms}};
--- a/test/process/fleet.hpp
+++ b/test/process/fleet.hpp
@@ -1,14 +1,14 @@
 #ifndef KINGCUPLINK_TEST_PROCESS_FLEET_HPP_INCLUDED
 #define KINGCUPLINK_TEST_PROCESS_FLEET_HPP_INCLUDED
 
+#include "process_set.hpp"
+
 #include <boost/json/value.hpp>
-#include <chrono>
 #include <functional>
 #include <kingcuplink/cli/server_connection.hpp>
 #include <kingcuplink/core/json_fields.hpp>
 #include <map>
 #include <string>
-#include <sys/types.h>
 #include <vector>
 
 namespace kingcuplink::test {
@@ -30,12 +30,6 @@
     /*! Starts all processes and waits until every failure domain has a leader. */
     explicit fleet(fleet_options options = {});
 
-    /*! Ends all processes. */
-    ~fleet();
-
-    fleet(fleet const &) = delete;
-    fleet &operator=(fleet const &) = delete;
-
     /*! Starts an entry VM. */
     void start(std::string const &entry_vm);
 
@@ -104,23 +98,16 @@
         std::string peer;
     };
 
-    void spawn(std::string const &name, std::vector<std::string> arguments);
     [[nodiscard]] boost::json::value make_document();
-    [[nodiscard]] std::string take_address();
 
     fleet_options options_;
-    int next_port_;
-    std::string folder_;
+    process_set processes_;
     std::string platform_;
     std::string platform_admin_;
     std::string endpoints_;
     std::map<std::string, entry> entries_;
-    std::map<std::string, pid_t> processes_;
 };
 
-/*! Waits until a condition is true, for a time at most; returns whether it became true. */
-bool comes_true(std::function<bool()> const &condition, std::chrono::milliseconds limit = std::chrono::seconds{20});
-
 /*! Returns a batch job of one core a task. */
 [[nodiscard]] boost::json::object batch_job(std::string const &name, std::int64_t count, std::int64_t run_ms);
 
--- /dev/null
+++ b/test/process/process_set.cpp
@@ -0,0 +1,119 @@
+#include "process_set.hpp"
+
+#include <csignal>
+#include <fcntl.h>
+#include <filesystem>
+#include <kingcuplink/core/file_limit.hpp>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+extern char **environ;
+
+namespace kingcuplink::test {
+
+namespace {
+
+constexpr int first_port = 10'000;
+constexpr int last_port = 31'000;
+constexpr int ports_per_set = 150;
+constexpr int sets_per_process = 17;
+constexpr auto poll_interval = std::chrono::milliseconds{20};
+
+/*! Returns the first port of the next set of this machine. */
+int next_first_port() {
+    // Processes that are started one after the other have numbers that follow each other, and several sets each.
+    static int sets = static_cast<int>(::getpid()) * sets_per_process % ((last_port - first_port) / ports_per_set);
+    auto const port = first_port + sets * ports_per_set;
+    sets = (sets + 1) % ((last_port - first_port) / ports_per_set);
+    return port;
+}
+
+} // namespace
+
+process_set::process_set() : next_port_{next_first_port()} {
+    raise_file_limit();
+    folder_ = (std::filesystem::temp_directory_path() /
+        ("kingcuplink-test-" + std::to_string(::getpid()) + "-" + std::to_string(next_port_)))
+                  .string();
+    std::filesystem::create_directories(folder_);
+}
+
+process_set::~process_set() {
+    for(auto const &[name, pid]: processes_) {
+        ::kill(pid, SIGCONT);
+        ::kill(pid, SIGKILL);
+    }
+    for(auto const &[name, pid]: processes_) {
+        ::waitpid(pid, nullptr, 0);
+    }
+}
+
+std::string process_set::take_address() {
+    return "127.0.0.1:" + std::to_string(next_port_++);
+}
+
+void process_set::spawn(std::string const &name, std::vector<std::string> arguments) {
+    std::vector<char *> pointers;
+    for(auto &argument: arguments) {
+        pointers.push_back(argument.data());
+    }
+    pointers.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    ::posix_spawn_file_actions_init(&actions);
+    auto const log = folder_ + "/" + name + ".log";
+    ::posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    ::posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    pid_t pid{};
+    auto const failed = ::posix_spawn(&pid, pointers.front(), &actions, nullptr, pointers.data(), environ);
+    ::posix_spawn_file_actions_destroy(&actions);
+    if(failed != 0) {
+        throw std::runtime_error{"cannot start " + arguments.front()};
+    }
+    processes_[name] = pid;
+}
+
+void process_set::signal(std::string const &name, int const number) {
+    ::kill(processes_.at(name), number);
+}
+
+void process_set::kill(std::string const &name) {
+    auto const pid = processes_.at(name);
+    ::kill(pid, SIGKILL);
+    ::waitpid(pid, nullptr, 0);
+    processes_.erase(name);
+}
+
+int process_set::stop(std::string const &name) {
+    auto const pid = processes_.at(name);
+    ::kill(pid, SIGTERM);
+    int result{};
+    ::waitpid(pid, &result, 0);
+    processes_.erase(name);
+    return WIFEXITED(result) ? WEXITSTATUS(result) : -1;
+}
+
+bool process_set::contains(std::string const &name) const {
+    return processes_.contains(name);
+}
+
+bool process_set::has_ended(std::string const &name) {
+    siginfo_t end{};
+    ::waitid(P_PID, static_cast<id_t>(processes_.at(name)), &end, WEXITED | WNOHANG | WNOWAIT);
+    return end.si_pid != 0;
+}
+
+bool comes_true(std::function<bool()> const &condition, std::chrono::milliseconds const limit) {
+    auto const end = std::chrono::steady_clock::now() + limit;
+    while(std::chrono::steady_clock::now() < end) {
+        if(condition()) {
+            return true;
+        }
+        std::this_thread::sleep_for(poll_interval);
+    }
+    return condition();
+}
+
+} // namespace kingcuplink::test
--- a/test/site/site_test.cpp
+++ b/test/site/site_test.cpp
@@ -112,6 +112,16 @@
     CHECK(site.workers.starts() == 2u);
 }
 
+TEST_CASE("a job that another entry VM accepted just now is known, and can be cancelled") {
+    scripted_site site{2u};
+    site.run_until([&]() { return site.leader() != nullptr; });
+    for(auto const wish: {caller_wish::ask, caller_wish::cancel}) {
+        auto const *id = wish == caller_wish::ask ? "00000000000000aa" : "00000000000000ab";
+        CHECK_FALSE(site.ask(0u, caller_wish::submit, id).refused);
+        CHECK_FALSE(site.ask(1u, wish, id).refused);
+    }
+}
+
 TEST_CASE("little is kept of a job that has ended, and an entry VM that comes later tells its end") {
     scripted_site site{1u};
     site.run_until([&]() { return site.leader() != nullptr; });
