Do not claim leadership again and again while the log is slow

The leader lost its place, and from 8 to 16 s nothing was started and little accepted (1,248 unknown outcomes).

Now a claim that the log did not take is tried again after 1 s, doubling to 4 s; claims for want of the leader's appends are spread over 4 s; an entry VM outdoes its leader only if its own appends are faster; the leader's beats tell how long its appends take, and callers' records wait three of them for it before they are appended beside it; appends of callers' records are repeated after 150 ms doubling to 1.2 s. Beats go to 64 entry VMs instead of 8, since the others claimed by the log's silence alone.

--- a/src/kingcuplink/site/fleet_lead.cpp
+++ b/src/kingcuplink/site/fleet_lead.cpp
@@ -326,6 +326,7 @@
             case append_outcome::done:
                 is_kept = true;
                 appended_at_ = sent_at;
+                append_time_ = std::chrono::duration_cast<millis>(current_time() - sent_at);
                 parts_.stats.add(event::journal_appended);
                 break;
             case append_outcome::fenced:
@@ -448,6 +449,7 @@
     beat.set_term(term_);
     beat.set_log_age_ms(static_cast<std::uint64_t>(std::max(millis{}, current_time() - appended_at_).count()));
     beat.set_most_millicores(most_millicores());
+    beat.set_append_ms(static_cast<std::uint64_t>(append_time_.count()));
     for(auto const &[millicores, peer]: receivers) {
         peers_.send(std::string{peer}, message);
     }
--- a/src/kingcuplink/site/fleet_lead.hpp
+++ b/src/kingcuplink/site/fleet_lead.hpp
@@ -150,7 +150,9 @@
     wakeup plan_wanted_;
     wakeup journal_wanted_;
     instant begun_at_;
+    /*! When the latest append that was done was sent, and the time that it took. */
     instant appended_at_;
+    millis append_time_{};
     bool over_{};
 };
 
--- a/src/kingcuplink/site/leader_watch.cpp
+++ b/src/kingcuplink/site/leader_watch.cpp
@@ -16,6 +16,7 @@
     }
     auto const is_change = claim.term > claim_.term || claim.resigned != claim_.resigned;
     claim_ = std::move(claim);
+    claim_rest_ = is_change ? millis{} : claim_rest_;
     return is_change;
 }
 
@@ -23,18 +24,25 @@
     seen_at_ = now;
 }
 
-void leader_watch::note_beat(
-    std::uint64_t const term, millis const log_age, std::uint32_t const most_millicores, instant const now) noexcept {
-    if(term >= claim_.term) {
-        most_millicores_ = most_millicores;
-        beat_term_ = term;
+void leader_watch::note_beat(leader_beat const &beat, instant const now) noexcept {
+    if(beat.term >= claim_.term) {
+        beat_ = beat;
         beat_at_ = now;
-        beat_log_age_ = log_age;
     }
 }
 
-void leader_watch::note_own_append(instant const now) noexcept {
+void leader_watch::note_own_append(millis const took, instant const now) noexcept {
     own_append_at_ = now;
+    own_append_took_ = took;
+}
+
+void leader_watch::note_failed_claim(instant const now) noexcept {
+    claim_rest_ = std::clamp(claim_rest_ * 2, timing::claim_rest, timing::longest_claim_rest);
+    no_claim_before_ = now + claim_rest_ + deference();
+}
+
+millis leader_watch::relay_time() const noexcept {
+    return std::max(timing::relay_timeout, beat_.append_time * timing::relay_appends);
 }
 
 millis leader_watch::silence(instant const now) const noexcept {
@@ -42,7 +50,7 @@
 }
 
 bool leader_watch::takes_records(instant const now) const noexcept {
-    return has_beats() && beat_at_ + timing::relay_beat_age > now && beat_log_age_ < timing::useless_leader;
+    return has_beats() && beat_at_ + timing::relay_beat_age > now && beat_.log_age < timing::useless_leader;
 }
 
 bool has_much_more(std::uint32_t const millicores, std::uint32_t const than) noexcept {
@@ -50,7 +58,7 @@
 }
 
 bool leader_watch::should_claim(instant const read_at, instant const now) const noexcept {
-    if(read_at + timing::log_wait + timing::claim_freshness <= now) {
+    if(read_at + timing::log_wait + timing::claim_freshness <= now || now < no_claim_before_) {
         // Whoever leads may be in records that were not read.
         return false;
     }
@@ -62,15 +70,24 @@
     if(std::max(seen_at_, beat_at_) + longest + deference() < now) {
         return true;
     }
-    auto const takes_own = own_append_at_ + timing::own_append_age > now;
-    return has_beats() && beat_log_age_ > (takes_own ? timing::outdone_leader : timing::useless_leader);
+    return is_useless();
+}
+
+bool leader_watch::is_useless() const noexcept {
+    if(!has_beats()) {
+        return false;
+    }
+    // A log that is slow for all of them is no reason to replace a leader.
+    auto const outdone = own_append_at_ + timing::own_append_age > beat_at_ &&
+        beat_.log_age > timing::outdone_leader + own_append_took_ * timing::relay_appends;
+    return outdone || beat_.log_age > timing::useless_leader + deference() * timing::useless_spread;
 }
 
 millis leader_watch::deference() const noexcept {
     auto const hash = stable_hash(own_name_, claim_.term);
     auto const spread = millis{
         static_cast<std::int64_t>(hash % static_cast<std::uint64_t>(timing::claim_spread.count()))};
-    return has_much_more(most_millicores_, own_millicores_) ? spread + timing::small_claim_delay : spread;
+    return has_much_more(beat_.most_millicores, own_millicores_) ? spread + timing::small_claim_delay : spread;
 }
 
 } // namespace kingcuplink
--- a/src/kingcuplink/site/leader_watch.hpp
+++ b/src/kingcuplink/site/leader_watch.hpp
@@ -15,6 +15,17 @@
  */
 [[nodiscard]] bool has_much_more(std::uint32_t millicores, std::uint32_t than) noexcept;
 
+/*! What a leader's beat says. */
+struct leader_beat {
+    std::uint64_t term{};
+    /*! Time since the log last took an append of the leader. */
+    millis log_age{};
+    /*! Time that the latest of them took. */
+    millis append_time{};
+    /*! Most processor time that an entry VM is known to have. */
+    std::uint32_t most_millicores{};
+};
+
 /*!
  * What an entry VM knows of the fleet's leader, and whether it had better claim
  * leadership itself. It performs no I/O and reads no clock; safety rests on the log,
@@ -37,15 +48,14 @@
     /*! Notes that the log showed a record that only the leader writes. */
     void note_record(instant now) noexcept;
 
-    /*!
-     * Takes a beat of a leader; those of earlier terms count for nothing.
-     * @param log_age Time since the log last took an append of the leader.
-     * @param most_millicores Most processor time that an entry VM is known to have.
-     */
-    void note_beat(std::uint64_t term, millis log_age, std::uint32_t most_millicores, instant now) noexcept;
+    /*! Takes a beat of a leader; those of earlier terms count for nothing. */
+    void note_beat(leader_beat const &beat, instant now) noexcept;
+
+    /*! Notes that the log took an append of this entry VM itself, and the time that it needed. */
+    void note_own_append(millis took, instant now) noexcept;
 
-    /*! Notes that the log took an append of this entry VM itself. */
-    void note_own_append(instant now) noexcept;
+    /*! Notes that the log did not take a claim of this entry VM: each failure doubles the time to the next. */
+    void note_failed_claim(instant now) noexcept;
 
     /*! Returns the latest claim; its term is zero before the first. */
     [[nodiscard]] leader_claim const &claim() const noexcept {
@@ -54,12 +64,15 @@
 
     /*! Tells whether the leader of the latest claim has sent a beat to this entry VM. */
     [[nodiscard]] bool has_beats() const noexcept {
-        return claim_.term > 0u && beat_term_ == claim_.term;
+        return claim_.term > 0u && beat_.term == claim_.term;
     }
 
     /*! Returns how long the log has shown nothing of the leader. */
     [[nodiscard]] millis silence(instant now) const noexcept;
 
+    /*! Returns how long the leader is waited for that was asked to append: longer while the log is slow. */
+    [[nodiscard]] millis relay_time() const noexcept;
+
     /*! Tells whether the leader lives and its appends are done, so that it may be asked to append. */
     [[nodiscard]] bool takes_records(instant now) const noexcept;
 
@@ -70,19 +83,20 @@
     [[nodiscard]] bool should_claim(instant read_at, instant now) const noexcept;
 
 private:
+    [[nodiscard]] bool is_useless() const noexcept;
     /*! Returns how long this entry VM lets others claim before it. */
     [[nodiscard]] millis deference() const noexcept;
 
     std::string own_name_;
     std::uint32_t own_millicores_;
-    std::uint32_t most_millicores_{};
     leader_claim claim_;
     instant seen_at_{};
-    /*! Latest beat. */
-    std::uint64_t beat_term_{};
+    leader_beat beat_;
     instant beat_at_{};
-    millis beat_log_age_{};
     instant own_append_at_{};
+    millis own_append_took_{};
+    instant no_claim_before_{};
+    millis claim_rest_{};
 };
 
 } // namespace kingcuplink
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -182,7 +182,7 @@
     while(answer.outcome == read_outcome::done && jobs_.offset() < answer.end && current_time() < give_up_at) {
         co_await pause_for(parts_.context, timing::catch_up_check);
     }
-    co_return answer.outcome == read_outcome::done && jobs_.offset() >= answer.end;
+    co_return answer.outcome == read_outcome::done &&jobs_.offset() >= answer.end;
 }
 
 caller_answer site_node::tell_state(queue_rules const &queue, std::string const &id) const {
@@ -280,9 +280,10 @@
     intake_sent_at_ = current_time();
     auto refusals = 0;
     auto may_be_done = false;
+    auto retry = timing::log_retry;
     if(leader_takes_records()) {
         // The leader appends the records of all entry VMs together.
-        auto const outcome = co_await hand_to_leader(items, timing::relay_timeout);
+        auto const outcome = co_await hand_to_leader(items, watch_.relay_time());
         may_be_done = outcome == append_outcome::unknown;
         refusals += outcome == append_outcome::refused ? 1 : 0;
         if(outcome == append_outcome::done) {
@@ -298,10 +299,11 @@
         for(auto const &item: items) {
             records.push_back(item->record);
         }
+        auto const sent_at = current_time();
         auto const answer = co_await parts_.log.append(log_stream::jobs, std::move(records), std::nullopt);
         auto const is_done = answer.outcome == append_outcome::done;
         if(is_done) {
-            watch_.note_own_append(current_time());
+            watch_.note_own_append(std::chrono::duration_cast<millis>(current_time() - sent_at), current_time());
         }
         may_be_done = may_be_done || answer.outcome == append_outcome::unknown;
         refusals += answer.outcome == append_outcome::refused ? 1 : 0;
@@ -318,7 +320,8 @@
         });
         if(!items.empty()) {
             parts_.stats.add(event::log_append_failed);
-            co_await pause_for(parts_.context, timing::log_retry);
+            co_await pause_for(parts_.context, retry);
+            retry = std::min(retry * 2, timing::longest_log_retry);
         }
     }
     --intake_appends_;
@@ -531,7 +534,7 @@
     } while(answer.outcome == append_outcome::unknown && watch_.claim().term < term);
     if(answer.outcome != append_outcome::done) {
         // Another one was first, or the log is away: its next record tells.
-        watch_.note_record(current_time());
+        watch_.note_failed_claim(current_time());
         co_return;
     }
     is_claiming_ = true;
@@ -626,8 +629,9 @@
 }
 
 void site_node::take_beat(wire::leader_beat const &beat) {
-    auto const log_age = millis{static_cast<std::int64_t>(beat.log_age_ms())};
-    watch_.note_beat(beat.term(), log_age, beat.most_millicores(), current_time());
+    auto const time_of = [](std::uint64_t const ms) { return millis{static_cast<std::int64_t>(ms)}; };
+    watch_.note_beat(
+        {beat.term(), time_of(beat.log_age_ms()), time_of(beat.append_ms()), beat.most_millicores()}, current_time());
 }
 
 void site_node::take_ends(wire::job_ends const &ends) {
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -11,14 +11,19 @@
 inline constexpr millis most_lease{8'000};
 /*! Time between the leader's beats to other entry VMs. */
 inline constexpr millis beat_interval{200};
-/*! Entry VMs that get beats; the others go by the log. */
-inline constexpr std::size_t beat_receivers{8u};
+/*! Entry VMs that get beats, 1 KB/s each at most; the others go by the log. */
+inline constexpr std::size_t beat_receivers{64u};
 /*! Silence of a leader's beats and records after which another entry VM claims leadership: four beats. */
 inline constexpr millis beat_silence{800};
 /*! Silence of a leader in the log after which an entry VM that gets no beats claims leadership. */
-inline constexpr millis log_silence{2'200};
+inline constexpr millis log_silence{3'000};
 /*! Time without an append after which a leader that lives is replaced by an entry VM that can read the log. */
 inline constexpr millis useless_leader{2'500};
+/*! By how much more than usual such claims are spread: many entry VMs see the same. */
+inline constexpr int useless_spread = 20;
+/*! Time after a claim that the log did not take in which no other is tried; it doubles up to the limit. */
+inline constexpr millis claim_rest{1'000};
+inline constexpr millis longest_claim_rest{4'000};
 /*! The same for an entry VM whose own appends are done meanwhile; above the leader's heartbeat. */
 inline constexpr millis outdone_leader{1'000};
 /*! Age of an own append up to which an entry VM knows that the log takes its records, if not the leader's. */
@@ -39,16 +44,19 @@
 inline constexpr millis append_spacing{20};
 /*! Delay of a caller's append in which others can join it. */
 inline constexpr millis intake_spacing{10};
-/*! Time that another entry VM has to append a caller's record. */
+/*! Least time that another entry VM has to append a caller's record. */
 inline constexpr millis relay_timeout{1'000};
+/*! Appends of the leader that are waited for at most; one may be under way, one is needed. */
+inline constexpr int relay_appends = 3;
 /*! Time between looks whether the leader that was asked still lives. */
 inline constexpr millis relay_check{100};
 /*! Age of the leader's latest beat up to which callers' records go through it. */
 inline constexpr millis relay_beat_age{500};
 /*! Age of an append from which on another one may be sent beside it. */
 inline constexpr millis slow_append{400};
-/*! Delay before an append or read that failed is tried again. */
+/*! Delay before an append or read that failed is tried again; it doubles for an append of a caller's record. */
 inline constexpr millis log_retry{150};
+inline constexpr millis longest_log_retry{1'200};
 /*! Time that the log waits for a record. */
 inline constexpr millis log_wait{1'500};
 /*! Time between reads of the stream of jobs by the leader, which appends most of it; each is paid for. */
