Send callers of a domain that is cut off elsewhere sooner

The entry VMs there noticed after up to 2.7 s that the log was away (a read that waits 1.5 s and its time of 1.2 s), said so to the balancer 1.5 s later, and the balancer looks twice; and each submission was tried for up to 2 s before it was answered "outcome unknown".

Reads of jobs wait 0.5 s and have 1 s more; readiness goes 0.3 s after the log; without the log and without a leader that answers, submissions and cancellations are refused at once, which is true: nothing was sent.

--- a/src/kingcuplink/site/leader_watch.cpp
+++ b/src/kingcuplink/site/leader_watch.cpp
@@ -58,7 +58,7 @@
 }
 
 bool leader_watch::should_claim(instant const read_at, instant const now) const noexcept {
-    if(read_at + timing::log_wait + timing::claim_freshness <= now || now < no_claim_before_) {
+    if(read_at + timing::jobs_wait + timing::claim_freshness <= now || now < no_claim_before_) {
         // Whoever leads may be in records that were not read.
         return false;
     }
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -17,8 +17,8 @@
 constexpr millis default_patience{2'000};
 /*! Part of a caller's patience that is left for the answer's way back. */
 constexpr millis answer_reserve{300};
-/*! Time without the log after which new callers had better go elsewhere. */
-constexpr millis log_loss_grace{1'500};
+/*! Time without the log after which new callers had better go elsewhere; two more reads. */
+constexpr millis log_loss_grace{300};
 /*! Time between looks for jobs to forget. */
 constexpr millis forget_interval{5'000};
 /*! Time between looks at the leader. */
@@ -212,6 +212,10 @@
 }
 
 boost::asio::awaitable<append_outcome> site_node::hand_in(keyed_record record, millis const patience) {
+    if(!log_reached_ && !leader_takes_records()) {
+        // The caller had better try elsewhere now.
+        co_return append_outcome::refused;
+    }
     auto const item = add_intake(std::move(record), patience);
     while(!item->is_settled && current_time() < item->give_up_at) {
         co_await item->settled.wait(item->give_up_at - current_time());
@@ -332,7 +336,7 @@
 
 boost::asio::awaitable<void> site_node::follow_jobs() {
     while(true) {
-        auto batch = co_await jobs_.next(timing::log_wait);
+        auto batch = co_await jobs_.next(timing::jobs_wait);
         note_dependency(batch.has_value());
         if(!batch) {
             refresh_ready();
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -57,8 +57,10 @@
 /*! Delay before an append or read that failed is tried again; it doubles for an append of a caller's record. */
 inline constexpr millis log_retry{150};
 inline constexpr millis longest_log_retry{1'200};
-/*! Time that the log waits for a record. */
+/*! Time that the log waits for a record of rules or registrations; each read is paid for. */
 inline constexpr millis log_wait{1'500};
+/*! The same for jobs: an entry VM that is cut off from the log finds out after this and the time of a read. */
+inline constexpr millis jobs_wait{500};
 /*! Time between reads of the stream of jobs by the leader, which appends most of it; each is paid for. */
 inline constexpr millis leader_read_spacing{100};
 /*! Time between reads of an entry VM that has claimed leadership and waits for its own record. */
--- a/test/site/site_test.cpp
+++ b/test/site/site_test.cpp
@@ -193,6 +193,21 @@
     CHECK(site.leader() == second);
 }
 
+TEST_CASE("pattern: an entry VM that is cut off sends callers elsewhere at once") {
+    // In a failure domain that is cut off callers reach its entry VMs until these are not ready.
+    scripted_site site{2u};
+    site.run_until([&]() { return site.leader() != nullptr; });
+    auto const cut = site.vms[0]->node->leads() ? 1u : 0u;
+    site.vms[1u - cut]->is_alive = false;
+    site.vms[cut]->log.is_open = false;
+    site.run_until([&]() { return !site.vms[cut]->node->is_ready(); });
+    auto const began = std::chrono::steady_clock::now();
+    auto const answer = site.ask(cut, caller_wish::submit, "00000000000000aa");
+    REQUIRE(answer.refused);
+    CHECK(answer.refused->reason == refusal::log_unavailable);
+    CHECK(std::chrono::steady_clock::now() - began < millis{100});
+}
+
 TEST_CASE("pattern: a slow log gets callers' records from the leader alone") {
     // Appends beside the leader's would queue behind it in the one partition.
     scripted_site site{2u};
