--- a/src/kingcuplink/daemon/site_daemon.cpp
+++ b/src/kingcuplink/daemon/site_daemon.cpp
@@ -114,6 +114,7 @@
 
 int run_site_daemon(site_settings const &settings) {
     counters stats;
+    latencies times;
     decision_log decisions{STDOUT_FILENO, settings.name};
     boost::asio::io_context control{1};
     boost::asio::io_context traffic{1};
@@ -125,7 +126,7 @@
     std::unique_ptr<site_node> node;
     try {
         node = std::make_unique<site_node>(
-            node_parts{control, settings, stats, decisions, log, reader, workers, advice});
+            node_parts{control, settings, stats, times, decisions, log, reader, workers, advice});
     } catch(zmq::error_t const &failure) {
         std::cerr << "kingcuplinkd: --peer_address '" << settings.peer_address << "' cannot be used: " << failure.what()
                   << ": free the address or name another\n";
--- a/src/kingcuplink/site/fleet_lead.cpp
+++ b/src/kingcuplink/site/fleet_lead.cpp
@@ -293,6 +293,7 @@
         for(auto const &job: batch.ended_jobs) {
             // Whoever reads all newest records need not read what ended jobs were.
             records.push_back(encode(job));
+            parts_.times.add(latency::job, current_time() - job.accepted_at);
         }
         if(!records.empty() && !co_await keep(std::move(records))) {
             break;
@@ -326,7 +327,8 @@
             case append_outcome::done:
                 is_kept = true;
                 appended_at_ = sent_at;
-                append_time_ = std::chrono::duration_cast<millis>(current_time() - sent_at);
+                append_time_ = current_time() - sent_at;
+                parts_.times.add(latency::log_append, append_time_);
                 parts_.stats.add(event::journal_appended);
                 break;
             case append_outcome::fenced:
@@ -355,6 +357,7 @@
         worker_target target{run.worker, run.address, run.boot};
         answer = co_await parts_.workers.start(
             std::move(target), run, term_, *clock + lease_.count(), timing::order_timeout);
+        parts_.times.add(latency::task_start, current_time() - now);
     }
     if(over_) {
         co_return;
@@ -499,7 +502,11 @@
 
 boost::asio::awaitable<void> fleet_lead::ask_adviser(
     [[maybe_unused]] self_pointer self, advice_query query, millis const limit) {
+    auto const asked_at = current_time();
     auto const grants = co_await parts_.advice.ask(query, limit);
+    if(grants) {
+        parts_.times.add(latency::advice, current_time() - asked_at);
+    }
     if(!over_) {
         settle_question(parts_.settings.name, query, grants);
     }
--- a/src/kingcuplink/site/node_parts.hpp
+++ b/src/kingcuplink/site/node_parts.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <kingcuplink/core/counters.hpp>
 #include <kingcuplink/core/decision_log.hpp>
+#include <kingcuplink/core/latencies.hpp>
 #include <kingcuplink/site/ports.hpp>
 #include <kingcuplink/site/site_settings.hpp>
 
@@ -14,6 +15,7 @@
     boost::asio::io_context &context;
     site_settings const &settings;
     counters &stats;
+    latencies &times;
     decision_log &decisions;
     keyed_log &log;
     site_decoder &decoder;
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -131,6 +131,7 @@
     switch(outcome) {
     case append_outcome::done:
         parts_.stats.add(event::job_accepted);
+        parts_.times.add(latency::acceptance, current_time() - job.accepted_at);
         parts_.decisions.write(decision::job_accepted,
             {{"job", id}, {"queue", job.queue}, {"account", job.account}, {"rules", rules_->version},
                 {"ms", (current_time() - job.accepted_at).count()}});
@@ -307,7 +308,8 @@
         auto const answer = co_await parts_.log.append(log_stream::jobs, std::move(records), std::nullopt);
         auto const is_done = answer.outcome == append_outcome::done;
         if(is_done) {
-            watch_.note_own_append(std::chrono::duration_cast<millis>(current_time() - sent_at), current_time());
+            watch_.note_own_append(current_time() - sent_at, current_time());
+            parts_.times.add(latency::log_append, current_time() - sent_at);
         }
         may_be_done = may_be_done || answer.outcome == append_outcome::unknown;
         refusals += answer.outcome == append_outcome::refused ? 1 : 0;
@@ -689,7 +691,11 @@
 boost::asio::awaitable<void> site_node::answer_question(std::string peer, wire::advice_question question) {
     advice_query query{question.job(), question.step(), {question.workers().begin(), question.workers().end()}, {}};
     auto const patience = millis{static_cast<std::int64_t>(question.patience_ms())};
+    auto const asked_at = current_time();
     auto const grants = co_await parts_.advice.ask(std::move(query), patience);
+    if(grants) {
+        parts_.times.add(latency::advice, current_time() - asked_at);
+    }
     wire::envelope message;
     auto &answer = *message.mutable_advice_answer();
     answer.set_id(question.id());
@@ -705,7 +711,7 @@
 }
 
 std::string site_node::metrics() const {
-    auto text = parts_.stats.prometheus_text();
+    auto text = parts_.stats.prometheus_text() + parts_.times.prometheus_text();
     auto const add = [&text](std::string_view const name, auto const value) {
         text.append("kingcuplink_").append(name).append(" ").append(std::to_string(value)).append("\n");
     };
--- a/test/site/scripted_site.cpp
+++ b/test/site/scripted_site.cpp
@@ -239,7 +239,7 @@
     settings.peer_address = std::move(address);
     settings.processor_millicores = millicores;
     node = std::make_unique<site_node>(
-        node_parts{context, settings, stats, decisions, log, decoder, site.workers, adviser});
+        node_parts{context, settings, stats, times, decisions, log, decoder, site.workers, adviser});
     node->start();
 }
 
--- a/test/site/scripted_site.hpp
+++ b/test/site/scripted_site.hpp
@@ -175,6 +175,7 @@
         boost::asio::io_context context{1};
         site_settings settings;
         counters stats;
+        latencies times;
         decision_log decisions;
         gated_log log;
         approving_adviser adviser;
