Stop a task for gangs twice at most; let gangs without advice gather room as well

Now a task is stopped for gangs twice at most, and a run is left alone for 2 s instead of 0.5 s.

The test found another fault: a gang of a queue without advice never kept room nor had work stopped, since it counted as waiting for its first advice.

--- a/src/kingcuplink/workflow/dispatch_planner.cpp
+++ b/src/kingcuplink/workflow/dispatch_planner.cpp
@@ -18,8 +18,11 @@
 constexpr std::size_t query_workers_besides = 8u;
 /*! Short questions under way for each entry VM; the adviser refuses beyond 32 waiting calls. */
 constexpr std::size_t short_queries_each = 6u;
-/*! Time that a run is left alone before it may be stopped for a gang. */
-constexpr millis settled_time{500};
+/*! Time that a run is left alone before it may be stopped for a gang: it restores its checkpoint and writes the next.
+ */
+constexpr millis settled_time{2'000};
+/*! How often a task is stopped for gangs at most, so that it gets done on a fleet full of them. */
+constexpr std::uint32_t most_preemptions = 2u;
 /*! Time on top of an expected question in which a ticket counts as about to lapse. */
 constexpr millis renewal_margin{100};
 constexpr auto no_candidate = std::numeric_limits<std::size_t>::max();
@@ -288,7 +291,8 @@
     if(!is_within_ceiling(job, definition.task_size * definition.count) || place_members(turn, options, members)) {
         return false;
     }
-    if(step.advice.asked.empty()) {
+    auto const *queue = find_queue(*state_.rules, job.definition.queue);
+    if(queue != nullptr && queue->advice && step.advice.asked.empty()) {
         return waiting_gangs_++ < advised_gangs;
     }
     // Tickets lapse soon: they are worth renewing only where the gang could start with them.
@@ -350,7 +354,8 @@
         return false;
     }
     auto const &definition = job->definition.steps[run.key.step];
-    return definition.checkpointing && !definition.gang &&
+    auto const &task = job->steps[run.key.step].tasks[run.key.index];
+    return definition.checkpointing && !definition.gang && task.preemptions < most_preemptions &&
         turn.rank < rank_of(job->objective, run.key.step, job->is_excess, now_);
 }
 
@@ -413,10 +418,11 @@
             --missing;
         }
     }
-    if(missing > 0u) {
-        // Stopping them would not let the gang start.
-        for(auto const id: victims) {
-            state_.placements[id].stop_wanted = false;
+    // If room is still missing, stopping them would not let the gang start.
+    for(auto const id: victims) {
+        state_.placements[id].stop_wanted = missing == 0u;
+        if(auto *task = state_.task_of(id); task != nullptr && missing == 0u) {
+            ++task->preemptions;
         }
     }
     return missing == 0u;
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -64,6 +64,8 @@
     /*! Latest run whose end was taken note of: a worker may list an end more than once. */
     std::uint32_t ended_run{};
     std::uint32_t failures{};
+    /*! How often it was stopped for a gang. */
+    std::uint32_t preemptions{};
     std::string checkpoint{};
     placement_id placement{};
     instant not_before{};
--- a/test/workflow/fixture.cpp
+++ b/test/workflow/fixture.cpp
@@ -166,6 +166,7 @@
 }
 
 void scripted_fleet::obey(run_stop const &order) {
+    ++stops[{order.key.job, order.key.step, order.key.index}];
     auto *where = find(order.worker);
     auto const is_reached = where != nullptr && where->reachable;
     if(is_reached) {
--- a/test/workflow/fixture.hpp
+++ b/test/workflow/fixture.hpp
@@ -4,6 +4,7 @@
 #include <kingcuplink/workflow/dispatcher.hpp>
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace kingcuplink::test {
@@ -92,6 +93,8 @@
     /*! True if starts are lost on their way. */
     bool starts_are_lost{};
     std::size_t starts{};
+    /*! How often a run of each task was stopped, by job, step and index. */
+    std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>, std::uint32_t> stops;
     std::size_t queries{};
 
 private:
--- a/test/workflow/load_test.cpp
+++ b/test/workflow/load_test.cpp
@@ -63,6 +63,26 @@
     CHECK(fleet.fullest() <= 1.0);
 }
 
+TEST_CASE("pattern: gangs keep coming on a fleet full of work that can be stopped") {
+    // Each stop costs what was done since the last checkpoint: work that is stopped for every gang never ends.
+    constexpr pattern patient_work{"patient", 12u, 4'000, millis{12'000}, false, true};
+    scripted_fleet fleet{{.workers = 8u}};
+    for(auto pos = 0; pos < 10; ++pos) {
+        hand_in(fleet, "batch" + std::to_string(pos), patient_work);
+    }
+    for(auto pos = 0; pos < 24; ++pos) {
+        fleet.run_for(millis{2'500});
+        hand_in(fleet, "gang" + std::to_string(pos), gang);
+    }
+    std::uint32_t most{};
+    for(auto const &[task, count]: fleet.stops) {
+        most = std::max(most, count);
+    }
+    CHECK(most > 0u);
+    CHECK(most <= 2u);
+    CHECK(fleet.fullest() <= 1.0);
+}
+
 TEST_CASE("pattern: a burst of gangs on a fleet full of work that can be stopped") {
     // Gangs may wait 7 s in all; the work that runs is checkpointed and has more slack.
     scripted_fleet fleet{{.workers = 8u}};
