--- a/src/kingcuplink/site/fleet_lead.hpp
+++ b/src/kingcuplink/site/fleet_lead.hpp
@@ -42,7 +42,7 @@
     /*! Stops for good; nothing is sent any more. */
     void end() noexcept;
 
-    /*! Gives leadership up in the log. */
+    /*! Gives leadership up in the log; the reason is logged. */
     boost::asio::awaitable<void> resign(std::string_view reason);
 
     /*! Tells whether an entry VM that lives had better lead. */
--- a/src/kingcuplink/site/leader_watch.cpp
+++ b/src/kingcuplink/site/leader_watch.cpp
@@ -58,8 +58,9 @@
 }
 
 bool leader_watch::should_claim(instant const read_at, instant const now) const noexcept {
-    if(read_at + timing::jobs_wait + timing::claim_freshness <= now || now < no_claim_before_) {
-        // Whoever leads may be in records that were not read.
+    // Whoever leads may be in records that were not read.
+    auto const is_behind = read_at + timing::jobs_wait + timing::claim_freshness <= now;
+    if(is_behind || now < no_claim_before_) {
         return false;
     }
     if(claim_.term == 0u || claim_.resigned || claim_.name == own_name_) {
--- a/test/process/process_set.cpp
+++ b/test/process/process_set.cpp
@@ -1,5 +1,7 @@
 #include "process_set.hpp"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <csignal>
 #include <fcntl.h>
 #include <filesystem>
@@ -31,6 +33,16 @@
     return port;
 }
 
+/*! Tells whether nobody listens on a port of the loopback interface. */
+bool is_free(int const port) {
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor{context, boost::asio::ip::tcp::v4()};
+    boost::system::error_code error;
+    acceptor.set_option(boost::asio::socket_base::reuse_address{true}, error);
+    acceptor.bind({boost::asio::ip::address_v4::loopback(), static_cast<boost::asio::ip::port_type>(port)}, error);
+    return !error;
+}
+
 } // namespace
 
 process_set::process_set() : next_port_{next_first_port()} {
@@ -52,6 +64,10 @@
 }
 
 std::string process_set::take_address() {
+    // A program that plays many sets reaches the ports of others.
+    while(!is_free(next_port_)) {
+        ++next_port_;
+    }
     return "127.0.0.1:" + std::to_string(next_port_++);
 }
 
