--- a/test/process/process_set.cpp
+++ b/test/process/process_set.cpp
@@ -8,6 +8,7 @@
 #include <kingcuplink/core/file_limit.hpp>
 #include <spawn.h>
 #include <stdexcept>
+#include <sys/file.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -21,16 +22,17 @@
 constexpr int first_port = 10'000;
 constexpr int last_port = 31'000;
 constexpr int ports_per_set = 150;
-constexpr int sets_per_process = 17;
 constexpr auto poll_interval = std::chrono::milliseconds{20};
 
-/*! Returns the first port of the next set of this machine. */
-int next_first_port() {
-    // Processes that are started one after the other have numbers that follow each other, and several sets each.
-    static int sets = static_cast<int>(::getpid()) * sets_per_process % ((last_port - first_port) / ports_per_set);
-    auto const port = first_port + sets * ports_per_set;
-    sets = (sets + 1) % ((last_port - first_port) / ports_per_set);
-    return port;
+/*! Locks the ports of a set for this process; returns the lock's descriptor, or -1 if another has them. */
+int lock_ports(int const first) {
+    auto const path = std::filesystem::temp_directory_path() / ("kingcuplink-ports-" + std::to_string(first));
+    auto const lock = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0666);
+    if(lock >= 0 && ::flock(lock, LOCK_EX | LOCK_NB) != 0) {
+        ::close(lock);
+        return -1;
+    }
+    return lock;
 }
 
 /*! Tells whether nobody listens on a port of the loopback interface. */
@@ -45,8 +47,15 @@
 
 } // namespace
 
-process_set::process_set() : next_port_{next_first_port()} {
+process_set::process_set() {
     raise_file_limit();
+    for(auto first = first_port; lock_ < 0 && first < last_port; first += ports_per_set) {
+        lock_ = lock_ports(first);
+        next_port_ = first;
+    }
+    if(lock_ < 0) {
+        throw std::runtime_error{"all ports for tests are taken: end other tests"};
+    }
     folder_ = (std::filesystem::temp_directory_path() /
         ("kingcuplink-test-" + std::to_string(::getpid()) + "-" + std::to_string(next_port_)))
                   .string();
@@ -61,10 +70,10 @@
     for(auto const &[name, pid]: processes_) {
         ::waitpid(pid, nullptr, 0);
     }
+    ::close(lock_);
 }
 
 std::string process_set::take_address() {
-    // A program that plays many sets reaches the ports of others.
     while(!is_free(next_port_)) {
         ++next_port_;
     }
--- a/test/process/process_set.hpp
+++ b/test/process/process_set.hpp
@@ -16,7 +16,7 @@
     /*! Constructs an empty set whose processes write their output to files of a new folder. */
     process_set();
 
-    /*! Kills all processes. */
+    /*! Kills all processes and frees the ports. */
     ~process_set();
 
     process_set(process_set const &) = delete;
@@ -49,7 +49,9 @@
     }
 
 private:
-    int next_port_;
+    /*! Lock that keeps the ports from other processes; its descriptor. */
+    int lock_{-1};
+    int next_port_{};
     std::string folder_;
     std::map<std::string, pid_t> processes_;
 };
--- a/test/site/scripted_site.cpp
+++ b/test/site/scripted_site.cpp
@@ -14,11 +14,6 @@
 /*! Time that passes between two answers of a log without news. */
 constexpr millis read_pause{5};
 
-std::string peer_address(std::size_t const pos) {
-    // A port of each test process, so that tests may run beside each other.
-    return "127.0.0.1:" + std::to_string(20'000u + static_cast<std::size_t>(::getpid()) % 5'000u * 4u + pos);
-}
-
 } // namespace
 
 boost::asio::awaitable<append_answer> memory_log::append(
@@ -257,7 +252,7 @@
 
 void scripted_site::add_vm(std::uint32_t const millicores) {
     auto const pos = vms.size();
-    vms.push_back(std::make_unique<vm>(*this, "vm" + std::to_string(pos), peer_address(pos), millicores));
+    vms.push_back(std::make_unique<vm>(*this, "vm" + std::to_string(pos), ports.take_address(), millicores));
 }
 
 void scripted_site::run_until(std::function<bool()> const &condition) {
--- a/test/site/scripted_site.hpp
+++ b/test/site/scripted_site.hpp
@@ -1,6 +1,8 @@
 #ifndef KINGCUPLINK_TEST_SITE_SCRIPTED_SITE_HPP_INCLUDED
 #define KINGCUPLINK_TEST_SITE_SCRIPTED_SITE_HPP_INCLUDED
 
+#include "process_set.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <functional>
 #include <kingcuplink/site/site_node.hpp>
@@ -184,6 +186,8 @@
         bool is_alive{true};
     };
 
+    /*! Names the entry VMs' addresses; no process is started in it. */
+    process_set ports;
     boost::asio::io_context log_context{1};
     memory_log log{log_context};
     memory_workers workers;
