Start a gang again whose starts got no answer, however often its stops are repeated

Each stop was answered, was sent again after 0.5 s since the run was still on the books, and its answer set back the time from which a look has to be sent to show that nothing runs; looks wait up to 1 s for an end, so that none was ever late enough. The gang stayed for 60 s, until the soak gave up. The first answer to a stop keeps the run out for good, so that it counts now.

Ruled out: the stand-in (it listed nothing for that task).

--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -51,7 +51,7 @@
     bool is_batched{};
     bool stop_wanted{};
     bool stop_in_flight{};
-    /*! When the worker answered a stop. */
+    /*! When the worker first answered a stop. */
     std::optional<instant> stop_answered{};
     instant next_stop{};
 };
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -250,7 +250,8 @@
     }
     run->stop_in_flight = false;
     run->next_stop = now + internal::stop_retry;
-    if(answered) {
+    if(answered && !run->stop_answered) {
+        // The first answer keeps the run out for good; a later one would outdate looks that are under way.
         run->stop_answered = now;
     }
 }
--- a/test/workflow/dispatcher_test.cpp
+++ b/test/workflow/dispatcher_test.cpp
@@ -240,6 +240,18 @@
     CHECK(fleet.starts == 2u);
 }
 
+TEST_CASE("a start that was lost is made again although looks take longer than stops are repeated") {
+    // A look that was sent before the latest of several stops, but after the first, shows that nothing runs.
+    scripted_fleet fleet{{.workers = 1u}};
+    fleet.look_time = millis{800};
+    fleet.starts_are_lost = true;
+    fleet.submit(scripted_fleet::job("a", step_of(2u, 30'000)));
+    fleet.run_for(millis{1'000});
+    fleet.starts_are_lost = false;
+    fleet.run_for(millis{6'000});
+    CHECK(fleet.phase_of("a") == job_phase::done);
+}
+
 TEST_CASE("a queue of priority 0 goes before others that have to start as early") {
     scripted_fleet fleet{{.workers = 1u}};
     fleet.submit(scripted_fleet::job("first", step_of(1u, 60'000)));
--- a/test/workflow/fixture.cpp
+++ b/test/workflow/fixture.cpp
@@ -124,7 +124,7 @@
         std::erase_if(item.ends, [kept](auto const &end) { return end.number <= kept; });
         inventory.ended = item.ends;
         leader->lease_extended(item.entry.name, now + millis{9'000});
-        leader->take_inventory(item.entry.name, inventory, now, now);
+        leader->take_inventory(item.entry.name, inventory, now - look_time, now);
     }
 }
 
--- a/test/workflow/fixture.hpp
+++ b/test/workflow/fixture.hpp
@@ -90,6 +90,8 @@
     bool log_is_up{true};
     /*! True if answers to starts are lost after they took effect. */
     bool starts_are_unanswered{};
+    /*! Time that each look at a worker takes: it waits for an end. */
+    millis look_time{};
     /*! True if starts are lost on their way. */
     bool starts_are_lost{};
     std::size_t starts{};
