Use one pause for all coroutines

It stands in the platform package now, below all that use it, and takes the executor from the coroutine that calls it. Behaviour stays: each caller ran on the context that it named.

--- a/soak/fault_proxy.cpp
+++ b/soak/fault_proxy.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <kingcuplink/platform/http_client.hpp>
+#include <kingcuplink/platform/pause.hpp>
 
 namespace kingcuplink::soak {
 
@@ -30,12 +31,6 @@
     socket.close(ignored);
 }
 
-asio::awaitable<void> pause(asio::io_context &context, std::chrono::milliseconds const time) {
-    asio::steady_timer timer{context, time};
-    boost::system::error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 } // namespace
 
 std::string_view name_of(link_fault const fault) noexcept {
@@ -125,10 +120,10 @@
             break;
         }
         if(fault_ == link_fault::delayed) {
-            co_await pause(context_, delay);
+            co_await pause(delay);
         }
         while(holds_back(*item, forward) && to.is_open()) {
-            co_await pause(context_, hold_poll);
+            co_await pause(hold_poll);
         }
         auto const part = asio::buffer(bytes, count);
         co_await asio::async_write(to, part, asio::redirect_error(asio::use_awaitable, error));
--- a/soak/fault_proxy.hpp
+++ b/soak/fault_proxy.hpp
@@ -5,7 +5,6 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <list>
 #include <memory>
 #include <string>
--- a/src/kingcuplink/daemon/allotment_keeper.cpp
+++ b/src/kingcuplink/daemon/allotment_keeper.cpp
@@ -1,7 +1,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <kingcuplink/daemon/allotment_keeper.hpp>
-#include <kingcuplink/daemon/pause.hpp>
+#include <kingcuplink/platform/pause.hpp>
 
 namespace kingcuplink {
 
@@ -69,7 +69,7 @@
         if(leading_ && claim_wanted_after_ != instant{} && !has_claim(claim_wanted_after_)) {
             co_await append_claim();
         }
-        co_await pause(context_, config::log_poll);
+        co_await pause(config::log_poll);
     }
 }
 
--- a/src/kingcuplink/daemon/control_plane.cpp
+++ b/src/kingcuplink/daemon/control_plane.cpp
@@ -6,7 +6,7 @@
 #include <glog/logging.h>
 #include <kingcuplink/core/hash.hpp>
 #include <kingcuplink/daemon/control_plane.hpp>
-#include <kingcuplink/daemon/pause.hpp>
+#include <kingcuplink/platform/pause.hpp>
 #include <kingcuplink/routing/slot_share.hpp>
 
 namespace kingcuplink {
@@ -165,14 +165,14 @@
 boost::asio::awaitable<void> control_plane::heartbeat_loop() {
     while(true) {
         send_heartbeats(true, false);
-        co_await pause(context_, config::heartbeat_interval);
+        co_await pause(config::heartbeat_interval);
     }
 }
 
 boost::asio::awaitable<void> control_plane::remote_heartbeat_loop() {
     while(true) {
         send_heartbeats(false, false);
-        co_await pause(context_, config::remote_heartbeat_interval);
+        co_await pause(config::remote_heartbeat_interval);
     }
 }
 
@@ -202,7 +202,7 @@
 boost::asio::awaitable<void> control_plane::clock_loop() {
     auto last = current_time();
     while(true) {
-        co_await pause(context_, internal::clock_interval);
+        co_await pause(internal::clock_interval);
         auto const now = current_time();
         if(now - last >= config::pause_threshold && reign_ != nullptr) {
             reign_->paused();
@@ -225,7 +225,7 @@
                 reign_->update(vms_, current_time());
             }
         }
-        co_await pause(context_, config::vm_list_poll);
+        co_await pause(config::vm_list_poll);
     }
 }
 
--- a/src/kingcuplink/daemon/document_keeper.cpp
+++ b/src/kingcuplink/daemon/document_keeper.cpp
@@ -7,7 +7,7 @@
 #include <kingcuplink/core/hash.hpp>
 #include <kingcuplink/core/json_reader.hpp>
 #include <kingcuplink/daemon/document_keeper.hpp>
-#include <kingcuplink/daemon/pause.hpp>
+#include <kingcuplink/platform/pause.hpp>
 
 namespace kingcuplink {
 
@@ -51,7 +51,7 @@
     while(true) {
         co_await read_log();
         co_await keep_snapshot();
-        co_await pause(context_, config::log_poll);
+        co_await pause(config::log_poll);
     }
 }
 
@@ -208,7 +208,7 @@
         if(auto const verdict = fold_.verdict_of(edit.record_id); verdict) {
             co_return answer_of(edit, *verdict);
         }
-        co_await pause(context_, internal::verdict_poll);
+        co_await pause(internal::verdict_poll);
     }
     co_return api_answer{.refused = problem{may_be_in_log ? refusal::edit_unknown : refusal::log_unavailable,
                              "record " + edit.record_id}};
--- a/src/kingcuplink/daemon/domain_reign.cpp
+++ b/src/kingcuplink/daemon/domain_reign.cpp
@@ -3,7 +3,7 @@
 #include <boost/asio/detached.hpp>
 #include <glog/logging.h>
 #include <kingcuplink/daemon/domain_reign.hpp>
-#include <kingcuplink/daemon/pause.hpp>
+#include <kingcuplink/platform/pause.hpp>
 
 namespace kingcuplink {
 
@@ -96,17 +96,17 @@
         [self, complete]() -> boost::asio::awaitable<void> { *complete = co_await self->parts_.jobs.gather(); },
         boost::asio::detached);
     while(!complete->has_value() && current_time() < gather_end) {
-        co_await pause(parts_.context, internal::recovery_poll);
+        co_await pause(internal::recovery_poll);
     }
     load_book();
     recovered_ = true;
     kicked_ = true;
     while(!over_ && !complete->value_or(false)) {
         if(complete->has_value()) {
-            co_await pause(parts_.context, internal::journal_retry);
+            co_await pause(internal::journal_retry);
             *complete = co_await parts_.jobs.gather();
         } else {
-            co_await pause(parts_.context, internal::recovery_poll);
+            co_await pause(internal::recovery_poll);
         }
     }
     if(!over_) {
--- a/src/kingcuplink/daemon/job_keeper.cpp
+++ b/src/kingcuplink/daemon/job_keeper.cpp
@@ -7,7 +7,7 @@
 #include <glog/logging.h>
 #include <kingcuplink/core/json_fields.hpp>
 #include <kingcuplink/daemon/job_keeper.hpp>
-#include <kingcuplink/daemon/pause.hpp>
+#include <kingcuplink/platform/pause.hpp>
 
 namespace kingcuplink {
 
@@ -157,7 +157,7 @@
             choose_targets(current_time());
             flush();
         }
-        co_await pause(context_, internal::mirror_interval);
+        co_await pause(internal::mirror_interval);
     }
 }
 
@@ -340,7 +340,7 @@
     }
     auto const complete = co_await read_journal(settings_.failure_domain, book_);
     while(*pending > 0u) {
-        co_await pause(context_, internal::gather_poll);
+        co_await pause(internal::gather_poll);
     }
     co_return complete;
 }
@@ -393,7 +393,7 @@
 
 boost::asio::awaitable<void> job_keeper::journal_loop() {
     while(true) {
-        co_await pause(context_, config::journal_interval);
+        co_await pause(config::journal_interval);
         if(!leading_) {
             continue;
         }
--- a/src/kingcuplink/daemon/reign_adoption.cpp
+++ b/src/kingcuplink/daemon/reign_adoption.cpp
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <glog/logging.h>
 #include <kingcuplink/daemon/domain_reign.hpp>
-#include <kingcuplink/daemon/pause.hpp>
+#include <kingcuplink/platform/pause.hpp>
 
 namespace kingcuplink {
 
@@ -29,7 +29,7 @@
 
 boost::asio::awaitable<void> domain_reign::run_adoption([[maybe_unused]] self_pointer self) {
     while(!over_) {
-        co_await pause(parts_.context, internal::adoption_interval);
+        co_await pause(internal::adoption_interval);
         auto const rules = rules_;
         for(auto const &domain: rules->failure_domains) {
             if(domain.state != domain_state::lost) {
--- a/src/kingcuplink/daemon/reign_tasks.cpp
+++ b/src/kingcuplink/daemon/reign_tasks.cpp
@@ -3,7 +3,7 @@
 #include <boost/asio/detached.hpp>
 #include <glog/logging.h>
 #include <kingcuplink/daemon/domain_reign.hpp>
-#include <kingcuplink/daemon/pause.hpp>
+#include <kingcuplink/platform/pause.hpp>
 
 namespace kingcuplink {
 
@@ -79,7 +79,7 @@
 boost::asio::awaitable<void> domain_reign::run_planner([[maybe_unused]] self_pointer self) {
     auto last = current_time();
     while(!over_) {
-        co_await pause(parts_.context, config::plan_spacing);
+        co_await pause(config::plan_spacing);
         auto const now = current_time();
         if(!over_ && (kicked_ || now - last >= config::plan_interval)) {
             kicked_ = false;
@@ -193,7 +193,7 @@
             parts_.stats.add(event::task_stop_sent);
             co_await parts_.workers.stop(slot.address, holder_of(slot), key, record->ordinal, checkpoint);
         }
-        co_await pause(parts_.context, internal::stop_retry);
+        co_await pause(internal::stop_retry);
     }
 }
 
@@ -221,7 +221,7 @@
 
 boost::asio::awaitable<void> domain_reign::run_duties([[maybe_unused]] self_pointer self) {
     while(!over_) {
-        co_await pause(parts_.context, internal::duty_interval);
+        co_await pause(internal::duty_interval);
         if(over_) {
             co_return;
         }
@@ -310,7 +310,7 @@
                 break;
             }
         }
-        co_await pause(parts_.context, internal::handover_retry);
+        co_await pause(internal::handover_retry);
     }
     handovers_.erase(what);
 }
--- a/src/kingcuplink/daemon/site_daemon.cpp
+++ b/src/kingcuplink/daemon/site_daemon.cpp
@@ -10,6 +10,7 @@
 #include <kingcuplink/daemon/site_daemon.hpp>
 #include <kingcuplink/gateway/http_listener.hpp>
 #include <kingcuplink/gateway/responses.hpp>
+#include <kingcuplink/platform/pause.hpp>
 #include <kingcuplink/site/site_node.hpp>
 #include <kingcuplink/site/timing.hpp>
 #include <kingcuplink/site/wakeup.hpp>
@@ -37,9 +38,9 @@
 constexpr millis balancer_time{3'000};
 
 /*! Writes collected lines and closes old connections for as long as the process runs. */
-boost::asio::awaitable<void> run_upkeep(boost::asio::io_context &context, decision_log &decisions, http_client &http) {
+boost::asio::awaitable<void> run_upkeep(decision_log &decisions, http_client &http) {
     while(true) {
-        co_await pause_for(context, timing::flush_interval);
+        co_await pause(timing::flush_interval);
         decisions.flush();
         http.close_old();
     }
@@ -158,7 +159,7 @@
         {{"domain", settings.failure_domain}, {"callers", settings.callers_address}, {"log", settings.log_address},
             {"lease_limit_ms", settings.lease_limit.count()}});
     node->start();
-    boost::asio::co_spawn(control, internal::run_upkeep(control, decisions, http), fail_fast);
+    boost::asio::co_spawn(control, internal::run_upkeep(decisions, http), fail_fast);
     {
         internal::context_thread const control_thread{control};
         internal::context_thread const traffic_thread{traffic};
--- a/src/kingcuplink/gateway/http_listener.cpp
+++ b/src/kingcuplink/gateway/http_listener.cpp
@@ -2,7 +2,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -12,6 +11,7 @@
 #include <kingcuplink/core/config.hpp>
 #include <kingcuplink/gateway/http_listener.hpp>
 #include <kingcuplink/gateway/responses.hpp>
+#include <kingcuplink/platform/pause.hpp>
 #include <optional>
 #include <utility>
 
@@ -75,9 +75,7 @@
             boost::asio::co_spawn(context_, session(std::move(socket)), boost::asio::detached);
             continue;
         }
-        boost::asio::steady_timer timer{context_, internal::accept_retry};
-        boost::system::error_code ignored;
-        co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+        co_await pause(internal::accept_retry);
     }
 }
 
--- a/src/kingcuplink/gateway/http_server.cpp
+++ b/src/kingcuplink/gateway/http_server.cpp
@@ -16,6 +16,7 @@
 #include <kingcuplink/core/hash.hpp>
 #include <kingcuplink/gateway/http_server.hpp>
 #include <kingcuplink/gateway/responses.hpp>
+#include <kingcuplink/platform/pause.hpp>
 
 namespace kingcuplink {
 
@@ -175,9 +176,7 @@
         auto socket = co_await acceptor_->async_accept(
             home.context, internal::asio::redirect_error(internal::asio::use_awaitable, error));
         if(error) {
-            internal::asio::steady_timer timer{acceptor_->get_executor(), internal::accept_pause};
-            boost::system::error_code ignored;
-            co_await timer.async_wait(internal::asio::redirect_error(internal::asio::use_awaitable, ignored));
+            co_await pause(internal::accept_pause);
             continue;
         }
         stats_.add(event::connection_accepted);
--- a/src/kingcuplink/site/fleet_lead.cpp
+++ b/src/kingcuplink/site/fleet_lead.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <functional>
 #include <kingcuplink/platform/http_client.hpp>
+#include <kingcuplink/platform/pause.hpp>
 #include <kingcuplink/site/fleet_lead.hpp>
 #include <kingcuplink/site/leader_watch.hpp>
 #include <kingcuplink/site/record_codec.hpp>
@@ -136,7 +137,7 @@
             take_registrations(*batch);
             plan_wanted_.notify();
         }
-        co_await pause_for(parts_.context, batch ? timing::worker_read_spacing : timing::log_retry);
+        co_await pause(batch ? timing::worker_read_spacing : timing::log_retry);
     }
 }
 
@@ -183,7 +184,7 @@
         was_answered = answered;
         auto const told_nothing = dispatcher_.has_unkept_ends(name) && dispatcher_.seen_end(name) == seen_before;
         auto const spacing = told_nothing ? timing::unkept_look_spacing : timing::look_spacing;
-        co_await pause_for(parts_.context, answered ? spacing : timing::look_retry);
+        co_await pause(answered ? spacing : timing::look_retry);
     }
     watched_.erase(name);
 }
@@ -252,7 +253,7 @@
             plan();
         }
         auto const length = std::chrono::duration_cast<millis>(std::chrono::steady_clock::now() - begun);
-        co_await pause_for(parts_.context, std::max(timing::plan_spacing, length * timing::plan_rest));
+        co_await pause(std::max(timing::plan_spacing, length * timing::plan_rest));
     }
 }
 
@@ -273,7 +274,7 @@
 boost::asio::awaitable<void> fleet_lead::run_journal([[maybe_unused]] self_pointer self) {
     while(!over_) {
         co_await journal_wanted_.wait(timing::leader_heartbeat);
-        co_await pause_for(parts_.context, timing::append_spacing);
+        co_await pause(timing::append_spacing);
         if(over_) {
             break;
         }
@@ -338,7 +339,7 @@
             case append_outcome::refused:
             case append_outcome::unknown:
                 parts_.stats.add(event::log_append_failed);
-                co_await pause_for(parts_.context, timing::log_retry);
+                co_await pause(timing::log_retry);
                 break;
             }
         }
@@ -408,7 +409,7 @@
 boost::asio::awaitable<void> fleet_lead::run_beats([[maybe_unused]] self_pointer self) {
     while(!over_) {
         send_beats();
-        co_await pause_for(parts_.context, timing::beat_interval);
+        co_await pause(timing::beat_interval);
     }
 }
 
@@ -514,7 +515,7 @@
 
 boost::asio::awaitable<void> fleet_lead::expire_question(
     [[maybe_unused]] self_pointer self, std::uint64_t const id, millis const time) {
-    co_await pause_for(parts_.context, time);
+    co_await pause(time);
     if(auto const found = questions_.find(id); found != questions_.end() && !over_) {
         auto const question = std::move(found->second);
         questions_.erase(found);
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -4,6 +4,7 @@
 #include <cctype>
 #include <kingcuplink/core/config.hpp>
 #include <kingcuplink/platform/http_client.hpp>
+#include <kingcuplink/platform/pause.hpp>
 #include <kingcuplink/site/site_node.hpp>
 #include <kingcuplink/site/timing.hpp>
 #include <utility>
@@ -181,7 +182,7 @@
     auto const answer = co_await parts_.log.read(log_stream::jobs, jobs_.offset(), millis{});
     auto const give_up_at = current_time() + timing::catch_up_limit;
     while(answer.outcome == read_outcome::done && jobs_.offset() < answer.end && current_time() < give_up_at) {
-        co_await pause_for(parts_.context, timing::catch_up_check);
+        co_await pause(timing::catch_up_check);
     }
     co_return answer.outcome == read_outcome::done &&jobs_.offset() >= answer.end;
 }
@@ -235,7 +236,7 @@
         if(intake_.empty()) {
             continue;
         }
-        co_await pause_for(parts_.context, timing::intake_spacing);
+        co_await pause(timing::intake_spacing);
         // One append at a time, so that records gather while the log is slow; a stuck one is not waited for.
         if(intake_appends_ == 0u || intake_sent_at_ + timing::slow_append < current_time()) {
             boost::asio::co_spawn(parts_.context, append_intake(std::exchange(intake_, {})), fail_fast);
@@ -326,7 +327,7 @@
         });
         if(!items.empty()) {
             parts_.stats.add(event::log_append_failed);
-            co_await pause_for(parts_.context, retry);
+            co_await pause(retry);
             retry = std::min(retry * 2, timing::longest_log_retry);
         }
     }
@@ -342,13 +343,13 @@
         note_dependency(batch.has_value());
         if(!batch) {
             refresh_ready();
-            co_await pause_for(parts_.context, timing::log_retry);
+            co_await pause(timing::log_retry);
             continue;
         }
         apply_jobs(std::move(*batch));
         refresh_ready();
         if(!jobs_.is_behind()) {
-            co_await pause_for(parts_.context, read_spacing());
+            co_await pause(read_spacing());
         }
     }
 }
@@ -449,7 +450,7 @@
             apply_rules(*batch);
         }
         if(!batch) {
-            co_await pause_for(parts_.context, timing::log_retry);
+            co_await pause(timing::log_retry);
         }
     }
 }
@@ -507,7 +508,7 @@
 
 boost::asio::awaitable<void> site_node::watch_leader() {
     while(true) {
-        co_await pause_for(parts_.context, internal::leader_check);
+        co_await pause(internal::leader_check);
         if(lead_ != nullptr && lead_->should_yield(current_time())) {
             co_await resign("another entry VM has much more processor time");
         } else if(lead_ != nullptr) {
@@ -535,7 +536,7 @@
     do {
         answer = co_await parts_.log.append(log_stream::jobs, records, log_writer{term, sequence});
         if(answer.outcome == append_outcome::unknown) {
-            co_await pause_for(parts_.context, timing::log_retry);
+            co_await pause(timing::log_retry);
         }
     } while(answer.outcome == append_outcome::unknown && watch_.claim().term < term);
     if(answer.outcome != append_outcome::done) {
@@ -545,7 +546,7 @@
     }
     is_claiming_ = true;
     while(jobs_.offset() <= answer.offset) {
-        co_await pause_for(parts_.context, timing::claimant_read_spacing);
+        co_await pause(timing::claimant_read_spacing);
     }
     is_claiming_ = false;
     if(watch_.claim().term == term && !draining_) {
@@ -583,7 +584,7 @@
     boost::asio::co_spawn(
         parts_.context,
         [this]() -> boost::asio::awaitable<void> {
-            co_await pause_for(parts_.context, internal::resign_delay);
+            co_await pause(internal::resign_delay);
             co_await resign("the process ends");
         },
         fail_fast);
@@ -602,7 +603,7 @@
 boost::asio::awaitable<void> site_node::introduce() {
     while(true) {
         auto const is_met = watch_.has_beats();
-        co_await pause_for(parts_.context, is_met ? timing::introduction_interval : timing::first_introduction);
+        co_await pause(is_met ? timing::introduction_interval : timing::first_introduction);
         auto const leader = watch_.claim();
         if(lead_ != nullptr || leader.name.empty() || leader.name == parts_.settings.name || draining_) {
             continue;
--- a/src/kingcuplink/site/wakeup.hpp
+++ b/src/kingcuplink/site/wakeup.hpp
@@ -18,13 +18,6 @@
     }
 };
 
-/*! Waits for a time. */
-inline boost::asio::awaitable<void> pause_for(boost::asio::io_context &context, millis const time) {
-    boost::asio::steady_timer timer{context, time};
-    boost::system::error_code ignored;
-    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
-}
-
 /*! Lets one coroutine wait for a time or until it is told to go on. One thread. */
 class wakeup {
 public:
--- a/test/site/scripted_site.cpp
+++ b/test/site/scripted_site.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <fcntl.h>
+#include <kingcuplink/platform/pause.hpp>
 #include <thread>
 
 namespace kingcuplink::test {
@@ -19,9 +20,7 @@
 boost::asio::awaitable<append_answer> memory_log::append(
     log_stream const stream, std::vector<keyed_record> records, std::optional<log_writer> const writer) {
     if(append_time > millis{}) {
-        boost::asio::steady_timer timer{co_await boost::asio::this_coro::executor, append_time};
-        boost::system::error_code ignored;
-        co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+        co_await pause(append_time);
     }
     if(!is_up) {
         co_return append_answer{append_outcome::refused, 0u};
@@ -48,10 +47,7 @@
     log_stream const stream, std::uint64_t const from, millis const wait) {
     auto const &state = streams_[stream];
     if(is_up && from >= state.first + state.records.size() && wait > millis{}) {
-        auto const executor = co_await boost::asio::this_coro::executor;
-        boost::asio::steady_timer timer{executor, read_pause};
-        boost::system::error_code ignored;
-        co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+        co_await pause(read_pause);
     }
     read_answer answer;
     if(!is_up) {
--- a/test/standin/http_service.cpp
+++ b/test/standin/http_service.cpp
@@ -3,8 +3,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -13,6 +11,7 @@
 #include <boost/json/serialize.hpp>
 #include <chrono>
 #include <kingcuplink/platform/http_client.hpp>
+#include <kingcuplink/platform/pause.hpp>
 
 namespace kingcuplink::standin {
 
@@ -147,9 +146,7 @@
 }
 
 asio::awaitable<void> wait_for(std::int64_t const ms) {
-    asio::steady_timer timer{co_await asio::this_coro::executor, std::chrono::milliseconds{ms}};
-    boost::system::error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    co_await pause(millis{ms});
 }
 
 std::int64_t clock_ms() {
