Listen and read headers by one function each in the gateway

http_listener had written http_server's opening of its acceptor again, and the adapter its header_of. listen_on and header_of serve both now. A malformed address of http_server is found after its shards are made, as a taken one was; the answer is the same. Tests: all package tests, path and refusal with real processes pass.

--- a/src/kingcuplink/gateway/http_listener.cpp
+++ b/src/kingcuplink/gateway/http_listener.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <kingcuplink/core/config.hpp>
+#include <kingcuplink/gateway/acceptor.hpp>
 #include <kingcuplink/gateway/http_listener.hpp>
 #include <kingcuplink/gateway/responses.hpp>
 #include <kingcuplink/platform/pause.hpp>
@@ -41,18 +42,7 @@
     : context_{context}, stats_{stats}, serve_{std::move(serve)}, limits_{allowed}, acceptor_{context} {}
 
 bool http_listener::start(std::string const &address) {
-    auto const endpoint = parse_endpoint(address);
-    if(!endpoint) {
-        return false;
-    }
-    boost::system::error_code error;
-    acceptor_.open(endpoint->protocol(), error);
-    acceptor_.set_option(boost::asio::socket_base::reuse_address{true}, error);
-    acceptor_.bind(*endpoint, error);
-    if(!error) {
-        acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
-    }
-    if(error) {
+    if(!listen_on(acceptor_, address)) {
         return false;
     }
     boost::asio::co_spawn(context_, accept_loop(), boost::asio::detached);
--- a/src/kingcuplink/gateway/http_server.cpp
+++ b/src/kingcuplink/gateway/http_server.cpp
@@ -14,6 +14,7 @@
 #include <charconv>
 #include <kingcuplink/admission/key_check.hpp>
 #include <kingcuplink/core/hash.hpp>
+#include <kingcuplink/gateway/acceptor.hpp>
 #include <kingcuplink/gateway/http_server.hpp>
 #include <kingcuplink/gateway/responses.hpp>
 #include <kingcuplink/platform/pause.hpp>
@@ -44,11 +45,6 @@
     return parsed.ec == std::errc{} && parsed.ptr == text.data() + text.size() ? std::optional{value} : std::nullopt;
 }
 
-std::string_view header_of(http_request const &request, std::string_view const name) {
-    auto const found = request.find(name);
-    return found == request.end() ? std::string_view{} : std::string_view{found->value()};
-}
-
 std::optional<std::uint64_t> version_in(std::string_view text) {
     if(text.size() >= 2u && text.front() == '"' && text.back() == '"') {
         text = text.substr(1u, text.size() - 2u);
@@ -104,23 +100,12 @@
 }
 
 bool http_server::start(std::string const &address, std::size_t const threads) {
-    auto const endpoint = parse_endpoint(address);
-    if(!endpoint) {
-        return false;
-    }
     for(std::size_t pos{}; pos < threads; ++pos) {
         shards_.push_back(std::make_unique<shard>(stats_, internal::idle_runner_connections));
     }
     auto &first = shards_.front()->context;
     acceptor_ = std::make_unique<internal::asio::ip::tcp::acceptor>(first);
-    boost::system::error_code error;
-    acceptor_->open(endpoint->protocol(), error);
-    acceptor_->set_option(internal::asio::socket_base::reuse_address{true}, error);
-    acceptor_->bind(*endpoint, error);
-    if(!error) {
-        acceptor_->listen(internal::asio::socket_base::max_listen_connections, error);
-    }
-    if(error) {
+    if(!listen_on(*acceptor_, address)) {
         return false;
     }
     internal::asio::co_spawn(first, accept_loop(), internal::asio::detached);
@@ -264,7 +249,7 @@
 
 boost::asio::awaitable<http_response> http_server::answer(shard &home, http_request request) {
     auto path = internal::path_parts(request.target());
-    std::string request_id{internal::header_of(request, header::request_id).substr(0u, internal::longest_request_id)};
+    std::string request_id{header_of(request, header::request_id).substr(0u, internal::longest_request_id)};
     if(request_id.empty()) {
         request_id = "r" +
             std::to_string(stable_hash(std::to_string(++next_request_),
@@ -288,11 +273,11 @@
     shard &home, http_request request, std::string queue, std::string request_id) {
     routed_request routed;
     routed.queue = std::move(queue);
-    routed.key = bearer_key(internal::header_of(request, "Authorization"));
+    routed.key = bearer_key(header_of(request, "Authorization"));
     routed.request_id = std::move(request_id);
-    routed.repeatable = internal::header_of(request, header::repeatable) != "false";
-    routed.is_hop = !internal::header_of(request, header::hop).empty();
-    if(auto const text = internal::header_of(request, header::deadline); !text.empty()) {
+    routed.repeatable = header_of(request, header::repeatable) != "false";
+    routed.is_hop = !header_of(request, header::hop).empty();
+    if(auto const text = header_of(request, header::deadline); !text.empty()) {
         auto const deadline = internal::parse_number(text);
         if(!deadline || *deadline < 1 || *deadline > config::longest_deadline.count()) {
             co_return refusal_response({refusal::request_malformed,
@@ -310,14 +295,14 @@
     http_request request, std::vector<std::string> path, std::string request_id) {
     api_request call;
     call.method = request.method();
-    call.key = bearer_key(internal::header_of(request, "Authorization"));
+    call.key = bearer_key(header_of(request, "Authorization"));
     call.path = std::move(path);
     call.request_id = request_id;
-    call.if_match = internal::version_in(internal::header_of(request, "If-Match"));
-    if(auto const lower = internal::header_of(request, header::lower); !lower.empty()) {
+    call.if_match = internal::version_in(header_of(request, "If-Match"));
+    if(auto const lower = header_of(request, header::lower); !lower.empty()) {
         boost::algorithm::split(call.lower, lower, boost::algorithm::is_any_of(","));
     }
-    call.idempotency_key = internal::header_of(request, header::idempotency_key);
+    call.idempotency_key = header_of(request, header::idempotency_key);
     if(call.idempotency_key.size() > config::longest_idempotency_key) {
         co_return refusal_response({refusal::request_malformed,
                                        std::string{header::idempotency_key} + " is longer than " +
--- a/src/kingcuplink/gateway/responses.cpp
+++ b/src/kingcuplink/gateway/responses.cpp
@@ -17,6 +17,11 @@
 
 } // namespace internal
 
+std::string_view header_of(http_request const &request, std::string_view const name) {
+    auto const found = request.find(name);
+    return found == request.end() ? std::string_view{} : std::string_view{found->value()};
+}
+
 http_response refusal_response(problem const &value, std::string_view const request_id, counters &stats) {
     auto const &row = row_of(value.reason);
     stats.add(value.reason);
--- a/src/kingcuplink/gateway/responses.hpp
+++ b/src/kingcuplink/gateway/responses.hpp
@@ -28,6 +28,9 @@
 
 } // namespace header
 
+/*! Returns the value of a header, or an empty text. Thread safe. */
+[[nodiscard]] std::string_view header_of(http_request const &request, std::string_view name);
+
 /*! Makes the answer that refuses a request, and counts the refusal. Thread safe. */
 [[nodiscard]] http_response refusal_response(problem const &value, std::string_view request_id, counters &stats);
 
