Find a queue once a planning round; stop runs by step in one function

Four functions of the planner each looked a waiting step's queue up by its name, in every round; the turn carries it now. stop_runs and stop_gang differed by a loop over steps. live_worker::rack was never read. A job whose queue no rules ever named is not looked at any more: before, it was, and found no worker; the one difference is that its gangs no longer count among those that may keep room.

--- a/src/kingcuplink/workflow/dispatch_planner.cpp
+++ b/src/kingcuplink/workflow/dispatch_planner.cpp
@@ -101,12 +101,13 @@
     std::vector<waiting_step> turns;
     for(auto const id: state_.jobs.ids()) {
         auto const &job = state_.jobs[id];
-        if(is_final(job.phase)) {
+        auto const *queue = find_queue(*state_.rules, job.definition.queue);
+        if(is_final(job.phase) || queue == nullptr) {
             continue;
         }
         for(std::uint32_t step{}; step < job.steps.size(); ++step) {
             if(job.steps[step].blocked_by == 0u && job.steps[step].waiting > 0u) {
-                turns.push_back({rank_of(job.objective, step, job.is_excess, now_), id, step});
+                turns.push_back({rank_of(job.objective, step, job.is_excess, now_), id, step, queue});
             }
         }
     }
@@ -141,16 +142,12 @@
 std::vector<dispatch_planner::option> dispatch_planner::options_for(waiting_step const &turn) {
     auto const &job = state_.jobs[turn.job];
     auto const &definition = job.definition.steps[turn.step];
-    auto const *queue = find_queue(*state_.rules, job.definition.queue);
     std::vector<option> options;
-    if(queue == nullptr) {
-        return options;
-    }
-    if(queue->advice) {
+    if(turn.queue->advice) {
         // Few of a large fleet's workers are approved: the others are not looked at.
         for(auto const &[id, ticket]: job.steps[turn.step].advice.approved) {
             auto const pos = id.index < candidate_at_.size() ? candidate_at_[id.index] : no_candidate;
-            if(pos != no_candidate && may_run(candidates_[pos], *queue, definition)) {
+            if(pos != no_candidate && may_run(candidates_[pos], *turn.queue, definition)) {
                 options.push_back({&candidates_[pos], ticket.until > now_ ? &ticket : nullptr});
             }
         }
@@ -158,7 +155,7 @@
     }
     static advice_ticket const not_needed{};
     for(auto &item: candidates_) {
-        if(may_run(item, *queue, definition)) {
+        if(may_run(item, *turn.queue, definition)) {
             options.push_back({&item, &not_needed});
         }
     }
@@ -168,19 +165,16 @@
 void dispatch_planner::add_unknown_options(waiting_step const &turn, std::vector<option> &options) {
     auto const &job = state_.jobs[turn.job];
     auto const &asked = job.steps[turn.step].advice.asked;
-    auto const *queue = find_queue(*state_.rules, job.definition.queue);
     for(auto &item: candidates_) {
-        if(!asked.contains(item.id) && may_run(item, *queue, job.definition.steps[turn.step])) {
+        if(!asked.contains(item.id) && may_run(item, *turn.queue, job.definition.steps[turn.step])) {
             options.push_back({&item, nullptr});
         }
     }
 }
 
 bool dispatch_planner::may_ask(waiting_step const &turn) const {
-    auto const &job = state_.jobs[turn.job];
-    auto const &advice = job.steps[turn.step].advice;
-    auto const *queue = find_queue(*state_.rules, job.definition.queue);
-    return queue != nullptr && queue->advice && !advice.in_flight && advice.not_before <= now_;
+    auto const &advice = state_.jobs[turn.job].steps[turn.step].advice;
+    return turn.queue->advice && !advice.in_flight && advice.not_before <= now_;
 }
 
 bool dispatch_planner::is_within_ceiling(live_job const &job, resources const &charge) const {
@@ -291,8 +285,7 @@
     if(!is_within_ceiling(job, definition.task_size * definition.count) || place_members(turn, options, members)) {
         return false;
     }
-    auto const *queue = find_queue(*state_.rules, job.definition.queue);
-    if(queue != nullptr && queue->advice && step.advice.asked.empty()) {
+    if(turn.queue->advice && step.advice.asked.empty()) {
         return waiting_gangs_++ < advised_gangs;
     }
     // Tickets lapse soon: they are worth renewing only where the gang could start with them.
@@ -431,9 +424,9 @@
 void dispatch_planner::seek_advice(waiting_step const &turn, std::vector<option> const &options, bool const is_gang) {
     auto &job = state_.jobs[turn.job];
     auto &step = job.steps[turn.step];
-    auto const *queue = find_queue(*state_.rules, job.definition.queue);
-    auto const duration_of = [queue](std::size_t const workers) {
-        return queue->advice->base + millis{queue->advice->per_worker_us * static_cast<std::int64_t>(workers) / 1'000};
+    auto const &terms = *turn.queue->advice;
+    auto const duration_of = [&terms](std::size_t const workers) {
+        return terms.base + millis{terms.per_worker_us * static_cast<std::int64_t>(workers) / 1'000};
     };
     auto const is_first = step.advice.asked.empty();
     auto const &size = job.definition.steps[turn.step].task_size;
--- a/src/kingcuplink/workflow/dispatch_planner.hpp
+++ b/src/kingcuplink/workflow/dispatch_planner.hpp
@@ -22,6 +22,7 @@
         service_rank rank;
         job_id job;
         std::uint32_t step;
+        queue_rules const *queue;
     };
 
     /*! A worker that takes work in this round. */
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -119,7 +119,6 @@
 /*! One worker. */
 struct live_worker {
     worker_registration entry;
-    rack_id rack;
     resources used;
     std::vector<placement_id> placements;
     /*! True while its registration is there. */
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -166,23 +166,13 @@
     state_.jobs[id].phase = phase;
     state_.mark_dirty(id);
     ended_.emplace_back(state_.jobs[id].definition.id, phase);
-    if(phase != job_phase::done) {
-        stop_runs(id);
+    auto const steps = static_cast<std::uint32_t>(phase != job_phase::done ? state_.jobs[id].steps.size() : 0u);
+    for(std::uint32_t step{}; step < steps; ++step) {
+        stop_runs(id, step);
     }
 }
 
-void dispatcher::stop_runs(job_id const id) {
-    auto const &job = state_.jobs[id];
-    for(auto const &step: job.steps) {
-        for(auto const &task: step.tasks) {
-            if(auto *run = state_.placements.find(task.placement); run != nullptr) {
-                run->stop_wanted = true;
-            }
-        }
-    }
-}
-
-void dispatcher::stop_gang(job_id const id, std::uint32_t const step) {
+void dispatcher::stop_runs(job_id const id, std::uint32_t const step) {
     for(auto const &task: state_.jobs[id].steps[step].tasks) {
         if(auto *run = state_.placements.find(task.placement); run != nullptr) {
             run->stop_wanted = true;
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -193,8 +193,7 @@
 private:
     void adopt_runs(job_id id, job_entry const &entry);
     void end_job(job_id id, job_phase phase);
-    void stop_runs(job_id id);
-    void stop_gang(job_id id, std::uint32_t step);
+    void stop_runs(job_id id, std::uint32_t step);
     void finish_task(job_id id, run_key const &key);
     void finish_step(job_id id, std::uint32_t step);
     void count_failure(job_id id, run_key const &key, worker_id worker);
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -72,7 +72,7 @@
     state_.remove_placement(id, now);
     if(auto const *found = state_.jobs.find(job); found != nullptr && !is_final(found->phase)) {
         if(found->definition.steps[step].gang) {
-            stop_gang(job, step);
+            stop_runs(job, step);
         }
     }
 }
@@ -245,7 +245,7 @@
             // It may still arrive: only an answered stop keeps it out.
             run->stop_wanted = true;
             if(run->is_known && state_.jobs[run->job].definition.steps[run->key.step].gang) {
-                stop_gang(run->job, run->key.step);
+                stop_runs(run->job, run->key.step);
             }
         }
     }
