--- a/test/adapter/site_fleet.cpp
+++ b/test/adapter/site_fleet.cpp
@@ -1,5 +1,7 @@
 #include "site_fleet.hpp"
 
+#include "breach_list.hpp"
+
 #include <algorithm>
 #include <boost/json/serialize.hpp>
 #include <kingcuplink/core/json_fields.hpp>
@@ -151,12 +153,7 @@
 }
 
 std::string site_fleet::breaches() const {
-    std::string text;
-    auto const known = record();
-    for(auto const &breach: known.at("breaches").as_array()) {
-        text.append(breach.as_string()).append("\n");
-    }
-    return text;
+    return breaches_in(record());
 }
 
 } // namespace kingcuplink::test
--- a/test/adapter/standin/site_worker.cpp
+++ b/test/adapter/standin/site_worker.cpp
@@ -212,13 +212,21 @@
     if(boot != born_) {
         co_return json_answer(421u, boost::json::object{{"clock_ms", own_clock()}});
     }
-    if(target == "/-/run-start") {
-        co_return start_run(body);
+    auto const is_start = target == "/-/run-start";
+    if(!is_start && target != "/-/run-stop") {
+        co_return json_answer(404u, boost::json::object{});
     }
-    if(target == "/-/run-stop") {
-        co_return stop_run(body);
+    auto const key = adapter::parse_run(text_in(body, "task"), whole_in(body, "run_id").value_or(0u));
+    if(!key) {
+        co_return json_answer(400u, boost::json::object{});
+    }
+    if(!takes_token(body)) {
+        co_return refused("fence");
+    }
+    if(is_start) {
+        co_return start_run(body, *key);
     }
-    co_return json_answer(404u, boost::json::object{});
+    co_return stop_run(*key);
 }
 
 bool site_worker::takes_token(boost::json::value const &body) {
@@ -284,35 +292,28 @@
         std::stoll(ticket.substr(prefix.size())) + ticket_ms >= clock_ms();
 }
 
-response site_worker::start_run(boost::json::value const &body) {
-    auto const key = adapter::parse_run(text_in(body, "task"), whole_in(body, "run_id").value_or(0u));
-    if(!key) {
-        return json_answer(400u, boost::json::object{});
-    }
-    if(!takes_token(body)) {
-        return refused("fence");
-    }
-    auto const is_here = std::any_of(runs_.begin(), runs_.end(), [&key](auto const &item) { return item.key == *key; });
+response site_worker::start_run(boost::json::value const &body, run_key const &key) {
+    auto const is_here = std::any_of(runs_.begin(), runs_.end(), [&key](auto const &item) { return item.key == key; });
     if(is_here) {
         return json_answer(200u, boost::json::object{{"clock_ms", own_clock()}});
     }
-    scripted_task const task{key->job, key->step, key->index};
-    if(auto const closed = closed_.find(task); closed != closed_.end() && closed->second >= key->run) {
+    scripted_task const task{key.job, key.step, key.index};
+    if(auto const closed = closed_.find(task); closed != closed_.end() && closed->second >= key.run) {
         extend_lease(body);
         return refused("old");
     }
     if(static_cast<std::int64_t>(whole_in(body, "expires_ms").value_or(0u)) <= own_clock()) {
         return refused("late");
     }
-    if(!has_ticket(body, *key)) {
+    if(!has_ticket(body, key)) {
         return refused("ticket");
     }
     extend_lease(body);
     auto const steps = parse_steps(text_in(body, "spec"));
-    runs_.push_back({*key, steps.at(key->step), clock_ms(), 0, clock_ms()});
-    shared_.record.started(*key, steps, name_);
-    if(steps.at(key->step).gang) {
-        shared_.gangs.join(*key, steps.at(key->step).count);
+    runs_.push_back({key, steps.at(key.step), clock_ms(), 0, clock_ms()});
+    shared_.record.started(key, steps, name_);
+    if(steps.at(key.step).gang) {
+        shared_.gangs.join(key, steps.at(key.step).count);
     }
     std::int64_t used{};
     for(auto const &item: runs_) {
@@ -324,20 +325,13 @@
     return json_answer(200u, boost::json::object{{"clock_ms", own_clock()}});
 }
 
-response site_worker::stop_run(boost::json::value const &body) {
-    auto const key = adapter::parse_run(text_in(body, "task"), whole_in(body, "run_id").value_or(0u));
-    if(!key) {
-        return json_answer(400u, boost::json::object{});
-    }
-    if(!takes_token(body)) {
-        return refused("fence");
-    }
-    auto const found = std::find_if(runs_.begin(), runs_.end(), [&key](auto const &item) { return item.key == *key; });
+response site_worker::stop_run(run_key const &key) {
+    auto const found = std::find_if(runs_.begin(), runs_.end(), [&key](auto const &item) { return item.key == key; });
     if(found != runs_.end()) {
         end(found, run_end::stopped);
     }
-    auto &closed = closed_[{key->job, key->step, key->index}];
-    closed = std::max(closed, key->run);
+    auto &closed = closed_[{key.job, key.step, key.index}];
+    closed = std::max(closed, key.run);
     return json_answer(200u, boost::json::object{{"clock_ms", own_clock()}});
 }
 
--- a/test/adapter/standin/site_worker.hpp
+++ b/test/adapter/standin/site_worker.hpp
@@ -102,8 +102,8 @@
 
     boost::asio::awaitable<response> handle(request message);
     boost::asio::awaitable<response> hold(boost::json::value body);
-    [[nodiscard]] response start_run(boost::json::value const &body);
-    [[nodiscard]] response stop_run(boost::json::value const &body);
+    [[nodiscard]] response start_run(boost::json::value const &body, run_key const &key);
+    [[nodiscard]] response stop_run(run_key const &key);
     [[nodiscard]] bool takes_token(boost::json::value const &body);
     [[nodiscard]] bool has_ticket(boost::json::value const &body, run_key const &key) const;
     [[nodiscard]] response refused(std::string_view reason) const;
--- a/test/process/fleet.cpp
+++ b/test/process/fleet.cpp
@@ -1,5 +1,7 @@
 #include "fleet.hpp"
 
+#include "breach_list.hpp"
+
 #include <algorithm>
 #include <array>
 #include <boost/json/parse.hpp>
@@ -186,12 +188,7 @@
 }
 
 std::string fleet::breaches() const {
-    std::string text;
-    auto const known = record();
-    for(auto const &breach: known.at("breaches").as_array()) {
-        text.append(breach.as_string()).append("\n");
-    }
-    return text;
+    return breaches_in(record());
 }
 
 std::string fleet::leader(std::string const &domain) const {
--- a/test/site/scripted_site.cpp
+++ b/test/site/scripted_site.cpp
@@ -306,6 +306,10 @@
     return nullptr;
 }
 
+std::size_t scripted_site::follower() const {
+    return vms[0]->node->leads() ? 1u : 0u;
+}
+
 void scripted_site::kill_leader() {
     for(auto const &item: vms) {
         if(item->node->leads()) {
--- a/test/site/scripted_site.hpp
+++ b/test/site/scripted_site.hpp
@@ -164,6 +164,9 @@
     /*! Returns the entry VM that leads, or null. */
     [[nodiscard]] site_node *leader();
 
+    /*! Returns which of two entry VMs does not lead. */
+    [[nodiscard]] std::size_t follower() const;
+
     /*! Ends the leader's process without notice. */
     void kill_leader();
 
--- a/test/site/site_test.cpp
+++ b/test/site/site_test.cpp
@@ -159,9 +159,8 @@
 TEST_CASE("a leader that the log turns away is replaced, and callers are served meanwhile") {
     scripted_site site{2u};
     site.run_until([&]() { return site.leader() != nullptr; });
-    auto const *first = site.leader();
-    REQUIRE(first != nullptr);
-    auto const other = site.vms[0]->node.get() == first ? 1u : 0u;
+    REQUIRE(site.leader() != nullptr);
+    auto const other = site.follower();
     site.vms[1u - other]->log.is_open = false;
     auto number = 0;
     auto refused = 0;
@@ -197,7 +196,7 @@
     // In a failure domain that is cut off callers reach its entry VMs until these are not ready.
     scripted_site site{2u};
     site.run_until([&]() { return site.leader() != nullptr; });
-    auto const cut = site.vms[0]->node->leads() ? 1u : 0u;
+    auto const cut = site.follower();
     site.vms[1u - cut]->is_alive = false;
     site.vms[cut]->log.is_open = false;
     site.run_until([&]() { return !site.vms[cut]->node->is_ready(); });
@@ -212,9 +211,8 @@
     // Appends beside the leader's would queue behind it in the one partition.
     scripted_site site{2u};
     site.run_until([&]() { return site.leader() != nullptr; });
-    auto const *first = site.leader();
-    REQUIRE(first != nullptr);
-    auto const other = site.vms[0]->node.get() == first ? 1u : 0u;
+    REQUIRE(site.leader() != nullptr);
+    auto const other = site.follower();
     // Until a record went through the leader, the other entry VM does not know it.
     site.run_for(millis{500});
     auto const sent_before = site.vms[other]->log.appends;
--- a/test/workflow/load_test.cpp
+++ b/test/workflow/load_test.cpp
@@ -35,6 +35,13 @@
     fleet.submit(job);
 }
 
+/*! Adds a number of jobs of a pattern now: a prefix and their numbers from zero are their names. */
+void hand_in_many(scripted_fleet &fleet, std::string const &prefix, int const count, pattern const &what) {
+    for(auto pos = 0; pos < count; ++pos) {
+        hand_in(fleet, prefix + std::to_string(pos), what);
+    }
+}
+
 /*! Returns the time between a job's acceptance and its first start; the longest time if it never started. */
 millis wait_of(scripted_fleet const &fleet, std::string const &id) {
     auto const found = fleet.first_start.find(id);
@@ -47,13 +54,9 @@
 TEST_CASE("pattern: a burst of short urgent jobs beside batch work") {
     // 16 workers full of batch work; urgent jobs have 2 s of slack, batch jobs more than 13 s.
     scripted_fleet fleet{{.workers = 16u}};
-    for(auto pos = 0; pos < 40; ++pos) {
-        hand_in(fleet, "batch" + std::to_string(pos), batch);
-    }
+    hand_in_many(fleet, "batch", 40, batch);
     fleet.run_for(millis{3'000});
-    for(auto pos = 0; pos < 30; ++pos) {
-        hand_in(fleet, "urgent" + std::to_string(pos), urgent);
-    }
+    hand_in_many(fleet, "urgent", 30, urgent);
     fleet.run_for(millis{10'000});
     auto late = 0;
     for(auto pos = 0; pos < 30; ++pos) {
@@ -67,9 +70,7 @@
     // Each stop costs what was done since the last checkpoint: work that is stopped for every gang never ends.
     constexpr pattern patient_work{"patient", 12u, 4'000, millis{12'000}, false, true};
     scripted_fleet fleet{{.workers = 8u}};
-    for(auto pos = 0; pos < 10; ++pos) {
-        hand_in(fleet, "batch" + std::to_string(pos), patient_work);
-    }
+    hand_in_many(fleet, "batch", 10, patient_work);
     for(auto pos = 0; pos < 24; ++pos) {
         fleet.run_for(millis{2'500});
         hand_in(fleet, "gang" + std::to_string(pos), gang);
@@ -86,13 +87,9 @@
 TEST_CASE("pattern: a burst of gangs on a fleet full of work that can be stopped") {
     // Gangs may wait 7 s in all; the work that runs is checkpointed and has more slack.
     scripted_fleet fleet{{.workers = 8u}};
-    for(auto pos = 0; pos < 30; ++pos) {
-        hand_in(fleet, "batch" + std::to_string(pos), batch);
-    }
+    hand_in_many(fleet, "batch", 30, batch);
     fleet.run_for(millis{1'500});
-    for(auto pos = 0; pos < 3; ++pos) {
-        hand_in(fleet, "gang" + std::to_string(pos), gang);
-    }
+    hand_in_many(fleet, "gang", 3, gang);
     fleet.run_for(millis{7'000});
     for(auto pos = 0; pos < 3; ++pos) {
         CHECK(wait_of(fleet, "gang" + std::to_string(pos)) <= millis{7'000});
@@ -128,9 +125,7 @@
 
 TEST_CASE("pattern: a wave of cancellations leaves nothing running") {
     scripted_fleet fleet{{.workers = 8u}};
-    for(auto pos = 0; pos < 60; ++pos) {
-        hand_in(fleet, "batch" + std::to_string(pos), batch);
-    }
+    hand_in_many(fleet, "batch", 60, batch);
     fleet.run_for(millis{1'000});
     for(auto pos = 0; pos < 60; ++pos) {
         fleet.table.cancel("batch" + std::to_string(pos));
@@ -145,9 +140,7 @@
 TEST_CASE("pattern: a failure domain is lost while full") {
     // Its runs go elsewhere once their leases have lapsed; nobody is overcommitted meanwhile.
     scripted_fleet fleet{{.workers = 6u, .workers_per_domain = 2u}};
-    for(auto pos = 0; pos < 8; ++pos) {
-        hand_in(fleet, "batch" + std::to_string(pos), batch);
-    }
+    hand_in_many(fleet, "batch", 8, batch);
     fleet.run_for(millis{500});
     for(auto pos = 0u; pos < 2u; ++pos) {
         fleet.workers[pos].reachable = false;
@@ -164,9 +157,7 @@
     // 300 jobs wait on a full fleet: questions go with what starts, not with what waits.
     advice_terms const advice{millis{70}, 1'000, millis{2'000}};
     scripted_fleet fleet{{.workers = 4u, .advice = advice}};
-    for(auto pos = 0; pos < 300; ++pos) {
-        hand_in(fleet, "batch" + std::to_string(pos), batch);
-    }
+    hand_in_many(fleet, "batch", 300, batch);
     fleet.run_for(millis{4'000});
     CHECK(fleet.starts > 60u);
     CHECK(fleet.queries < 60u);
