Name each text setting once in a table

Both readers of settings named every text setting twice, once to read and once to check it, and took numbers by their position in the table of checks. A row now holds flag, target, check and rule. Tests: site_path and path, which start the daemon both ways, pass.

--- a/src/kingcuplink/daemon/settings.cpp
+++ b/src/kingcuplink/daemon/settings.cpp
@@ -59,7 +59,7 @@
         .append(": correct the flag or its environment variable; --help lists all");
 }
 
-bool is_name(std::string_view const text) {
+bool is_name(std::string const &text) {
     auto const allowed = [](char const value) {
         return (value >= 'a' && value <= 'z') || (value >= '0' && value <= '9') || value == '-';
     };
@@ -80,11 +80,11 @@
     return true;
 }
 
-/*! A text setting and what it must be. */
-struct text_check {
+/*! A text setting, where it goes and what it must be. */
+struct text_setting {
     std::string_view flag;
-    std::string const &value;
-    bool is_valid;
+    std::string *target;
+    bool (*is_valid)(std::string const &);
     std::string_view allowed;
 };
 
@@ -104,13 +104,19 @@
     return text.empty() || is_address(text);
 }
 
-/*! Returns an error about the first setting that is wrong, or an empty text. */
-std::string first_error(std::span<text_check const> const texts, std::span<number_check const> const numbers) {
-    for(auto const &check: texts) {
-        if(!check.is_valid) {
-            return setting_error(check.flag, check.value, check.allowed);
+/*! Reads texts from their flags; returns an error about the first that is wrong, or an empty text. */
+std::string read_texts(std::span<text_setting const> const texts) {
+    for(auto const &item: texts) {
+        *item.target = absl::FindCommandLineFlag(absl::string_view{item.flag.data(), item.flag.size()})->CurrentValue();
+        if(!item.is_valid(*item.target)) {
+            return setting_error(item.flag, *item.target, item.allowed);
         }
     }
+    return {};
+}
+
+/*! Returns an error about the first number that is wrong, or an empty text. */
+std::string check_numbers(std::span<number_check const> const numbers) {
     for(auto const &check: numbers) {
         if(check.value < check.least || check.value > check.most) {
             return setting_error(check.flag, std::to_string(check.value),
@@ -121,63 +127,62 @@
 }
 
 std::string read_endpoint_settings(daemon_settings &settings) {
-    settings.name = absl::GetFlag(FLAGS_name);
-    settings.failure_domain = absl::GetFlag(FLAGS_failure_domain);
-    settings.http_address = absl::GetFlag(FLAGS_http_address);
-    settings.peer_address = absl::GetFlag(FLAGS_peer_address);
-    settings.platform_address = absl::GetFlag(FLAGS_platform_address);
-    settings.allow_faults = absl::GetFlag(FLAGS_allow_faults);
-    std::array<text_check, 5u> const texts{{
-        {"name", settings.name, is_name(settings.name), name_rule},
-        {"failure_domain", settings.failure_domain, is_name(settings.failure_domain), name_rule},
-        {"http_address", settings.http_address, is_address(settings.http_address), address_rule},
-        {"peer_address", settings.peer_address, is_address(settings.peer_address), address_rule},
-        {"platform_address", settings.platform_address, is_address(settings.platform_address), address_rule},
+    std::array<text_setting, 5u> const texts{{
+        {"name", &settings.name, is_name, name_rule},
+        {"failure_domain", &settings.failure_domain, is_name, name_rule},
+        {"http_address", &settings.http_address, is_address, address_rule},
+        {"peer_address", &settings.peer_address, is_address, address_rule},
+        {"platform_address", &settings.platform_address, is_address, address_rule},
     }};
+    if(auto error = read_texts(texts); !error.empty()) {
+        return error;
+    }
+    auto const threads = absl::GetFlag(FLAGS_traffic_threads);
+    auto const drain_grace = absl::GetFlag(FLAGS_drain_grace_ms);
+    auto const drain_limit = absl::GetFlag(FLAGS_drain_limit_ms);
     std::array<number_check, 3u> const numbers{{
-        {"traffic_threads", absl::GetFlag(FLAGS_traffic_threads), 1, most_threads},
-        {"drain_grace_ms", absl::GetFlag(FLAGS_drain_grace_ms), 0, longest_drain_ms},
-        {"drain_limit_ms", absl::GetFlag(FLAGS_drain_limit_ms), 0, longest_drain_ms},
+        {"traffic_threads", threads, 1, most_threads},
+        {"drain_grace_ms", drain_grace, 0, longest_drain_ms},
+        {"drain_limit_ms", drain_limit, 0, longest_drain_ms},
     }};
-    settings.traffic_threads = static_cast<std::size_t>(std::max(1, numbers[0].value));
-    settings.drain_grace = millis{numbers[1].value};
-    settings.drain_limit = millis{numbers[2].value};
-    return first_error(texts, numbers);
+    settings.traffic_threads = static_cast<std::size_t>(std::max(1, threads));
+    settings.drain_grace = millis{drain_grace};
+    settings.drain_limit = millis{drain_limit};
+    settings.allow_faults = absl::GetFlag(FLAGS_allow_faults);
+    return check_numbers(numbers);
 }
 
 std::string read_site_settings(site_settings &settings) {
-    settings.name = absl::GetFlag(FLAGS_name);
-    settings.failure_domain = absl::GetFlag(FLAGS_failure_domain);
-    settings.callers_address = absl::GetFlag(FLAGS_callers_address);
-    settings.readiness_address = absl::GetFlag(FLAGS_readiness_address);
-    settings.peer_address = absl::GetFlag(FLAGS_peer_address);
-    settings.metrics_address = absl::GetFlag(FLAGS_metrics_address);
-    settings.log_address = absl::GetFlag(FLAGS_log_address);
-    settings.adviser_address = absl::GetFlag(FLAGS_adviser_address);
-    auto const cores = absl::GetFlag(FLAGS_processor_share);
-    auto const is_share = cores >= 0.0 && cores <= most_cores;
-    settings.processor_millicores = is_share ? static_cast<std::uint32_t>(cores * millicores_each) : 0u;
-    auto const cores_text = std::to_string(cores);
-    std::array<text_check, 9u> const texts{{
-        {"name", settings.name, is_name(settings.name), name_rule},
-        {"failure_domain", settings.failure_domain, is_name(settings.failure_domain), name_rule},
-        {"processor_share", cores_text, is_share, "from 0 to 1024"},
-        {"callers_address", settings.callers_address, is_address(settings.callers_address), address_rule},
-        {"readiness_address", settings.readiness_address, is_address(settings.readiness_address), address_rule},
-        {"peer_address", settings.peer_address, is_address(settings.peer_address), address_rule},
-        {"metrics_address", settings.metrics_address, is_address_or_empty(settings.metrics_address), address_rule},
-        {"log_address", settings.log_address, is_address(settings.log_address), address_rule},
-        {"adviser_address", settings.adviser_address, is_address_or_empty(settings.adviser_address), address_rule},
+    std::array<text_setting, 8u> const texts{{
+        {"name", &settings.name, is_name, name_rule},
+        {"failure_domain", &settings.failure_domain, is_name, name_rule},
+        {"callers_address", &settings.callers_address, is_address, address_rule},
+        {"readiness_address", &settings.readiness_address, is_address, address_rule},
+        {"peer_address", &settings.peer_address, is_address, address_rule},
+        {"metrics_address", &settings.metrics_address, is_address_or_empty, address_rule},
+        {"log_address", &settings.log_address, is_address, address_rule},
+        {"adviser_address", &settings.adviser_address, is_address_or_empty, address_rule},
     }};
+    if(auto error = read_texts(texts); !error.empty()) {
+        return error;
+    }
+    auto const cores = absl::GetFlag(FLAGS_processor_share);
+    if(!(cores >= 0.0 && cores <= most_cores)) {
+        return setting_error("processor_share", std::to_string(cores), "from 0 to 1024");
+    }
+    auto const lease_limit = absl::GetFlag(FLAGS_lease_limit_ms);
+    auto const status_time = absl::GetFlag(FLAGS_status_time_s);
+    auto const shutdown_time = absl::GetFlag(FLAGS_shutdown_time_ms);
     std::array<number_check, 3u> const numbers{{
-        {"lease_limit_ms", absl::GetFlag(FLAGS_lease_limit_ms), 1'000, longest_drain_ms},
-        {"status_time_s", absl::GetFlag(FLAGS_status_time_s), 1, longest_status_s},
-        {"shutdown_time_ms", absl::GetFlag(FLAGS_shutdown_time_ms), 500, longest_drain_ms},
+        {"lease_limit_ms", lease_limit, 1'000, longest_drain_ms},
+        {"status_time_s", status_time, 1, longest_status_s},
+        {"shutdown_time_ms", shutdown_time, 500, longest_drain_ms},
     }};
-    settings.lease_limit = millis{numbers[0].value};
-    settings.status_time = std::chrono::seconds{numbers[1].value};
-    settings.shutdown_time = millis{numbers[2].value};
-    return first_error(texts, numbers);
+    settings.processor_millicores = static_cast<std::uint32_t>(cores * millicores_each);
+    settings.lease_limit = millis{lease_limit};
+    settings.status_time = std::chrono::seconds{status_time};
+    settings.shutdown_time = millis{shutdown_time};
+    return check_numbers(numbers);
 }
 
 } // namespace internal
--- a/src/kingcuplink/site/leader_watch.cpp
+++ b/src/kingcuplink/site/leader_watch.cpp
@@ -46,7 +46,7 @@
 }
 
 millis leader_watch::silence(instant const now) const noexcept {
-    return std::chrono::duration_cast<millis>(now - seen_at_);
+    return now - seen_at_;
 }
 
 bool leader_watch::takes_records(instant const now) const noexcept {
