Write down why a run is taken off the books, and the boot that was asked

Callers' reports of two runs of a task could not be told apart by cause: the decision log showed the second start, but not why the leader had given the first run up, and not which boot of the worker was meant. Ruled out by reading: deriving the reason from the other lines, since a lapse, a new boot and a missing entry in a list leave the same ones.

Change: run_lost with one of six reasons; boot in all lines of runs; other_boot apart from unwell among the answers to a start.

--- a/src/kingcuplink/core/decision_log.hpp
+++ b/src/kingcuplink/core/decision_log.hpp
@@ -36,6 +36,7 @@
     run_start_unanswered,
     run_stopped,
     run_ended,
+    run_lost,
     worker_seen,
     worker_silent,
     worker_restarted,
--- a/src/kingcuplink/site/fleet_lead.cpp
+++ b/src/kingcuplink/site/fleet_lead.cpp
@@ -22,8 +22,8 @@
     return std::to_string(key.step) + "." + std::to_string(key.index);
 }
 
-boost::json::object fields_of(run_key const &key, std::string const &worker) {
-    return {{"job", key.job}, {"task", name_of_run(key)}, {"run", key.run}, {"worker", worker}};
+boost::json::object fields_of(run_key const &key, std::string const &worker, std::uint64_t const boot) {
+    return {{"job", key.job}, {"task", name_of_run(key)}, {"run", key.run}, {"worker", worker}, {"boot", boot}};
 }
 
 } // namespace internal
@@ -225,7 +225,7 @@
     clocks_[name] = {answer.inventory.boot, answer.clock, now};
     for(auto const &end: answer.inventory.ended) {
         if(end.number > dispatcher_.seen_end(name)) {
-            auto fields = internal::fields_of(end.key, name);
+            auto fields = internal::fields_of(end.key, name, answer.inventory.boot);
             fields["how"] = name_of(end.how);
             fields["end"] = end.number;
             parts_.decisions.write(decision::run_ended, std::move(fields));
@@ -233,6 +233,7 @@
         }
     }
     dispatcher_.take_inventory(name, answer.inventory, sent_at, now);
+    write_losses();
     tell_ends();
     plan_wanted_.notify();
     journal_wanted_.notify();
@@ -262,6 +263,7 @@
     drop_silent_advisers(now);
     dispatch_plan decided;
     dispatcher_.plan(now, decided);
+    write_losses();
     for(auto &stop: decided.stops) {
         boost::asio::co_spawn(parts_.context, stop_run(shared_from_this(), std::move(stop)), fail_fast);
     }
@@ -350,7 +352,7 @@
 boost::asio::awaitable<void> fleet_lead::start_run([[maybe_unused]] self_pointer self, run_start run) {
     auto const now = current_time();
     auto const clock = clock_of(run.worker, run.boot);
-    auto fields = internal::fields_of(run.key, run.worker);
+    auto fields = internal::fields_of(run.key, run.worker, run.boot);
     auto answer = start_answer::not_sent;
     if(clock && !over_) {
         dispatcher_.lease_extended(run.worker, timing::lapsed_at(now, lease_));
@@ -401,7 +403,7 @@
     if(answered) {
         boost::asio::co_spawn(parts_.context, look_again(shared_from_this(), stop.worker), fail_fast);
     }
-    auto fields = internal::fields_of(stop.key, stop.worker);
+    auto fields = internal::fields_of(stop.key, stop.worker, stop.boot);
     fields["answered"] = answered;
     parts_.decisions.write(decision::run_stopped, std::move(fields));
 }
@@ -432,6 +434,14 @@
     }
 }
 
+void fleet_lead::write_losses() {
+    for(auto const &lost: dispatcher_.take_lost()) {
+        auto fields = internal::fields_of(lost.key, lost.worker, lost.boot);
+        fields["why"] = name_of(lost.why);
+        parts_.decisions.write(decision::run_lost, std::move(fields));
+    }
+}
+
 std::uint32_t fleet_lead::most_millicores() const noexcept {
     auto most = parts_.settings.processor_millicores;
     for(auto const &[peer, entry]: peers_known_) {
--- a/src/kingcuplink/site/fleet_lead.hpp
+++ b/src/kingcuplink/site/fleet_lead.hpp
@@ -116,6 +116,7 @@
     void send_beats();
     [[nodiscard]] std::uint32_t most_millicores() const noexcept;
     void tell_ends();
+    void write_losses();
     boost::asio::awaitable<void> run_journal(self_pointer self);
     boost::asio::awaitable<bool> keep(std::vector<keyed_record> records);
     boost::asio::awaitable<void> start_run(self_pointer self, run_start run);
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -8,8 +8,8 @@
 
 namespace internal {
 
-constexpr std::array<std::string_view, 9u> answer_names{
-    "started", "fenced", "outdated", "late", "no_room", "bad_ticket", "unwell", "not_sent", "unknown"};
+constexpr std::array<std::string_view, 10u> answer_names{
+    "started", "fenced", "outdated", "late", "no_room", "bad_ticket", "unwell", "other_boot", "not_sent", "unknown"};
 
 /*! Delay before a task is placed again after a start that failed. */
 constexpr millis restart_delay{50};
@@ -220,6 +220,7 @@
         }
         break;
     case start_answer::unwell:
+    case start_answer::other_boot:
     case start_answer::not_sent:
     case start_answer::no_room: {
         auto &worker = state_.workers[run->worker];
@@ -230,7 +231,7 @@
     case start_answer::late:
         break;
     }
-    lose_run(id, now + internal::restart_delay);
+    lose_run(id, run_loss::refused, now + internal::restart_delay);
 }
 
 void dispatcher::stop_answered(placement_id const id, bool const answered, instant const now) {
@@ -339,7 +340,7 @@
             continue;
         }
         if(!may_still_start(*run, now)) {
-            lose_run(id, now);
+            lose_run(id, run_loss::not_sent, now);
             continue;
         }
         run->stage = internal::placement_stage::ordered;
@@ -369,6 +370,10 @@
     return std::exchange(ended_, {});
 }
 
+std::vector<lost_run> dispatcher::take_lost() {
+    return std::exchange(lost_, {});
+}
+
 dispatch_figures dispatcher::figures(instant const now) const {
     dispatch_figures result;
     result.jobs = state_.jobs.size();
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -59,8 +59,10 @@
     late,
     no_room,
     bad_ticket,
-    /*! The worker is unwell and did nothing, or is another boot. */
+    /*! The worker is unwell and did nothing. */
     unwell,
+    /*! Another boot than the one that was meant answered, and did nothing. */
+    other_boot,
     /*! It was surely not sent. */
     not_sent,
     /*! It may run now or later. */
@@ -184,6 +186,9 @@
     /*! Returns jobs that ended since the last call, whether the log has it or not. */
     [[nodiscard]] std::vector<std::pair<std::string, job_phase>> take_ended();
 
+    /*! Returns runs that were taken off the books without an end since the last call; for the log of decisions. */
+    [[nodiscard]] std::vector<lost_run> take_lost();
+
     /*! Returns figures. */
     [[nodiscard]] dispatch_figures figures(instant now) const;
 
@@ -203,13 +208,16 @@
     void take_stray(worker_id worker, listed_run const &run);
     void drop_runs(worker_id worker, instant now);
     /*! Removes a run that did not end well; a gang goes with it. */
-    void lose_run(placement_id id, instant now);
+    void remove_run(placement_id id, instant now);
+    /*! Removes a run of which no end was listed. */
+    void lose_run(placement_id id, run_loss why, instant now);
     void expire_silent_workers(instant now);
     [[nodiscard]] bool may_still_start(internal::placement const &run, instant now) const;
     [[nodiscard]] placement_id find_run(worker_id worker, run_key const &key) const;
 
     internal::dispatch_state state_;
     std::vector<std::pair<std::string, job_phase>> ended_;
+    std::vector<lost_run> lost_;
 };
 
 } // namespace kingcuplink
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -52,7 +52,7 @@
     worker.quarantined_until = {};
     auto const runs = worker.placements;
     for(auto const run: runs) {
-        lose_run(run, now);
+        lose_run(run, run_loss::other_boot, now);
     }
     for(auto &job: state_.jobs.values()) {
         for(auto &step: job.steps) {
@@ -62,7 +62,15 @@
     }
 }
 
-void dispatcher::lose_run(placement_id const id, instant const now) {
+void dispatcher::lose_run(placement_id const id, run_loss const why, instant const now) {
+    if(auto const *run = state_.placements.find(id); run != nullptr) {
+        auto const &entry = state_.workers[run->worker].entry;
+        lost_.push_back({run->key, entry.name, entry.boot, why});
+        remove_run(id, now);
+    }
+}
+
+void dispatcher::remove_run(placement_id const id, instant const now) {
     auto const *run = state_.placements.find(id);
     if(run == nullptr) {
         return;
@@ -139,7 +147,7 @@
             state_.remove_placement(placed, again_at);
         }
     } else {
-        lose_run(placed, again_at);
+        remove_run(placed, again_at);
     }
 }
 
@@ -240,7 +248,7 @@
         auto const was_stopped = run->stop_answered && *run->stop_answered < sent_at;
         auto const was_known = run->stage == internal::placement_stage::running && run->since < sent_at;
         if(was_stopped || was_known || run->stage == internal::placement_stage::inherited) {
-            lose_run(pos, now);
+            lose_run(pos, was_stopped ? run_loss::stopped : run_loss::not_listed, now);
         } else if(run->stage == internal::placement_stage::unresolved && run->since < sent_at) {
             // It may still arrive: only an answered stop keeps it out.
             run->stop_wanted = true;
@@ -281,7 +289,7 @@
             for(auto const pos: runs) {
                 auto const *run = state_.placements.find(pos);
                 if(run != nullptr && run->stage != internal::placement_stage::intended) {
-                    lose_run(pos, now);
+                    lose_run(pos, run_loss::lapsed, now);
                 }
             }
         }
--- a/src/kingcuplink/workflow/types.cpp
+++ b/src/kingcuplink/workflow/types.cpp
@@ -7,6 +7,8 @@
 
 constexpr std::array<std::string_view, 5u> phase_names{"queued", "running", "done", "failed", "cancelled"};
 constexpr std::array<std::string_view, 6u> end_names{"done", "failed", "stopped", "lapsed", "broken", "alone"};
+constexpr std::array<std::string_view, 6u> loss_names{
+    "not_sent", "refused", "not_listed", "stopped", "other_boot", "lapsed"};
 
 } // namespace internal
 
@@ -18,4 +20,8 @@
     return internal::end_names[static_cast<std::size_t>(end)];
 }
 
+std::string_view name_of(run_loss const loss) noexcept {
+    return internal::loss_names[static_cast<std::size_t>(loss)];
+}
+
 } // namespace kingcuplink
--- a/src/kingcuplink/workflow/types.hpp
+++ b/src/kingcuplink/workflow/types.hpp
@@ -93,6 +93,25 @@
 /*! Returns the name of an end. */
 [[nodiscard]] std::string_view name_of(run_end end) noexcept;
 
+/*! Why the leader takes a run off its books though no end was listed. */
+enum class run_loss : std::uint8_t {
+    /*! Circumstances changed before it was sent. */
+    not_sent,
+    /*! The worker answered that it did nothing. */
+    refused,
+    /*! The worker does not list it, and it cannot come any more. */
+    not_listed,
+    /*! The worker answered a stop and does not list it. */
+    stopped,
+    /*! The worker started anew. */
+    other_boot,
+    /*! Its lease has surely lapsed. */
+    lapsed
+};
+
+/*! Returns the name of a loss. */
+[[nodiscard]] std::string_view name_of(run_loss loss) noexcept;
+
 /*! Names one run of one task. */
 struct run_key {
     std::string job;
@@ -103,6 +122,15 @@
     friend auto operator<=>(run_key const &, run_key const &) = default;
 };
 
+/*! A run that was taken off the books. */
+struct lost_run {
+    run_key key;
+    std::string worker;
+    /*! Boot of the worker that was asked last. */
+    std::uint64_t boot{};
+    run_loss why{run_loss::not_listed};
+};
+
 /*! A run that a worker lists as present. */
 struct listed_run {
     run_key key;
