Drop a worker's runs only on its own word

Cause: the dispatcher took the boot of a registration as proof of a new start. An entry with a high `born` from another writer made it drop all runs of the worker and start them elsewhere; after that every true entry and answer, whose boot is lower, was ignored. A worker whose time of day went back between two starts was ignored in the same way.

Ruled out: entries that cannot be read at all; the worker is only not used until its next entry, and its runs stay.

Change: the boot that answered last is kept apart from the one that the registration names. A registration with another boot or address only keeps new runs away until a look that was sent later has answered; the leader sends that look at once, without leases and acknowledgements. Runs are dropped when the worker's own answer names another boot, lower or higher, or when their lease has surely lapsed. Of answers, the order of the questions decides which is the latest.

--- a/src/kingcuplink/site/fleet_lead.cpp
+++ b/src/kingcuplink/site/fleet_lead.cpp
@@ -153,6 +153,7 @@
         present.insert(entry->name);
         auto const name = entry->name;
         auto const *known = dispatcher_.find_worker(name);
+        auto const was_held = dispatcher_.is_held(name);
         if(known == nullptr || known->leaving != entry->leaving || known->boot != entry->boot) {
             parts_.decisions.write(decision::worker_changed,
                 {{"worker", name}, {"address", entry->address}, {"domain", entry->domain}, {"boot", entry->boot},
@@ -161,6 +162,8 @@
         dispatcher_.register_worker(std::move(*entry), now);
         if(watched_.insert(name).second) {
             boost::asio::co_spawn(parts_.context, watch_worker(shared_from_this(), name), fail_fast);
+        } else if(was_held && !dispatcher_.is_held(name)) {
+            boost::asio::co_spawn(parts_.context, look_again(shared_from_this(), name), fail_fast);
         }
     }
     if(batch.is_whole) {
@@ -192,16 +195,17 @@
 boost::asio::awaitable<bool> fleet_lead::look_at(std::string const name, look_mode const mode) {
     auto const entry = *dispatcher_.find_worker(name);
     auto const sent_at = current_time();
-    worker_target target{entry.name, entry.address, entry.boot};
+    auto const boot = dispatcher_.boot_of(name);
+    worker_target target{entry.name, entry.address, boot};
     look_request request{term_, dispatcher_.kept_end(name), timing::look_wait, std::nullopt};
-    if(mode == look_mode::first) {
+    if(mode == look_mode::first || !dispatcher_.is_held(name)) {
         // Whichever boot answers: neither its ends nor its leases are touched before they are known.
         target.boot = 0u;
         request.kept_end = 0u;
         request.wait = millis{};
     } else if(mode == look_mode::prompt) {
         request.wait = millis{};
-    } else if(auto const clock = clock_of(name, entry.boot); clock && may_extend_leases(sent_at)) {
+    } else if(auto const clock = clock_of(name, boot); clock && may_extend_leases(sent_at)) {
         request.expires_at = *clock + lease_.count();
         dispatcher_.lease_extended(name, timing::lapsed_at(sent_at, lease_));
     }
@@ -217,10 +221,10 @@
         co_return false;
     }
     auto const now = current_time();
-    auto const known = dispatcher_.find_worker(name);
-    if(known != nullptr && known->boot != 0u && known->boot != answer.inventory.boot) {
+    auto const known_boot = dispatcher_.boot_of(name);
+    if(known_boot != 0u && known_boot != answer.inventory.boot) {
         parts_.decisions.write(
-            decision::worker_restarted, {{"worker", name}, {"boot", answer.inventory.boot}, {"earlier", known->boot}});
+            decision::worker_restarted, {{"worker", name}, {"boot", answer.inventory.boot}, {"earlier", known_boot}});
     }
     clocks_[name] = {answer.inventory.boot, answer.clock, now};
     for(auto const &end: answer.inventory.ended) {
--- a/src/kingcuplink/workflow/dispatch_planner.cpp
+++ b/src/kingcuplink/workflow/dispatch_planner.cpp
@@ -81,7 +81,7 @@
         auto const was_sent = run->stage == placement_stage::running || run->stage == placement_stage::unresolved;
         if(was_sent && worker.is_held) {
             run->stop_in_flight = true;
-            out_.stops.push_back({id, worker.entry.name, worker.entry.address, worker.entry.boot, run->key});
+            out_.stops.push_back({id, worker.entry.name, worker.entry.address, worker.boot, run->key});
         }
     }
 }
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -119,16 +119,20 @@
 /*! One worker. */
 struct live_worker {
     worker_registration entry;
+    /*! Boot that last answered; zero before the first answer. */
+    std::uint64_t boot{};
     resources used;
     std::vector<placement_id> placements;
     /*! True while its registration is there. */
     bool is_registered{true};
-    /*! True once its runs are known in its present boot, under this leader's token. */
+    /*! True once its runs are known in its present boot, under this leader's token, and nothing puts that in doubt. */
     bool is_held{};
     /*! When it last answered. */
     instant seen_at{};
     /*! When the latest question that it answered was sent; answers may overtake each other. */
     instant asked_at{};
+    /*! When its registration last named another boot or address than the one that answered. */
+    instant doubted_at{};
     /*! By then everything that it was ordered has lapsed if nothing more is sent. */
     instant lapsed_at{};
     std::uint64_t ends_seen{};
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -187,6 +187,16 @@
     }
 }
 
+std::uint64_t dispatcher::boot_of(std::string const &worker) const {
+    auto const found = state_.worker_ids.find(worker);
+    return found == state_.worker_ids.end() ? 0u : state_.workers[found->second].boot;
+}
+
+bool dispatcher::is_held(std::string const &worker) const {
+    auto const found = state_.worker_ids.find(worker);
+    return found != state_.worker_ids.end() && state_.workers[found->second].is_held;
+}
+
 std::uint64_t dispatcher::kept_end(std::string const &worker) const {
     auto const found = state_.worker_ids.find(worker);
     return found == state_.worker_ids.end() ? 0u : state_.workers[found->second].ends_kept;
@@ -361,8 +371,8 @@
         auto const &step = job.steps[run->key.step];
         auto const &task = step.tasks[run->key.index];
         auto const is_gang = job.definition.steps[run->key.step].gang;
-        out.push_back({id, worker.name, worker.address, worker.boot, run->key, job.definition.payload,
-            is_gang ? step.checkpoint : task.checkpoint, run->ticket});
+        out.push_back({id, worker.name, worker.address, state_.workers[run->worker].boot, run->key,
+            job.definition.payload, is_gang ? step.checkpoint : task.checkpoint, run->ticket});
     }
 }
 
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -123,7 +123,10 @@
     /*! Tells how many entry VMs ask for advice; it bounds the questions under way. */
     void set_advisers(std::size_t count) noexcept;
 
-    /*! Adds a worker or takes its changed registration. */
+    /*!
+     * Adds a worker or takes its changed registration. Runs stay as they are: if the registration names another
+     * boot or address, the worker gets no more runs until take_inventory() has its answer.
+     */
     void register_worker(worker_registration entry, instant now);
 
     /*! Notes that a worker's registration is gone. */
@@ -142,11 +145,17 @@
     void lease_extended(std::string const &worker, instant lapsed_at);
 
     /*!
-     * Takes a worker's own account of its runs.
+     * Takes a worker's own account of its runs. If another boot answers, all runs of the earlier one are lost.
      * @param sent_at When the question was sent: what was ordered later may be missing.
      */
     void take_inventory(std::string const &worker, worker_inventory const &inventory, instant sent_at, instant now);
 
+    /*! Returns the boot of a worker that last answered, or zero. */
+    [[nodiscard]] std::uint64_t boot_of(std::string const &worker) const;
+
+    /*! Tells whether a worker's runs are known and its registration agrees with its last answer. */
+    [[nodiscard]] bool is_held(std::string const &worker) const;
+
     /*! Returns the number of the last end of a worker that the log accounts for. */
     [[nodiscard]] std::uint64_t kept_end(std::string const &worker) const;
 
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -24,15 +24,13 @@
         found->second = state_.workers.emplace(std::move(worker));
         return;
     }
-    auto const id = found->second;
-    auto const known_boot = state_.workers[id].entry.boot;
-    if(entry.boot < known_boot) {
-        return;
-    }
-    if(entry.boot > known_boot && known_boot != 0u) {
-        drop_runs(id, now);
+    auto &worker = state_.workers[found->second];
+    auto const names_other_boot = entry.boot != worker.boot && entry.boot != worker.entry.boot;
+    if(names_other_boot || entry.address != worker.entry.address) {
+        // Another writer may have made the entry: what became of the runs is for the worker itself to tell.
+        worker.is_held = false;
+        worker.doubted_at = now;
     }
-    auto &worker = state_.workers[id];
     worker.entry = std::move(entry);
     worker.is_registered = true;
 }
@@ -92,17 +90,18 @@
         return;
     }
     auto const id = found->second;
-    auto const known_boot = state_.workers[id].entry.boot;
-    if(inventory.boot < known_boot || sent_at < state_.workers[id].asked_at) {
+    auto const known_boot = state_.workers[id].boot;
+    auto const asked_at = state_.workers[id].asked_at;
+    auto const is_other_boot = known_boot != 0u && inventory.boot != known_boot;
+    // A boot may have any number, since the worker's time of day may go back: the order of the questions decides.
+    if(sent_at < asked_at || (is_other_boot && sent_at == asked_at)) {
         return;
     }
     state_.workers[id].asked_at = sent_at;
-    if(inventory.boot > known_boot) {
-        if(known_boot != 0u) {
-            drop_runs(id, now);
-        }
-        state_.workers[id].entry.boot = inventory.boot;
+    if(is_other_boot) {
+        drop_runs(id, now);
     }
+    state_.workers[id].boot = inventory.boot;
     for(auto const &end: inventory.ended) {
         if(end.number > state_.workers[id].ends_seen) {
             take_end(id, end, now);
@@ -111,7 +110,7 @@
     }
     take_listed(id, inventory, sent_at, now);
     auto &worker = state_.workers[id];
-    worker.is_held = true;
+    worker.is_held = worker.is_held || sent_at >= worker.doubted_at;
     worker.seen_at = now;
 }
 
--- a/src/kingcuplink/workflow/types.hpp
+++ b/src/kingcuplink/workflow/types.hpp
@@ -162,6 +162,7 @@
     std::string domain;
     std::vector<std::string> labels;
     resources capacity;
+    /*! Boot that the registration names; only the worker's own answer proves it. */
     std::uint64_t boot{};
     /*! True if it takes no new work. */
     bool leaving{};
--- a/test/workflow/dispatcher_test.cpp
+++ b/test/workflow/dispatcher_test.cpp
@@ -155,6 +155,132 @@
     CHECK(fleet.phase_of("a") == job_phase::done);
 }
 
+// Guards against a task in two places, and a worker that is lost for good, after one entry of another writer.
+TEST_CASE("an odd entry under the name of a worker changes nothing for its runs") {
+    struct row {
+        std::string_view name;
+        void (*change)(worker_registration &);
+    };
+    std::array<row, 5u> const rows{{
+        {"absurdly high boot", [](worker_registration &entry) { entry.boot = std::uint64_t{1} << 62u; }},
+        {"no boot", [](worker_registration &entry) { entry.boot = 0u; }},
+        {"lower boot", [](worker_registration &entry) { entry.boot -= 1u; }},
+        {"another address", [](worker_registration &entry) { entry.address = "10.0.0.99:1"; }},
+        {"unreadable", nullptr},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        scripted_fleet fleet{{.workers = 2u, .first_boot = 5u}};
+        fleet.behaviour["a"] = {millis{600'000}, run_end::done};
+        fleet.submit(scripted_fleet::job("a", step_of(1u, 20'000)));
+        fleet.run_for(millis{300});
+        REQUIRE(fleet.starts == 1u);
+        for(auto const &worker: fleet.workers) {
+            if(worker.runs.empty()) {
+                continue;
+            }
+            if(item.change == nullptr) {
+                fleet.leader->unregister_worker(worker.entry.name);
+                continue;
+            }
+            auto odd = worker.entry;
+            item.change(odd);
+            fleet.leader->register_worker(odd, fleet.now);
+        }
+        fleet.run_for(millis{500});
+        CHECK(fleet.starts == 1u);
+        CHECK(fleet.runs_of("a") == 1u);
+        CHECK(fleet.stops.empty());
+        for(auto const &worker: fleet.workers) {
+            fleet.leader->register_worker(worker.entry, fleet.now);
+        }
+        // One task fits beside the first job's, and two fit on no worker.
+        fleet.submit(scripted_fleet::job("b", step_of(2u, 40'000), millis{800}));
+        fleet.run_for(millis{300});
+        CHECK(fleet.runs_of("b") == 2u);
+        CHECK(fleet.runs_of("a") == 1u);
+    }
+}
+
+// Guards against runs that a new leader does not find because the entry that it read first was odd.
+TEST_CASE("a new leader that reads an odd entry first adopts what runs") {
+    for(auto const boot: {std::uint64_t{0}, std::uint64_t{4}, std::uint64_t{1} << 62u}) {
+        CAPTURE(boot);
+        scripted_fleet fleet{{.workers = 2u, .first_boot = 5u}};
+        fleet.submit(scripted_fleet::job("a", step_of(1u, 40'000)));
+        fleet.run_for(millis{300});
+        for(auto &item: fleet.workers) {
+            item.entry.boot = boot;
+        }
+        fleet.change_leader();
+        for(auto &item: fleet.workers) {
+            item.entry.boot = 5u;
+        }
+        fleet.run_for(millis{1'500});
+        CHECK(fleet.phase_of("a") == job_phase::done);
+        CHECK(fleet.starts == 1u);
+    }
+}
+
+TEST_CASE("a worker whose entry tells of another boot or place gets no run until it has answered") {
+    for(auto const *what: {"boot", "address"}) {
+        CAPTURE(what);
+        scripted_fleet fleet{{.workers = 1u}};
+        fleet.run_for(millis{100});
+        fleet.workers[0].reachable = false;
+        auto changed = fleet.workers[0].entry;
+        if(std::string_view{what} == "boot") {
+            changed.boot += 1u;
+        } else {
+            changed.address = "10.0.0.99:1";
+        }
+        fleet.leader->register_worker(changed, fleet.now);
+        fleet.submit(scripted_fleet::job("a", step_of(1u, 40'000)));
+        fleet.run_for(millis{200});
+        CHECK(fleet.leader->figures(fleet.now).usable_workers == 0u);
+        CHECK(fleet.starts == 0u);
+        fleet.workers[0].reachable = true;
+        fleet.run_for(millis{200});
+        CHECK(fleet.runs_of("a") == 1u);
+    }
+}
+
+// Guards against a worker that is ignored for ever because its time of day went back between two starts.
+TEST_CASE("a worker that started anew with a lower boot is used, and its earlier runs start again") {
+    for(auto const is_registered: {false, true}) {
+        CAPTURE(is_registered);
+        scripted_fleet fleet{{.workers = 1u, .first_boot = 5u}};
+        fleet.submit(scripted_fleet::job("a", step_of(1u, 60'000)));
+        fleet.run_for(millis{300});
+        REQUIRE(fleet.starts == 1u);
+        auto &worker = fleet.workers[0];
+        worker.runs.clear();
+        worker.next_end = 1u;
+        worker.entry.boot = 3u;
+        if(is_registered) {
+            fleet.leader->register_worker(worker.entry, fleet.now);
+        }
+        fleet.run_for(millis{1'500});
+        CHECK(fleet.starts == 2u);
+        CHECK(fleet.phase_of("a") == job_phase::done);
+    }
+}
+
+TEST_CASE("an answer of an earlier boot that comes late changes nothing") {
+    scripted_fleet fleet{{.workers = 1u, .first_boot = 5u}};
+    fleet.behaviour["a"] = {millis{600'000}, run_end::done};
+    fleet.submit(scripted_fleet::job("a", step_of(1u, 60'000)));
+    fleet.run_for(millis{300});
+    REQUIRE(fleet.starts == 1u);
+    for(auto const age: {millis{0}, millis{20}, millis{500}}) {
+        CAPTURE(age.count());
+        fleet.leader->take_inventory("w0", {4u, {}, {}}, fleet.now - age, fleet.now);
+        fleet.run_for(millis{100});
+        CHECK(fleet.starts == 1u);
+        CHECK(fleet.stops.empty());
+    }
+}
+
 TEST_CASE("a start without an answer counts until the worker has told") {
     scripted_fleet fleet{{.workers = 1u}};
     fleet.starts_are_unanswered = true;
--- a/test/workflow/fixture.cpp
+++ b/test/workflow/fixture.cpp
@@ -34,7 +34,7 @@
         item.entry.service = "service";
         item.entry.domain = "d" + std::to_string(pos / shape.workers_per_domain);
         item.entry.capacity = shape.worker_size;
-        item.entry.boot = 1u;
+        item.entry.boot = shape.first_boot;
         workers.push_back(item);
     }
     change_leader();
--- a/test/workflow/fixture.hpp
+++ b/test/workflow/fixture.hpp
@@ -23,6 +23,8 @@
     std::size_t workers_per_domain{2u};
     std::optional<advice_terms> advice{};
     std::uint32_t max_attempts{2u};
+    /*! Boot of every worker at first. */
+    std::uint64_t first_boot{1u};
 };
 
 /*!
