Keep the runs that a worker's new boot lists

Cause: a worker may start again under its id, and orders name the id. When the leader learnt of another boot it gave up all runs of the worker before it looked at the list of that very boot, so that a run which had reached the new boot was started elsewhere while it went on. Two ways lead there. A start goes to a worker that restarted within the last 2.5 s, in which it still counts as usable. Or, without any late order: a leader starts runs in the new boot, another leader takes over, reads the old boot from the registration, and takes the first look's answer for a restart. Class of fault: evidence of one incarnation used against another.

Ruled out: late orders alone (neither way needs one).

Change: a new boot resets the numbers of ends, the stops that were answered and the advice; which runs are gone then follows from its list, by the same rule as in any boot: a run that had begun earlier and is not listed is lost, one that was ordered and may still come has to be stopped there first.

--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -145,7 +145,8 @@
     void lease_extended(std::string const &worker, instant lapsed_at);
 
     /*!
-     * Takes a worker's own account of its runs. If another boot answers, all runs of the earlier one are lost.
+     * Takes a worker's own account of its runs. If another boot answers, runs that it lists go on: an order that was
+     * meant for the earlier boot may have reached this one. Those that had begun in the earlier one are lost.
      * @param sent_at When the question was sent: what was ordered later may be missing.
      */
     void take_inventory(std::string const &worker, worker_inventory const &inventory, instant sent_at, instant now);
@@ -213,9 +214,11 @@
     void count_failure(job_id id, run_key const &key, worker_id worker);
     void judge_worker(worker_id worker, job_id job, run_end how, instant now);
     void take_end(worker_id worker, listed_end const &end, instant now);
-    void take_listed(worker_id worker, worker_inventory const &inventory, instant sent_at, instant now);
+    /*! Compares the books with a list; runs that are gone are lost for the given reason. */
+    void take_listed(worker_id worker, worker_inventory const &inventory, run_loss why, instant sent_at, instant now);
     void take_stray(worker_id worker, listed_run const &run);
-    void drop_runs(worker_id worker, instant now);
+    /*! Begins to know a worker by another boot; its runs stay on the books until its list tells of them. */
+    void begin_boot(worker_id worker, std::uint64_t boot);
     /*! Removes a run that did not end well; a gang goes with it. */
     void remove_run(placement_id id, instant now);
     /*! Removes a run of which no end was listed. */
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -41,16 +41,19 @@
     }
 }
 
-void dispatcher::drop_runs(worker_id const id, instant const now) {
+void dispatcher::begin_boot(worker_id const id, std::uint64_t const boot) {
     auto &worker = state_.workers[id];
-    worker.is_held = false;
+    worker.boot = boot;
+    ++worker.restarts;
     worker.ends_seen = 0u;
     worker.ends_kept = 0u;
     worker.failing_jobs.clear();
     worker.quarantined_until = {};
-    auto const runs = worker.placements;
-    for(auto const run: runs) {
-        lose_run(run, run_loss::other_boot, now);
+    for(auto const pos: worker.placements) {
+        // The boot that answered a stop is gone: this one may still be told to start the run.
+        auto &run = state_.placements[pos];
+        run.stop_answered.reset();
+        run.next_stop = {};
     }
     for(auto &job: state_.jobs.values()) {
         for(auto &step: job.steps) {
@@ -63,7 +66,7 @@
 void dispatcher::lose_run(placement_id const id, run_loss const why, instant const now) {
     if(auto const *run = state_.placements.find(id); run != nullptr) {
         auto const &entry = state_.workers[run->worker].entry;
-        lost_.push_back({run->key, entry.name, entry.boot, why});
+        lost_.push_back({run->key, entry.name, state_.workers[run->worker].boot, why});
         remove_run(id, now);
     }
 }
@@ -99,7 +102,7 @@
     }
     state_.workers[id].asked_at = sent_at;
     if(is_other_boot) {
-        drop_runs(id, now);
+        begin_boot(id, inventory.boot);
     }
     state_.workers[id].boot = inventory.boot;
     for(auto const &end: inventory.ended) {
@@ -108,7 +111,7 @@
             state_.workers[id].ends_seen = end.number;
         }
     }
-    take_listed(id, inventory, sent_at, now);
+    take_listed(id, inventory, is_other_boot ? run_loss::other_boot : run_loss::not_listed, sent_at, now);
     auto &worker = state_.workers[id];
     worker.is_held = worker.is_held || sent_at >= worker.doubted_at;
     worker.seen_at = now;
@@ -220,8 +223,8 @@
     }
 }
 
-void dispatcher::take_listed(
-    worker_id const id, worker_inventory const &inventory, instant const sent_at, instant const now) {
+void dispatcher::take_listed(worker_id const id, worker_inventory const &inventory, run_loss const why,
+    instant const sent_at, instant const now) {
     std::map<run_key, listed_run const *> listed;
     for(auto const &run: inventory.running) {
         listed.emplace(run.key, &run);
@@ -247,7 +250,7 @@
         auto const was_stopped = run->stop_answered && *run->stop_answered < sent_at;
         auto const was_known = run->stage == internal::placement_stage::running && run->since < sent_at;
         if(was_stopped || was_known || run->stage == internal::placement_stage::inherited) {
-            lose_run(pos, was_stopped ? run_loss::stopped : run_loss::not_listed, now);
+            lose_run(pos, was_stopped ? run_loss::stopped : why, now);
         } else if(run->stage == internal::placement_stage::unresolved && run->since < sent_at) {
             // It may still arrive: only an answered stop keeps it out.
             run->stop_wanted = true;
