Count a lease as lapsed only once it was surely asked for

Cause: a planning round took a run whose start was handed out, but not answered, off the books as lapsed, since the worker's lease of before had passed; the start was still sent, and its task was started elsewhere as well. In the daemon as built nothing comes between the two, since the start's coroutine begins at once: so this is not what users saw. A run that nothing explains had no lease in the books at all and gave its room away until the next look.

--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -137,7 +137,7 @@
             continue;
         }
         auto const worker = state_.worker_ids.at(row.worker);
-        state_.workers[worker].lapsed_at = state_.inherited_until;
+        state_.workers[worker].lapsed_at = std::max(state_.workers[worker].lapsed_at, state_.inherited_until);
         internal::placement run;
         run.worker = worker;
         run.job = id;
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -216,7 +216,7 @@
     void take_end(worker_id worker, listed_end const &end, instant now);
     /*! Compares the books with a list; runs that are gone are lost for the given reason. */
     void take_listed(worker_id worker, worker_inventory const &inventory, run_loss why, instant sent_at, instant now);
-    void take_stray(worker_id worker, listed_run const &run);
+    void take_stray(worker_id worker, listed_run const &run, instant now);
     /*! Begins to know a worker by another boot; its runs stay on the books until its list tells of them. */
     void begin_boot(worker_id worker, std::uint64_t boot);
     /*! Removes a run that did not end well; a gang goes with it. */
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -260,18 +260,21 @@
         }
     }
     for(auto const &[key, run]: listed) {
-        take_stray(id, *run);
+        take_stray(id, *run, now);
     }
 }
 
-void dispatcher::take_stray(worker_id const id, listed_run const &run) {
+void dispatcher::take_stray(worker_id const id, listed_run const &run, instant const now) {
     internal::placement stray;
     stray.worker = id;
     stray.key = run.key;
     stray.stage = internal::placement_stage::running;
     stray.is_known = false;
     stray.stop_wanted = true;
-    auto const &worker = state_.workers[id];
+    auto &worker = state_.workers[id];
+    // Whoever started it, this leader or an earlier one: its lease lapses with theirs.
+    worker.lapsed_at = std::max(worker.lapsed_at, state_.inherited_until);
+    stray.since = now;
     stray.charge = max_of(worker.entry.capacity - worker.used, {});
     if(auto const found = state_.job_ids.find(run.key.job); found != state_.job_ids.end()) {
         auto const &job = state_.jobs[found->second];
@@ -290,7 +293,10 @@
             auto const runs = worker.placements;
             for(auto const pos: runs) {
                 auto const *run = state_.placements.find(pos);
-                if(run != nullptr && run->stage != internal::placement_stage::intended) {
+                // The lease of a run whose start is not answered may have been asked for at any time up to the answer.
+                auto const may_lapse = run != nullptr && run->stage != internal::placement_stage::intended &&
+                    run->stage != internal::placement_stage::ordered;
+                if(may_lapse) {
                     lose_run(pos, run_loss::lapsed, now);
                 }
             }
--- a/test/workflow/dispatcher_test.cpp
+++ b/test/workflow/dispatcher_test.cpp
@@ -281,6 +281,25 @@
     }
 }
 
+// A run that nothing explains was taken off the books as lapsed before its lease was known, and its room given away.
+TEST_CASE("room of a run that nothing explains stays taken until its end is listed") {
+    scripted_fleet fleet{{.workers = 1u}};
+    fleet.submit(scripted_fleet::job("a", step_of(1u, 60'000)));
+    fleet.run_for(millis{300});
+    REQUIRE(fleet.runs_of("a") == 1u);
+    fleet.table.advance("a", {job_phase::cancelled, {}}, fleet.now);
+    fleet.change_leader();
+    worker_inventory inventory{1u, {{fleet.workers[0].runs.front().key, {}}}, {}};
+    fleet.leader->take_inventory("w0", inventory, fleet.now, fleet.now);
+    fleet.submit(scripted_fleet::job("b", step_of(1u, 60'000)));
+    for(auto round = 0; round < 3; ++round) {
+        fleet.now += round_length;
+        dispatch_plan decided;
+        fleet.leader->plan(fleet.now, decided);
+        CHECK(fleet.leader->next_batch().starts.empty());
+    }
+}
+
 TEST_CASE("a start without an answer counts until the worker has told") {
     scripted_fleet fleet{{.workers = 1u}};
     fleet.starts_are_unanswered = true;
