Tell the end of a job once the log has it

Cause: the leader told ends to callers and to other entry VMs before the log had them, counting on the worker's list. A leader that is cut off, or wakes after another one has taken over, told its own callers alone; the worker restarted, its list went with it, and the next leader found a run without an end.

Ruled out: an acknowledgement beyond what the log has (no append was done in that time).

Change: ends are told when the append is done. Tried and not taken: telling them only while beats are answered, since whoever was told need not be the next leader.

--- a/src/kingcuplink/site/fleet_lead.cpp
+++ b/src/kingcuplink/site/fleet_lead.cpp
@@ -238,7 +238,6 @@
     }
     dispatcher_.take_inventory(name, answer.inventory, sent_at, now);
     write_losses();
-    tell_ends();
     plan_wanted_.notify();
     journal_wanted_.notify();
     co_return true;
@@ -308,6 +307,7 @@
         if(batch.empty()) {
             continue;
         }
+        tell_ends(batch);
         std::vector<run_start> starts;
         dispatcher_.batch_kept(batch, current_time(), starts);
         for(auto &start: starts) {
@@ -419,18 +419,19 @@
     }
 }
 
-void fleet_lead::tell_ends() {
-    auto const ended = dispatcher_.take_ended();
-    if(ended.empty()) {
-        return;
-    }
+void fleet_lead::tell_ends(progress_batch const &kept) {
     wire::envelope message;
     auto &ends = *message.mutable_job_ends();
     ends.set_term(term_);
-    for(auto const &[id, phase]: ended) {
-        auto &row = *ends.add_rows();
-        row.set_id(id);
-        row.set_phase(static_cast<std::uint32_t>(phase));
+    for(auto const &[id, progress]: kept.records) {
+        if(is_final(progress.phase)) {
+            auto &row = *ends.add_rows();
+            row.set_id(id);
+            row.set_phase(static_cast<std::uint32_t>(progress.phase));
+        }
+    }
+    if(ends.rows().empty()) {
+        return;
     }
     on_end_(ends);
     for(auto const &[peer, entry]: peers_known_) {
--- a/src/kingcuplink/site/fleet_lead.hpp
+++ b/src/kingcuplink/site/fleet_lead.hpp
@@ -26,7 +26,7 @@
     /*! Called once when the log or a worker knows a higher term. */
     using fenced_listener = std::function<void()>;
 
-    /*! Called with jobs that ended, before the log has it. */
+    /*! Called with jobs that ended, once the log has it. */
     using end_listener = std::function<void(wire::job_ends const &)>;
 
     /*!
@@ -115,7 +115,7 @@
     boost::asio::awaitable<void> run_beats(self_pointer self);
     void send_beats();
     [[nodiscard]] std::uint32_t most_millicores() const noexcept;
-    void tell_ends();
+    void tell_ends(progress_batch const &kept);
     void write_losses();
     boost::asio::awaitable<void> run_journal(self_pointer self);
     boost::asio::awaitable<bool> keep(std::vector<keyed_record> records);
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -96,7 +96,7 @@
     state_.job_ids.emplace(definition.id, id);
     adopt_runs(id, entry);
     if(entry.told_end) {
-        // An earlier leader saw it end, and callers were told.
+        // The log has its end, though this process has not read it yet, and callers were told.
         end_job(id, *entry.told_end);
     } else if(entry.cancel_wanted) {
         cancel_job(definition.id);
@@ -165,7 +165,6 @@
 void dispatcher::end_job(job_id const id, job_phase const phase) {
     state_.jobs[id].phase = phase;
     state_.mark_dirty(id);
-    ended_.emplace_back(state_.jobs[id].definition.id, phase);
     auto const steps = static_cast<std::uint32_t>(phase != job_phase::done ? state_.jobs[id].steps.size() : 0u);
     for(std::uint32_t step{}; step < steps; ++step) {
         stop_runs(id, step);
@@ -376,10 +375,6 @@
     }
 }
 
-std::vector<std::pair<std::string, job_phase>> dispatcher::take_ended() {
-    return std::exchange(ended_, {});
-}
-
 std::vector<lost_run> dispatcher::take_lost() {
     return std::exchange(lost_, {});
 }
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -193,9 +193,6 @@
      */
     void batch_kept(progress_batch const &batch, instant now, std::vector<run_start> &out);
 
-    /*! Returns jobs that ended since the last call, whether the log has it or not. */
-    [[nodiscard]] std::vector<std::pair<std::string, job_phase>> take_ended();
-
     /*! Returns runs that were taken off the books without an end since the last call; for the log of decisions. */
     [[nodiscard]] std::vector<lost_run> take_lost();
 
@@ -228,7 +225,6 @@
     [[nodiscard]] placement_id find_run(worker_id worker, run_key const &key) const;
 
     internal::dispatch_state state_;
-    std::vector<std::pair<std::string, job_phase>> ended_;
     std::vector<lost_run> lost_;
 };
 
--- a/src/kingcuplink/workflow/job_table.hpp
+++ b/src/kingcuplink/workflow/job_table.hpp
@@ -15,7 +15,7 @@
     job_definition definition;
     job_progress progress;
     bool cancel_wanted{};
-    /*! Phase in which it ended, if the leader said so before the log has it. */
+    /*! Phase in which it ended, if the leader said so before this process read it from the log. */
     std::optional<job_phase> told_end{};
     /*! When this process learnt of its end; for forgetting it. */
     instant ended_at{};
@@ -36,7 +36,7 @@
     /*! Notes that a caller cancelled a job. Returns false if it is not known or has ended. */
     bool cancel(std::string const &id);
 
-    /*! Notes how a job ended before the log has it. */
+    /*! Notes how a job ended before its record was read. Precondition: the log has that record. */
     void tell_end(std::string const &id, job_phase phase);
 
     /*! Drops a job. */
--- a/test/site/site_test.cpp
+++ b/test/site/site_test.cpp
@@ -112,6 +112,26 @@
     CHECK(site.workers.starts() == 2u);
 }
 
+// A leader that was cut off told its callers "done"; with its worker's list the end was lost, and the task ran again.
+TEST_CASE("a job is not shown as done before the log has its end") {
+    scripted_site site{2u};
+    site.run_until([&]() { return site.leader() != nullptr; });
+    REQUIRE(site.leader() != nullptr);
+    auto const leading = 1u - site.follower();
+    REQUIRE_FALSE(site.ask(leading, caller_wish::submit, "0123456789abcdef").refused);
+    site.run_until([&]() { return site.workers.runs() == 2u; });
+    site.vms[leading]->log.is_open = false;
+    site.workers.end_all();
+    site.run_for(millis{300});
+    for(auto vm = 0u; vm < 2u; ++vm) {
+        CHECK(site.ask(vm, caller_wish::ask, "0123456789abcdef").phase != job_phase::done);
+    }
+    site.vms[leading]->log.is_open = true;
+    auto const is_done = [&]() { return site.ask(0u, caller_wish::ask, "0123456789abcdef").phase == job_phase::done; };
+    site.run_until(is_done);
+    CHECK(is_done());
+}
+
 TEST_CASE("a job that another entry VM accepted just now is known, and can be cancelled") {
     scripted_site site{2u};
     site.run_until([&]() { return site.leader() != nullptr; });
