Name the worker in every look; a replaced worker's runs start again

Cause: a first look named no worker, so that any boot would answer it. Where a worker died and another one took its address, that one answered for both and was booked under two names. Its runs counted as unexplained ones of the dead name and were to be stopped there, its ends were counted under the dead name while the run stayed on the books under the living one.

Ruled out: naming the boot by its time of start (trial: nothing is served, the platform takes the worker's id alone).

Change: every call names its worker. Another worker's answer tells that the named one is gone, unless its registration has named another address since it last answered: then its runs are lost at once, as they were by the wrong name before.

--- a/src/kingcuplink/core/decision_log.hpp
+++ b/src/kingcuplink/core/decision_log.hpp
@@ -40,6 +40,7 @@
     worker_seen,
     worker_silent,
     worker_restarted,
+    worker_replaced,
     worker_changed,
     count
 };
--- a/src/kingcuplink/site/fleet_lead.cpp
+++ b/src/kingcuplink/site/fleet_lead.cpp
@@ -196,11 +196,10 @@
     auto const entry = *dispatcher_.find_worker(name);
     auto const sent_at = current_time();
     auto const boot = dispatcher_.boot_of(name);
-    worker_target target{entry.name, entry.address, boot};
+    worker_target target{entry.name, entry.address};
     look_request request{term_, dispatcher_.kept_end(name), timing::look_wait, std::nullopt};
     if(mode == look_mode::first || !dispatcher_.is_held(name)) {
         // Whichever boot answers: neither its ends nor its leases are touched before they are known.
-        target.boot = 0u;
         request.kept_end = 0u;
         request.wait = millis{};
     } else if(mode == look_mode::prompt) {
@@ -217,6 +216,11 @@
         fenced("worker " + name);
         co_return false;
     }
+    if(answer.outcome == look_outcome::other_worker && dispatcher_.worker_replaced(name, current_time())) {
+        parts_.decisions.write(decision::worker_replaced, {{"worker", name}, {"address", entry.address}});
+        write_losses();
+        plan_wanted_.notify();
+    }
     if(answer.outcome != look_outcome::answered) {
         co_return false;
     }
@@ -361,7 +365,7 @@
     if(clock && !over_) {
         dispatcher_.lease_extended(run.worker, timing::lapsed_at(now, lease_));
         parts_.stats.add(event::task_start_sent);
-        worker_target target{run.worker, run.address, run.boot};
+        worker_target target{run.worker, run.address};
         answer = co_await parts_.workers.start(
             std::move(target), run, term_, *clock + lease_.count(), timing::order_timeout);
         parts_.times.add(latency::task_start, current_time() - now);
@@ -398,7 +402,7 @@
 
 boost::asio::awaitable<void> fleet_lead::stop_run([[maybe_unused]] self_pointer self, run_stop stop) {
     parts_.stats.add(event::task_stop_sent);
-    worker_target target{stop.worker, stop.address, stop.boot};
+    worker_target target{stop.worker, stop.address};
     auto const answered = co_await parts_.workers.stop(std::move(target), stop.key, term_, timing::order_timeout);
     if(over_) {
         co_return;
--- a/src/kingcuplink/site/ports.hpp
+++ b/src/kingcuplink/site/ports.hpp
@@ -117,12 +117,10 @@
     [[nodiscard]] virtual bool apply(keyed_record const &record, site_rules &rules) = 0;
 };
 
-/*! Which worker a call is for. */
+/*! Which worker a call is for; another one at its address does nothing. */
 struct worker_target {
     std::string name;
     std::string address;
-    /*! Boot that the call is meant for; zero for any. */
-    std::uint64_t boot{};
 };
 
 /*! Question for all runs of a worker. */
@@ -137,7 +135,14 @@
 };
 
 /*! What became of a look. */
-enum class look_outcome : std::uint8_t { answered, fenced, other_boot, failed };
+enum class look_outcome : std::uint8_t {
+    answered,
+    /*! A higher token was used there. */
+    fenced,
+    /*! Another worker has the address. */
+    other_worker,
+    failed
+};
 
 /*! Answer to a look. */
 struct look_answer {
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -121,6 +121,8 @@
     worker_registration entry;
     /*! Boot that last answered; zero before the first answer. */
     std::uint64_t boot{};
+    /*! Address at which it last answered; empty before the first answer. */
+    std::string answered_at{};
     /*! How often another boot than the one before answered. */
     std::uint64_t restarts{};
     resources used;
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -151,6 +151,12 @@
      */
     void take_inventory(std::string const &worker, worker_inventory const &inventory, instant sent_at, instant now);
 
+    /*!
+     * Notes that another worker answered at a worker's address: what ran there is gone, and an order that is late does
+     * nothing. False if nothing follows, because its registration has named another address since it last answered.
+     */
+    bool worker_replaced(std::string const &worker, instant now);
+
     /*! Returns the boot of a worker that last answered, or zero. */
     [[nodiscard]] std::uint64_t boot_of(std::string const &worker) const;
 
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -115,6 +115,28 @@
     auto &worker = state_.workers[id];
     worker.is_held = worker.is_held || sent_at >= worker.doubted_at;
     worker.seen_at = now;
+    worker.answered_at = worker.entry.address;
+}
+
+bool dispatcher::worker_replaced(std::string const &name, instant const now) {
+    auto const found = state_.worker_ids.find(name);
+    if(found == state_.worker_ids.end()) {
+        return false;
+    }
+    auto &worker = state_.workers[found->second];
+    if(!worker.answered_at.empty() && worker.answered_at != worker.entry.address) {
+        return false;
+    }
+    auto const is_news = worker.is_held || !worker.placements.empty();
+    worker.is_held = false;
+    auto const runs = worker.placements;
+    for(auto const pos: runs) {
+        auto const *run = state_.placements.find(pos);
+        if(run != nullptr && run->stage != internal::placement_stage::ordered) {
+            lose_run(pos, run_loss::other_boot, now);
+        }
+    }
+    return is_news;
 }
 
 void dispatcher::take_end(worker_id const worker, listed_end const &end, instant const now) {
--- /dev/null
+++ b/test/adapter/worker_client_test.cpp
@@ -0,0 +1,50 @@
+#include "process_set.hpp"
+#include "site_worker.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <doctest/doctest.h>
+#include <platform/worker_client.hpp>
+
+namespace kingcuplink::test {
+
+namespace {
+
+/*! Asks one stand-in of a worker for its runs. */
+look_answer look_as(std::string const &name) {
+    process_set ports;
+    boost::asio::io_context context{1};
+    standin::site_store store{context, ports.take_address()};
+    standin::site_record record;
+    standin::gang_board gangs;
+    auto const address = ports.take_address();
+    auto const worker = std::make_shared<standin::site_worker>(
+        standin::site_shared{context, store, record, gangs}, "w1", address, address, "domain");
+    worker->start();
+    counters stats;
+    http_client http{context, stats, 1u};
+    adapter::worker_client client{http};
+    std::optional<look_answer> answer;
+    boost::asio::co_spawn(
+        context,
+        [&]() -> boost::asio::awaitable<void> {
+            worker_target const target{name, address};
+            look_request const request{.token = 1u};
+            answer = co_await client.look(target, request, millis{1'000});
+        },
+        boost::asio::detached);
+    while(!answer) {
+        context.run_one();
+    }
+    return *answer;
+}
+
+} // namespace
+
+// A first look named no worker: whichever had the address answered, and was booked under a second name.
+TEST_CASE("a look is answered by the worker that it names, or by none") {
+    CHECK(look_as("w1").outcome == look_outcome::answered);
+    CHECK(look_as("w0").outcome == look_outcome::other_worker);
+}
+
+} // namespace kingcuplink::test
--- a/test/workflow/dispatcher_test.cpp
+++ b/test/workflow/dispatcher_test.cpp
@@ -266,6 +266,40 @@
     }
 }
 
+// A worker that took a dead one's address was booked under both names, and its ends were counted for both.
+TEST_CASE("runs of a worker whose address another one took start again") {
+    struct row {
+        bool has_answered;
+        bool has_moved;
+        std::size_t starts;
+    };
+    // An entry that names a place where the worker never answered proves nothing.
+    std::array<row, 3u> const rows{{{true, false, 2u}, {true, true, 1u}, {false, false, 2u}}};
+    for(auto const &item: rows) {
+        CAPTURE(item.has_answered);
+        CAPTURE(item.has_moved);
+        scripted_fleet fleet{{.workers = 2u}};
+        fleet.submit(scripted_fleet::job("a", step_of(1u, 20'000)));
+        fleet.run_for(millis{300});
+        REQUIRE(fleet.starts == 1u);
+        auto const found = std::find_if(
+            fleet.workers.begin(), fleet.workers.end(), [](auto const &worker) { return !worker.runs.empty(); });
+        found->reachable = false;
+        found->runs.clear();
+        if(!item.has_answered) {
+            fleet.change_leader();
+        }
+        if(item.has_moved) {
+            found->entry.address = "10.0.0.99:1";
+            fleet.leader->register_worker(found->entry, fleet.now);
+        }
+        CHECK(fleet.leader->worker_replaced(found->entry.name, fleet.now) == !item.has_moved);
+        fleet.run_for(millis{300});
+        CHECK(fleet.starts == item.starts);
+        CHECK_FALSE(fleet.leader->is_held(found->entry.name));
+    }
+}
+
 TEST_CASE("an answer of an earlier boot that comes late changes nothing") {
     scripted_fleet fleet{{.workers = 1u, .first_boot = 5u}};
     fleet.behaviour["a"] = {millis{600'000}, run_end::done};
