Count a failed run once, whichever leader saw it

Cause: a record could hold a counted failure and still name a worker for that run; the next leader took the end as not counted and counted it again. For a gang the run that failed was known from the first member's record only if that member's own run had ended.

Class of fault: a count kept without the key that makes it idempotent.

Change: a run whose end was taken note of is on no worker in its record; the record of a gang's first member holds the latest run that counts as failed.

--- a/src/kingcuplink/site/record_codec.cpp
+++ b/src/kingcuplink/site/record_codec.cpp
@@ -96,6 +96,7 @@
         row->set_index(task.index);
         row->set_run(task.run);
         row->set_failures(task.failures);
+        row->set_failed_run(task.failed_run);
         row->set_done(task.done);
         row->set_worker(task.worker);
         row->set_checkpoint(task.checkpoint);
@@ -146,8 +147,8 @@
     }
     job_progress progress{static_cast<job_phase>(record->phase()), {}};
     for(auto const &row: record->tasks()) {
-        progress.tasks.push_back(
-            {row.step(), row.index(), row.run(), row.failures(), row.done(), row.worker(), row.checkpoint()});
+        progress.tasks.push_back({row.step(), row.index(), row.run(), row.failures(), row.failed_run(), row.done(),
+            row.worker(), row.checkpoint()});
     }
     return progress;
 }
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -46,11 +46,14 @@
             if(task.run == 0u) {
                 continue;
             }
-            task_progress row{step, index, task.run, task.failures, task.done, {}, task.checkpoint};
+            task_progress row{step, index, task.run, task.failures, index == 0u ? job.steps[step].failed_run : 0u,
+                task.done, {}, task.checkpoint};
             if(task.done) {
                 row.checkpoint = {};
             }
-            if(auto const *run = state.placements.find(task.placement); run != nullptr) {
+            // A run whose end was taken note of is nowhere any more, whichever worker listed it.
+            auto const *run = state.placements.find(task.placement);
+            if(run != nullptr && task.ended_run < task.run) {
                 row.worker = state.workers[run->worker].entry.name;
             }
             progress.tasks.push_back(std::move(row));
@@ -115,6 +118,7 @@
         task.failures = row.failures;
         task.checkpoint = row.checkpoint;
         step.checkpoint = std::max(step.checkpoint, row.checkpoint);
+        step.failed_run = std::max(step.failed_run, row.failed_run);
         if(row.done) {
             task.done = true;
             --step.waiting;
@@ -122,7 +126,6 @@
         }
         if(row.worker.empty()) {
             task.ended_run = row.run;
-            step.failed_run = std::max(step.failed_run, row.failures > 0u ? row.run : 0u);
             continue;
         }
         task.ended_run = row.run - 1u;
--- a/src/kingcuplink/workflow/types.hpp
+++ b/src/kingcuplink/workflow/types.hpp
@@ -64,6 +64,8 @@
     /*! Number of the latest start; later ones must have higher numbers. */
     std::uint32_t run{};
     std::uint32_t failures{};
+    /*! For the first member of a gang: the latest run that counts as failed. */
+    std::uint32_t failed_run{};
     bool done{};
     /*! Worker on which the latest run may exist; empty once its end is known. */
     std::string worker;
--- a/test/site/site_test.cpp
+++ b/test/site/site_test.cpp
@@ -35,11 +35,12 @@
     CHECK(read->steps[1].after == step.after);
     CHECK(read->steps[1].gang);
     CHECK(read->steps[1].most_per_worker == 2u);
-    job_progress const progress{job_phase::running, {{1u, 2u, 3u, 1u, false, "w", "checkpoint"}}};
+    job_progress const progress{job_phase::running, {{1u, 2u, 3u, 1u, 2u, false, "w", "checkpoint"}}};
     auto const told = decode_progress(*encode(job.id, progress).value);
     REQUIRE(told);
     CHECK(told->phase == job_phase::running);
     REQUIRE(told->tasks.size() == 1u);
+    CHECK(told->tasks[0].failed_run == 2u);
     CHECK(told->tasks[0].run == 3u);
     CHECK(told->tasks[0].checkpoint == "checkpoint");
     CHECK_FALSE(decode_progress("\xff\xff\xff"));
--- a/test/workflow/dispatcher_test.cpp
+++ b/test/workflow/dispatcher_test.cpp
@@ -79,6 +79,47 @@
     CHECK(fleet.phase_of("a") == job_phase::done);
 }
 
+// A job was shown as failed before a task had failed so often: two leaders counted one failed run of a gang.
+TEST_CASE("a failed run of a gang whose members are seen by two leaders counts once") {
+    for(auto const first_seen: {0u, 1u}) {
+        CAPTURE(first_seen);
+        scripted_fleet fleet{{.workers = 2u, .max_attempts = 2u}};
+        fleet.behaviour["a"] = {millis{400}, run_end::failed};
+        fleet.submit(scripted_fleet::job("a", step_of(2u, 40'000, true)));
+        fleet.run_for(millis{200});
+        REQUIRE(fleet.starts == 2u);
+        for(auto &worker: fleet.workers) {
+            worker.reachable = worker.runs.front().key.index == first_seen;
+        }
+        fleet.run_for(millis{600});
+        REQUIRE(fleet.table.find("a")->progress.tasks.front().failures == 1u);
+        fleet.behaviour["a"] = {millis{400}, run_end::done};
+        fleet.change_leader();
+        for(auto &worker: fleet.workers) {
+            worker.reachable = true;
+        }
+        fleet.run_for(millis{1'500});
+        CHECK(fleet.phase_of("a") == job_phase::done);
+    }
+}
+
+// An end that was listed under another worker's name left the run on the books, and the next leader counted it again.
+TEST_CASE("a run whose end was taken note of is on no worker in the log") {
+    scripted_fleet fleet{{.workers = 2u, .max_attempts = 2u}};
+    fleet.behaviour["a"] = {millis{600'000}, run_end::done};
+    fleet.submit(scripted_fleet::job("a", step_of(1u, 20'000)));
+    fleet.run_for(millis{300});
+    REQUIRE(fleet.starts == 1u);
+    auto const where = fleet.table.find("a")->progress.tasks.front().worker;
+    auto const *other = where == "w0" ? "w1" : "w0";
+    worker_inventory inventory{1u, {}, {{1u, {"a", 0u, 0u, 1u}, run_end::failed, {}}}};
+    fleet.leader->take_inventory(other, inventory, fleet.now, fleet.now);
+    auto const batch = fleet.leader->next_batch();
+    REQUIRE(batch.records.size() == 1u);
+    CHECK(batch.records.front().second.tasks.front().failures == 1u);
+    CHECK(batch.records.front().second.tasks.front().worker.empty());
+}
+
 TEST_CASE("nothing is started before the log has the intent") {
     scripted_fleet fleet;
     fleet.log_is_up = false;
