Prove leadership by the time of the claim and of first attempts

Cause: three times were taken later than what they prove. A reign counted as proved from when the process got around to begin, not from when its claim was sent; a repeated append counted from its last attempt, though the store repeats its first answer; and a start was sent with a fresh lease however old the proof was. A leader that stood still in between extended leases beyond the time after which its successor gives them up. A worker's clock was reckoned from an answer of any age, though it may be 2% slow.

Change: the claim's and the first unanswered attempt's time count; a start needs the same proof as a look that extends leases, and after a long append one more append gives it; a worker's clock is used for 4 s, which a static assertion holds within the margins.

--- a/src/kingcuplink/site/fleet_lead.cpp
+++ b/src/kingcuplink/site/fleet_lead.cpp
@@ -29,7 +29,7 @@
 } // namespace internal
 
 fleet_lead::fleet_lead(node_parts const parts, peer_link &peers, std::uint64_t const term, std::uint64_t const sequence,
-    fenced_listener on_fenced, end_listener on_end)
+    instant const claimed_at, fenced_listener on_fenced, end_listener on_end)
     : parts_{parts},
       peers_{peers},
       term_{term},
@@ -42,7 +42,7 @@
       plan_wanted_{parts.context},
       journal_wanted_{parts.context},
       begun_at_{current_time()},
-      appended_at_{begun_at_} {
+      appended_at_{claimed_at} {
     advisers_.add(parts_.settings.name);
 }
 
@@ -121,10 +121,11 @@
 
 std::optional<std::int64_t> fleet_lead::clock_of(std::string const &worker, std::uint64_t const boot) const {
     auto const found = clocks_.find(worker);
-    if(found == clocks_.end() || found->second.boot != boot) {
+    auto const now = current_time();
+    if(found == clocks_.end() || found->second.boot != boot || found->second.told_at + timing::clock_age < now) {
         return std::nullopt;
     }
-    return found->second.told + (current_time() - found->second.told_at).count();
+    return found->second.told + (now - found->second.told_at).count();
 }
 
 boost::asio::awaitable<void> fleet_lead::follow_workers([[maybe_unused]] self_pointer self) {
@@ -298,7 +299,7 @@
         records.insert(records.end(), removals_.begin(), removals_.end());
         removals_.clear();
         if(records.empty() && appended_at_ + timing::leader_heartbeat <= current_time()) {
-            records.push_back(encode(leader_claim{term_, parts_.settings.name, parts_.settings.peer_address, false}));
+            records.push_back(own_claim());
         }
         for(auto const &job: batch.ended_jobs) {
             // Whoever reads all newest records need not read what ended jobs were.
@@ -311,6 +312,13 @@
         if(batch.empty()) {
             continue;
         }
+        if(!may_extend_leases(current_time())) {
+            // The append took so long that another entry VM may lead by now: one more append tells.
+            std::vector<keyed_record> proof{own_claim()};
+            if(!co_await keep(std::move(proof))) {
+                break;
+            }
+        }
         tell_ends(batch);
         std::vector<run_start> starts;
         dispatcher_.batch_kept(batch, current_time(), starts);
@@ -321,6 +329,10 @@
     }
 }
 
+keyed_record fleet_lead::own_claim() const {
+    return encode(leader_claim{term_, parts_.settings.name, parts_.settings.peer_address, false});
+}
+
 boost::asio::awaitable<bool> fleet_lead::keep(std::vector<keyed_record> records) {
     auto next = records.begin();
     while(next != records.end()) {
@@ -330,6 +342,8 @@
             chunk.push_back(std::move(*next));
         }
         ++sequence_;
+        // The store may answer a repetition as it answered the first, whoever leads by then.
+        std::optional<instant> may_be_done_since;
         auto is_kept = false;
         while(!is_kept && !over_) {
             auto const sent_at = current_time();
@@ -337,7 +351,7 @@
             switch(answer.outcome) {
             case append_outcome::done:
                 is_kept = true;
-                appended_at_ = sent_at;
+                appended_at_ = may_be_done_since.value_or(sent_at);
                 append_time_ = current_time() - sent_at;
                 parts_.times.add(latency::log_append, append_time_);
                 parts_.stats.add(event::journal_appended);
@@ -346,8 +360,10 @@
             case append_outcome::out_of_sequence:
                 fenced("log");
                 co_return false;
-            case append_outcome::refused:
             case append_outcome::unknown:
+                may_be_done_since = may_be_done_since.value_or(sent_at);
+                [[fallthrough]];
+            case append_outcome::refused:
                 parts_.stats.add(event::log_append_failed);
                 co_await pause(timing::log_retry);
                 break;
@@ -362,7 +378,7 @@
     auto const clock = clock_of(run.worker, run.boot);
     auto fields = internal::fields_of(run.key, run.worker, run.boot);
     auto answer = start_answer::not_sent;
-    if(clock && !over_) {
+    if(clock && !over_ && may_extend_leases(now)) {
         dispatcher_.lease_extended(run.worker, timing::lapsed_at(now, lease_));
         parts_.stats.add(event::task_start_sent);
         worker_target target{run.worker, run.address};
--- a/src/kingcuplink/site/fleet_lead.hpp
+++ b/src/kingcuplink/site/fleet_lead.hpp
@@ -32,8 +32,9 @@
     /*!
      * Constructs a leader; the references must outlive it.
      * @param sequence Number of the append that claimed the term.
+     * @param claimed_at When that append was first sent: a later leader may have begun since.
      */
-    fleet_lead(node_parts parts, peer_link &peers, std::uint64_t term, std::uint64_t sequence,
+    fleet_lead(node_parts parts, peer_link &peers, std::uint64_t term, std::uint64_t sequence, instant claimed_at,
         fenced_listener on_fenced, end_listener on_end);
 
     /*! Begins to work. Call once, with the rules and all jobs loaded. */
@@ -119,6 +120,7 @@
     void write_losses();
     boost::asio::awaitable<void> run_journal(self_pointer self);
     boost::asio::awaitable<bool> keep(std::vector<keyed_record> records);
+    [[nodiscard]] keyed_record own_claim() const;
     boost::asio::awaitable<void> start_run(self_pointer self, run_start run);
     boost::asio::awaitable<void> stop_run(self_pointer self, run_stop stop);
     boost::asio::awaitable<void> ask_adviser(self_pointer self, advice_query query, millis limit);
@@ -151,7 +153,7 @@
     wakeup plan_wanted_;
     wakeup journal_wanted_;
     instant begun_at_;
-    /*! When the latest append that was done was sent, and the time that it took. */
+    /*! Latest time at which the log surely took this leader's appends, and the time that the last one took. */
     instant appended_at_;
     millis append_time_{};
     bool over_{};
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -533,6 +533,7 @@
     parts_.decisions.write(decision::leadership_claimed,
         {{"term", term}, {"earlier", watch_.claim().name}, {"silent_ms", watch_.silence(current_time()).count()}});
     append_answer answer;
+    auto const claimed_at = current_time();
     do {
         answer = co_await parts_.log.append(log_stream::jobs, records, log_writer{term, sequence});
         if(answer.outcome == append_outcome::unknown) {
@@ -550,13 +551,13 @@
     }
     is_claiming_ = false;
     if(watch_.claim().term == term && !draining_) {
-        begin_lead(term, sequence);
+        begin_lead(term, sequence, claimed_at);
     }
 }
 
-void site_node::begin_lead(std::uint64_t const term, std::uint64_t const sequence) {
+void site_node::begin_lead(std::uint64_t const term, std::uint64_t const sequence, instant const claimed_at) {
     lead_ = std::make_shared<fleet_lead>(
-        parts_, peers_, term, sequence, [this]() { end_lead(); },
+        parts_, peers_, term, sequence, claimed_at, [this]() { end_lead(); },
         [this](wire::job_ends const &ends) { take_ends(ends); });
     parts_.stats.add(event::leadership_taken);
     lead_->set_rules(rules_);
--- a/src/kingcuplink/site/site_node.hpp
+++ b/src/kingcuplink/site/site_node.hpp
@@ -135,7 +135,7 @@
     boost::asio::awaitable<void> watch_leader();
     [[nodiscard]] bool should_claim(instant now) const;
     boost::asio::awaitable<void> claim();
-    void begin_lead(std::uint64_t term, std::uint64_t sequence);
+    void begin_lead(std::uint64_t term, std::uint64_t sequence, instant claimed_at);
     void end_lead();
     boost::asio::awaitable<void> resign(std::string_view reason);
 
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -105,6 +105,9 @@
 inline constexpr std::int64_t clock_error_percent{3};
 /*! Additional time after which a lease has surely lapsed. */
 inline constexpr millis lapse_margin{150};
+/*! Age of a worker's clock up to which leases are reckoned by it; its error stays within the margins then. */
+inline constexpr millis clock_age{4'000};
+static_assert(clock_age * 2 / 100 + most_lease * 2 / 100 < most_lease * clock_error_percent / 100 + lapse_margin);
 /*! Time between writes of collected log lines. */
 inline constexpr millis flush_interval{100};
 /*! Bytes of records in one append; the platform takes 2 MiB. */
