Fence a worker's later boots from orders to its earlier ones

Cause: an order without an answer may be carried out 2 to 12 s later, by whichever boot of the worker there is then, which knows neither the stop nor the end that the earlier boot knew. Its token, the leader's term, is the same for all boots. Acknowledgements and leases pass in the same way: numbers of ends and clocks begin anew. A batch that accounts for ends named no boot.

Change: the token is the term and, below it, how many boots of the worker this leader saw. A refusal of a token that was raised meanwhile does not end the reign. Batches name the boot of the ends that they account for. What is left: a late order that a new boot gets before it is looked at, some 0.3 s after it began; it is listed there and goes on.

--- a/src/kingcuplink/site/fleet_lead.cpp
+++ b/src/kingcuplink/site/fleet_lead.cpp
@@ -115,6 +115,10 @@
     on_fenced_();
 }
 
+std::uint64_t fleet_lead::token_for(std::string const &worker) const {
+    return fencing_token(term_, dispatcher_.restarts_of(worker));
+}
+
 bool fleet_lead::may_extend_leases(instant const now) const {
     return appended_at_ + timing::renewal_without_log > now;
 }
@@ -198,7 +202,7 @@
     auto const sent_at = current_time();
     auto const boot = dispatcher_.boot_of(name);
     worker_target target{entry.name, entry.address};
-    look_request request{term_, dispatcher_.kept_end(name), timing::look_wait, std::nullopt};
+    look_request request{token_for(name), dispatcher_.kept_end(name), timing::look_wait, std::nullopt};
     if(mode == look_mode::first || !dispatcher_.is_held(name)) {
         // Whichever boot answers: neither its ends nor its leases are touched before they are known.
         request.kept_end = 0u;
@@ -213,7 +217,7 @@
     if(over_) {
         co_return false;
     }
-    if(answer.outcome == look_outcome::fenced) {
+    if(answer.outcome == look_outcome::fenced && request.token == token_for(name)) {
         fenced("worker " + name);
         co_return false;
     }
@@ -377,13 +381,14 @@
     auto const now = current_time();
     auto const clock = clock_of(run.worker, run.boot);
     auto fields = internal::fields_of(run.key, run.worker, run.boot);
+    auto const token = token_for(run.worker);
     auto answer = start_answer::not_sent;
     if(clock && !over_ && may_extend_leases(now)) {
         dispatcher_.lease_extended(run.worker, timing::lapsed_at(now, lease_));
         parts_.stats.add(event::task_start_sent);
         worker_target target{run.worker, run.address};
         answer = co_await parts_.workers.start(
-            std::move(target), run, term_, *clock + lease_.count(), timing::order_timeout);
+            std::move(target), run, token, *clock + lease_.count(), timing::order_timeout);
         parts_.times.add(latency::task_start, current_time() - now);
     }
     if(over_) {
@@ -393,7 +398,7 @@
     if(answer == start_answer::unknown) {
         boost::asio::co_spawn(parts_.context, look_again(shared_from_this(), run.worker), fail_fast);
     }
-    fields["token"] = term_;
+    fields["term"] = term_;
     fields["answer"] = name_of(answer);
     switch(answer) {
     case start_answer::started:
@@ -409,7 +414,7 @@
         parts_.decisions.write(decision::run_start_refused, std::move(fields));
         break;
     }
-    if(answer == start_answer::fenced) {
+    if(answer == start_answer::fenced && token == token_for(run.worker)) {
         fenced("worker " + run.worker);
     }
     plan_wanted_.notify();
@@ -419,7 +424,8 @@
 boost::asio::awaitable<void> fleet_lead::stop_run([[maybe_unused]] self_pointer self, run_stop stop) {
     parts_.stats.add(event::task_stop_sent);
     worker_target target{stop.worker, stop.address};
-    auto const answered = co_await parts_.workers.stop(std::move(target), stop.key, term_, timing::order_timeout);
+    auto const answered = co_await parts_.workers.stop(
+        std::move(target), stop.key, token_for(stop.worker), timing::order_timeout);
     if(over_) {
         co_return;
     }
--- a/src/kingcuplink/site/fleet_lead.hpp
+++ b/src/kingcuplink/site/fleet_lead.hpp
@@ -132,6 +132,7 @@
     void drop_silent_advisers(instant now);
     void fenced(std::string_view by);
     [[nodiscard]] std::optional<std::int64_t> clock_of(std::string const &worker, std::uint64_t boot) const;
+    [[nodiscard]] std::uint64_t token_for(std::string const &worker) const;
     [[nodiscard]] bool may_extend_leases(instant now) const;
 
     node_parts parts_;
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -199,6 +199,11 @@
     return found != state_.worker_ids.end() && state_.workers[found->second].is_held;
 }
 
+std::uint64_t dispatcher::restarts_of(std::string const &worker) const {
+    auto const found = state_.worker_ids.find(worker);
+    return found == state_.worker_ids.end() ? 0u : state_.workers[found->second].restarts;
+}
+
 std::uint64_t dispatcher::kept_end(std::string const &worker) const {
     auto const found = state_.worker_ids.find(worker);
     return found == state_.worker_ids.end() ? 0u : state_.workers[found->second].ends_kept;
@@ -326,7 +331,7 @@
     for(auto const id: state_.workers.ids()) {
         auto const &worker = state_.workers[id];
         if(worker.ends_seen > worker.ends_kept) {
-            batch.ends.emplace_back(id, worker.ends_seen);
+            batch.ends.push_back({id, worker.boot, worker.ends_seen});
         }
     }
     return batch;
@@ -341,9 +346,10 @@
 }
 
 void dispatcher::batch_kept(progress_batch const &batch, instant const now, std::vector<run_start> &out) {
-    for(auto const &[id, number]: batch.ends) {
-        if(auto *worker = state_.workers.find(id); worker != nullptr && worker->ends_seen >= number) {
-            worker->ends_kept = std::max(worker->ends_kept, number);
+    for(auto const &noted: batch.ends) {
+        // Another boot counts its ends anew.
+        if(auto *worker = state_.workers.find(noted.worker); worker != nullptr && worker->boot == noted.boot) {
+            worker->ends_kept = std::max(worker->ends_kept, noted.number);
         }
     }
     for(auto const id: batch.starts) {
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -72,14 +72,31 @@
 /*! Returns the name of an answer. */
 [[nodiscard]] std::string_view name_of(start_answer answer) noexcept;
 
+/*!
+ * Returns the token of orders to a worker. It rises with the leader's term and, within it, with each boot of the
+ * worker that the leader saw, so that a boot refuses late orders that were meant for an earlier one.
+ */
+[[nodiscard]] constexpr std::uint64_t fencing_token(std::uint64_t const term, std::uint64_t const restarts) noexcept {
+    constexpr unsigned restart_bits = 20u;
+    constexpr std::uint64_t most_restarts = (std::uint64_t{1} << restart_bits) - 1u;
+    return (term << restart_bits) | (restarts < most_restarts ? restarts : most_restarts);
+}
+
+/*! Ends of one boot of a worker that records account for. */
+struct noted_ends {
+    worker_id worker;
+    std::uint64_t boot{};
+    /*! Number of the last one. */
+    std::uint64_t number{};
+};
+
 /*! What the log has to learn; what depends on it waits until it has. */
 struct progress_batch {
     std::vector<std::pair<std::string, job_progress>> records;
     /*! What is still needed of the definitions of jobs that ended: whose they were. */
     std::vector<job_definition> ended_jobs;
     std::vector<placement_id> starts;
-    /*! Workers and the number of the last end that the records account for. */
-    std::vector<std::pair<worker_id, std::uint64_t>> ends;
+    std::vector<noted_ends> ends;
 
     [[nodiscard]] bool empty() const noexcept {
         return records.empty() && starts.empty() && ends.empty();
@@ -163,6 +180,9 @@
     /*! Tells whether a worker's runs are known and its registration agrees with its last answer. */
     [[nodiscard]] bool is_held(std::string const &worker) const;
 
+    /*! Returns how often this leader saw another boot of a worker than the one before. */
+    [[nodiscard]] std::uint64_t restarts_of(std::string const &worker) const;
+
     /*! Returns the number of the last end of a worker that the log accounts for. */
     [[nodiscard]] std::uint64_t kept_end(std::string const &worker) const;
 
--- a/test/workflow/dispatcher_test.cpp
+++ b/test/workflow/dispatcher_test.cpp
@@ -341,6 +341,30 @@
     }
 }
 
+// Ends of a new boot were acknowledged by the numbers of the one before, without a record of them in the log.
+TEST_CASE("ends of one boot account for none of the next") {
+    scripted_fleet fleet{{.workers = 1u}};
+    fleet.behaviour["a"] = {millis{600'000}, run_end::done};
+    fleet.submit(scripted_fleet::job("a", step_of(1u, 20'000)));
+    fleet.run_for(millis{300});
+    REQUIRE(fleet.starts == 1u);
+    fleet.leader->take_inventory("w0", {1u, {}, {{1u, {"a", 0u, 0u, 1u}, run_end::failed, {}}}}, fleet.now, fleet.now);
+    auto const batch = fleet.leader->next_batch();
+    REQUIRE(batch.ends.size() == 1u);
+    fleet.now += round_length;
+    fleet.leader->take_inventory("w0", {2u, {}, {{1u, {"b", 0u, 0u, 1u}, run_end::done, {}}}}, fleet.now, fleet.now);
+    std::vector<run_start> starts;
+    fleet.leader->batch_kept(batch, fleet.now, starts);
+    CHECK(fleet.leader->kept_end("w0") == 0u);
+    CHECK(fleet.leader->restarts_of("w0") == 1u);
+}
+
+TEST_CASE("the token of a worker's later boot is above, and that of a later term above all") {
+    CHECK(fencing_token(7u, 0u) < fencing_token(7u, 1u));
+    CHECK(fencing_token(7u, 1u) < fencing_token(8u, 0u));
+    CHECK(fencing_token(7u, std::uint64_t{1} << 40u) < fencing_token(8u, 0u));
+}
+
 TEST_CASE("an answer of an earlier boot that comes late changes nothing") {
     scripted_fleet fleet{{.workers = 1u, .first_boot = 5u}};
     fleet.behaviour["a"] = {millis{600'000}, run_end::done};
