Read pages of the store whatever keys and values they hold

Cause: the list is read page by page. One key that is not UTF-8 made the whole page unreadable, for good; a page that ended at a key with a space, '&' or a line break was continued with a query in which that key was not escaped; a value of padding alone ended the process (std::length_error); and a record larger than the 256 KB of a usual read would have kept the stream before it if the store returns only what fits.

Ruled out: nesting. The parser refuses more than 32 levels and does not recurse beyond.

Change: pages are parsed with any bytes in texts, and with halves of surrogate pairs replaced; items without a key are passed over; keys are escaped in queries; a page that leads no further ends the reading with a line in the log; a read that returned nothing before the end is made again with the most that the store allows. Checked conversions of numbers of others are in core/json_fields.

--- a/src/kingcuplink/core/json_fields.hpp
+++ b/src/kingcuplink/core/json_fields.hpp
@@ -3,6 +3,7 @@
 
 #include <boost/json/value.hpp>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -18,8 +19,31 @@
 /*! @copydoc text_in */
 [[nodiscard]] std::string text_in(boost::json::object const &object, std::string_view name);
 
-/*! Returns a field that is a whole number of at least zero, or nothing. Thread safe. */
-[[nodiscard]] std::optional<std::uint64_t> whole_in(boost::json::value const &value, std::string_view name) noexcept;
+/*! Largest whole number that is read. */
+inline constexpr std::uint64_t most_whole = std::numeric_limits<std::int64_t>::max();
+
+/*! Limits of a number; both belong to it. */
+struct real_range {
+    double least{};
+    double most{};
+};
+
+/*!
+ * Returns a value that is a whole number from zero to a limit, or nothing. Never throws, whatever the number.
+ * Thread safe.
+ */
+[[nodiscard]] std::optional<std::uint64_t> whole_of(
+    boost::json::value const &value, std::uint64_t most = most_whole) noexcept;
+
+/*! Returns a field that is a whole number from zero to a limit, or nothing. Thread safe. */
+[[nodiscard]] std::optional<std::uint64_t> whole_in(
+    boost::json::value const &value, std::string_view name, std::uint64_t most = most_whole) noexcept;
+
+/*! Returns a value that is a number within limits, or nothing. Never throws, whatever the number. Thread safe. */
+[[nodiscard]] std::optional<double> real_of(boost::json::value const &value, real_range range) noexcept;
+
+/*! Returns the beginning of a text of others for a log line: what is not printable ASCII becomes '?'. Thread safe. */
+[[nodiscard]] std::string printable(std::string_view text, std::size_t most);
 
 } // namespace kingcuplink
 
--- a/test/adapter/adapter_test.cpp
+++ b/test/adapter/adapter_test.cpp
@@ -5,6 +5,7 @@
 #include <platform/store_client.hpp>
 #include <platform/worker_client.hpp>
 #include <string>
+#include <vector>
 
 namespace kingcuplink::test {
 
@@ -89,6 +90,45 @@
     }
 }
 
+// Guards against a list that cannot be read any more because of the key or the value of one record.
+TEST_CASE("a page of newest records is read but for its odd items") {
+    struct row {
+        std::string_view name;
+        std::string item;
+        std::size_t records;
+    };
+    std::vector<row> const rows{
+        {"good", R"({"key":"b","value":"YQ==","offset":3})", 3u},
+        {"255 bytes of key", R"({"key":")" + std::string(255u, 'b') + R"(","value":"YQ==","offset":3})", 3u},
+        {"key that is not UTF-8", "{\"key\":\"b\xff\",\"value\":\"YQ==\",\"offset\":3}", 3u},
+        {"half of a surrogate pair", R"({"key":"b\udcff","value":"YQ==","offset":3})", 3u},
+        {"two first halves", R"({"key":"b\ud83d\ud83dx","value":"YQ==","offset":3})", 3u},
+        {"whole surrogate pair", R"({"key":"b\ud83d\ude00","value":"YQ==","offset":3})", 3u},
+        {"backslash before a letter u", R"({"key":"b\\udcff","value":"YQ==","offset":3})", 3u},
+        {"base64 that is cut", R"({"key":"b","value":"YQ=","offset":3})", 3u},
+        {"base64 of padding alone", R"({"key":"b","value":"====","offset":3})", 3u},
+        {"padding twice", R"({"key":"b","value":"========","offset":3})", 3u},
+        {"not base64", R"({"key":"b","value":"\u0001***","offset":3})", 3u},
+        {"value of another type", R"({"key":"b","value":{},"offset":3})", 3u},
+        {"offset out of range", R"({"key":"b","value":"YQ==","offset":-1e300})", 3u},
+        {"key of another type", R"({"key":7,"value":"YQ==","offset":3})", 2u},
+        {"no object", "[[[]]]", 2u},
+        {"null", "null", 2u},
+    };
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        auto const page = adapter::decode_page(R"({"items":[{"key":"a","value":"YWE=","offset":1},)" + item.item +
+            R"(,{"key":"c","value":"Y2M=","offset":4}],"has_more":true,"end_offset":9})");
+        CHECK(page.answered);
+        CHECK(page.has_more);
+        CHECK(page.end == 9u);
+        REQUIRE(page.records.size() == item.records);
+        CHECK(page.records.front().value == "aa");
+        CHECK(page.records.back().key == "c");
+        CHECK(page.records.back().value == "cc");
+    }
+}
+
 TEST_CASE("a worker that leaves is known as leaving") {
     adapter::site_reader reader;
     auto text = std::string{registration};
--- a/test/adapter/standin/site_store.cpp
+++ b/test/adapter/standin/site_store.cpp
@@ -19,6 +19,23 @@
 constexpr std::size_t page_records = 50u;
 constexpr std::int64_t read_poll_ms = 5;
 constexpr std::size_t offset_bytes = 8u;
+/*! Bytes of a record before its key. */
+constexpr std::uint64_t record_head = 5u;
+constexpr std::uint64_t bytes_per_kib = 1'024u;
+constexpr std::uint64_t default_read = 1'024u * bytes_per_kib;
+
+std::string percent_decoded(std::string_view const text) {
+    std::string result;
+    for(std::size_t pos{}; pos < text.size(); ++pos) {
+        if(text[pos] == '%' && pos + 2u < text.size()) {
+            result.push_back(static_cast<char>(std::stoi(std::string{text.substr(pos + 1u, 2u)}, nullptr, 16)));
+            pos += 2u;
+        } else {
+            result.push_back(text[pos]);
+        }
+    }
+    return result;
+}
 
 std::map<std::string, std::string> parse_query(std::string_view const target) {
     std::map<std::string, std::string> terms;
@@ -31,7 +48,8 @@
     boost::algorithm::split(parts, text, boost::algorithm::is_any_of("&"));
     for(auto const &part: parts) {
         auto const middle = part.find('=');
-        terms[part.substr(0u, middle)] = middle == std::string::npos ? std::string{} : part.substr(middle + 1u);
+        terms[part.substr(0u, middle)] = middle == std::string::npos ? std::string{}
+                                                                     : percent_decoded(part.substr(middle + 1u));
     }
     return terms;
 }
@@ -161,9 +179,17 @@
     if(from < topic.first) {
         co_return json_answer(410u, boost::json::object{{"first_offset", topic.first}});
     }
+    // Whole records that fit; none if the first one does not.
+    auto const most = terms.contains("max_kb") ? number_in(terms, "max_kb") * bytes_per_kib : default_read;
     std::vector<keyed_record> records;
+    std::uint64_t bytes{};
     for(auto pos = from; pos < topic.end(); ++pos) {
-        records.push_back(topic.records[pos - topic.first]);
+        auto const &record = topic.records[pos - topic.first];
+        bytes += record_head + record.key.size() + (record.value ? record.value->size() : 0u);
+        if(bytes > most) {
+            break;
+        }
+        records.push_back(record);
     }
     response answer{boost::beast::http::status::ok, 11};
     answer.body() = offset_text(topic.end()) + offset_text(topic.first) + adapter::encode_records(records);
--- a/test/core/json_fields_test.cpp
+++ b/test/core/json_fields_test.cpp
@@ -1,6 +1,7 @@
 #include <boost/json/parse.hpp>
 #include <doctest/doctest.h>
 #include <kingcuplink/core/json_fields.hpp>
+#include <limits>
 #include <vector>
 
 using namespace kingcuplink;
@@ -18,6 +19,10 @@
         {R"({"x": 0})", true, "", 0u},
         {R"({"x": -1})", true, "", std::nullopt},
         {R"({"x": 1.5})", true, "", std::nullopt},
+        {R"({"x": 9223372036854775807})", true, "", 9'223'372'036'854'775'807u},
+        {R"({"x": 9223372036854775808})", true, "", std::nullopt},
+        {R"({"x": 99999999999999999999})", true, "", std::nullopt},
+        {R"({"x": 1e300})", true, "", std::nullopt},
         {R"({"x": null})", true, "", std::nullopt},
         {R"({"y": "a"})", false, "", std::nullopt},
         {R"(["x"])", false, "", std::nullopt},
@@ -34,3 +39,41 @@
         }
     }
 }
+
+TEST_CASE("numbers of others are taken within limits alone") {
+    struct row {
+        std::string_view json;
+        std::optional<std::uint64_t> whole;
+        std::optional<double> real;
+    };
+    std::vector<row> const rows{
+        {"0", 0u, 0.0},
+        {"100", 100u, 100.0},
+        {"101", std::nullopt, std::nullopt},
+        {"-1", std::nullopt, std::nullopt},
+        {"1.5", std::nullopt, 1.5},
+        {"1e300", std::nullopt, std::nullopt},
+        {"-1e300", std::nullopt, std::nullopt},
+        {"9223372036854775808", std::nullopt, std::nullopt},
+        {"18446744073709551616", std::nullopt, std::nullopt},
+        {R"("1")", std::nullopt, std::nullopt},
+        {"true", std::nullopt, std::nullopt},
+        {"null", std::nullopt, std::nullopt},
+        {"[1]", std::nullopt, std::nullopt},
+    };
+    for(auto const &row: rows) {
+        CAPTURE(row.json);
+        auto const value = boost::json::parse(boost::json::string_view{row.json.data(), row.json.size()});
+        CHECK(whole_of(value, 100u) == row.whole);
+        CHECK(real_of(value, {0.0, 100.0}) == row.real);
+    }
+    for(auto const number: {std::numeric_limits<double>::infinity(), std::numeric_limits<double>::quiet_NaN()}) {
+        CHECK_FALSE(real_of(boost::json::value(number), {-1e300, 1e300}));
+    }
+}
+
+TEST_CASE("texts of others are short and printable in a log line") {
+    CHECK(printable("w0", 8u) == "w0");
+    CHECK(printable("a\r\nb\xff", 8u) == "a??b?");
+    CHECK(printable("0123456789", 4u) == "0123");
+}
