Read numbers of others within limits, and say why an entry is not used

Cause: numbers in a worker's lists were converted by a function that throws for negative, fractional and too large ones; the exception ended the process, and the next leader read the same lists. Amounts, times and factors of registrations and of the operator's configuration were cast from any double, which is undefined for 1e300, and gave negative room. Registrations with fields missing or of another type, an address that no call can reach, or a key that breaks a header were used as workers.

Ruled out: the parser (deep nesting, cut text, numbers beyond a double are errors that were handled), and addresses (a port out of range was never connected to).

A worker's answer counts as failed if a row of its runs cannot be read, since a run that is missing counts as gone; odd rows of ends are passed over. A boot is a whole number from 1 to the year 10,000.

--- a/src/kingcuplink/core/counters.cpp
+++ b/src/kingcuplink/core/counters.cpp
@@ -11,7 +11,8 @@
     "peer_messages_received", "peer_messages_dropped", "peer_messages_malformed", "peer_bytes_sent",
     "peer_bytes_received", "control_bytes_sent", "control_bytes_received", "document_records_applied",
     "document_edits_appended", "documents_from_peers", "log_reads_failed", "log_appends_failed", "journal_appends",
-    "connections_accepted", "connections_discarded", "handovers_sent", "handovers_received", "jobs_adopted"};
+    "connections_accepted", "connections_discarded", "handovers_sent", "handovers_received", "jobs_adopted",
+    "registrations_rejected"};
 
 void append_line(
     std::string &text, std::string_view const name, std::string_view const label, std::uint64_t const value) {
--- a/src/kingcuplink/core/counters.hpp
+++ b/src/kingcuplink/core/counters.hpp
@@ -48,6 +48,7 @@
     handover_sent,
     handover_received,
     job_adopted,
+    registration_rejected,
     count
 };
 
--- a/src/kingcuplink/core/decision_log.hpp
+++ b/src/kingcuplink/core/decision_log.hpp
@@ -42,6 +42,7 @@
     worker_restarted,
     worker_replaced,
     worker_changed,
+    registration_rejected,
     count
 };
 
--- a/src/kingcuplink/site/fleet_lead.cpp
+++ b/src/kingcuplink/site/fleet_lead.cpp
@@ -2,6 +2,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <chrono>
 #include <functional>
+#include <kingcuplink/core/json_fields.hpp>
 #include <kingcuplink/platform/http_client.hpp>
 #include <kingcuplink/platform/pause.hpp>
 #include <kingcuplink/site/fleet_lead.hpp>
@@ -14,6 +15,11 @@
 
 namespace internal {
 
+/*! Keys of registrations that cannot be used of which the log tells; the others are only counted. */
+constexpr std::size_t most_odd_entries = 256u;
+/*! Letters of a key that a log line shows. */
+constexpr std::size_t longest_shown = 64u;
+
 std::uint64_t size_of(keyed_record const &record) {
     return record.key.size() + (record.value ? record.value->size() : 0u);
 }
@@ -150,8 +156,10 @@
     std::set<std::string> present;
     auto const now = current_time();
     for(auto const &record: batch.records) {
-        auto entry = record.value ? parts_.decoder.worker(record.key, *record.value) : std::nullopt;
+        auto reading = record.value ? parts_.decoder.worker(record.key, *record.value) : registration_reading{};
+        auto &entry = reading.worker;
         if(!entry) {
+            note_odd_entry(record, reading.fault);
             dispatcher_.unregister_worker(record.key);
             continue;
         }
@@ -180,6 +188,22 @@
     }
 }
 
+void fleet_lead::note_odd_entry(keyed_record const &record, std::string const &fault) {
+    if(!record.value) {
+        odd_entries_.erase(record.key);
+        return;
+    }
+    parts_.stats.add(event::registration_rejected);
+    auto const found = odd_entries_.find(record.key);
+    if(found != odd_entries_.end() ? found->second == fault : odd_entries_.size() >= internal::most_odd_entries) {
+        return;
+    }
+    odd_entries_.insert_or_assign(record.key, fault);
+    parts_.decisions.write(decision::registration_rejected,
+        {{"worker", printable(record.key, internal::longest_shown)}, {"reason", fault},
+            {"bytes", record.value->size()}});
+}
+
 boost::asio::awaitable<void> fleet_lead::watch_worker([[maybe_unused]] self_pointer self, std::string name) {
     auto was_answered = false;
     while(!over_ && dispatcher_.find_worker(name) != nullptr) {
--- a/src/kingcuplink/site/fleet_lead.hpp
+++ b/src/kingcuplink/site/fleet_lead.hpp
@@ -108,6 +108,8 @@
 
     boost::asio::awaitable<void> follow_workers(self_pointer self);
     void take_registrations(keyed_batch const &batch);
+    /*! Counts a registration that names no worker to use, and logs it once for each key and reason. */
+    void note_odd_entry(keyed_record const &record, std::string const &fault);
     boost::asio::awaitable<void> watch_worker(self_pointer self, std::string name);
     boost::asio::awaitable<bool> look_at(std::string name, look_mode mode);
     /*! Looks at once: an end that no look waits for, or a run that may not be there. */
@@ -150,6 +152,8 @@
     std::uint64_t next_question_{};
     std::map<std::string, worker_clock> clocks_;
     std::set<std::string> watched_;
+    /*! Why registrations could not be used, by key. */
+    std::map<std::string, std::string> odd_entries_;
     std::vector<keyed_record> removals_;
     wakeup plan_wanted_;
     wakeup journal_wanted_;
--- a/src/kingcuplink/site/ports.hpp
+++ b/src/kingcuplink/site/ports.hpp
@@ -102,13 +102,21 @@
     virtual boost::asio::awaitable<newest_page> newest(log_stream stream, std::string after) = 0;
 };
 
+/*! A worker's registration as it was read. */
+struct registration_reading {
+    /*! Nothing if it names no worker to use. */
+    std::optional<worker_registration> worker{};
+    /*! Why it names none. */
+    std::string fault{};
+};
+
 /*! Reads what others than the product write to the log. */
 class site_decoder {
 public:
     virtual ~site_decoder() = default;
 
-    /*! Reads a worker's registration; nothing if it names no worker to use. */
-    [[nodiscard]] virtual std::optional<worker_registration> worker(std::string_view key, std::string_view value) = 0;
+    /*! Reads a worker's registration, which any writer may have made; never throws for what it holds. */
+    [[nodiscard]] virtual registration_reading worker(std::string_view key, std::string_view value) = 0;
 
     /*!
      * Applies one decision of operators to the rules.
--- a/test/adapter/adapter_test.cpp
+++ b/test/adapter/adapter_test.cpp
@@ -1,4 +1,5 @@
 #include <array>
+#include <boost/json/parse.hpp>
 #include <doctest/doctest.h>
 #include <platform/caller_front.hpp>
 #include <platform/site_reader.hpp>
@@ -22,6 +23,15 @@
     return std::string(16u, '\0') + adapter::encode_records(records);
 }
 
+/*! Returns a text with one part replaced; the part must be there. */
+std::string with(std::string_view const text, std::string_view const part, std::string_view const other) {
+    auto result = std::string{text};
+    auto const found = result.find(part);
+    REQUIRE(found != std::string::npos);
+    result.replace(found, part.size(), other);
+    return result;
+}
+
 http_request request_of(http::verb const verb, std::string const &target, std::string body = {}) {
     http_request request{verb, target, 11};
     request.set(http::field::host, "h.example:80");
@@ -65,7 +75,7 @@
 
 TEST_CASE("a registration names a worker only if it can be used") {
     adapter::site_reader reader;
-    auto const worker = reader.worker("i-1", registration);
+    auto const worker = reader.worker("i-1", registration).worker;
     REQUIRE(worker);
     CHECK(worker->name == "i-1");
     CHECK(worker->domain == "z");
@@ -86,7 +96,91 @@
     }};
     for(auto const &item: rows) {
         CAPTURE(item.name);
-        CHECK_FALSE(reader.worker("i-1", item.value));
+        CHECK_FALSE(reader.worker("i-1", item.value).worker);
+    }
+}
+
+// Guards against workers that are used, or numbers that overflow, because of an entry of another writer.
+TEST_CASE("an odd entry names no worker to use") {
+    adapter::site_reader reader;
+    struct row {
+        std::string_view name;
+        std::string_view part;
+        std::string other;
+    };
+    std::vector<row> const rows{
+        {"nested too deeply", "[\"a\",\"r1-3\"]", std::string(10'000u, '[') + std::string(10'000u, ']')},
+        {"nested without an end", "{\"service\"", std::string(10'000u, '[')},
+        {"256 KB", "\"seq_no\":4", "\"seq_no\":4,\"x\":\"" + std::string(std::size_t{256} << 10u, 'x') + "\""},
+        {"cut", "\"seq_no\":4}", "\"seq_"},
+        {"bytes that are not UTF-8", "\"a\"", "\"\xff\xfe\""},
+        {"empty service", "\"s\"", "\"\""},
+        {"service of another type", "\"s\"", "{}"},
+        {"service too long", "\"s\"", "\"" + std::string(1'000u, 's') + "\""},
+        {"no failure domain", "\"zone\":\"z\",", ""},
+        {"failure domain of another type", "\"z\"", "3"},
+        {"state of another type", "\"ready\"", "true"},
+        {"port 0", ":80", ":0"},
+        {"port out of range", ":80", ":99999"},
+        {"port far out of range", ":80", ":99999999999999999999"},
+        {"negative port", ":80", ":-1"},
+        {"no port", ":80", ""},
+        {"a name instead of a number", "10.0.0.9", "host.example"},
+        {"no such IP number", "10.0.0.9", "10.0.0.999"},
+        {"IP number of no machine", "10.0.0.9", "0.0.0.0"},
+        {"capacity of another type", "{\"cpu\":16000,\"mem_mb\":32768,\"gpus\":1}", "[16000]"},
+        {"amount of another type", "16000", "\"16000\""},
+        {"negative amount", "16000", "-16000"},
+        {"absurd amount", "16000", "1e300"},
+        {"amount that no machine has", "32768", "9000000000000000000"},
+        {"amount beyond 64 bits", "32768", "99999999999999999999999999"},
+        {"amount beyond a double", "32768", "1e999"},
+        {"labels of another type", "[\"a\",\"r1-3\"]", "\"a\""},
+        {"a label of another type", "\"r1-3\"", "[]"},
+        {"no boot", ",\"born\":1700000000000", ""},
+        {"boot 0", "1700000000000", "0"},
+        {"negative boot", "1700000000000", "-1700000000000"},
+        {"boot beyond all time", "1700000000000", "9000000000000000000"},
+        {"boot beyond 64 bits signed", "1700000000000", "10000000000000000000"},
+        {"boot with an exponent", "1700000000000", "1e19"},
+        {"boot with a fraction", "1700000000000", "1700000000000.5"},
+        {"boot of another type", "1700000000000", "\"1700000000000\""},
+        {"count of another type", "\"seq_no\":4", "\"seq_no\":\"4\""},
+        {"null", "\"born\":1700000000000", "\"born\":null"},
+    };
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        auto const reading = reader.worker("i-1", with(registration, item.part, item.other));
+        CHECK_FALSE(reading.worker);
+        CHECK_FALSE(reading.fault.empty());
+    }
+}
+
+// Guards against names that break a header, a log line or a record.
+TEST_CASE("a key that cannot name a worker names none") {
+    adapter::site_reader reader;
+    struct row {
+        std::string_view name;
+        std::string key;
+        bool is_good;
+    };
+    std::array<row, 8u> const rows{{
+        {"usual", "5c0e7a21d94b36f8", true},
+        {"255 letters", std::string(255u, 'k'), true},
+        {"empty", "", false},
+        {"line break", "i-1\r\nX-Other: 1", false},
+        {"space", "i 1", false},
+        {"zero byte",
+            std::string{"i\0"
+                        "1",
+                3u},
+            false},
+        {"not UTF-8", "\xff\xfe", false},
+        {"outside ASCII", "i-\xc3\xa9", false},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        CHECK(reader.worker(item.key, registration).worker.has_value() == item.is_good);
     }
 }
 
@@ -129,11 +223,108 @@
     }
 }
 
+// Guards against a process that ends by a number in a worker's lists.
+TEST_CASE("a worker's lists are taken only if they tell of all its runs") {
+    constexpr std::string_view body{
+        R"({"clock_ms":482113,"born":1700000000000,"running":[["5c0e7a21d94b36f8.0.1.17",2,"",41,3]],)"
+        R"("ended_runs":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],[59,"5c0e7a21d94b36f8.0.1.8",3,"failed",""]]})"};
+    struct row {
+        std::string_view name;
+        std::string_view part;
+        std::string_view other;
+        bool is_answer;
+        std::size_t runs;
+        std::size_t ends;
+    };
+    std::vector<row> const rows{
+        {"good", "[58", "[58", true, 1u, 2u},
+        {"no lists", R"("running")", R"("other")", true, 0u, 2u},
+        {"a task that is not ours", R"(8.0.1.17)", R"(8.17)", true, 0u, 2u},
+        {"negative run", "17\",2", "17\",-2", false, 0u, 0u},
+        {"run beyond 32 bits", "17\",2", "17\",4294967298", false, 0u, 0u},
+        {"run beyond 64 bits", "17\",2", "17\",1e300", false, 0u, 0u},
+        {"run 0", "17\",2", "17\",0", false, 0u, 0u},
+        {"run with a fraction", "17\",2", "17\",2.5", false, 0u, 0u},
+        {"run of another type", "17\",2", "17\",\"2\"", false, 0u, 0u},
+        {"list of another type", R"([["5c0e7a21d94b36f8.0.1.17",2,"",41,3]])", "{}", false, 0u, 0u},
+        {"row of another type", R"(["5c0e7a21d94b36f8.0.1.17",2,"",41,3])", "7", false, 0u, 0u},
+        {"number of an end out of range", "[58", "[-58", true, 1u, 1u},
+        {"number of an end beyond 64 bits", "[58", "[1e300", true, 1u, 1u},
+        {"unknown end", "done", "odd", true, 1u, 1u},
+        {"run of an end out of range", "9\",1", "9\",-1", true, 1u, 1u},
+        {"no boot", R"("born":1700000000000,)", "", false, 0u, 0u},
+        {"boot with an exponent", "1700000000000", "1e300", false, 0u, 0u},
+        {"negative boot", "1700000000000", "-1", false, 0u, 0u},
+        {"boot of another type", "1700000000000", "\"1\"", false, 0u, 0u},
+        {"no clock", R"("clock_ms":482113,)", "", false, 0u, 0u},
+        {"clock beyond all time", "482113", "9223372036854775807", false, 0u, 0u},
+        {"clock with an exponent", "482113", "1e300", false, 0u, 0u},
+    };
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        boost::json::value value;
+        auto const text = with(body, item.part, item.other);
+        REQUIRE_NOTHROW(value = boost::json::parse(text));
+        look_answer answer;
+        CHECK_NOTHROW(answer = adapter::decode_look(200u, value));
+        CHECK((answer.outcome == look_outcome::answered) == item.is_answer);
+        CHECK(answer.inventory.running.size() == item.runs);
+        CHECK(answer.inventory.ended.size() == item.ends);
+    }
+}
+
+// Guards against rules with numbers that overflow, and against rules that are taken by halves.
+TEST_CASE("a configuration with an odd number is ignored as a whole") {
+    constexpr std::string_view configuration{
+        R"({"version":8,"routes":[{"name":"r","host":"h.example","path_prefix":"/p/","target_latency_ms":1000,)"
+        R"("priority":0,"service":"s","max_attempts":4,"stretch":2.2,)"
+        R"("advice":{"decide_ms":500.0,"period_ms":7.1,"valid_ms":2000},"public":false}],)"
+        R"("tenants":[{"name":"t","api_keys":["k1","k2"],"weight":26,"max_count":{"cpu":100,"mem_mb":0,"gpus":0}}]})"};
+    struct row {
+        std::string_view part;
+        std::string_view other;
+        bool is_good;
+    };
+    std::vector<row> const rows{
+        {"8", "9", true},
+        {"\"weight\":26,", "", true},
+        {"26", "26.5", true},
+        {"{\"decide_ms\":500.0,\"period_ms\":7.1,\"valid_ms\":2000}", "null", true},
+        {"8", "-8", false},
+        {"8", "1e300", false},
+        {"1000", "1e300", false},
+        {"1000", "-1", false},
+        {"1000", "\"x\"", false},
+        {"4", "99999999999", false},
+        {"4", "-4", false},
+        {"2.2", "1e300", false},
+        {"2.2", "-2", false},
+        {"500.0", "1e300", false},
+        {"7.1", "1e18", false},
+        {"2000", "9000000000000000000", false},
+        {"26", "-26", false},
+        {"26", "\"26\"", false},
+        {"100", "1e19", false},
+        {"100", "-100", false},
+    };
+    for(auto const &item: rows) {
+        CAPTURE(item.part);
+        CAPTURE(item.other);
+        adapter::site_reader reader;
+        site_rules rules;
+        rules.version = 7u;
+        rules.queues.resize(3u);
+        CHECK(reader.apply({"config", with(configuration, item.part, item.other)}, rules) == item.is_good);
+        CHECK((rules.version > 7u) == item.is_good);
+        CHECK(rules.queues.size() == (item.is_good ? 1u : 3u));
+    }
+}
+
 TEST_CASE("a worker that leaves is known as leaving") {
     adapter::site_reader reader;
     auto text = std::string{registration};
     text.replace(text.find("ready"), 5u, "draining");
-    auto const worker = reader.worker("i-1", text);
+    auto const worker = reader.worker("i-1", text).worker;
     REQUIRE(worker);
     CHECK(worker->leaving);
 }
@@ -170,10 +361,14 @@
     run_key const key{"5c0e7a21d94b36f8", 1u, 17u, 2u};
     CHECK(adapter::task_name(key) == "5c0e7a21d94b36f8.0.1.17");
     CHECK(adapter::parse_run(adapter::task_name(key), 2u) == key);
-    for(auto const *name: {"", "a.b", "a.0.x.1", "a.0.1.", "a.0.1.2.3"}) {
+    for(auto const *name: {"", "a.b", "a.0.x.1", "a.0.1.", "a.0.1.2.3", "a.0.1.99999999999", "a.0.-1.2"}) {
         CAPTURE(name);
         CHECK_FALSE(adapter::parse_run(name, 1u));
     }
+    for(auto const run: {std::uint64_t{0}, std::uint64_t{1} << 32u}) {
+        CAPTURE(run);
+        CHECK_FALSE(adapter::parse_run("a.0.1.2", run));
+    }
 }
 
 TEST_CASE("a caller's request is read, and a wrong one says what is wrong") {
--- a/test/adapter/site_process_test.cpp
+++ b/test/adapter/site_process_test.cpp
@@ -1,10 +1,12 @@
 #include "site_fleet.hpp"
 
 #include <array>
+#include <boost/algorithm/hex.hpp>
 #include <boost/json/parse.hpp>
 #include <csignal>
 #include <doctest/doctest.h>
 #include <kingcuplink/core/json_fields.hpp>
+#include <thread>
 
 namespace kingcuplink::test {
 
@@ -17,6 +19,21 @@
     return std::string(16u - text.size(), '0') + text;
 }
 
+/*! Returns an entry of a worker with one field set. */
+std::string entry_with(std::string const &field, std::string const &value) {
+    auto const text = [&](std::string const &name, std::string const &usual) {
+        return '"' + name + "\":" + (name == field ? value : usual);
+    };
+    return "{" + text("service", "\"work\"") + "," + text("address", "\"127.0.0.1:1\"") + "," +
+        text("zone", "\"domain-0\"") + "," + text("state", "\"ready\"") + "," + text("born", "1700000000000") + "," +
+        text("x", "0") + ",\"capacity\":{" + text("cpu", "64000") + "," + text("mem_mb", "65536") + "}}";
+}
+
+/*! Returns an entry of another writer for the platform, which may hold any bytes. */
+json::object entry(std::string const &key, std::string const &value) {
+    return {{"key", boost::algorithm::hex(key)}, {"value", boost::algorithm::hex(value)}};
+}
+
 /*! Waits until an entry VM tells a state of a job. */
 bool becomes(site_fleet const &site, std::string const &vm, std::string const &id, std::string const &state,
     std::chrono::seconds const limit = std::chrono::seconds{20}) {
@@ -145,6 +162,112 @@
     }
 }
 
+// Guards against processes that end, or stop following the list, because of one entry of another writer.
+TEST_CASE("odd entries among those of the workers end no process and keep no worker from its work") {
+    struct row {
+        std::string_view what;
+        std::string key;
+        std::string value;
+    };
+    std::vector<row> const rows{
+        {"nested deeply", "a1", std::string(10'000u, '[') + std::string(10'000u, ']')},
+        {"nested without an end", "a2", R"({"service":)" + std::string(10'000u, '[')},
+        {"number too large", "a3", entry_with("cpu", "1e300")},
+        {"negative amount", "a4", entry_with("mem_mb", "-9223372036854775808")},
+        {"port out of range", "a5", entry_with("address", R"("127.0.0.1:99999")")},
+        {"port 0", "a6", entry_with("address", R"("127.0.0.1:0")")},
+        {"a name instead of a number", "a7", entry_with("address", R"("localhost:80")")},
+        {"boot out of range", "a8", entry_with("born", "1e19")},
+        {"boot beyond 64 bits signed", "a9", entry_with("born", "10000000000000000000")},
+        {"256 KB", "b1", entry_with("x", '"' + std::string(std::size_t{256} << 10u, 'x') + '"')},
+        {"empty", "b2", ""},
+        {"bytes", "b3", "\xff\xfe\x01"},
+        {"empty key", "", entry_with("x", "1")},
+        {"key of 255 letters", std::string(255u, 'b'), entry_with("x", "1")},
+        {"key that is not UTF-8", "b\xff\xfe", entry_with("x", "1")},
+        {"key with a line break", "b\r\nX-Other: 1", entry_with("x", "1")},
+    };
+    site_fleet site;
+    auto const vm = site.entry_vms()[0];
+    std::uint64_t number{};
+    auto const works = [&]() {
+        auto const id = id_of(number++);
+        return site.submit(vm, "batch", id, {{.count = 8u, .run_ms = 100}}) == told::accepted &&
+            becomes(site, vm, id, "done");
+    };
+    auto const expect_all_well = [&]() {
+        CHECK(works());
+        for(auto const &name: site.entry_vms()) {
+            CAPTURE(name);
+            CHECK_FALSE(site.processes().has_ended(name));
+        }
+    };
+    for(auto const &item: rows) {
+        CAPTURE(item.what);
+        site.change_platform({{"entries", json::array{entry(item.key, item.value)}}});
+        expect_all_well();
+    }
+    // Enough keys that need an escape for pages to end at them.
+    json::array many;
+    for(auto pos = 0; pos < 120; ++pos) {
+        many.push_back(entry("c &%#+\xff" + std::to_string(pos), entry_with("x", "1")));
+    }
+    site.change_platform({{"entries", std::move(many)}, {"forget_history", true}});
+    expect_all_well();
+    auto const first = site.leader();
+    site.processes().kill(first);
+    CHECK(comes_true([&]() { return !site.leader().empty(); }));
+    site.start(first);
+    CHECK(comes_true([&]() { return site.is_ready(vm); }));
+    expect_all_well();
+    CHECK(site.breaches().empty());
+}
+
+// Guards against a task in two places, and a worker that is lost, because of an entry under the worker's own key.
+TEST_CASE("odd entries and lists of workers that run tasks start nothing twice") {
+    struct row {
+        std::string_view what;
+        json::object change;
+        json::object undo;
+    };
+    json::object const true_entry{{"true_entry", true}};
+    std::array<row, 6u> const rows{{
+        {"high boot", {{"odd_entry", json::object{{"born", 253'402'300'799'999}}}}, true_entry},
+        {"boot out of range", {{"odd_entry", json::object{{"born", 1e19}}}}, true_entry},
+        {"boot 1", {{"odd_entry", json::object{{"born", 1}}}}, true_entry},
+        {"port out of range", {{"odd_entry", json::object{{"address", "127.0.0.1:99999"}}}}, true_entry},
+        {"negative room", {{"odd_entry", json::object{{"capacity", json::object{{"cpu", -1e300}}}}}}, true_entry},
+        {"lists", {{"odd_rows", true}}, {{"odd_rows", false}}},
+    }};
+    site_fleet site;
+    auto const vm = site.entry_vms()[0];
+    std::uint64_t number{};
+    for(auto const &item: rows) {
+        CAPTURE(item.what);
+        auto const id = id_of(number++);
+        CHECK(site.submit(vm, "batch", id, {{.count = 12u, .millicores = 3'000, .run_ms = 3'000}}) == told::accepted);
+        CHECK(comes_true([&]() { return site.record().at("running").to_number<std::size_t>() == 12u; }));
+        for(auto const &worker: site.workers()) {
+            auto change = item.change;
+            change["worker"] = worker;
+            site.change_platform(change);
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds{1'500});
+        for(auto const &worker: site.workers()) {
+            auto change = item.undo;
+            change["worker"] = worker;
+            site.change_platform(change);
+        }
+        CHECK(becomes(site, vm, id, "done"));
+        CHECK(site.record().at("starts").to_number<std::size_t>() == 12u * number);
+        for(auto const &name: site.entry_vms()) {
+            CAPTURE(name);
+            CHECK_FALSE(site.processes().has_ended(name));
+        }
+    }
+    CHECK(site.breaches().empty());
+}
+
 TEST_CASE("a job that is cancelled stops, and is told as cancelled everywhere") {
     site_fleet site;
     auto const vm = site.entry_vms()[0];
--- a/test/adapter/standin/site_main.cpp
+++ b/test/adapter/standin/site_main.cpp
@@ -2,10 +2,12 @@
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
+#include <boost/algorithm/hex.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <csignal>
+#include <iterator>
 #include <kingcuplink/core/json_fields.hpp>
 
 ABSL_FLAG(std::string, store, "127.0.0.1:7001", "Address of the store.");
@@ -101,6 +103,11 @@
         if(auto const *fault = body.if_contains("adviser")) {
             read_faults(fault->as_object(), adviser_->fault);
         }
+        if(auto const *entries = body.if_contains("entries")) {
+            for(auto const &entry: entries->as_array()) {
+                put_entry(entry);
+            }
+        }
         if(body.contains("forget_history")) {
             store_.forget_history();
         }
@@ -118,6 +125,18 @@
         }
     }
 
+    /*! Reads bytes that are written in hexadecimal digits. */
+    static std::string bytes_in(boost::json::value const &object, std::string_view const name) {
+        std::string bytes;
+        boost::algorithm::unhex(text_in(object, name), std::back_inserter(bytes));
+        return bytes;
+    }
+
+    /*! Puts an entry of another writer among those of the workers. */
+    void put_entry(boost::json::value const &entry) {
+        store_.put("keyed.servers", bytes_in(entry, "key"), bytes_in(entry, "value"));
+    }
+
     static void apply_to(site_worker &worker, boost::json::object const &body) {
         if(auto const *fault = body.if_contains("fault")) {
             read_faults(fault->as_object(), worker.fault());
@@ -131,6 +150,15 @@
         if(auto const *stuck = body.if_contains("stuck")) {
             worker.is_stuck = stuck->as_bool();
         }
+        if(auto const *odd = body.if_contains("odd_rows")) {
+            worker.lists_odd_rows = odd->as_bool();
+        }
+        if(auto const *fields = body.if_contains("odd_entry")) {
+            worker.register_odd(fields->as_object());
+        }
+        if(body.contains("true_entry")) {
+            worker.register_self();
+        }
         if(auto const *leaving = body.if_contains("leaving")) {
             worker.set_leaving(leaving->as_bool());
         }
--- a/test/adapter/standin/site_worker.cpp
+++ b/test/adapter/standin/site_worker.cpp
@@ -110,10 +110,17 @@
 }
 
 void site_worker::register_self() {
+    register_odd({});
+}
+
+void site_worker::register_odd(boost::json::object const &fields) {
     boost::json::object entry{{"service", "work"}, {"address", announced_}, {"zone", domain_},
         {"state", is_leaving_ ? "draining" : "ready"}, {"born", born_},
         {"capacity", boost::json::object{{"cpu", worker_millicores}, {"mem_mb", 65'536}, {"gpus", 0}}},
         {"labels", boost::json::array{}}};
+    for(auto const &field: fields) {
+        entry[field.key()] = field.value();
+    }
     shared_.store.put("keyed.servers", name_, boost::json::serialize(entry));
 }
 
@@ -275,6 +282,10 @@
         running.push_back(boost::json::array{adapter::task_name(item.key), item.key.run, "", part, 0});
     }
     boost::json::array ended;
+    if(lists_odd_rows) {
+        running.push_back(boost::json::array{"00000000000000ff.0.0.0", -2, "", 1e300, 0});
+        ended.push_back(boost::json::array{1e300, "00000000000000ff.0.0.0", -1, "done", ""});
+    }
     for(auto const &item: ended_) {
         ended.push_back(
             boost::json::array{item.number, adapter::task_name(item.key), item.key.run, name_of(item.how), ""});
--- a/test/adapter/standin/site_worker.hpp
+++ b/test/adapter/standin/site_worker.hpp
@@ -84,6 +84,15 @@
     /*! True while no run gets any further. */
     bool is_stuck{};
 
+    /*! True while its lists hold rows with numbers that no worker means. */
+    bool lists_odd_rows{};
+
+    /*! Registers as another writer would under its name: with other fields than its own. */
+    void register_odd(boost::json::object const &fields);
+
+    /*! Registers as it is. */
+    void register_self();
+
 private:
     struct run {
         run_key key;
@@ -112,7 +121,6 @@
     boost::asio::awaitable<void> run_clock(std::shared_ptr<site_worker> self);
     void advance(std::int64_t now);
     void end(std::list<run>::iterator item, run_end how);
-    void register_self();
     [[nodiscard]] std::int64_t own_clock() const;
 
     site_shared shared_;
--- a/test/site/scripted_site.cpp
+++ b/test/site/scripted_site.cpp
@@ -185,7 +185,7 @@
     return count;
 }
 
-std::optional<worker_registration> plain_decoder::worker(std::string_view const key, std::string_view) {
+registration_reading plain_decoder::worker(std::string_view const key, std::string_view) {
     worker_registration entry;
     entry.name = key;
     entry.service = "service";
@@ -193,7 +193,7 @@
     entry.domain = "domain";
     entry.capacity = {64'000, 65'536, 0};
     entry.boot = 1u;
-    return entry;
+    return {std::move(entry), {}};
 }
 
 bool plain_decoder::apply(keyed_record const &, site_rules &rules) {
--- a/test/site/scripted_site.hpp
+++ b/test/site/scripted_site.hpp
@@ -129,7 +129,7 @@
 /*! Reads registrations and rules that the tests write. */
 class plain_decoder : public site_decoder {
 public:
-    [[nodiscard]] std::optional<worker_registration> worker(std::string_view key, std::string_view value) override;
+    [[nodiscard]] registration_reading worker(std::string_view key, std::string_view value) override;
     [[nodiscard]] bool apply(keyed_record const &record, site_rules &rules) override;
 };
 
