--- a/test/adapter/site_process_test.cpp
+++ b/test/adapter/site_process_test.cpp
@@ -231,11 +231,12 @@
         json::object undo;
     };
     json::object const true_entry{{"true_entry", true}};
-    std::array<row, 6u> const rows{{
+    std::array<row, 7u> const rows{{
         {"high boot", {{"odd_entry", json::object{{"born", 253'402'300'799'999}}}}, true_entry},
         {"boot out of range", {{"odd_entry", json::object{{"born", 1e19}}}}, true_entry},
         {"boot 1", {{"odd_entry", json::object{{"born", 1}}}}, true_entry},
         {"port out of range", {{"odd_entry", json::object{{"address", "127.0.0.1:99999"}}}}, true_entry},
+        {"another worker's address", {{"address_of", "w1"}}, true_entry},
         {"negative room", {{"odd_entry", json::object{{"capacity", json::object{{"cpu", -1e300}}}}}}, true_entry},
         {"lists", {{"odd_rows", true}}, {{"odd_rows", false}}},
     }};
--- a/test/adapter/standin/site_main.cpp
+++ b/test/adapter/standin/site_main.cpp
@@ -122,6 +122,9 @@
         }
         if(auto const found = workers_.find(text_in(body, "worker")); found != workers_.end()) {
             apply_to(*found->second, body);
+            if(auto const other = workers_.find(text_in(body, "address_of")); other != workers_.end()) {
+                found->second->register_odd({{"address", other->second->announced()}});
+            }
         }
     }
 
--- a/test/adapter/standin/site_worker.hpp
+++ b/test/adapter/standin/site_worker.hpp
@@ -90,6 +90,11 @@
     /*! Registers as another writer would under its name: with other fields than its own. */
     void register_odd(boost::json::object const &fields);
 
+    /*! Returns the address under which it registers. */
+    [[nodiscard]] std::string const &announced() const noexcept {
+        return announced_;
+    }
+
     /*! Registers as it is. */
     void register_self();
 
