--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -7,6 +7,7 @@
 
 ABSL_FLAG(std::uint64_t, seed, 1u, "First seed; it draws the faults, the callers and their jobs.");
 ABSL_FLAG(std::uint64_t, seeds, 1u, "How many seeds are played, one after the other.");
+ABSL_FLAG(bool, odd_entries, false, "Whether another writer puts odd entries under the names of workers.");
 ABSL_FLAG(int, seconds, 15, "Time for which faults are played with each seed.");
 
 int main(int argc, char **argv) {
@@ -16,7 +17,7 @@
     std::uint64_t failed{};
     auto const first = absl::GetFlag(FLAGS_seed);
     for(auto seed = first; seed < first + absl::GetFlag(FLAGS_seeds); ++seed) {
-        kingcuplink::soak::soak_run run{seed};
+        kingcuplink::soak::soak_run run{seed, absl::GetFlag(FLAGS_odd_entries)};
         auto const result = run.play(std::chrono::seconds{absl::GetFlag(FLAGS_seconds)});
         for(auto const &text: result.breaches) {
             std::cout << "seed " << seed << " BREACH: " << text << "\n";
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -20,13 +20,16 @@
 constexpr std::size_t shortest_fault_ms = 200u;
 constexpr std::size_t longest_fault_ms = 4'000u;
 constexpr std::size_t longest_calm_ms = 900u;
+/*! How often odd entries are drawn beside ten other faults. */
+constexpr std::size_t odd_entry_weight = 5u;
 constexpr auto step = milliseconds{50};
 /*! Time for everything to be done once all faults are healed: inherited leases of 13 s, and the backlog. */
 constexpr auto settle_limit = std::chrono::seconds{60};
 
 } // namespace
 
-soak_run::soak_run(std::uint64_t const seed) : random_{seed}, seed_{seed} {
+soak_run::soak_run(std::uint64_t const seed, bool const odd_entries)
+    : random_{seed}, seed_{seed}, odd_entries_{odd_entries} {
     test::site_options options;
     options.route = [this](std::string const &user, std::string const &part, std::string const &address) {
         return route(user, part, address);
@@ -167,6 +170,31 @@
                       }};
 }
 
+std::optional<soak_run::open_fault> soak_run::write_odd_entry() {
+    auto const &worker = site_->workers()[draw(site_->workers().size())];
+    struct row {
+        std::string_view what;
+        json::object begin;
+    };
+    std::array<row, 5u> const rows{{
+        {"boot out of range", {{"odd_entry", json::object{{"born", 1e19}}}}},
+        {"a later boot", {{"odd_entry", json::object{{"born", 253'402'300'799'999}}}}},
+        {"a port out of range", {{"odd_entry", json::object{{"address", "127.0.0.1:99999"}}}}},
+        {"negative room", {{"odd_entry", json::object{{"capacity", json::object{{"cpu", -1e300}}}}}}},
+        {"the address of another worker", {{"address_of", site_->workers()[draw(site_->workers().size())]}}},
+    }};
+    auto item = rows[draw(rows.size())];
+    if(!harmed_.insert(worker).second) {
+        return std::nullopt;
+    }
+    item.begin["worker"] = worker;
+    site_->change_platform(item.begin);
+    return open_fault{{}, "the entry of " + worker + " names " + std::string{item.what}, [this, worker]() {
+                          site_->change_platform({{"worker", worker}, {"true_entry", true}});
+                          harmed_.erase(worker);
+                      }};
+}
+
 std::optional<soak_run::open_fault> soak_run::change_rules() {
     auto const domain = "domain-" + std::to_string(draw(3u));
     if(!harmed_.insert("rules").second) {
@@ -183,7 +211,8 @@
     constexpr std::array<fault_maker, 10u> makers{&soak_run::end_vm, &soak_run::end_vm, &soak_run::freeze_vm,
         &soak_run::reload_vm, &soak_run::harm_store, &soak_run::harm_store, &soak_run::harm_link, &soak_run::harm_link,
         &soak_run::harm_worker, &soak_run::change_rules};
-    auto const maker = makers[draw(makers.size())];
+    auto const pos = draw(makers.size() + (odd_entries_ ? odd_entry_weight : 0u));
+    auto const maker = pos < makers.size() ? makers[pos] : &soak_run::write_odd_entry;
     auto const length = milliseconds{shortest_fault_ms + draw(longest_fault_ms - shortest_fault_ms)};
     if(auto begun = (this->*maker)()) {
         begun->until = clock::now() + length;
--- a/soak/soak_run.hpp
+++ b/soak/soak_run.hpp
@@ -35,8 +35,12 @@
  */
 class soak_run {
 public:
-    /*! Starts a site. */
-    explicit soak_run(std::uint64_t seed);
+    /*!
+     * Starts a site.
+     * @param odd_entries Whether another writer puts odd entries under the names of workers; without, a seed draws
+     * what it always drew.
+     */
+    soak_run(std::uint64_t seed, bool odd_entries);
 
     ~soak_run();
 
@@ -66,6 +70,7 @@
     [[nodiscard]] std::optional<open_fault> harm_link();
     [[nodiscard]] std::optional<open_fault> harm_worker();
     [[nodiscard]] std::optional<open_fault> change_rules();
+    [[nodiscard]] std::optional<open_fault> write_odd_entry();
 
     void begin_fault();
     void heal_due(clock::time_point now);
@@ -78,6 +83,7 @@
 
     std::mt19937_64 random_;
     std::uint64_t seed_;
+    bool odd_entries_;
     boost::asio::io_context context_{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_{context_.get_executor()};
     /*! Names the proxies' addresses; no process is started in it. */
