--- /dev/null
+++ b/test/workflow/event_queue.hpp
@@ -0,0 +1,46 @@
+#ifndef KINGCUPLINK_TEST_WORKFLOW_EVENT_QUEUE_HPP_INCLUDED
+#define KINGCUPLINK_TEST_WORKFLOW_EVENT_QUEUE_HPP_INCLUDED
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <kingcuplink/core/time.hpp>
+#include <map>
+#include <utility>
+
+namespace kingcuplink::test {
+
+/*! Runs actions in the order of their virtual times. */
+class event_queue {
+public:
+    using action = std::function<void()>;
+
+    [[nodiscard]] instant now() const noexcept {
+        return now_;
+    }
+
+    /*! Runs an action after a delay; those of one time run in the order in which they were added. */
+    void after(millis const delay, action what) {
+        events_.emplace(std::pair{now_ + std::max(millis{}, delay), next_++}, std::move(what));
+    }
+
+    /*! Lets time pass. */
+    void run_until(instant const end) {
+        while(!events_.empty() && events_.begin()->first.first <= end) {
+            auto event = events_.extract(events_.begin());
+            now_ = event.key().first;
+            event.mapped()();
+        }
+        now_ = end;
+    }
+
+private:
+    instant now_{instant{} + std::chrono::hours{1}};
+    std::uint64_t next_{};
+    std::map<std::pair<instant, std::uint64_t>, action> events_;
+};
+
+} // namespace kingcuplink::test
+
+#endif
--- /dev/null
+++ b/test/workflow/simulated_log.hpp
@@ -0,0 +1,67 @@
+#ifndef KINGCUPLINK_TEST_WORKFLOW_SIMULATED_LOG_HPP_INCLUDED
+#define KINGCUPLINK_TEST_WORKFLOW_SIMULATED_LOG_HPP_INCLUDED
+
+#include <kingcuplink/workflow/job_table.hpp>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace kingcuplink::test {
+
+/*! Who leads. */
+struct claim_record {
+    std::uint64_t term{};
+    std::string leader;
+};
+
+/*! Progress of a job. */
+struct progress_record {
+    std::string job;
+    job_progress progress;
+};
+
+using log_record = std::variant<job_definition, progress_record, claim_record>;
+
+/*! What became of an append. */
+enum class append_result : std::uint8_t { done, refused, fenced, out_of_sequence, unknown };
+
+/*! Whose appends exclude those of lower epochs. */
+struct append_writer {
+    std::uint64_t epoch{};
+    std::uint64_t sequence{};
+};
+
+/*! A log that refuses lower epochs and takes each numbered append once. */
+class simulated_log {
+public:
+    /*! Answer to an append: what became of it and the offset of its first record. */
+    using answer = std::pair<append_result, std::size_t>;
+
+    /*! @param repeats_first Whether a repetition is answered although a higher epoch was seen. */
+    explicit simulated_log(bool repeats_first) : repeats_first_{repeats_first} {}
+
+    /*! Appends records. */
+    answer append(std::vector<log_record> const &records, std::optional<append_writer> writer);
+
+    [[nodiscard]] std::vector<log_record> const &records() const noexcept {
+        return records_;
+    }
+
+private:
+    struct kept_append {
+        append_writer writer;
+        std::size_t offset{};
+    };
+
+    bool repeats_first_;
+    std::vector<log_record> records_;
+    std::uint64_t epoch_{};
+    std::uint64_t sequence_{};
+    std::vector<kept_append> latest_;
+};
+
+} // namespace kingcuplink::test
+
+#endif
