Count a job as waiting until one of its tasks has begun

Cause: a job was shown as running from the intent of its first start on, sent or not, and stayed so when the start came to nothing.

Change: it is running once a start was answered, or a worker lists a run or an end of it. Ruled out: the age of the count (2.5 s at most). The new case was not run without the change.

--- a/src/kingcuplink/workflow/dispatch_planner.cpp
+++ b/src/kingcuplink/workflow/dispatch_planner.cpp
@@ -212,7 +212,6 @@
     intent.since = now_;
     where.on->room -= intent.charge;
     state_.add_placement(std::move(intent));
-    state_.jobs[turn.job].phase = job_phase::running;
     state_.mark_dirty(turn.job);
 }
 
--- a/src/kingcuplink/workflow/dispatch_state.cpp
+++ b/src/kingcuplink/workflow/dispatch_state.cpp
@@ -17,6 +17,13 @@
     }
 }
 
+void dispatch_state::mark_begun(job_id const job) {
+    if(auto *found = jobs.find(job); found != nullptr && found->phase == job_phase::queued) {
+        found->phase = job_phase::running;
+        mark_dirty(job);
+    }
+}
+
 live_task *dispatch_state::task_of(placement_id const id) {
     auto const *run = placements.find(id);
     auto *job = run != nullptr && run->is_known ? jobs.find(run->job) : nullptr;
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -174,6 +174,9 @@
     /*! Notes that the log has to learn of a job's progress. */
     void mark_dirty(job_id job);
 
+    /*! Notes that a task of a job has begun somewhere. */
+    void mark_begun(job_id job);
+
     /*! Returns the task of a placement, or null if its job does not have it as its latest run. */
     [[nodiscard]] live_task *task_of(placement_id id);
 
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -223,6 +223,7 @@
     switch(answer) {
     case start_answer::started:
         run->stage = internal::placement_stage::running;
+        state_.mark_begun(run->job);
         return;
     case start_answer::unknown:
     case start_answer::fenced:
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -152,6 +152,7 @@
         if(is_current && !is_final(job.phase)) {
             auto &step = job.steps[end.key.step];
             task->ended_run = end.key.run;
+            state_.mark_begun(id);
             if(!end.checkpoint.empty()) {
                 task->checkpoint = end.checkpoint;
                 step.checkpoint = end.checkpoint;
@@ -261,6 +262,7 @@
             if(run->stage != internal::placement_stage::running) {
                 run->stage = internal::placement_stage::running;
                 run->since = now;
+                state_.mark_begun(run->job);
             }
             if(auto *task = state_.task_of(pos); task != nullptr && !found->second->checkpoint.empty()) {
                 task->checkpoint = found->second->checkpoint;
--- a/test/workflow/dispatcher_test.cpp
+++ b/test/workflow/dispatcher_test.cpp
@@ -413,6 +413,20 @@
     CHECK(fleet.starts == 2u);
 }
 
+// Jobs whose starts got no answer were told as begun, so that callers were told too few waiting ones.
+TEST_CASE("a job waits until one of its tasks has surely begun") {
+    scripted_fleet fleet{{.workers = 2u}};
+    fleet.starts_are_lost = true;
+    fleet.submit(scripted_fleet::job("a", step_of(1u, 20'000)));
+    fleet.run_for(millis{400});
+    CHECK(fleet.phase_of("a") == job_phase::queued);
+    CHECK(fleet.table.pending("queue") == 1u);
+    fleet.starts_are_lost = false;
+    fleet.run_for(millis{800});
+    CHECK(fleet.phase_of("a") == job_phase::running);
+    CHECK(fleet.table.pending("queue") == 0u);
+}
+
 TEST_CASE("a gang starts whole or not at all") {
     struct row {
         std::string_view name;
