--- a/src/kingcuplink/platform/http_client.cpp
+++ b/src/kingcuplink/platform/http_client.cpp
@@ -9,6 +9,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <charconv>
+#include <ctime>
 #include <kingcuplink/platform/http_client.hpp>
 #include <sys/socket.h>
 
@@ -26,6 +27,14 @@
     return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+/*! Returns the time since the VM's boot; unlike that of the steady clock it includes suspensions. */
+millis time_since_boot() {
+    timespec time{};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return std::chrono::duration_cast<millis>(
+        std::chrono::seconds{time.tv_sec} + std::chrono::nanoseconds{time.tv_nsec});
+}
+
 } // namespace internal
 
 http_client::http_client(boost::asio::io_context &context, counters &stats, std::size_t const idle_per_address)
@@ -169,8 +178,8 @@
 
 instant current_time() {
     static auto const wall_at_start = std::chrono::time_point_cast<millis>(std::chrono::system_clock::now());
-    static auto const steady_at_start = std::chrono::steady_clock::now();
-    return wall_at_start + std::chrono::duration_cast<millis>(std::chrono::steady_clock::now() - steady_at_start);
+    static auto const begun_at = internal::time_since_boot();
+    return wall_at_start + (internal::time_since_boot() - begun_at);
 }
 
 } // namespace kingcuplink
