--- a/test/workflow/fleet_faults_test.cpp
+++ b/test/workflow/fleet_faults_test.cpp
@@ -114,11 +114,12 @@
     play_seeds(setup, {50u, {434u, 621u, 725u, 760u, 826u, 1211u}});
 }
 
+// A look at once made the next boot of a worker forget a good end that nobody had read.
 TEST_CASE("faults at once break no rule while every boot of a worker obeys orders at once") {
     simulation_setup setup;
     setup.orders_name_boot = false;
     setup.faults.erase(fleet_fault::late_orders);
-    play_seeds(setup, {100u});
+    play_seeds(setup, {100u, {40738u}});
 }
 
 // A boot that nobody had looked at yet carried out a late order to an earlier one.
