Reckon leases and ends by what a worker's next boot may take them for

Cause: a start that reached the next boot carried an expiry by the earlier boot's clock; that boot cuts it to the longest lease that workers grant, while the leader counted the lease that it had asked for. A look at once acknowledged ends by the earlier boot's numbers, and the next boot, which had seen no token, forgot ends that nobody had read.

Change: lapses count the longest lease; looks at once acknowledge nothing.

--- a/src/kingcuplink/site/fleet_lead.cpp
+++ b/src/kingcuplink/site/fleet_lead.cpp
@@ -43,7 +43,7 @@
       on_fenced_{std::move(on_fenced)},
       on_end_{std::move(on_end)},
       lease_{std::min(parts.settings.lease_limit, timing::most_lease)},
-      dispatcher_{timing::renewal_without_log + lease_ + timing::worker_timeout, current_time()},
+      dispatcher_{timing::renewal_without_log + parts.settings.lease_limit + timing::worker_timeout, current_time()},
       registrations_{parts.log, log_stream::workers},
       plan_wanted_{parts.context},
       journal_wanted_{parts.context},
@@ -122,7 +122,7 @@
 }
 
 std::uint64_t fleet_lead::token_for(std::string const &worker) const {
-    return fencing_token(term_, dispatcher_.restarts_of(worker));
+    return order_token(term_, dispatcher_.restarts_of(worker));
 }
 
 bool fleet_lead::may_extend_leases(instant const now) const {
@@ -207,7 +207,7 @@
 boost::asio::awaitable<void> fleet_lead::watch_worker([[maybe_unused]] self_pointer self, std::string name) {
     auto was_answered = false;
     while(!over_ && dispatcher_.find_worker(name) != nullptr) {
-        auto const mode = was_answered ? look_mode::patient : look_mode::first;
+        auto const mode = was_answered ? look_mode::patient : look_mode::prompt;
         auto const seen_before = dispatcher_.seen_end(name);
         auto const answered = co_await look_at(name, mode);
         if(answered != was_answered && !over_) {
@@ -227,15 +227,12 @@
     auto const boot = dispatcher_.boot_of(name);
     worker_target target{entry.name, entry.address};
     look_request request{token_for(name), dispatcher_.kept_end(name), timing::look_wait, std::nullopt};
-    if(mode == look_mode::first || !dispatcher_.is_held(name)) {
-        // Whichever boot answers: neither its ends nor its leases are touched before they are known.
+    if(mode == look_mode::prompt || !dispatcher_.is_held(name)) {
         request.kept_end = 0u;
         request.wait = millis{};
-    } else if(mode == look_mode::prompt) {
-        request.wait = millis{};
     } else if(auto const clock = clock_of(name, boot); clock && may_extend_leases(sent_at)) {
         request.expires_at = *clock + lease_.count();
-        dispatcher_.lease_extended(name, timing::lapsed_at(sent_at, lease_));
+        dispatcher_.lease_extended(name, timing::lapsed_at(sent_at, parts_.settings.lease_limit));
     }
     auto const answer = co_await parts_.workers.look(std::move(target), request, request.wait + timing::worker_timeout);
     if(over_) {
@@ -408,7 +405,7 @@
     auto const token = token_for(run.worker);
     auto answer = start_answer::not_sent;
     if(clock && !over_ && may_extend_leases(now)) {
-        dispatcher_.lease_extended(run.worker, timing::lapsed_at(now, lease_));
+        dispatcher_.lease_extended(run.worker, timing::lapsed_at(now, parts_.settings.lease_limit));
         parts_.stats.add(event::task_start_sent);
         worker_target target{run.worker, run.address};
         answer = co_await parts_.workers.start(
--- a/src/kingcuplink/site/fleet_lead.hpp
+++ b/src/kingcuplink/site/fleet_lead.hpp
@@ -96,11 +96,9 @@
 
     /*! How a worker is asked for its runs. */
     enum class look_mode : std::uint8_t {
-        /*! It has not answered last: nothing that an earlier boot needs is named. */
-        first,
-        /*! It may wait for an end. */
+        /*! It may wait for an end; leases are extended and ends acknowledged. */
         patient,
-        /*! It answers at once; leases stay as they are. */
+        /*! It answers at once; leases and ends stay as they are, whichever boot answers. */
         prompt
     };
 
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -113,7 +113,11 @@
 /*! Bytes of records in one append; the platform takes 2 MiB. */
 inline constexpr std::uint64_t append_bytes{1u << 20u};
 
-/*! Returns when a lease that is asked for now has lapsed by any clock. */
+/*!
+ * Returns when a lease that is asked for now has lapsed by any clock.
+ * @param lease Longest lease that workers grant: a boot that the leader does not know yet may take an expiry by the
+ * clock of the one before for a later time.
+ */
 [[nodiscard]] constexpr instant lapsed_at(instant const now, millis const lease) noexcept {
     return now + lease + lease * clock_error_percent / 100 + lapse_margin;
 }
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -76,7 +76,7 @@
  * Returns the token of orders to a worker. It rises with the leader's term and, within it, with each boot of the
  * worker that the leader saw, so that a boot refuses late orders that were meant for an earlier one.
  */
-[[nodiscard]] constexpr std::uint64_t fencing_token(std::uint64_t const term, std::uint64_t const restarts) noexcept {
+[[nodiscard]] constexpr std::uint64_t order_token(std::uint64_t const term, std::uint64_t const restarts) noexcept {
     constexpr unsigned restart_bits = 20u;
     constexpr std::uint64_t most_restarts = (std::uint64_t{1} << restart_bits) - 1u;
     return (term << restart_bits) | (restarts < most_restarts ? restarts : most_restarts);
--- a/test/workflow/dispatcher_test.cpp
+++ b/test/workflow/dispatcher_test.cpp
@@ -360,9 +360,9 @@
 }
 
 TEST_CASE("the token of a worker's later boot is above, and that of a later term above all") {
-    CHECK(fencing_token(7u, 0u) < fencing_token(7u, 1u));
-    CHECK(fencing_token(7u, 1u) < fencing_token(8u, 0u));
-    CHECK(fencing_token(7u, std::uint64_t{1} << 40u) < fencing_token(8u, 0u));
+    CHECK(order_token(7u, 0u) < order_token(7u, 1u));
+    CHECK(order_token(7u, 1u) < order_token(8u, 0u));
+    CHECK(order_token(7u, std::uint64_t{1} << 40u) < order_token(8u, 0u));
 }
 
 TEST_CASE("an answer of an earlier boot that comes late changes nothing") {
--- a/test/workflow/simulated_lead.cpp
+++ b/test/workflow/simulated_lead.cpp
@@ -14,7 +14,7 @@
       sequence_{sequence},
       starts_wait_{starts_wait},
       lease_{std::min(longest_hold, timing::most_lease)},
-      dispatcher_{timing::renewal_without_log + lease_ + timing::worker_timeout, host.now()},
+      dispatcher_{timing::renewal_without_log + longest_hold + timing::worker_timeout, host.now()},
       appended_at_{claimed_at} {}
 
 void simulated_lead::set_rules(std::shared_ptr<site_rules const> rules) {
@@ -62,7 +62,7 @@
 }
 
 std::uint64_t simulated_lead::token_for(std::string const &worker) const {
-    return fencing_token(term_, dispatcher_.restarts_of(worker));
+    return order_token(term_, dispatcher_.restarts_of(worker));
 }
 
 bool simulated_lead::may_extend_leases(instant const now) const {
@@ -139,10 +139,11 @@
         request.kept_end = 0u;
         request.wait = millis{};
     } else if(mode == look_mode::prompt) {
+        request.kept_end = 0u;
         request.wait = millis{};
     } else if(auto const clock = clock_of(name, boot); clock && may_extend_leases(sent_at)) {
         request.expires_at = *clock + lease_.count();
-        dispatcher_.lease_extended(name, timing::lapsed_at(sent_at, lease_));
+        dispatcher_.lease_extended(name, timing::lapsed_at(sent_at, longest_hold));
     }
     host_.hold(name, boot, request, request.wait + timing::worker_timeout,
         [self = shared_from_this(), name, sent_at, token = request.token, done = std::move(done)](
@@ -304,7 +305,7 @@
         start_is_answered(run, start_answer::not_sent);
         return;
     }
-    dispatcher_.lease_extended(run.worker, timing::lapsed_at(now, lease_));
+    dispatcher_.lease_extended(run.worker, timing::lapsed_at(now, longest_hold));
     auto const token = token_for(run.worker);
     host_.note(run.key.job,
         name_ + " sends a start of " + text_of(run.key) + " to " + run.worker + " boot " + std::to_string(run.boot) +
