Count a worker as full while it runs what nothing explains

What workers could see: tasks beyond their size (LIMIT).

Cause: a new leader knows no sizes of jobs that have ended, whose runs may still be stopping. The first such run was charged all room that was left and the next ones nothing; when the first was gone, the worker looked empty.

Change: each such run is charged the whole worker.

--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -299,7 +299,8 @@
     // Whoever started it, this leader or an earlier one: its lease lapses with theirs.
     worker.lapsed_at = std::max(worker.lapsed_at, state_.inherited_until);
     stray.since = now;
-    stray.charge = max_of(worker.entry.capacity - worker.used, {});
+    // Its size is not known: the worker counts as full until it is gone, whatever else ends there.
+    stray.charge = worker.entry.capacity;
     if(auto const found = state_.job_ids.find(run.key.job); found != state_.job_ids.end()) {
         auto const &job = state_.jobs[found->second];
         if(run.key.step < job.definition.steps.size()) {
--- a/test/workflow/dispatcher_test.cpp
+++ b/test/workflow/dispatcher_test.cpp
@@ -399,6 +399,30 @@
     }
 }
 
+// The first of several runs that nothing explains was charged all room that was left, the others nothing.
+TEST_CASE("room stays taken while any run that nothing explains is listed") {
+    scripted_fleet fleet{{.workers = 1u}};
+    fleet.submit(scripted_fleet::job("a", step_of(2u, 30'000)));
+    fleet.run_for(millis{300});
+    REQUIRE(fleet.runs_of("a") == 2u);
+    fleet.table.advance("a", {job_phase::cancelled, {}}, fleet.now);
+    fleet.change_leader();
+    run_key const first{"a", 0u, 0u, 1u};
+    run_key const second{"a", 0u, 1u, 1u};
+    fleet.leader->take_inventory("w0", {1u, {{first, {}}, {second, {}}}, {}}, fleet.now, fleet.now);
+    fleet.now += round_length;
+    fleet.leader->take_inventory(
+        "w0", {1u, {{second, {}}}, {{1u, first, run_end::stopped, {}}}}, fleet.now, fleet.now);
+    fleet.submit(scripted_fleet::job("b", step_of(1u, 40'000)));
+    dispatch_plan decided;
+    fleet.leader->plan(fleet.now, decided);
+    CHECK(fleet.leader->next_batch().starts.empty());
+    fleet.now += round_length;
+    fleet.leader->take_inventory("w0", {1u, {}, {{2u, second, run_end::stopped, {}}}}, fleet.now, fleet.now);
+    fleet.leader->plan(fleet.now, decided);
+    CHECK(fleet.leader->next_batch().starts.size() == 1u);
+}
+
 TEST_CASE("a start without an answer counts until the worker has told") {
     scripted_fleet fleet{{.workers = 1u}};
     fleet.starts_are_unanswered = true;
