Keep the count of a worker's boots while it is off the books

Cause: the count of boots, from which the token of orders is made, went with the worker's entry. The worker refused the lower token, and the leader took that for a higher term. An answer of another worker was also taken for news of the present place whenever it came.

Change: boot and count stay for the reign; another worker's answer counts only for the place that was asked and is still the registered one, and not after a later answer of the worker itself. Two cases; they were not run without the change.

--- a/src/kingcuplink/site/fleet_lead.cpp
+++ b/src/kingcuplink/site/fleet_lead.cpp
@@ -242,7 +242,9 @@
         fenced("worker " + name);
         co_return false;
     }
-    if(answer.outcome == look_outcome::other_worker && dispatcher_.worker_replaced(name, current_time())) {
+    auto const is_replaced = answer.outcome == look_outcome::other_worker &&
+        dispatcher_.worker_replaced(name, entry.address, sent_at, current_time());
+    if(is_replaced) {
         parts_.decisions.write(decision::worker_replaced, {{"worker", name}, {"address", entry.address}});
         write_losses();
         plan_wanted_.notify();
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -147,6 +147,12 @@
     millis quarantine{};
 };
 
+/*! What is kept of a worker that is on the books no more: its later boots have to be told apart from it. */
+struct former_worker {
+    std::uint64_t boot{};
+    std::uint64_t restarts{};
+};
+
 /*! One client account. */
 struct live_account {
     resources used;
@@ -161,6 +167,7 @@
     dense_map<placement_id, placement> placements;
     std::unordered_map<std::string, job_id> job_ids;
     std::unordered_map<std::string, worker_id> worker_ids;
+    std::unordered_map<std::string, former_worker> former_workers;
     std::map<std::string, live_account> accounts;
     std::vector<job_id> dirty;
     /*! Entry VMs that ask for advice. */
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -170,9 +170,12 @@
 
     /*!
      * Notes that another worker answered at a worker's address: what ran there is gone, and an order that is late does
-     * nothing. False if nothing follows, because its registration has named another address since it last answered.
+     * nothing. False if nothing follows, because its registration names or named another address, or it answered a
+     * later question.
+     * @param address Address that was asked.
+     * @param sent_at When the question was sent.
      */
-    bool worker_replaced(std::string const &worker, instant now);
+    bool worker_replaced(std::string const &worker, std::string const &address, instant sent_at, instant now);
 
     /*! Returns the boot of a worker that last answered, or zero. */
     [[nodiscard]] std::uint64_t boot_of(std::string const &worker) const;
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -20,6 +20,10 @@
     auto const [found, is_new] = state_.worker_ids.try_emplace(entry.name);
     if(is_new) {
         internal::live_worker worker;
+        if(auto const former = state_.former_workers.find(entry.name); former != state_.former_workers.end()) {
+            worker.boot = former->second.boot;
+            worker.restarts = former->second.restarts;
+        }
         worker.entry = std::move(entry);
         found->second = state_.workers.emplace(std::move(worker));
         return;
@@ -118,13 +122,15 @@
     worker.answered_at = worker.entry.address;
 }
 
-bool dispatcher::worker_replaced(std::string const &name, instant const now) {
+bool dispatcher::worker_replaced(
+    std::string const &name, std::string const &address, instant const sent_at, instant const now) {
     auto const found = state_.worker_ids.find(name);
     if(found == state_.worker_ids.end()) {
         return false;
     }
     auto &worker = state_.workers[found->second];
-    if(!worker.answered_at.empty() && worker.answered_at != worker.entry.address) {
+    auto const is_elsewhere = !worker.answered_at.empty() && worker.answered_at != address;
+    if(is_elsewhere || address != worker.entry.address || sent_at < worker.asked_at) {
         return false;
     }
     auto const is_news = worker.is_held || !worker.placements.empty();
@@ -327,7 +333,9 @@
             }
         }
         if(!state_.workers[id].is_registered && state_.workers[id].placements.empty()) {
-            state_.worker_ids.erase(state_.workers[id].entry.name);
+            auto const &gone = state_.workers[id];
+            state_.former_workers[gone.entry.name] = {gone.boot, gone.restarts};
+            state_.worker_ids.erase(gone.entry.name);
             state_.workers.erase(id);
         }
     }
--- a/test/workflow/dispatcher_test.cpp
+++ b/test/workflow/dispatcher_test.cpp
@@ -314,7 +314,7 @@
         bool has_moved;
         std::size_t starts;
     };
-    // An entry that names a place where the worker never answered proves nothing.
+    // A place other than where the worker last answered proves nothing; a new leader knows the registered one alone.
     std::array<row, 3u> const rows{{{true, false, 2u}, {true, true, 1u}, {false, false, 2u}}};
     for(auto const &item: rows) {
         CAPTURE(item.has_answered);
@@ -334,7 +334,8 @@
             found->entry.address = "10.0.0.99:1";
             fleet.leader->register_worker(found->entry, fleet.now);
         }
-        CHECK(fleet.leader->worker_replaced(found->entry.name, fleet.now) == !item.has_moved);
+        CHECK(fleet.leader->worker_replaced(found->entry.name, found->entry.address, fleet.now, fleet.now) ==
+            !item.has_moved);
         fleet.run_for(millis{300});
         CHECK(fleet.starts == item.starts);
         CHECK_FALSE(fleet.leader->is_held(found->entry.name));
@@ -365,6 +366,33 @@
     CHECK(order_token(7u, std::uint64_t{1} << 40u) < order_token(8u, 0u));
 }
 
+// A worker that was off the books for a while began with the token of its first boot, and refused it.
+TEST_CASE("a worker that comes back keeps the count of its boots") {
+    scripted_fleet fleet{{.workers = 1u}};
+    fleet.run_for(millis{100});
+    fleet.workers[0].entry.boot = 2u;
+    fleet.leader->register_worker(fleet.workers[0].entry, fleet.now);
+    fleet.run_for(millis{100});
+    REQUIRE(fleet.leader->restarts_of("w0") == 1u);
+    fleet.leader->unregister_worker("w0");
+    dispatch_plan decided;
+    fleet.leader->plan(fleet.now, decided);
+    REQUIRE(fleet.leader->find_worker("w0") == nullptr);
+    fleet.leader->register_worker(fleet.workers[0].entry, fleet.now);
+    CHECK(fleet.leader->restarts_of("w0") == 1u);
+    fleet.run_for(millis{100});
+    CHECK(fleet.leader->restarts_of("w0") == 1u);
+}
+
+// An answer from a place that was asked before the true entry came back cost a worker its runs.
+TEST_CASE("another worker's answer from a place that is not asked any more changes nothing") {
+    scripted_fleet fleet{{.workers = 1u}};
+    fleet.run_for(millis{100});
+    CHECK_FALSE(fleet.leader->worker_replaced("w0", "10.0.0.99:1", fleet.now, fleet.now));
+    CHECK_FALSE(fleet.leader->worker_replaced("w0", fleet.workers[0].entry.address, instant{}, fleet.now));
+    CHECK(fleet.leader->is_held("w0"));
+}
+
 TEST_CASE("an answer of an earlier boot that comes late changes nothing") {
     scripted_fleet fleet{{.workers = 1u, .first_boot = 5u}};
     fleet.behaviour["a"] = {millis{600'000}, run_end::done};
@@ -411,8 +439,7 @@
     run_key const second{"a", 0u, 1u, 1u};
     fleet.leader->take_inventory("w0", {1u, {{first, {}}, {second, {}}}, {}}, fleet.now, fleet.now);
     fleet.now += round_length;
-    fleet.leader->take_inventory(
-        "w0", {1u, {{second, {}}}, {{1u, first, run_end::stopped, {}}}}, fleet.now, fleet.now);
+    fleet.leader->take_inventory("w0", {1u, {{second, {}}}, {{1u, first, run_end::stopped, {}}}}, fleet.now, fleet.now);
     fleet.submit(scripted_fleet::job("b", step_of(1u, 40'000)));
     dispatch_plan decided;
     fleet.leader->plan(fleet.now, decided);
