Learn a worker's place from questions that were sent there

Cause: the place at which a worker answered was taken from its entry when the answer came. A false entry that came while a question was on its way made the false place the known one, and the refusal of the worker that lives there cost the named one its runs.

Change: an answer tells the place only if it was asked after the entry last changed. The process test and a new check in test_workflow pass; the latter was not run without it.

--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -119,7 +119,10 @@
     auto &worker = state_.workers[id];
     worker.is_held = worker.is_held || sent_at >= worker.doubted_at;
     worker.seen_at = now;
-    worker.answered_at = worker.entry.address;
+    if(sent_at > worker.doubted_at) {
+        // The place may have changed while an earlier question was on its way.
+        worker.answered_at = worker.entry.address;
+    }
 }
 
 bool dispatcher::worker_replaced(
--- a/test/workflow/dispatcher_test.cpp
+++ b/test/workflow/dispatcher_test.cpp
@@ -391,6 +391,12 @@
     CHECK_FALSE(fleet.leader->worker_replaced("w0", "10.0.0.99:1", fleet.now, fleet.now));
     CHECK_FALSE(fleet.leader->worker_replaced("w0", fleet.workers[0].entry.address, instant{}, fleet.now));
     CHECK(fleet.leader->is_held("w0"));
+    // The entry names another place while a question to the true one is on its way.
+    auto odd = fleet.workers[0].entry;
+    odd.address = "10.0.0.99:1";
+    fleet.leader->register_worker(odd, fleet.now);
+    fleet.leader->take_inventory("w0", {odd.boot, {}, {}}, fleet.now - millis{1}, fleet.now);
+    CHECK_FALSE(fleet.leader->worker_replaced("w0", odd.address, fleet.now, fleet.now));
 }
 
 TEST_CASE("an answer of an earlier boot that comes late changes nothing") {
