--- a/test/workflow/fixture.cpp
+++ b/test/workflow/fixture.cpp
@@ -206,4 +206,19 @@
     }
 }
 
+std::vector<run_start> plan_and_keep(scripted_fleet &fleet) {
+    dispatch_plan decided;
+    fleet.leader->plan(fleet.now, decided);
+    std::vector<run_start> starts;
+    fleet.leader->batch_kept(fleet.leader->next_batch(), fleet.now, starts);
+    return starts;
+}
+
+step_definition one_task() {
+    step_definition step;
+    step.task_size = {10'000, 1'024, 0};
+    step.estimate = millis{1'000};
+    return step;
+}
+
 } // namespace kingcuplink::test
--- a/test/workflow/fixture.hpp
+++ b/test/workflow/fixture.hpp
@@ -112,6 +112,12 @@
     [[nodiscard]] worker *find(std::string const &name);
 };
 
+/*! Plans, keeps the batch at once, and returns the starts that may be sent. */
+[[nodiscard]] std::vector<run_start> plan_and_keep(scripted_fleet &fleet);
+
+/*! Returns a step of one small task. */
+[[nodiscard]] step_definition one_task();
+
 } // namespace kingcuplink::test
 
 #endif
--- a/test/workflow/stale_boot_test.cpp
+++ b/test/workflow/stale_boot_test.cpp
@@ -17,22 +17,6 @@
     fleet.leader->take_inventory(worker, inventory, fleet.now, fleet.now);
 }
 
-/*! Plans, keeps the batch at once, and returns the starts that may be sent. */
-std::vector<run_start> plan_and_keep(scripted_fleet &fleet) {
-    dispatch_plan decided;
-    fleet.leader->plan(fleet.now, decided);
-    std::vector<run_start> starts;
-    fleet.leader->batch_kept(fleet.leader->next_batch(), fleet.now, starts);
-    return starts;
-}
-
-step_definition one_task() {
-    step_definition step;
-    step.task_size = {10'000, 1'024, 0};
-    step.estimate = millis{1'000};
-    return step;
-}
-
 } // namespace
 
 // A worker restarted before a start reached it: the new boot ran it, and the task was started elsewhere as well.
