Lock the ports of tests that listen in their own process

Change: the locked range is a class of its own, address_pool; process_set and the fixtures of these three programs take their addresses from one.

Ruled out: outgoing connections, whose ports begin at 32768 here.

--- a/test/daemon/reign_test.cpp
+++ b/test/daemon/reign_test.cpp
@@ -15,18 +15,38 @@
 constexpr millis wait_limit{20'000};
 constexpr millis step{10};
 
+/*! Where the parts of two failure domains listen: a1 and its platform, b1, and the workers of a1. */
+struct reign_addresses {
+    explicit reign_addresses(address_pool &pool)
+        : callers{pool.take_address()},
+          peer{pool.take_address()},
+          log{pool.take_address()},
+          far_callers{pool.take_address()},
+          far_peer{pool.take_address()},
+          w1{pool.take_address()},
+          w2{pool.take_address()} {}
+
+    std::string callers;
+    std::string peer;
+    std::string log;
+    std::string far_callers;
+    std::string far_peer;
+    std::string w1;
+    std::string w2;
+};
+
 std::shared_ptr<document const> make_rules(
-    std::string_view const state = "in", std::string_view const far_state = "in") {
+    reign_addresses const &places, std::string_view const state = "in", std::string_view const far_state = "in") {
     boost::json::array workers;
     for(auto const *name: {"w1", "w2"}) {
-        workers.push_back(boost::json::object{{"name", name},
-            {"address", name == std::string_view{"w1"} ? "127.0.0.1:26141" : "127.0.0.1:26142"}, {"rack", "r"},
-            {"size", boost::json::object{{"cores", 4}, {"memory_gib", 8}}}});
+        workers.push_back(
+            boost::json::object{{"name", name}, {"address", name == std::string_view{"w1"} ? places.w1 : places.w2},
+                {"rack", "r"}, {"size", boost::json::object{{"cores", 4}, {"memory_gib", 8}}}});
     }
-    boost::json::object const vm{{"name", "a1"}, {"http", "127.0.0.1:26143"}, {"peer", "127.0.0.1:26144"}};
+    boost::json::object const vm{{"name", "a1"}, {"http", places.callers}, {"peer", places.peer}};
     boost::json::object const domain{{"name", "a"}, {"region", "r"}, {"state", state},
         {"entry_vms", boost::json::array{vm}}, {"workers", std::move(workers)}, {"runners", boost::json::array{}}};
-    boost::json::object const far_vm{{"name", "b1"}, {"http", "127.0.0.1:26146"}, {"peer", "127.0.0.1:26147"}};
+    boost::json::object const far_vm{{"name", "b1"}, {"http", places.far_callers}, {"peer", places.far_peer}};
     boost::json::object const far_domain{{"name", "b"}, {"region", "r"}, {"state", far_state},
         {"entry_vms", boost::json::array{far_vm}}, {"workers", boost::json::array{}},
         {"runners", boost::json::array{}}};
@@ -96,7 +116,7 @@
 
     /*! Takes the failure domain out or in. */
     void set_state(std::string_view const state, std::string_view const far_state = "in") {
-        rules = make_rules(state, far_state);
+        rules = make_rules(places, state, far_state);
         peers.update(*rules);
         reign->update(rules);
     }
@@ -154,15 +174,16 @@
         return reign->status().at("running_tasks").as_int64();
     }
 
+    reign_addresses places{addresses};
     daemon_settings settings{.name = "a1",
         .failure_domain = "a",
-        .http_address = "127.0.0.1:26143",
-        .peer_address = "127.0.0.1:26144",
-        .platform_address = "127.0.0.1:26145"};
-    std::shared_ptr<document const> rules{make_rules()};
+        .http_address = places.callers,
+        .peer_address = places.peer,
+        .platform_address = places.log};
+    std::shared_ptr<document const> rules{make_rules(places)};
     standin::platform log{{}};
-    scripted_worker w1{context, "127.0.0.1:26141"};
-    scripted_worker w2{context, "127.0.0.1:26142"};
+    scripted_worker w1{context, places.w1};
+    scripted_worker w2{context, places.w2};
     platform_client platform{client, settings.platform_address};
     worker_client workers{client};
     peer_directory peers{context, settings, stats, [this](wire::envelope const &message) {
@@ -341,7 +362,7 @@
     std::mutex mutex;
     std::vector<std::uint64_t> calls;
     counters far_stats;
-    peer_link far{"b1", "127.0.0.1:26147", far_stats, [&](wire::envelope const &message) {
+    peer_link far{"b1", fixture.places.far_peer, far_stats, [&](wire::envelope const &message) {
                       std::lock_guard const lock{mutex};
                       if(message.has_call()) {
                           calls.push_back(message.call().id());
--- a/test/platform/contract.hpp
+++ b/test/platform/contract.hpp
@@ -1,6 +1,8 @@
 #ifndef KINGCUPLINK_TEST_PLATFORM_CONTRACT_HPP_INCLUDED
 #define KINGCUPLINK_TEST_PLATFORM_CONTRACT_HPP_INCLUDED
 
+#include "address_pool.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <kingcuplink/platform/http_client.hpp>
@@ -31,6 +33,7 @@
 
 /*! Client with what it needs. */
 struct client_fixture {
+    address_pool addresses;
     boost::asio::io_context context{1};
     counters stats;
     http_client client{context, stats, 8u};
--- a/test/platform/log_contract_test.cpp
+++ b/test/platform/log_contract_test.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-std::string const address{"127.0.0.1:26110"};
-
 struct log_fixture : client_fixture {
     explicit log_fixture(standin::platform_options const options = {}) : service{options} {
         service.start(context, address);
@@ -28,6 +26,7 @@
         return run(context, log.read("s", from));
     }
 
+    std::string address{addresses.take_address()};
     standin::platform service;
     platform_client log{client, address};
 };
--- a/test/platform/runner_contract_test.cpp
+++ b/test/platform/runner_contract_test.cpp
@@ -15,7 +15,7 @@
 struct runner_fixture : client_fixture {
     runner_fixture()
         : endpoint{std::make_shared<standin::runner>(
-              context, runner_entry{.name = "r", .address = "127.0.0.1:26120", .slots = 2}, record)} {
+              context, runner_entry{.name = "r", .address = address, .slots = 2}, record)} {
         endpoint->start();
     }
 
@@ -23,16 +23,16 @@
         endpoint->service->stop();
     }
 
-    boost::asio::awaitable<exchange> attempt(std::string id, std::string body, std::string address) {
+    boost::asio::awaitable<exchange> attempt(std::string id, std::string body, std::string to) {
         http_request request{boost::beast::http::verb::post, "/run/q", 11};
         request.set("Kingcuplink-Request-Id", id);
         request.body() = std::move(body);
         exchange_options const options{.timeout = attempt_time};
-        return client.send(std::move(address), std::move(request), options);
+        return client.send(std::move(to), std::move(request), options);
     }
 
     exchange send(std::string const &id, std::string const &body = "work_ms=1") {
-        return run(context, attempt(id, body, "127.0.0.1:26120"));
+        return run(context, attempt(id, body, address));
     }
 
     std::int64_t runs(std::string const &id) const {
@@ -41,6 +41,7 @@
         return count == nullptr ? 0 : count->as_int64();
     }
 
+    std::string address{addresses.take_address()};
     standin::endpoint_record record;
     std::shared_ptr<standin::runner> endpoint;
 };
@@ -92,7 +93,7 @@
 
 TEST_CASE("runner: nobody listens") {
     runner_fixture fixture;
-    auto const result = run(fixture.context, fixture.attempt("x", "", "127.0.0.1:26129"));
+    auto const result = run(fixture.context, fixture.attempt("x", "", fixture.addresses.take_address()));
     CHECK(result.outcome == attempt_outcome::not_sent);
 }
 
@@ -101,7 +102,7 @@
     auto const busy_for = std::to_string(attempt_time.count() / 2);
     for(auto const *id: {"a", "b"}) {
         boost::asio::co_spawn(
-            fixture.context, fixture.attempt(id, "work_ms=" + busy_for, "127.0.0.1:26120"), boost::asio::detached);
+            fixture.context, fixture.attempt(id, "work_ms=" + busy_for, fixture.address), boost::asio::detached);
     }
     pass(fixture.context, attempt_time / 8);
     auto const result = fixture.send("c");
--- a/test/platform/worker_contract_test.cpp
+++ b/test/platform/worker_contract_test.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-std::string const address{"127.0.0.1:26130"};
 lease_holder const old_leader{.name = "old", .epoch = 5u};
 lease_holder const new_leader{.name = "new", .epoch = 6u};
 
@@ -54,6 +53,7 @@
     }
 
     static constexpr millis hour{3'600'000};
+    std::string address{addresses.take_address()};
     standin::endpoint_record record;
     std::shared_ptr<standin::worker> endpoint;
     worker_client workers{client};
@@ -234,6 +234,7 @@
             R"({"version": 1, "tasks": 5})", R"({"version": 1, "tasks": [{"job": 5}]})"}) {
         CAPTURE(body);
         client_fixture fixture;
+        auto const address = fixture.addresses.take_address();
         auto const service = std::make_shared<standin::http_service>(
             fixture.context, address, [body](standin::request) -> boost::asio::awaitable<standin::response> {
                 standin::response answer{boost::beast::http::status::ok, 11};
--- a/test/process/process_set.hpp
+++ b/test/process/process_set.hpp
@@ -1,6 +1,8 @@
 #ifndef KINGCUPLINK_TEST_PROCESS_PROCESS_SET_HPP_INCLUDED
 #define KINGCUPLINK_TEST_PROCESS_PROCESS_SET_HPP_INCLUDED
 
+#include "address_pool.hpp"
+
 #include <chrono>
 #include <functional>
 #include <map>
@@ -41,7 +43,9 @@
     [[nodiscard]] bool has_ended(std::string const &name);
 
     /*! Returns an address of the loopback interface that no other set of this process has. */
-    [[nodiscard]] std::string take_address();
+    [[nodiscard]] std::string take_address() {
+        return addresses_.take_address();
+    }
 
     /*! Returns the folder of the outputs. */
     [[nodiscard]] std::string const &folder() const noexcept {
@@ -49,9 +53,7 @@
     }
 
 private:
-    /*! Lock that keeps the ports from other processes; its descriptor. */
-    int lock_{-1};
-    int next_port_{};
+    address_pool addresses_;
     std::string folder_;
     std::map<std::string, pid_t> processes_;
 };
--- a/test/wire/peer_link_test.cpp
+++ b/test/wire/peer_link_test.cpp
@@ -1,3 +1,5 @@
+#include "address_pool.hpp"
+
 #include <atomic>
 #include <chrono>
 #include <doctest/doctest.h>
@@ -6,6 +8,7 @@
 #include <thread>
 
 using namespace kingcuplink;
+using namespace kingcuplink::test;
 using namespace std::chrono_literals;
 
 namespace {
@@ -24,16 +27,18 @@
 } // namespace
 
 TEST_CASE("messages arrive, malformed ones are counted and dropped, unreachable peers do not block") {
+    address_pool addresses;
+    auto const here = addresses.take_address();
     counters stats;
     std::atomic<int> heard{};
-    peer_link receiver{"b", "127.0.0.1:26002", stats, [&](wire::envelope const &message) {
+    peer_link receiver{"b", here, stats, [&](wire::envelope const &message) {
                            CHECK(message.sender() == "a");
                            heard += message.heartbeat().leads() ? 1 : 0;
                        }};
     counters sender_stats;
-    peer_link sender{"a", "127.0.0.1:26001", sender_stats, [](wire::envelope const &) {}};
-    sender.connect("b", "127.0.0.1:26002");
-    sender.connect("nobody", "127.0.0.1:26003");
+    peer_link sender{"a", addresses.take_address(), sender_stats, [](wire::envelope const &) {}};
+    sender.connect("b", here);
+    sender.connect("nobody", addresses.take_address());
     wire::envelope message;
     message.mutable_heartbeat()->set_leads(true);
     CHECK(comes_true([&]() { return sender.send("b", message); }));
@@ -45,7 +50,7 @@
     zmq::context_t context;
     zmq::socket_t raw{context, zmq::socket_type::push};
     raw.set(zmq::sockopt::linger, 1'000);
-    raw.connect("tcp://127.0.0.1:26002");
+    raw.connect("tcp://" + here);
     raw.send(zmq::str_buffer("not a message"), zmq::send_flags::none);
     wire::envelope newer;
     newer.set_version(config::wire_version + 1u);
