Let a worker's new boot run tasks that failed in the one before

What callers saw: a task that had failed on a worker waited for others until the end of the reign, although that worker had started anew. Cause: begin_boot() forgot advice and quarantine of the earlier boot, but not `failed_on` of the tasks. PROTOCOL.md: a new boot may be of a different kind. Ruled out: clearing by the registration alone; only an answer proves a boot. Change: begin_boot() takes its worker out of all tasks' failed_on. Test first: "a task may run again where it failed once the worker has started anew" failed before (the job was still running, not done).

--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -63,6 +63,10 @@
         for(auto &step: job.steps) {
             step.advice.asked.erase(id);
             step.advice.approved.erase(id);
+            for(auto &task: step.tasks) {
+                // The new boot may be of another kind, or well again.
+                std::erase(task.failed_on, id);
+            }
         }
     }
 }
--- a/test/workflow/dispatcher_test.cpp
+++ b/test/workflow/dispatcher_test.cpp
@@ -646,6 +646,29 @@
     }
 }
 
+// A task that had failed on a worker did not run there again until the end of the reign, whatever started there anew.
+TEST_CASE("a task may run again where it failed once the worker has started anew") {
+    scripted_fleet fleet{{.workers = 2u, .max_attempts = 3u}};
+    fleet.workers[1].reachable = false;
+    fleet.behaviour["a"] = {millis{100}, run_end::failed};
+    fleet.submit(scripted_fleet::job("a", step_of(1u, 10'000)));
+    fleet.run_for(millis{80});
+    REQUIRE(fleet.starts == 1u);
+    fleet.behaviour["b"] = {millis{600'000}, run_end::done};
+    fleet.workers[1].reachable = true;
+    fleet.submit(scripted_fleet::job("b", step_of(1u, 60'000)));
+    fleet.run_for(millis{500});
+    REQUIRE(fleet.runs_of("b") == 1u);
+    CHECK(fleet.starts == 2u);
+    fleet.behaviour["a"] = {millis{100}, run_end::done};
+    auto &worker = fleet.workers[0];
+    worker.ends.clear();
+    worker.next_end = 1u;
+    worker.entry.boot = 2u;
+    fleet.run_for(millis{500});
+    CHECK(fleet.phase_of("a") == job_phase::done);
+}
+
 TEST_CASE("a worker that fails several jobs is left alone for a while") {
     scripted_fleet fleet{{.workers = 1u, .max_attempts = 1u}};
     for(auto const *id: {"a", "b"}) {
