Run a task where it failed if no other worker can ever hold it

What callers saw: a task that failed on every worker that may run it (by label, size or advice), with attempts left, was not started again until the reign ended: the job was neither done nor failed. Cause: the planner passed over all of `failed_on`, whatever else there was. Ruled out: ignoring failed_on after a time: on a full fleet attempts would be spent on the worker that fails. Change: such workers count again, after all others, if no other worker that takes work could hold the task by its size (workers that the adviser was not asked about count as others); for tasks that last always, since they have no attempts to lose and may fail anywhere. failed_on names a worker once. Not changed: a task with attempts waits for a full worker where it has not failed rather than go back.

--- a/src/kingcuplink/workflow/dispatch_planner.cpp
+++ b/src/kingcuplink/workflow/dispatch_planner.cpp
@@ -25,6 +25,10 @@
 constexpr std::uint32_t most_preemptions = 2u;
 /*! Time on top of an expected question in which a ticket counts as about to lapse. */
 constexpr millis renewal_margin{100};
+/*! Added to what a start would leave unused, which is below 4: any worker near the data goes first. */
+constexpr double far_from_data = 1'000.0;
+/*! Added likewise: any worker on which the task has not failed goes first. */
+constexpr double failed_before = 1'000'000.0;
 constexpr auto no_candidate = std::numeric_limits<std::size_t>::max();
 
 /*! Returns the part of a worker that a start would leave unused, summed over dimensions. */
@@ -36,6 +40,10 @@
         part(room.accelerators, capacity.accelerators);
 }
 
+bool has_failed_on(live_task const &task, worker_id const worker) {
+    return std::find(task.failed_on.begin(), task.failed_on.end(), worker) != task.failed_on.end();
+}
+
 bool has_label(worker_registration const &worker, std::string const &label) {
     return label.empty() || std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
 }
@@ -215,26 +223,51 @@
     state_.mark_dirty(turn.job);
 }
 
+bool dispatch_planner::may_run_where_it_failed(
+    waiting_step const &turn, std::vector<option> const &options, live_task const &task) {
+    if(task.failed_on.empty()) {
+        return false;
+    }
+    auto const &definition = state_.jobs[turn.job].definition.steps[turn.step];
+    if(definition.long_running) {
+        // It may fail anywhere at any time, and is started again however often it does.
+        return true;
+    }
+    auto const is_elsewhere = [&](auto const &item) {
+        return !has_failed_on(task, item.on->id) && fits(definition.task_size, item.on->worker->entry.capacity);
+    };
+    std::vector<option> unknown;
+    if(turn.queue->advice) {
+        add_unknown_options(turn, unknown);
+    }
+    return std::none_of(options.begin(), options.end(), is_elsewhere) &&
+        std::none_of(unknown.begin(), unknown.end(), is_elsewhere);
+}
+
 dispatch_planner::option const *dispatch_planner::tightest(
-    std::vector<option> const &options, live_task const &task, job_id const job, std::uint32_t const step) const {
-    auto const &definition = state_.jobs[job].definition.steps[step];
+    waiting_step const &turn, std::vector<option> const &options, live_task const &task) {
+    auto const &definition = state_.jobs[turn.job].definition.steps[turn.step];
+    auto const may_return = may_run_where_it_failed(turn, options, task);
     option const *best{};
     auto least = std::numeric_limits<double>::max();
     for(auto const &item: options) {
         if(item.ticket == nullptr || !fits(definition.task_size, item.on->room)) {
             continue;
         }
-        auto const &failed = task.failed_on;
-        if(std::find(failed.begin(), failed.end(), item.on->id) != failed.end()) {
+        auto const failed_here = has_failed_on(task, item.on->id);
+        if(failed_here && !may_return) {
             continue;
         }
-        if(definition.most_per_worker > 0u && tasks_on(*item.on->worker, job, step) >= definition.most_per_worker) {
+        if(definition.most_per_worker > 0u &&
+            tasks_on(*item.on->worker, turn.job, turn.step) >= definition.most_per_worker) {
             continue;
         }
         auto left = leftover(item.on->room, item.on->worker->entry.capacity);
         if(!definition.data_rack.empty() && !has_label(item.on->worker->entry, definition.data_rack)) {
-            // Work far from its data takes longer: any worker near it goes first.
-            left += static_cast<double>(std::numeric_limits<std::uint16_t>::max());
+            left += far_from_data;
+        }
+        if(failed_here) {
+            left += failed_before;
         }
         if(left < least) {
             least = left;
@@ -256,7 +289,7 @@
         if(!is_within_ceiling(job, size)) {
             return false;
         }
-        auto const *where = tightest(options, task, turn.job, turn.step);
+        auto const *where = tightest(turn, options, task);
         if(where == nullptr) {
             if(task.failed_on.empty()) {
                 return true;
--- a/src/kingcuplink/workflow/dispatch_planner.hpp
+++ b/src/kingcuplink/workflow/dispatch_planner.hpp
@@ -47,8 +47,11 @@
     void serve(waiting_step const &turn);
     /*! Places what can be placed; true if advice may help to place more. */
     bool place_tasks(waiting_step const &turn, std::vector<option> const &options);
+    /*! Tells whether a task may run on workers on which it failed: no other that takes work could ever hold it. */
+    [[nodiscard]] bool may_run_where_it_failed(
+        waiting_step const &turn, std::vector<option> const &options, live_task const &task);
     [[nodiscard]] option const *tightest(
-        std::vector<option> const &options, live_task const &task, job_id job, std::uint32_t step) const;
+        waiting_step const &turn, std::vector<option> const &options, live_task const &task);
     /*! Places all members or none; true if advice may help. */
     bool place_gang(waiting_step const &turn, std::vector<option> &options);
     [[nodiscard]] bool place_members(
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -228,7 +228,10 @@
     auto &job = state_.jobs[id];
     auto &step = job.steps[key.step];
     auto const &definition = job.definition.steps[key.step];
-    step.tasks[key.index].failed_on.push_back(worker);
+    if(auto &failed = step.tasks[key.index].failed_on;
+        std::find(failed.begin(), failed.end(), worker) == failed.end()) {
+        failed.push_back(worker);
+    }
     if(definition.gang && key.run <= step.failed_run) {
         return;
     }
--- a/test/workflow/dispatcher_test.cpp
+++ b/test/workflow/dispatcher_test.cpp
@@ -669,6 +669,61 @@
     CHECK(fleet.phase_of("a") == job_phase::done);
 }
 
+// A task that had failed on every worker that may run it waited until the end of the reign.
+TEST_CASE("a task that failed wherever it may run is tried there again") {
+    struct row {
+        std::string_view name;
+        std::optional<advice_terms> advice;
+        resources other_worker;
+        bool is_lasting;
+        job_phase phase;
+    };
+    advice_terms const terms{millis{20}, 1'000, millis{2'000}};
+    resources const large{64'000, 262'144, 0};
+    resources const small{5'000, 262'144, 0};
+    std::array<row, 5u> const rows{{
+        {"two workers", std::nullopt, large, false, job_phase::failed},
+        {"another worker is too small", std::nullopt, small, false, job_phase::failed},
+        {"two workers that were advised", terms, large, false, job_phase::failed},
+        {"another worker is too small, and the other was advised", terms, small, false, job_phase::failed},
+        {"a task that lasts", std::nullopt, large, true, job_phase::running},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        scripted_fleet fleet{{.workers = 2u, .advice = item.advice, .max_attempts = 4u}};
+        fleet.workers[1].entry.capacity = item.other_worker;
+        fleet.leader->register_worker(fleet.workers[1].entry, fleet.now);
+        auto step = step_of(1u, 10'000);
+        step.long_running = item.is_lasting;
+        fleet.behaviour["a"] = {millis{100}, run_end::failed};
+        fleet.submit(scripted_fleet::job("a", step));
+        fleet.run_for(millis{3'000});
+        CHECK(fleet.phase_of("a") == item.phase);
+        CHECK(fleet.starts >= 4u);
+    }
+}
+
+// A task that lasts has no attempts to lose, and its users wait while it is nowhere.
+TEST_CASE("a task that lasts goes back to where it failed while other workers are full") {
+    for(auto const is_lasting: {true, false}) {
+        CAPTURE(is_lasting);
+        scripted_fleet fleet{{.workers = 2u, .max_attempts = 4u}};
+        fleet.workers[1].reachable = false;
+        auto step = step_of(1u, 10'000);
+        step.long_running = is_lasting;
+        fleet.behaviour["a"] = {millis{100}, run_end::failed};
+        fleet.submit(scripted_fleet::job("a", step));
+        fleet.run_for(millis{80});
+        REQUIRE(fleet.starts == 1u);
+        fleet.behaviour["b"] = {millis{600'000}, run_end::done};
+        fleet.workers[1].reachable = true;
+        fleet.submit(scripted_fleet::job("b", step_of(1u, 60'000)));
+        fleet.run_for(millis{1'000});
+        REQUIRE(fleet.runs_of("b") == 1u);
+        CHECK((fleet.starts > 2u) == is_lasting);
+    }
+}
+
 TEST_CASE("a worker that fails several jobs is left alone for a while") {
     scripted_fleet fleet{{.workers = 1u, .max_attempts = 1u}};
     for(auto const *id: {"a", "b"}) {
