Do not count a run as gone while a worker may have more ends to list

What callers would see: a task that ended well was started again (TWICE). Cause: a worker lists at most 500 ends at a time (PROTOCOL.md). With more that are not acknowledged, a run that ended is in neither list, and take_listed() counted it as gone. Runs in neither list then stay on the books until a list that is not full. The simulated worker tells likewise. Test first, on the code before: "a run in neither list is gone only if all ends were listed" failed for a part of the ends, to the same and to a new leader (2 starts, not 1); "a full list of ends does not count as all ends" failed at 500. The row on some ends of the next boot was not shown to fail: the first form of the test asked both boots at the same time. The time was corrected after.

--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -287,6 +287,9 @@
             listed.erase(found);
             continue;
         }
+        if(!inventory.has_all_ends) {
+            continue;
+        }
         auto const was_stopped = run->stop_answered && *run->stop_answered < sent_at;
         auto const was_known = run->stage == internal::placement_stage::running && run->since < sent_at;
         if(was_stopped || was_known || run->stage == internal::placement_stage::inherited) {
--- a/src/kingcuplink/workflow/types.hpp
+++ b/src/kingcuplink/workflow/types.hpp
@@ -154,6 +154,8 @@
     std::uint64_t boot{};
     std::vector<listed_run> running;
     std::vector<listed_end> ended;
+    /*! False if more ends may follow once some of these are forgotten: a run in neither list may be among them. */
+    bool has_all_ends{true};
 };
 
 /*! A worker as it registered itself. */
--- a/test/adapter/adapter_test.cpp
+++ b/test/adapter/adapter_test.cpp
@@ -1,5 +1,6 @@
 #include <array>
 #include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
 #include <doctest/doctest.h>
 #include <platform/caller_front.hpp>
 #include <platform/site_reader.hpp>
@@ -273,6 +274,23 @@
     }
 }
 
+// A worker lists at most 500 ends at a time: a full list says nothing of the runs that it does not name.
+TEST_CASE("a full list of ends does not count as all ends") {
+    for(auto const count: {0u, 1u, 499u, 500u}) {
+        CAPTURE(count);
+        boost::json::array ends;
+        for(std::uint64_t number{1u}; number <= count; ++number) {
+            ends.push_back({number, "5c0e7a21d94b36f8.0.1." + std::to_string(number), 1u, "done", ""});
+        }
+        boost::json::value const body{
+            {"clock_ms", 482113}, {"born", 1700000000000}, {"running", boost::json::array{}}, {"ended_runs", ends}};
+        auto const answer = adapter::decode_look(200u, boost::json::parse(boost::json::serialize(body)));
+        REQUIRE(answer.outcome == look_outcome::answered);
+        CHECK(answer.inventory.ended.size() == count);
+        CHECK(answer.inventory.has_all_ends == (count < 500u));
+    }
+}
+
 // Guards against rules with numbers that overflow, and against rules that are taken by halves.
 TEST_CASE("a configuration with an odd number is ignored as a whole") {
     constexpr std::string_view configuration{
--- a/test/workflow/dispatcher_test.cpp
+++ b/test/workflow/dispatcher_test.cpp
@@ -414,6 +414,55 @@
     }
 }
 
+// A worker lists no more than so many ends at a time: a run whose end came later was in neither list, and started
+// again.
+TEST_CASE("a run in neither list is gone only if all ends were listed") {
+    struct row {
+        std::string_view name;
+        bool is_new_leader;
+        std::uint64_t boot;
+        bool has_all_ends;
+        std::size_t starts;
+    };
+    std::array<row, 6u> const rows{{
+        {"all ends", false, 1u, true, 2u},
+        {"some ends", false, 1u, false, 1u},
+        {"all ends, to a new leader", true, 1u, true, 2u},
+        {"some ends, to a new leader", true, 1u, false, 1u},
+        {"all ends of the next boot", false, 2u, true, 2u},
+        {"some ends of the next boot", false, 2u, false, 1u},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        scripted_fleet fleet{{.workers = 1u}};
+        fleet.behaviour["a"] = {millis{600'000}, run_end::done};
+        fleet.submit(scripted_fleet::job("a", step_of(1u, 60'000)));
+        fleet.run_for(millis{100});
+        REQUIRE(fleet.runs_of("a") == 1u);
+        auto &worker = fleet.workers[0];
+        auto const key = worker.runs.front().key;
+        worker.reachable = false;
+        if(item.is_new_leader) {
+            fleet.change_leader();
+        }
+        worker_inventory inventory{item.boot, {}, {{1u, {"other", 0u, 0u, 1u}, run_end::done, {}}}};
+        inventory.has_all_ends = item.has_all_ends;
+        fleet.now += round_length;
+        fleet.leader->lease_extended("w0", fleet.now + millis{9'000});
+        fleet.leader->take_inventory("w0", inventory, fleet.now, fleet.now);
+        auto const started_again = plan_and_keep(fleet).size();
+        CHECK(1u + started_again == item.starts);
+        if(!item.has_all_ends) {
+            // The end of the run was the next one.
+            fleet.now += round_length;
+            worker_inventory const rest{item.boot, {}, {{2u, key, run_end::done, {}}}};
+            fleet.leader->take_inventory("w0", rest, fleet.now, fleet.now);
+            fleet.run_for(round_length);
+            CHECK(fleet.phase_of("a") == job_phase::done);
+        }
+    }
+}
+
 // A run that nothing explains was taken off the books as lapsed before its lease was known, and its room given away.
 TEST_CASE("room of a run that nothing explains stays taken until its end is listed") {
     scripted_fleet fleet{{.workers = 1u}};
--- a/test/workflow/simulated_worker.cpp
+++ b/test/workflow/simulated_worker.cpp
@@ -202,6 +202,7 @@
     }
     auto const count = std::min(ends_.size(), most_ends);
     result.inventory.ended.assign(ends_.begin(), ends_.begin() + static_cast<std::ptrdiff_t>(count));
+    result.inventory.has_all_ends = count < most_ends;
     return result;
 }
 
