Send no more starts to a worker that left one unanswered

What callers saw: after the loss of a rack, starts went to its workers for up to 2.5 s more, until the silence counted. Each of them may have been carried out, so its task waited there for the lease to lapse (9 s and more), though other workers had room.

Cause: a start without an answer kept its own room only; the worker stayed a candidate until it had not answered a look for 2.5 s.

Ruled out: a pause of 1 s as for unwell workers (a sound worker that lost one answer would pay it, and a lost one would be tried again before the silence counts).

Change: a worker takes no starts from the time-out of a start (0.5 s) until it has answered a look after that start was sent.

--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -219,13 +219,16 @@
     if(run == nullptr || run->stage != internal::placement_stage::ordered) {
         return;
     }
-    run->since = now;
+    auto const sent_at = std::exchange(run->since, now);
     switch(answer) {
     case start_answer::started:
         run->stage = internal::placement_stage::running;
         state_.mark_begun(run->job);
         return;
     case start_answer::unknown:
+        state_.workers[run->worker].unanswered_at = std::max(state_.workers[run->worker].unanswered_at, sent_at);
+        run->stage = internal::placement_stage::unresolved;
+        return;
     case start_answer::fenced:
         run->stage = internal::placement_stage::unresolved;
         return;
--- a/test/workflow/dispatcher_test.cpp
+++ b/test/workflow/dispatcher_test.cpp
@@ -519,6 +519,24 @@
     CHECK(fleet.starts == 2u);
 }
 
+// Starts went to a lost worker until its silence counted, and each waited there for the lease to lapse.
+TEST_CASE("a worker that left a start unanswered gets no more until it answers") {
+    scripted_fleet fleet{{.workers = 2u}};
+    fleet.run_for(millis{100});
+    fleet.workers[0u].reachable = false;
+    fleet.submit(scripted_fleet::job("a", step_of(1u, 40'000)));
+    fleet.run_for(millis{100});
+    REQUIRE(fleet.runs_of("a") == 0u);
+    fleet.submit(scripted_fleet::job("b", step_of(1u, 20'000)));
+    fleet.run_for(millis{100});
+    CHECK(fleet.runs_of("b") == 1u);
+    fleet.workers[0u].reachable = true;
+    fleet.workers[1u].reachable = false;
+    fleet.submit(scripted_fleet::job("c", step_of(1u, 20'000)));
+    fleet.run_for(millis{100});
+    CHECK(fleet.runs_of("c") == 1u);
+}
+
 // Jobs whose starts got no answer were told as begun, so that callers were told too few waiting ones.
 TEST_CASE("a job waits until one of its tasks has surely begun") {
     scripted_fleet fleet{{.workers = 2u}};
