Test that entry VMs serve counters and histograms as text

Nothing failed first: the daemon served them before, and tests read single lines only by the way. The case holds the names that operators use, what they count for one job of three tasks, and the size of the text.

--- a/test/adapter/site_process_test.cpp
+++ b/test/adapter/site_process_test.cpp
@@ -295,6 +295,25 @@
     }
 }
 
+TEST_CASE("entry VMs serve counters and histograms as text") {
+    site_fleet site;
+    auto const leader = site.leader();
+    REQUIRE(!leader.empty());
+    CHECK(site.submit(leader, "batch", id_of(1u), {{.count = 3u}}) == told::accepted);
+    REQUIRE(becomes(site, leader, id_of(1u), "done"));
+    auto const text = site.metrics(leader);
+    // What a look costs is bounded by the size of the text, which does not grow with jobs or workers.
+    constexpr std::size_t most_text = 16'384u;
+    CHECK(text.size() < most_text);
+    for(std::string_view const line: {"kingcuplink_jobs_accepted_total 1\n", "kingcuplink_task_starts_sent_total 3\n",
+            "kingcuplink_task_starts_confirmed_total 3\n", "kingcuplink_tasks_ended_total 3\n",
+            "kingcuplink_acceptance_seconds_count 1\n", "kingcuplink_acceptance_seconds_bucket{le=\"+Inf\"} 1\n",
+            "kingcuplink_task_start_seconds_count 3\n", "kingcuplink_job_seconds_count 1\n", "kingcuplink_leads 1\n"}) {
+        CAPTURE(line);
+        CHECK(text.find(line) != std::string::npos);
+    }
+}
+
 TEST_CASE("a new configuration is in force, and an evacuated domain gets no work") {
     site_fleet site;
     site.change_platform({{"evacuate", "domain-0"}, {"configure", true}});
