--- a/src/kingcuplink/daemon/site_daemon.cpp
+++ b/src/kingcuplink/daemon/site_daemon.cpp
@@ -144,13 +144,19 @@
         std::string_view flag;
         http_listener &listener;
         std::string const &address;
+        /*! Whether the process is of no use without it. */
+        bool is_needed{};
     };
-    for(auto const &item: {listening{"callers_address", callers, settings.callers_address},
-            listening{"readiness_address", readiness, settings.readiness_address},
-            listening{"metrics_address", metrics, settings.metrics_address}}) {
-        if(!item.address.empty() && !item.listener.start(item.address)) {
-            std::cerr << "kingcuplinkd: --" << item.flag << " '" << item.address
-                      << "' cannot be used: free the address or name another\n";
+    for(auto const &item: {listening{"callers_address", callers, settings.callers_address, true},
+            listening{"readiness_address", readiness, settings.readiness_address, true},
+            listening{"metrics_address", metrics, settings.metrics_address, false}}) {
+        if(item.address.empty() || item.listener.start(item.address)) {
+            continue;
+        }
+        std::cerr << "kingcuplinkd: --" << item.flag << " '" << item.address
+                  << "' cannot be used: free the address or name another"
+                  << (item.is_needed ? "\n" : "; it is not served\n");
+        if(item.is_needed) {
             return internal::exit_failure;
         }
     }
--- a/test/adapter/site_fleet.hpp
+++ b/test/adapter/site_fleet.hpp
@@ -71,6 +71,11 @@
     /*! Returns the metrics of an entry VM. Thread safe. */
     [[nodiscard]] std::string metrics(std::string const &vm) const;
 
+    /*! Returns where an entry VM serves its metrics. */
+    [[nodiscard]] std::string const &metrics_address(std::string const &vm) const {
+        return entries_.at(vm).metrics;
+    }
+
     /*! Returns the entry VM that leads, or an empty text. */
     [[nodiscard]] std::string leader() const;
 
--- a/test/adapter/site_process_test.cpp
+++ b/test/adapter/site_process_test.cpp
@@ -2,10 +2,13 @@
 
 #include <array>
 #include <boost/algorithm/hex.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/json/parse.hpp>
 #include <csignal>
 #include <doctest/doctest.h>
 #include <kingcuplink/core/json_fields.hpp>
+#include <kingcuplink/platform/http_client.hpp>
 #include <thread>
 
 namespace kingcuplink::test {
@@ -314,6 +317,21 @@
     }
 }
 
+// A process that ends for want of the port of its metrics takes its callers' way in with it.
+TEST_CASE("an entry VM whose port for metrics is taken serves its callers") {
+    site_fleet site;
+    auto const vm = site.entry_vms()[0];
+    REQUIRE(site.processes().stop(vm) == 0);
+    boost::asio::io_context context;
+    auto const taken = parse_endpoint(site.metrics_address(vm));
+    REQUIRE(taken);
+    boost::asio::ip::tcp::acceptor const other{context, *taken};
+    site.start(vm);
+    CHECK(comes_true([&]() { return site.is_ready(vm); }));
+    CHECK(site.submit(vm, "batch", id_of(1u), {{.count = 2u}}) == told::accepted);
+    CHECK(becomes(site, vm, id_of(1u), "done"));
+}
+
 TEST_CASE("a new configuration is in force, and an evacuated domain gets no work") {
     site_fleet site;
     site.change_platform({{"evacuate", "domain-0"}, {"configure", true}});
