Write decisions in whole lines that a collector takes at once

What operators saw: the log of a leader had holes.

A pipe also may take a part. Ruled out: the limits of the decision log, and lost lines at the end of a process.

Change: one write holds whole lines, at most PIPE_BUF bytes, which a pipe takes as a whole or not at all.

--- a/src/kingcuplink/core/decision_log.cpp
+++ b/src/kingcuplink/core/decision_log.cpp
@@ -1,5 +1,6 @@
 #include <boost/json/serialize.hpp>
 #include <cerrno>
+#include <climits>
 #include <fcntl.h>
 #include <kingcuplink/core/decision_log.hpp>
 #include <unistd.h>
@@ -20,6 +21,17 @@
 constexpr std::uint32_t lines_per_second = 2'000u;
 /*! Bytes that wait for a reader. */
 constexpr std::size_t most_pending = std::size_t{1} << 20u;
+/*! Bytes of one write: a pipe takes so many as a whole or not at all, so that no line is cut. */
+constexpr std::size_t most_written = PIPE_BUF;
+
+/*! Returns the whole lines at the front of a text that one write may hold; a longer line counts whole. */
+std::string_view next_lines(std::string_view const text) {
+    if(text.size() <= most_written) {
+        return text;
+    }
+    auto const last = text.rfind('\n', most_written - 1u);
+    return text.substr(0u, (last == std::string_view::npos ? text.find('\n') : last) + 1u);
+}
 
 std::int64_t wall_millis() {
     using namespace std::chrono;
@@ -85,7 +97,8 @@
     std::lock_guard const lock{mutex_};
     std::size_t written{};
     while(written < pending_.size()) {
-        auto const count = ::write(descriptor_, pending_.data() + written, pending_.size() - written);
+        auto const lines = internal::next_lines(std::string_view{pending_}.substr(written));
+        auto const count = ::write(descriptor_, lines.data(), lines.size());
         if(count < 0 && errno == EINTR) {
             continue;
         }
--- a/test/core/decision_log_test.cpp
+++ b/test/core/decision_log_test.cpp
@@ -1,10 +1,15 @@
+#include <algorithm>
 #include <boost/json/parse.hpp>
 #include <chrono>
+#include <climits>
 #include <doctest/doctest.h>
 #include <fcntl.h>
 #include <kingcuplink/core/decision_log.hpp>
 #include <string>
+#include <string_view>
+#include <sys/socket.h>
 #include <unistd.h>
+#include <vector>
 
 namespace kingcuplink::test {
 
@@ -73,6 +78,41 @@
     CHECK_NOTHROW(boost::json::parse(first_line));
 }
 
+// Collectors kept only the beginning of large writes, and pipes cut them: lines were lost and others spoiled.
+TEST_CASE("one write holds whole lines only, as many as a pipe takes at once") {
+    struct row {
+        std::string_view what;
+        std::size_t filler;
+        std::size_t lines;
+    };
+    for(auto const &item: {row{"few lines", 10u, 3u}, row{"short lines", 10u, 500u}, row{"long lines", 1'500u, 40u},
+            row{"lines longer than a pipe takes at once", 5'000u, 5u}}) {
+        CAPTURE(item.what);
+        int ends[2]{};
+        // Each read from such a socket returns what one write wrote.
+        REQUIRE(::socketpair(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC | SOCK_NONBLOCK, 0, ends) == 0);
+        {
+            decision_log log{ends[1], "vm-1"};
+            for(std::size_t pos{}; pos < item.lines; ++pos) {
+                log.write(decision::run_ended, {{"filler", std::string(item.filler, 'x')}});
+            }
+            log.flush();
+        }
+        std::size_t lines{};
+        std::vector<char> buffer(1u << 20u);
+        for(auto count = ::read(ends[0], buffer.data(), buffer.size()); count > 0;
+            count = ::read(ends[0], buffer.data(), buffer.size())) {
+            auto const in_write = std::count(buffer.begin(), buffer.begin() + count, '\n');
+            CHECK(buffer[static_cast<std::size_t>(count) - 1u] == '\n');
+            CHECK((count <= PIPE_BUF || in_write == 1));
+            lines += static_cast<std::size_t>(in_write);
+        }
+        CHECK(lines == item.lines);
+        ::close(ends[0]);
+        ::close(ends[1]);
+    }
+}
+
 TEST_CASE("more lines of one kind than the limit are counted, not written") {
     pipe_pair pipe;
     decision_log log{pipe.ends[1], "vm-1"};
