Play late orders, lost answers and frozen leaders in the soak

`--late_orders` adds fault kinds; without it a seed draws what it drew. Starts, stops and holds are held for 2 to 12 s and then carried out; answers of a worker are dropped while orders arrive; workers start again, with another time of day, under their id or a new one at the same address; the entry VM that leads is frozen for 2 to 9 s. A boot answers 421 to what was sent to an earlier one, as PROTOCOL.md says; with `--shared_ids` only the id tells boots apart.

The queues have no advice then: with tickets that last 2 s a start that is held was never carried out. The stand-in also checks that no start is carried out after its lease must have passed, and writes a line for each start, end and call that is held. A worker that restarts twice no longer comes back twice. Faults that signal an entry VM wait for its main().

--- a/soak/fault_proxy.cpp
+++ b/soak/fault_proxy.cpp
@@ -22,7 +22,8 @@
 /*! Time between looks whether a link that is held back may go on. */
 constexpr auto hold_poll = std::chrono::milliseconds{20};
 
-constexpr std::array<std::string_view, 6u> fault_names{"none", "delayed", "reset", "cut_forward", "cut_back", "silent"};
+constexpr std::array<std::string_view, 7u> fault_names{
+    "none", "delayed", "reset", "cut_forward", "cut_back", "lose_answers", "silent"};
 
 void reset(asio::ip::tcp::socket &socket) {
     boost::system::error_code ignored;
@@ -125,6 +126,10 @@
         while(holds_back(*item, forward) && to.is_open()) {
             co_await pause(hold_poll);
         }
+        if(!forward && (item->loses_answers || fault_ == link_fault::lose_answers)) {
+            item->loses_answers = true;
+            continue;
+        }
         auto const part = asio::buffer(bytes, count);
         co_await asio::async_write(to, part, asio::redirect_error(asio::use_awaitable, error));
     }
--- a/soak/fault_proxy.hpp
+++ b/soak/fault_proxy.hpp
@@ -22,6 +22,8 @@
     cut_forward,
     /*! Answers do not pass. */
     cut_back,
+    /*! Answers are dropped, and all later ones of their connections. */
+    lose_answers,
     /*! Nothing passes on connections that were open when it began; new ones work. */
     silent
 };
@@ -48,6 +50,7 @@
         boost::asio::ip::tcp::socket near;
         boost::asio::ip::tcp::socket far;
         bool is_silent{};
+        bool loses_answers{};
     };
 
     using link_pointer = std::shared_ptr<link>;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -8,16 +8,23 @@
 ABSL_FLAG(std::uint64_t, seed, 1u, "First seed; it draws the faults, the callers and their jobs.");
 ABSL_FLAG(std::uint64_t, seeds, 1u, "How many seeds are played, one after the other.");
 ABSL_FLAG(bool, odd_entries, false, "Whether another writer puts odd entries under the names of workers.");
+ABSL_FLAG(bool, late_orders, false,
+    "Whether calls are held for seconds and then carried out, also over restarts, answers are lost, and leaders "
+    "freeze.");
+ABSL_FLAG(bool, shared_ids, false,
+    "Whether a worker that started again under its id carries out what was sent to the boot before, instead of 421.");
 ABSL_FLAG(int, seconds, 15, "Time for which faults are played with each seed.");
 
 int main(int argc, char **argv) {
     absl::SetProgramUsageMessage("Plays faults on real processes of kingcuplink and checks what must always hold.\n"
                                  "Exit codes: 0 if all held, 1 if not.");
     absl::ParseCommandLine(argc, argv);
+    kingcuplink::soak::soak_options const options{
+        absl::GetFlag(FLAGS_odd_entries), absl::GetFlag(FLAGS_late_orders), absl::GetFlag(FLAGS_shared_ids)};
     std::uint64_t failed{};
     auto const first = absl::GetFlag(FLAGS_seed);
     for(auto seed = first; seed < first + absl::GetFlag(FLAGS_seeds); ++seed) {
-        kingcuplink::soak::soak_run run{seed, absl::GetFlag(FLAGS_odd_entries)};
+        kingcuplink::soak::soak_run run{seed, options};
         auto const result = run.play(std::chrono::seconds{absl::GetFlag(FLAGS_seconds)});
         for(auto const &text: result.breaches) {
             std::cout << "seed " << seed << " BREACH: " << text << "\n";
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/json/serialize.hpp>
 #include <csignal>
 #include <iostream>
 #include <kingcuplink/core/json_fields.hpp>
+#include <limits>
 #include <optional>
 
 namespace kingcuplink::soak {
@@ -17,25 +19,39 @@
 
 /*! Faults that may overlap. */
 constexpr std::size_t most_open = 3u;
+constexpr std::size_t most_open_with_late_orders = 5u;
 constexpr std::size_t shortest_fault_ms = 200u;
 constexpr std::size_t longest_fault_ms = 4'000u;
 constexpr std::size_t longest_calm_ms = 900u;
 /*! How often odd entries are drawn beside ten other faults. */
 constexpr std::size_t odd_entry_weight = 5u;
+/*! How often late orders and what goes with them are drawn. */
+constexpr std::size_t late_order_weight = 10u;
+constexpr std::size_t shortest_late_fault_ms = 2'000u;
+constexpr std::size_t longest_late_fault_ms = 9'000u;
+constexpr std::size_t held_percent = 40u;
+constexpr std::size_t longest_down_ms = 1'500u;
+/*! Time after which no call is held any more, with a margin. */
+constexpr auto longest_hold = std::chrono::seconds{13};
 constexpr auto step = milliseconds{50};
 /*! Time for everything to be done once all faults are healed: inherited leases of 13 s, and the backlog. */
 constexpr auto settle_limit = std::chrono::seconds{60};
 
 } // namespace
 
-soak_run::soak_run(std::uint64_t const seed, bool const odd_entries)
-    : random_{seed}, seed_{seed}, odd_entries_{odd_entries} {
-    test::site_options options;
-    options.route = [this](std::string const &user, std::string const &part, std::string const &address) {
+soak_run::soak_run(std::uint64_t const seed, soak_options const options)
+    : random_{seed}, seed_{seed}, options_{options} {
+    test::site_options site;
+    // A ticket lapses sooner than a call that is held arrives.
+    site.asks_advice = !options_.late_orders;
+    site.route = [this](std::string const &user, std::string const &part, std::string const &address) {
         return route(user, part, address);
     };
     proxy_thread_ = std::thread{[this]() { context_.run(); }};
-    site_ = std::make_unique<test::site_fleet>(std::move(options));
+    site_ = std::make_unique<test::site_fleet>(std::move(site));
+    for(auto const &worker: site_->workers()) {
+        site_->change_platform({{"worker", worker}, {"tells_boots_apart", !options_.shared_ids}});
+    }
     result_.folder = site_->processes().folder();
 }
 
@@ -65,9 +81,10 @@
 std::optional<soak_run::open_fault> soak_run::end_vm() {
     auto const vm = site_->entry_vms()[draw(site_->entry_vms().size())];
     auto const is_graceful = draw(3u) == 0u;
-    if(!harmed_.insert(vm).second) {
+    if(harmed_.contains(vm) || (is_graceful && !site_->processes().handles(vm, SIGTERM))) {
         return std::nullopt;
     }
+    harmed_.insert(vm);
     if(is_graceful) {
         site_->processes().signal(vm, SIGTERM);
     } else {
@@ -83,7 +100,19 @@
 }
 
 std::optional<soak_run::open_fault> soak_run::freeze_vm() {
-    auto const vm = site_->entry_vms()[draw(site_->entry_vms().size())];
+    return freeze(site_->entry_vms()[draw(site_->entry_vms().size())]);
+}
+
+std::optional<soak_run::open_fault> soak_run::freeze_leader() {
+    auto const vm = site_->leader();
+    auto begun = vm.empty() ? std::nullopt : freeze(vm);
+    if(begun) {
+        begun->what += " while it leads";
+    }
+    return begun;
+}
+
+std::optional<soak_run::open_fault> soak_run::freeze(std::string const &vm) {
     if(!harmed_.insert(vm).second) {
         return std::nullopt;
     }
@@ -96,7 +125,7 @@
 
 std::optional<soak_run::open_fault> soak_run::reload_vm() {
     auto const vm = site_->entry_vms()[draw(site_->entry_vms().size())];
-    if(harmed_.contains(vm)) {
+    if(harmed_.contains(vm) || !site_->processes().handles(vm, SIGHUP)) {
         return std::nullopt;
     }
     site_->processes().signal(vm, SIGHUP);
@@ -195,6 +224,56 @@
                       }};
 }
 
+json::object soak_run::any_restart(std::string const &worker) {
+    constexpr std::array<std::int64_t, 5u> shifts{0, 0, -3'600'000, -2'000, 3'600'000};
+    json::object change{{"worker", worker}, {"restart_ms", 1u + draw(longest_down_ms)},
+        {"clock_shift_ms", shifts[draw(shifts.size())]}};
+    if(draw(3u) == 0u) {
+        change["new_id"] = true;
+    }
+    return change;
+}
+
+std::optional<soak_run::open_fault> soak_run::hold_calls() {
+    auto const worker = site_->workers()[draw(site_->workers().size())];
+    auto const seed = draw(std::numeric_limits<std::uint32_t>::max());
+    json::object end = draw(2u) == 0u ? any_restart(worker) : json::object{{"worker", worker}};
+    end["held_percent"] = 0;
+    end["seed"] = seed;
+    if(!harmed_.insert("calls to " + worker).second) {
+        return std::nullopt;
+    }
+    site_->change_platform({{"worker", worker}, {"held_percent", held_percent}, {"seed", seed}});
+    auto const *ending = end.contains("restart_ms") ? ", until it restarts," : "";
+    return open_fault{{}, "calls to " + worker + " are held" + ending, [this, worker, end]() {
+                          site_->change_platform(end);
+                          harmed_.erase("calls to " + worker);
+                      }};
+}
+
+std::optional<soak_run::open_fault> soak_run::restart_worker() {
+    auto const worker = site_->workers()[draw(site_->workers().size())];
+    auto const change = any_restart(worker);
+    if(harmed_.contains(worker)) {
+        return std::nullopt;
+    }
+    site_->change_platform(change);
+    return open_fault{{}, "restart: " + json::serialize(change), []() {}};
+}
+
+std::optional<soak_run::open_fault> soak_run::lose_answers() {
+    auto const worker = site_->workers()[draw(site_->workers().size())];
+    auto const proxy = proxies_.at(worker);
+    if(!harmed_.insert("link " + worker).second) {
+        return std::nullopt;
+    }
+    proxy->set(link_fault::lose_answers);
+    return open_fault{{}, "answers of " + worker + " are lost", [this, worker, proxy]() {
+                          proxy->set(link_fault::none);
+                          harmed_.erase("link " + worker);
+                      }};
+}
+
 std::optional<soak_run::open_fault> soak_run::change_rules() {
     auto const domain = "domain-" + std::to_string(draw(3u));
     if(!harmed_.insert("rules").second) {
@@ -211,9 +290,17 @@
     constexpr std::array<fault_maker, 10u> makers{&soak_run::end_vm, &soak_run::end_vm, &soak_run::freeze_vm,
         &soak_run::reload_vm, &soak_run::harm_store, &soak_run::harm_store, &soak_run::harm_link, &soak_run::harm_link,
         &soak_run::harm_worker, &soak_run::change_rules};
-    auto const pos = draw(makers.size() + (odd_entries_ ? odd_entry_weight : 0u));
-    auto const maker = pos < makers.size() ? makers[pos] : &soak_run::write_odd_entry;
-    auto const length = milliseconds{shortest_fault_ms + draw(longest_fault_ms - shortest_fault_ms)};
+    constexpr std::array<fault_maker, 5u> late_makers{&soak_run::hold_calls, &soak_run::hold_calls,
+        &soak_run::restart_worker, &soak_run::lose_answers, &soak_run::freeze_leader};
+    auto const others = makers.size() + (options_.odd_entries ? odd_entry_weight : 0u);
+    auto const pos = draw(others + (options_.late_orders ? late_order_weight : 0u));
+    auto const is_late = pos >= others;
+    auto const maker = pos < makers.size() ? makers[pos]
+        : is_late                          ? late_makers[draw(late_makers.size())]
+                                           : &soak_run::write_odd_entry;
+    auto const shortest = is_late ? shortest_late_fault_ms : shortest_fault_ms;
+    auto const longest = is_late ? longest_late_fault_ms : longest_fault_ms;
+    auto const length = milliseconds{shortest + draw(longest - shortest)};
     if(auto begun = (this->*maker)()) {
         begun->until = clock::now() + length;
         note(begun->what + " for " + std::to_string(length.count()) + " ms");
@@ -294,7 +381,7 @@
         heal_due(now);
         check_processes();
         if(next <= now) {
-            if(open_.size() < most_open) {
+            if(open_.size() < (options_.late_orders ? most_open_with_late_orders : most_open)) {
                 begin_fault();
             }
             next = now + milliseconds{draw(longest_calm_ms)};
@@ -303,6 +390,9 @@
     }
     heal_all();
     load.stop();
+    if(options_.late_orders) {
+        std::this_thread::sleep_for(longest_hold);
+    }
     result_.breaches.insert(result_.breaches.end(), load.breaches().begin(), load.breaches().end());
     check_jobs(load);
     check_processes();
--- a/soak/soak_run.hpp
+++ b/soak/soak_run.hpp
@@ -18,6 +18,16 @@
 
 namespace kingcuplink::soak {
 
+/*! Kinds of faults beside those that every seed draws; without them, a seed draws what it always drew. */
+struct soak_options {
+    /*! Another writer puts odd entries under the names of workers. */
+    bool odd_entries{};
+    /*! Calls are held and then carried out, also by later boots; answers are lost; leaders freeze. */
+    bool late_orders{};
+    /*! Boots under one id do not refuse what was sent to an earlier one. */
+    bool shared_ids{};
+};
+
 /*! What one seed showed. */
 struct soak_result {
     std::vector<std::string> breaches;
@@ -35,12 +45,8 @@
  */
 class soak_run {
 public:
-    /*!
-     * Starts a site.
-     * @param odd_entries Whether another writer puts odd entries under the names of workers; without, a seed draws
-     * what it always drew.
-     */
-    soak_run(std::uint64_t seed, bool odd_entries);
+    /*! Starts a site. */
+    soak_run(std::uint64_t seed, soak_options options);
 
     ~soak_run();
 
@@ -71,7 +77,14 @@
     [[nodiscard]] std::optional<open_fault> harm_worker();
     [[nodiscard]] std::optional<open_fault> change_rules();
     [[nodiscard]] std::optional<open_fault> write_odd_entry();
-
+    [[nodiscard]] std::optional<open_fault> hold_calls();
+    [[nodiscard]] std::optional<open_fault> restart_worker();
+    [[nodiscard]] std::optional<open_fault> lose_answers();
+    [[nodiscard]] std::optional<open_fault> freeze_leader();
+
+    [[nodiscard]] std::optional<open_fault> freeze(std::string const &vm);
+    /*! Returns a restart of a worker under its id or another, at a time of day that may jump. */
+    [[nodiscard]] boost::json::object any_restart(std::string const &worker);
     void begin_fault();
     void heal_due(clock::time_point now);
     void heal_all();
@@ -83,7 +96,7 @@
 
     std::mt19937_64 random_;
     std::uint64_t seed_;
-    bool odd_entries_;
+    soak_options options_;
     boost::asio::io_context context_{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_{context_.get_executor()};
     /*! Names the proxies' addresses; no process is started in it. */
--- a/test/adapter/site_fleet.cpp
+++ b/test/adapter/site_fleet.cpp
@@ -68,7 +68,8 @@
     }
     processes_.spawn("platform",
         {KINGCUPLINK_SITE_PLATFORM, "--store=" + store_, "--adviser=" + adviser_, "--admin=" + admin_,
-            "--workers=" + joined(own), "--announced=" + joined(announced)});
+            "--workers=" + joined(own), "--announced=" + joined(announced),
+            options_.asks_advice ? "--advice" : "--noadvice"});
     for(std::size_t pos{}; pos < options_.entry_vms; ++pos) {
         names_.push_back("vm-" + std::to_string(pos));
         entries_[names_.back()] = {processes_.take_address(), processes_.take_address(), processes_.take_address(),
--- a/test/adapter/site_fleet.hpp
+++ b/test/adapter/site_fleet.hpp
@@ -32,6 +32,8 @@
 struct site_options {
     std::size_t entry_vms{3u};
     std::size_t workers{4u};
+    /*! Whether starts need a ticket of the adviser. */
+    bool asks_advice{true};
     /*!
      * Returns the address that others use instead of a part's own: a proxy's.
      * @param user Entry VM that uses it; empty for all.
--- a/test/adapter/standin/site_main.cpp
+++ b/test/adapter/standin/site_main.cpp
@@ -13,6 +13,7 @@
 ABSL_FLAG(std::string, store, "127.0.0.1:7001", "Address of the store.");
 ABSL_FLAG(std::string, adviser, "127.0.0.1:7002", "Address of the adviser.");
 ABSL_FLAG(std::string, admin, "127.0.0.1:7003", "Address for tests: faults and the record of what ran.");
+ABSL_FLAG(bool, advice, true, "Whether the queues have advice, so that starts need tickets.");
 ABSL_FLAG(std::vector<std::string>, workers, {}, "Addresses of the workers.");
 ABSL_FLAG(std::vector<std::string>, announced, {},
     "Addresses under which the workers register, if others than their own: those of proxies.");
@@ -39,7 +40,7 @@
         for(std::size_t pos{}; pos < addresses.size(); ++pos) {
             auto const name = "w" + std::to_string(pos);
             auto const announced = absl::GetFlag(FLAGS_announced);
-            site_shared const shared{context, store_, record_, gangs_};
+            site_shared const shared{context, store_, record_, gangs_, absl::GetFlag(FLAGS_advice)};
             auto const worker = std::make_shared<site_worker>(shared, name, addresses[pos],
                 pos < announced.size() ? announced[pos] : addresses[pos], "domain-" + std::to_string(pos % domains));
             workers_.emplace(name, worker);
@@ -56,11 +57,14 @@
             key_list.emplace_back(key);
         }
         auto const route = [](std::string_view const name, std::int64_t const priority, double const stretch) {
-            return boost::json::object{{"name", name}, {"host", "127.0.0.1"},
+            boost::json::object value{{"name", name}, {"host", "127.0.0.1"},
                 {"path_prefix", "/" + std::string{name} + "/"}, {"service", "work"}, {"priority", priority},
-                {"max_attempts", 4}, {"stretch", stretch}, {"target_latency_ms", 1'000}, {"public", false},
-                {"advice",
-                    boost::json::object{{"decide_ms", advice_base_ms}, {"period_ms", 0.1}, {"valid_ms", 2'000}}}};
+                {"max_attempts", 4}, {"stretch", stretch}, {"target_latency_ms", 1'000}, {"public", false}};
+            if(absl::GetFlag(FLAGS_advice)) {
+                value["advice"] = boost::json::object{
+                    {"decide_ms", advice_base_ms}, {"period_ms", 0.1}, {"valid_ms", 2'000}};
+            }
+            return value;
         };
         boost::json::object const tenant{{"name", "team"}, {"api_keys", std::move(key_list)}, {"weight", 50},
             {"max_count", boost::json::object{{"cpu", 0}, {"mem_mb", 0}, {"gpus", 0}}}};
@@ -145,7 +149,15 @@
             read_faults(fault->as_object(), worker.fault());
         }
         if(auto const *down = body.if_contains("restart_ms")) {
-            worker.restart(down->to_number<std::int64_t>());
+            auto const *shift = body.if_contains("clock_shift_ms");
+            worker.restart({down->to_number<std::int64_t>(), body.contains("new_id"),
+                shift == nullptr ? 0 : shift->to_number<std::int64_t>()});
+        }
+        if(auto const *percent = body.if_contains("held_percent")) {
+            worker.hold_calls(percent->to_number<std::int64_t>(), body.at("seed").to_number<std::uint32_t>());
+        }
+        if(auto const *told = body.if_contains("tells_boots_apart")) {
+            worker.tells_boots_apart = told->as_bool();
         }
         if(auto const *percent = body.if_contains("late_percent")) {
             worker.late_percent = percent->to_number<std::int64_t>();
--- a/test/adapter/standin/site_record.cpp
+++ b/test/adapter/standin/site_record.cpp
@@ -1,9 +1,26 @@
 #include "site_record.hpp"
 
 #include <boost/json/parse.hpp>
+#include <chrono>
+#include <iostream>
 
 namespace kingcuplink::standin {
 
+namespace {
+
+std::string run_name(run_key const &key) {
+    return key.job + " step " + std::to_string(key.step) + " task " + std::to_string(key.index) + " run " +
+        std::to_string(key.run);
+}
+
+} // namespace
+
+void log_event(std::string_view const what, std::string_view const name) {
+    auto const since = std::chrono::system_clock::now().time_since_epoch();
+    std::cout << std::chrono::duration_cast<std::chrono::milliseconds>(since).count() << " " << what << ": " << name
+              << std::endl;
+}
+
 std::vector<scripted_step> parse_steps(std::string const &spec) {
     std::vector<scripted_step> steps;
     auto const rows = boost::json::parse(spec);
@@ -44,8 +61,8 @@
 void site_record::started(run_key const &key, std::vector<scripted_step> const &steps, std::string const &worker) {
     ++starts_;
     started_jobs_.insert(key.job);
-    auto const name = key.job + " step " + std::to_string(key.step) + " task " + std::to_string(key.index) + " run " +
-        std::to_string(key.run) + " on " + worker;
+    auto const name = run_name(key) + " on " + worker;
+    log_event("started", name);
     auto &task = tasks_[{key.job, key.step, key.index}];
     if(!task.running.empty()) {
         breach("twice at the same time: " + name + " beside run " + std::to_string(*task.running.begin()));
@@ -62,17 +79,24 @@
 }
 
 void site_record::ended(run_key const &key, run_end const how) {
+    log_event(name_of(how), run_name(key));
     auto &task = tasks_[{key.job, key.step, key.index}];
     task.running.erase(key.run);
     task.ended_done = task.ended_done || how == run_end::done;
 }
 
 void site_record::taken_note(run_key const &key, run_end const how) {
+    log_event("end taken note of", run_name(key));
     if(how == run_end::done) {
         tasks_[{key.job, key.step, key.index}].is_done = true;
     }
 }
 
+void site_record::started_beyond_lease(run_key const &key, std::string const &worker, std::int64_t const held_ms) {
+    breach("started beyond its lease: " + run_name(key) + " on " + worker + ", held for " + std::to_string(held_ms) +
+        " ms");
+}
+
 void site_record::overcommitted(std::string const &worker, std::int64_t const millicores) {
     breach("overcommitted: " + worker + " has runs of " + std::to_string(millicores) + " millicores");
 }
--- a/test/adapter/standin/site_record.hpp
+++ b/test/adapter/standin/site_record.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -33,6 +34,9 @@
     friend auto operator<=>(scripted_task const &, scripted_task const &) = default;
 };
 
+/*! Writes a line with the Unix millisecond to standard output. */
+void log_event(std::string_view what, std::string_view name);
+
 /*! What really ran, over all workers, and which promises it breaks. One thread. */
 class site_record {
 public:
@@ -45,6 +49,9 @@
     /*! Notes that the end of a run may be forgotten. */
     void taken_note(run_key const &key, run_end how);
 
+    /*! Notes that a start was carried out after the lease that came with it must have passed. */
+    void started_beyond_lease(run_key const &key, std::string const &worker, std::int64_t held_ms);
+
     /*! Notes that a worker's runs take more than it has. */
     void overcommitted(std::string const &worker, std::int64_t millicores);
 
--- a/test/adapter/standin/site_worker.cpp
+++ b/test/adapter/standin/site_worker.cpp
@@ -26,6 +26,12 @@
 constexpr std::int64_t ticket_ms = 2'000;
 /*! Delay with which an order is carried out that got no answer. */
 constexpr std::int64_t late_order_ms = 2'000;
+constexpr std::int64_t shortest_hold_ms = 2'000;
+constexpr std::int64_t longest_hold_ms = 12'000;
+/*! Tolerance for the time between the sending of a call and its arrival. */
+constexpr std::int64_t lease_margin_ms = 200;
+/*! Time for which the entry of a boot that is no more stays. */
+constexpr std::int64_t entry_expiry_ms = 1'500;
 /*! Part of the workers that a step may run on, in tenths. */
 constexpr std::uint64_t allowed_tenths = 7u;
 
@@ -39,6 +45,10 @@
     return engine;
 }
 
+std::int64_t roll(std::int64_t const least, std::int64_t const most) {
+    return std::uniform_int_distribution<std::int64_t>{least, most}(dice());
+}
+
 } // namespace
 
 bool gang_board::join(run_key const &member, std::uint32_t const count) {
@@ -76,14 +86,17 @@
 }
 
 bool is_allowed(std::string const &step, std::string const &worker) {
+    // The ids of a machine's boots share what precedes the hyphen.
+    auto const machine = worker.substr(0u, worker.find('-'));
     // Two workers take every step, so that none waits for ever.
-    return worker == "w0" || worker == "w1" || stable_hash(step + worker) % 10u < allowed_tenths;
+    return machine == "w0" || machine == "w1" || stable_hash(step + machine) % 10u < allowed_tenths;
 }
 
 site_worker::site_worker(
     site_shared const shared, std::string name, std::string address, std::string announced, std::string domain)
     : shared_{shared},
-      name_{std::move(name)},
+      machine_{std::move(name)},
+      name_{machine_},
       address_{std::move(address)},
       announced_{std::move(announced)},
       domain_{std::move(domain)} {}
@@ -129,7 +142,14 @@
     register_self();
 }
 
-void site_worker::restart(std::int64_t const down_ms) {
+void site_worker::hold_calls(std::int64_t const percent, std::uint32_t const seed) {
+    held_percent_ = percent;
+    dice().seed(seed);
+}
+
+void site_worker::restart(next_boot const next) {
+    log_event("restarts", name_ + (next.has_new_id ? " with a new id" : ""));
+    ++boot_;
     while(!runs_.empty()) {
         end(runs_.begin(), run_end::lapsed);
     }
@@ -140,15 +160,26 @@
     lease_until_ = 0;
     service_->fault.outage = true;
     service_->close_connections();
-    auto const back = [](std::shared_ptr<site_worker> const self,
-                          std::int64_t const time) -> boost::asio::awaitable<void> {
-        co_await wait_for(time);
-        self->born_ = wall_ms();
+    auto const back = [](std::shared_ptr<site_worker> const self, next_boot const how,
+                          std::uint64_t const boot) -> boost::asio::awaitable<void> {
+        co_await wait_for(how.down_ms);
+        if(boot != self->boot_) {
+            co_return;
+        }
+        self->born_ = wall_ms() + static_cast<std::uint64_t>(how.clock_shift_ms);
         self->clock_start_ = clock_ms();
+        auto const former = self->name_;
+        if(how.has_new_id) {
+            self->name_ = self->machine_ + "-" + std::to_string(boot);
+        }
         self->service_->fault.outage = false;
         self->register_self();
+        if(how.has_new_id) {
+            co_await wait_for(entry_expiry_ms);
+            self->shared_.store.put("keyed.servers", former, std::nullopt);
+        }
     };
-    boost::asio::co_spawn(shared_.context, back(shared_from_this(), down_ms), boost::asio::detached);
+    boost::asio::co_spawn(shared_.context, back(shared_from_this(), next, boot_), boost::asio::detached);
 }
 
 boost::asio::awaitable<void> site_worker::run_clock([[maybe_unused]] std::shared_ptr<site_worker> self) {
@@ -204,21 +235,31 @@
     if(error || !body.is_object()) {
         co_return json_answer(400u, boost::json::object{});
     }
-    if(auto const meant = message.find("X-Target-Instance"); meant != message.end() && meant->value() != name_) {
+    auto const target = std::string{message.target()};
+    auto const arrived_at = clock_ms();
+    auto const boot = boot_;
+    auto const is_held = co_await delay(target);
+    if(service_->fault.outage) {
+        co_return json_answer(503u, boost::json::object{});
+    }
+    auto const meant = message.find("X-Target-Instance");
+    if((meant != message.end() && meant->value() != name_) || (boot != boot_ && tells_boots_apart)) {
         co_return json_answer(421u, boost::json::object{{"clock_ms", own_clock()}});
     }
-    auto const target = std::string{message.target()};
+    auto answer = co_await carry_out(target, std::move(body), arrived_at);
+    if(is_held) {
+        log_event("carried out late",
+            name_ + " " + target + " with " + std::to_string(answer.result_int()) + " in boot " +
+                std::to_string(boot_) + ", sent to " + std::to_string(boot));
+    }
+    co_return answer;
+}
+
+boost::asio::awaitable<response> site_worker::carry_out(
+    std::string const target, boost::json::value body, std::int64_t const arrived_at) {
     if(target == "/-/hold") {
         co_return co_await hold(std::move(body));
     }
-    auto const is_late = std::uniform_int_distribution<std::int64_t>{0, 99}(dice()) < late_percent;
-    auto const boot = born_;
-    if(is_late) {
-        co_await wait_for(late_order_ms);
-    }
-    if(boot != born_) {
-        co_return json_answer(421u, boost::json::object{{"clock_ms", own_clock()}});
-    }
     auto const is_start = target == "/-/run-start";
     if(!is_start && target != "/-/run-stop") {
         co_return json_answer(404u, boost::json::object{});
@@ -231,11 +272,27 @@
         co_return refused("fence");
     }
     if(is_start) {
-        co_return start_run(body, *key);
+        co_return start_run(body, *key, arrived_at);
     }
     co_return stop_run(*key);
 }
 
+boost::asio::awaitable<bool> site_worker::delay(std::string const target) {
+    if(held_percent_ > 0 && roll(0, 99) < held_percent_) {
+        auto const time = roll(shortest_hold_ms, longest_hold_ms);
+        log_event("held for " + std::to_string(time) + " ms", name_ + " " + target);
+        if(roll(0, 1) == 0) {
+            service_->close_connections();
+        }
+        co_await wait_for(time);
+        co_return true;
+    }
+    if(target != "/-/hold" && roll(0, 99) < late_percent) {
+        co_await wait_for(late_order_ms);
+    }
+    co_return false;
+}
+
 bool site_worker::takes_token(boost::json::value const &body) {
     auto const token = whole_in(body, "fencing_token").value_or(0u);
     if(token < token_) {
@@ -303,7 +360,7 @@
         std::stoll(ticket.substr(prefix.size())) + ticket_ms >= clock_ms();
 }
 
-response site_worker::start_run(boost::json::value const &body, run_key const &key) {
+response site_worker::start_run(boost::json::value const &body, run_key const &key, std::int64_t const arrived_at) {
     auto const is_here = std::any_of(runs_.begin(), runs_.end(), [&key](auto const &item) { return item.key == key; });
     if(is_here) {
         return json_answer(200u, boost::json::object{{"clock_ms", own_clock()}});
@@ -316,13 +373,16 @@
     if(static_cast<std::int64_t>(whole_in(body, "expires_ms").value_or(0u)) <= own_clock()) {
         return refused("late");
     }
-    if(!has_ticket(body, key)) {
+    if(shared_.needs_tickets && !has_ticket(body, key)) {
         return refused("ticket");
     }
     extend_lease(body);
     auto const steps = parse_steps(text_in(body, "spec"));
     runs_.push_back({key, steps.at(key.step), clock_ms(), 0, clock_ms()});
     shared_.record.started(key, steps, name_);
+    if(auto const held_ms = clock_ms() - arrived_at; held_ms > longest_lease_ms + lease_margin_ms) {
+        shared_.record.started_beyond_lease(key, name_, held_ms);
+    }
     if(steps.at(key.step).gang) {
         shared_.gangs.join(key, steps.at(key.step).count);
     }
--- a/test/adapter/standin/site_worker.hpp
+++ b/test/adapter/standin/site_worker.hpp
@@ -47,6 +47,8 @@
     site_store &store;
     site_record &record;
     gang_board &gangs;
+    /*! Whether starts need tickets. */
+    bool needs_tickets{};
 };
 
 /*! A worker of the users' platform over HTTP: it starts whatever it is told to, on leases. One thread. */
@@ -62,8 +64,17 @@
     /*! Registers and begins to work. */
     void start();
 
-    /*! Loses everything that it held; it is back under its name after a time. */
-    void restart(std::int64_t down_ms);
+    /*! How a worker starts again. */
+    struct next_boot {
+        std::int64_t down_ms{};
+        /*! Whether it gets an id of its own; the entry of the boot before stays for some time. */
+        bool has_new_id{};
+        /*! Difference of its time of day to the true one. */
+        std::int64_t clock_shift_ms{};
+    };
+
+    /*! Loses everything that it held; it is back at its address after a time. */
+    void restart(next_boot next);
 
     /*! Registers as one that takes no new work, or takes it again. */
     void set_leaving(bool leaving);
@@ -81,6 +92,16 @@
     /*! Part of the orders, in percent, that get no answer and are carried out two seconds later. */
     std::int64_t late_percent{};
 
+    /*!
+     * Holds a part of all calls for 2 to 12 s before they are carried out; callers get no answer in time, or their
+     * connection breaks.
+     * @param seed Draws the calls and times.
+     */
+    void hold_calls(std::int64_t percent, std::uint32_t seed);
+
+    /*! True if a boot answers 421 to calls that were sent to an earlier boot under the same id. */
+    bool tells_boots_apart{true};
+
     /*! True while no run gets any further. */
     bool is_stuck{};
 
@@ -115,8 +136,11 @@
     };
 
     boost::asio::awaitable<response> handle(request message);
+    boost::asio::awaitable<response> carry_out(std::string target, boost::json::value body, std::int64_t arrived_at);
+    /*! Delays a call as faults tell; returns whether it was held. */
+    boost::asio::awaitable<bool> delay(std::string target);
     boost::asio::awaitable<response> hold(boost::json::value body);
-    [[nodiscard]] response start_run(boost::json::value const &body, run_key const &key);
+    [[nodiscard]] response start_run(boost::json::value const &body, run_key const &key, std::int64_t arrived_at);
     [[nodiscard]] response stop_run(run_key const &key);
     [[nodiscard]] bool takes_token(boost::json::value const &body);
     [[nodiscard]] bool has_ticket(boost::json::value const &body, run_key const &key) const;
@@ -129,12 +153,16 @@
     [[nodiscard]] std::int64_t own_clock() const;
 
     site_shared shared_;
+    std::string machine_;
+    /*! Id of the present boot. */
     std::string name_;
     std::string address_;
     std::string announced_;
     std::string domain_;
     std::shared_ptr<http_service> service_;
     std::uint64_t born_{};
+    /*! Counts the boots. */
+    std::uint64_t boot_{};
     std::int64_t clock_start_{};
     std::int64_t lease_until_{};
     std::uint64_t token_{};
@@ -144,6 +172,7 @@
     /*! Highest run of each task that was stopped or has ended here. */
     std::map<scripted_task, std::uint32_t> closed_;
     bool is_leaving_{};
+    std::int64_t held_percent_{};
 };
 
 /*! Returns a ticket with which a step may start on a worker. */
