Use no advice that was asked before a worker's new boot

What callers would see: a start with a ticket of the worker's earlier life is rejected (409, `ticket`), priced, and the task waits for another question. Cause: begin_boot() forgot the advice that was there, but an answer under way was booked for the new boot, and a start that waited for the log kept its ticket. PROTOCOL.md: a ticket is valid during one life of the runner. Change: workers that start anew while a question is under way are left out of its answer and asked about again; a decided start that is not handed out loses its ticket and is decided again. Test first: "advice that was asked before a worker started anew is not used for its new boot" failed before in its first row (a start with the early ticket); the row on a decided start was not reached there.

--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -86,6 +86,8 @@
     /*! Workers the adviser was asked about. */
     std::set<worker_id> asked;
     bool in_flight{};
+    /*! Workers that started anew since the question under way was made: its answer is not for them. */
+    std::set<worker_id> restarted{};
     instant not_before{};
 };
 
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -277,15 +277,18 @@
     auto &job = state_.jobs[found->second];
     auto &advice = job.steps[query.step].advice;
     advice.in_flight = false;
+    auto const restarted = std::exchange(advice.restarted, {});
     auto const *queue = find_queue(*state_.rules, job.definition.queue);
     auto const valid = queue != nullptr && queue->advice ? queue->advice->valid : millis{};
     for(auto const &name: query.workers) {
-        if(auto const worker = state_.worker_ids.find(name); worker != state_.worker_ids.end()) {
+        auto const worker = state_.worker_ids.find(name);
+        if(worker != state_.worker_ids.end() && !restarted.contains(worker->second)) {
             advice.asked.insert(worker->second);
         }
     }
     for(auto const &grant: grants) {
-        if(auto const worker = state_.worker_ids.find(grant.worker); worker != state_.worker_ids.end()) {
+        auto const worker = state_.worker_ids.find(grant.worker);
+        if(worker != state_.worker_ids.end() && !restarted.contains(worker->second)) {
             advice.approved[worker->second] = {grant.ticket, now + valid - internal::ticket_margin};
         }
     }
@@ -296,6 +299,7 @@
     if(auto const found = state_.job_ids.find(query.job); found != state_.job_ids.end()) {
         auto &advice = state_.jobs[found->second].steps[query.step].advice;
         advice.in_flight = false;
+        advice.restarted.clear();
         advice.not_before = now + internal::advice_retry;
     }
 }
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -58,11 +58,17 @@
         auto &run = state_.placements[pos];
         run.stop_answered.reset();
         run.next_stop = {};
+        if(run.stage == internal::placement_stage::intended) {
+            run.ticket_until = {};
+        }
     }
     for(auto &job: state_.jobs.values()) {
         for(auto &step: job.steps) {
             step.advice.asked.erase(id);
             step.advice.approved.erase(id);
+            if(step.advice.in_flight) {
+                step.advice.restarted.insert(id);
+            }
             for(auto &task: step.tasks) {
                 // The new boot may be of another kind, or well again.
                 std::erase(task.failed_on, id);
--- a/test/workflow/dispatcher_test.cpp
+++ b/test/workflow/dispatcher_test.cpp
@@ -791,6 +791,60 @@
     }
 }
 
+// A ticket holds for one life of its worker: one of an earlier life was booked for the next, and the start refused.
+TEST_CASE("advice that was asked before a worker started anew is not used for its new boot") {
+    struct row {
+        std::string_view name;
+        /*! What came before the new boot. */
+        bool is_answered_first;
+        bool is_planned_first;
+    };
+    std::array<row, 3u> const rows{{
+        {"the question was under way", false, false},
+        {"it was answered", true, false},
+        {"it was answered, and the start was due", true, true},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        advice_terms const terms{millis{20}, 1'000, millis{2'000}};
+        scripted_fleet fleet{{.workers = 1u, .advice = terms}};
+        auto const look = [&fleet](std::uint64_t const boot) {
+            fleet.now += round_length;
+            fleet.leader->lease_extended("w0", fleet.now + millis{9'000});
+            fleet.leader->take_inventory("w0", {boot, {}, {}}, fleet.now, fleet.now);
+        };
+        auto const plan = [&fleet]() {
+            dispatch_plan decided;
+            fleet.leader->plan(fleet.now, decided);
+            return decided.queries;
+        };
+        std::array<advice_grant, 1u> const early{{{"w0", "early"}}};
+        look(1u);
+        fleet.submit(scripted_fleet::job("a", step_of(1u, 10'000)));
+        auto const asked = plan();
+        REQUIRE(asked.size() == 1u);
+        if(item.is_answered_first) {
+            fleet.leader->take_advice(asked.front(), early, fleet.now);
+        }
+        if(item.is_planned_first) {
+            REQUIRE(plan().empty());
+        }
+        look(2u);
+        if(!item.is_answered_first) {
+            fleet.leader->take_advice(asked.front(), early, fleet.now);
+        }
+        CHECK(plan_and_keep(fleet).empty());
+        look(2u);
+        // The same question is under way again.
+        plan();
+        std::array<advice_grant, 1u> const late{{{"w0", "late"}}};
+        fleet.leader->take_advice(asked.front(), late, fleet.now);
+        auto const starts = plan_and_keep(fleet);
+        REQUIRE(starts.size() == 1u);
+        CHECK(starts.front().ticket == "late");
+    }
+}
+
 TEST_CASE("a worker that fails several jobs is left alone for a while") {
     scripted_fleet fleet{{.workers = 1u, .max_attempts = 1u}};
     for(auto const *id: {"a", "b"}) {
