Count no end as taken note of once its lease has lapsed, in the stand-in

Cause: the check. The stand-in kept no record of lapses, so it counted such an end.

Change: an end that is listed when the lease lapses is void, and a line says so; the check of all others is as it was.

--- a/test/adapter/standin/site_worker.cpp
+++ b/test/adapter/standin/site_worker.cpp
@@ -189,7 +189,19 @@
     }
 }
 
+void site_worker::lapse() {
+    for(auto &item: ended_) {
+        if(!std::exchange(item.is_void, true)) {
+            log_event(
+                "void as the lease lapsed", adapter::task_name(item.key) + " run " + std::to_string(item.key.run));
+        }
+    }
+}
+
 void site_worker::advance(std::int64_t const now) {
+    if(own_clock() > lease_until_) {
+        lapse();
+    }
     for(auto item = runs_.begin(); item != runs_.end();) {
         auto const here = item++;
         auto const passed = now - here->seen_at;
@@ -320,7 +332,7 @@
     extend_lease(body);
     auto const kept = whole_in(body, "ack_cursor").value_or(0u);
     std::erase_if(ended_, [&](auto const &item) {
-        if(item.number <= kept) {
+        if(item.number <= kept && !item.is_void) {
             shared_.record.taken_note(item.key, item.how);
         }
         return item.number <= kept;
--- a/test/adapter/standin/site_worker.hpp
+++ b/test/adapter/standin/site_worker.hpp
@@ -133,6 +133,8 @@
         std::uint64_t number{};
         run_key key;
         run_end how{run_end::done};
+        /*! Whether the lease has lapsed since: by the rules it can no longer be taken note of. */
+        bool is_void{};
     };
 
     boost::asio::awaitable<response> handle(request message);
@@ -142,6 +144,8 @@
     boost::asio::awaitable<response> hold(boost::json::value body);
     [[nodiscard]] response start_run(boost::json::value const &body, run_key const &key, std::int64_t arrived_at);
     [[nodiscard]] response stop_run(run_key const &key);
+    /*! Makes the ends that are listed void. Precondition: the lease has lapsed. */
+    void lapse();
     [[nodiscard]] bool takes_token(boost::json::value const &body);
     [[nodiscard]] bool has_ticket(boost::json::value const &body, run_key const &key) const;
     [[nodiscard]] response refused(std::string_view reason) const;
