Give up no run that was confirmed after the refused look was sent

What callers would see: a task runs twice at the same time (TWICE).

Cause: a look that was held while its worker started anew is refused by the next boot. worker_replaced() then gave up every run on the books, also one whose start that boot had confirmed since: evidence of one boot used against the next.

Change: only runs confirmed or left unanswered before the look was sent are given up; take_listed() has the same condition. With a full list of ends an unresolved run is still stopped, as before that guard; only giving up waits.

Test first: "a refusal of an earlier look does not end a run that was confirmed since" failed (2 starts, not 1).

--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -151,7 +151,13 @@
     auto const runs = worker.placements;
     for(auto const pos: runs) {
         auto const *run = state_.placements.find(pos);
-        if(run != nullptr && run->stage != internal::placement_stage::ordered) {
+        if(run == nullptr || run->stage == internal::placement_stage::ordered) {
+            continue;
+        }
+        // The answer may be that of a later boot, which has taken this start since.
+        auto const was_sent = run->stage == internal::placement_stage::running ||
+            run->stage == internal::placement_stage::unresolved;
+        if(!was_sent || run->since < sent_at) {
             lose_run(pos, run_loss::other_boot, now);
         }
     }
@@ -293,12 +299,12 @@
             listed.erase(found);
             continue;
         }
-        if(!inventory.has_all_ends) {
-            continue;
-        }
         auto const was_stopped = run->stop_answered && *run->stop_answered < sent_at;
         auto const was_known = run->stage == internal::placement_stage::running && run->since < sent_at;
         if(was_stopped || was_known || run->stage == internal::placement_stage::inherited) {
+            if(!inventory.has_all_ends) {
+                continue;
+            }
             lose_run(pos, was_stopped ? run_loss::stopped : why, now);
         } else if(run->stage == internal::placement_stage::unresolved && run->since < sent_at) {
             // It may still arrive: only an answered stop keeps it out.
--- a/test/workflow/dispatcher_test.cpp
+++ b/test/workflow/dispatcher_test.cpp
@@ -342,6 +342,25 @@
     }
 }
 
+// A look that was held while its worker started anew was refused by the next boot, whose run was given up and repeated.
+TEST_CASE("a refusal of an earlier look does not end a run that was confirmed since") {
+    for(auto const is_earlier: {true, false}) {
+        CAPTURE(is_earlier);
+        scripted_fleet fleet{{.workers = 1u}};
+        fleet.look_time = millis{5};
+        fleet.behaviour["a"] = {millis{600'000}, run_end::done};
+        fleet.submit(scripted_fleet::job("a", step_of(1u, 20'000)));
+        for(auto count = 0; count < 10 && fleet.starts == 0u; ++count) {
+            fleet.run_for(round_length);
+        }
+        REQUIRE(fleet.starts == 1u);
+        auto const sent_at = fleet.now + millis{is_earlier ? -1 : 1};
+        fleet.leader->worker_replaced("w0", fleet.workers[0].entry.address, sent_at, fleet.now);
+        fleet.run_for(millis{1'000});
+        CHECK(fleet.starts == (is_earlier ? 1u : 2u));
+    }
+}
+
 // Ends of a new boot were acknowledged by the numbers of the one before, without a record of them in the log.
 TEST_CASE("ends of one boot account for none of the next") {
     scripted_fleet fleet{{.workers = 1u}};
