Send a task back to where it failed only if no registered worker may ever run it

What callers would see: a task fails on a sick worker while the sound one is out for a second (a refusal, silence, an unanswered start); it returns to the sick one every 100 ms and spends its attempts: a job that could be done ends as failed.

Cause: the rule of looked at workers that take starts at that moment.

Change: it looks at all that are registered and stay, by service, label, size, evacuation and advice.

--- a/src/kingcuplink/workflow/dispatch_planner.cpp
+++ b/src/kingcuplink/workflow/dispatch_planner.cpp
@@ -25,10 +25,10 @@
 constexpr std::uint32_t most_preemptions = 2u;
 /*! Time on top of an expected question in which a ticket counts as about to lapse. */
 constexpr millis renewal_margin{100};
-/*! Added to what a start would leave unused, which is below 4: any worker near the data goes first. */
-constexpr double far_from_data = 1'000.0;
+/*! Added to what a start would leave unused, which is 3 at most: any worker near the data goes first. */
+constexpr double distance_penalty = 1'000.0;
 /*! Added likewise: any worker on which the task has not failed goes first. */
-constexpr double failed_before = 1'000'000.0;
+constexpr double failure_penalty = 1'000'000.0;
 constexpr auto no_candidate = std::numeric_limits<std::size_t>::max();
 
 /*! Returns the part of a worker that a start would leave unused, summed over dimensions. */
@@ -137,7 +137,7 @@
     return *most_room_;
 }
 
-bool dispatch_planner::has_nothing_to_do(waiting_step const &turn) {
+bool dispatch_planner::can_be_skipped(waiting_step const &turn) {
     auto const &job = state_.jobs[turn.job];
     auto const &definition = job.definition.steps[turn.step];
     if(fits(definition.task_size, most_room())) {
@@ -153,10 +153,10 @@
 }
 
 void dispatch_planner::serve(waiting_step const &turn) {
-    if(has_nothing_to_do(turn)) {
+    if(can_be_skipped(turn)) {
         return;
     }
-    ++out_.steps_served;
+    ++out_.steps_examined;
     auto options = options_for(turn);
     auto const is_gang = state_.jobs[turn.job].definition.steps[turn.step].gang;
     auto const wants_advice = is_gang ? place_gang(turn, options) : place_tasks(turn, options);
@@ -166,8 +166,9 @@
     }
 }
 
-bool dispatch_planner::may_run(candidate const &where, queue_rules const &queue, step_definition const &step) {
-    return where.worker->entry.service == queue.service && has_label(where.worker->entry, step.required_label);
+bool dispatch_planner::may_run(
+    worker_registration const &worker, queue_rules const &queue, step_definition const &step) {
+    return worker.service == queue.service && has_label(worker, step.required_label);
 }
 
 std::uint32_t dispatch_planner::slots_in(std::vector<option> const &options, step_definition const &step) {
@@ -186,7 +187,9 @@
         // Few of a large fleet's workers are approved: the others are not looked at.
         for(auto const &[id, ticket]: job.steps[turn.step].advice.approved) {
             auto const pos = id.index < candidate_at_.size() ? candidate_at_[id.index] : no_candidate;
-            if(pos != no_candidate && may_run(candidates_[pos], *turn.queue, definition)) {
+            // Another worker may have the place of one that is gone.
+            auto const is_there = pos != no_candidate && candidates_[pos].id == id;
+            if(is_there && may_run(candidates_[pos].worker->entry, *turn.queue, definition)) {
                 options.push_back({&candidates_[pos], ticket.until > now_ ? &ticket : nullptr});
             }
         }
@@ -194,7 +197,7 @@
     }
     static advice_ticket const not_needed{};
     for(auto &item: candidates_) {
-        if(may_run(item, *turn.queue, definition)) {
+        if(may_run(item.worker->entry, *turn.queue, definition)) {
             options.push_back({&item, &not_needed});
         }
     }
@@ -205,7 +208,7 @@
     auto const &job = state_.jobs[turn.job];
     auto const &asked = job.steps[turn.step].advice.asked;
     for(auto &item: candidates_) {
-        if(!asked.contains(item.id) && may_run(item, *turn.queue, job.definition.steps[turn.step])) {
+        if(!asked.contains(item.id) && may_run(item.worker->entry, *turn.queue, job.definition.steps[turn.step])) {
             options.push_back({&item, nullptr});
         }
     }
@@ -255,31 +258,31 @@
     state_.mark_dirty(turn.job);
 }
 
-bool dispatch_planner::may_run_where_it_failed(
-    waiting_step const &turn, std::vector<option> const &options, live_task const &task) {
-    if(task.failed_on.empty()) {
-        return false;
-    }
-    auto const &definition = state_.jobs[turn.job].definition.steps[turn.step];
-    if(definition.long_running) {
+bool dispatch_planner::may_ever_run(waiting_step const &turn, worker_id const id) const {
+    auto const &worker = state_.workers[id];
+    auto const &job = state_.jobs[turn.job];
+    auto const &definition = job.definition.steps[turn.step];
+    auto const &advice = job.steps[turn.step].advice;
+    auto const is_refused = turn.queue->advice && advice.asked.contains(id) && !advice.approved.contains(id);
+    return worker.is_registered && !worker.entry.leaving && !state_.rules->evacuated.contains(worker.entry.domain) &&
+        !is_refused && may_run(worker.entry, *turn.queue, definition) &&
+        fits(definition.task_size, worker.entry.capacity);
+}
+
+bool dispatch_planner::may_retry_where_it_failed(waiting_step const &turn, live_task const &task) const {
+    if(state_.jobs[turn.job].definition.steps[turn.step].long_running) {
         // It may fail anywhere at any time, and is started again however often it does.
         return true;
     }
-    auto const is_elsewhere = [&](auto const &item) {
-        return !has_failed_on(task, item.on->id) && fits(definition.task_size, item.on->worker->entry.capacity);
-    };
-    std::vector<option> unknown;
-    if(turn.queue->advice) {
-        add_unknown_options(turn, unknown);
-    }
-    return std::none_of(options.begin(), options.end(), is_elsewhere) &&
-        std::none_of(unknown.begin(), unknown.end(), is_elsewhere);
+    auto const &ids = state_.workers.ids();
+    return std::none_of(
+        ids.begin(), ids.end(), [&](auto const id) { return !has_failed_on(task, id) && may_ever_run(turn, id); });
 }
 
 dispatch_planner::option const *dispatch_planner::tightest(
-    waiting_step const &turn, std::vector<option> const &options, live_task const &task) {
+    waiting_step const &turn, std::vector<option> const &options, live_task const &task) const {
     auto const &definition = state_.jobs[turn.job].definition.steps[turn.step];
-    auto const may_return = may_run_where_it_failed(turn, options, task);
+    auto const may_retry = !task.failed_on.empty() && may_retry_where_it_failed(turn, task);
     option const *best{};
     auto least = std::numeric_limits<double>::max();
     for(auto const &item: options) {
@@ -287,7 +290,7 @@
             continue;
         }
         auto const failed_here = has_failed_on(task, item.on->id);
-        if(failed_here && !may_return) {
+        if(failed_here && !may_retry) {
             continue;
         }
         if(definition.most_per_worker > 0u &&
@@ -296,10 +299,10 @@
         }
         auto left = leftover(item.on->room, item.on->worker->entry.capacity);
         if(!definition.data_rack.empty() && !has_label(item.on->worker->entry, definition.data_rack)) {
-            left += far_from_data;
+            left += distance_penalty;
         }
         if(failed_here) {
-            left += failed_before;
+            left += failure_penalty;
         }
         if(left < least) {
             least = left;
--- a/src/kingcuplink/workflow/dispatch_planner.hpp
+++ b/src/kingcuplink/workflow/dispatch_planner.hpp
@@ -45,17 +45,18 @@
     [[nodiscard]] std::vector<waiting_step> order_steps() const;
 
     void serve(waiting_step const &turn);
-    /*! Tells whether nothing of a step can be placed, asked or claimed, whichever workers it may use. */
-    [[nodiscard]] bool has_nothing_to_do(waiting_step const &turn);
+    /*! Tells whether no candidate has room for one task and this round's limits for asking and claiming are used up. */
+    [[nodiscard]] bool can_be_skipped(waiting_step const &turn);
     /*! Returns the most room of any candidate, each dimension by itself. */
     [[nodiscard]] resources const &most_room();
     /*! Places what can be placed; true if advice may help to place more. */
     bool place_tasks(waiting_step const &turn, std::vector<option> const &options);
-    /*! Tells whether a task may run on workers on which it failed: no other that takes work could ever hold it. */
-    [[nodiscard]] bool may_run_where_it_failed(
-        waiting_step const &turn, std::vector<option> const &options, live_task const &task);
+    /*! Tells whether a worker may get tasks of a step sooner or later, also if it takes none at present. */
+    [[nodiscard]] bool may_ever_run(waiting_step const &turn, worker_id id) const;
+    /*! Tells whether a task may go back to workers on which it failed: if it lasts, or no other may ever run it. */
+    [[nodiscard]] bool may_retry_where_it_failed(waiting_step const &turn, live_task const &task) const;
     [[nodiscard]] option const *tightest(
-        waiting_step const &turn, std::vector<option> const &options, live_task const &task);
+        waiting_step const &turn, std::vector<option> const &options, live_task const &task) const;
     /*! Places all members or none; true if advice may help. */
     bool place_gang(waiting_step const &turn, std::vector<option> &options);
     [[nodiscard]] bool place_members(
@@ -70,7 +71,8 @@
     [[nodiscard]] std::vector<option> options_for(waiting_step const &turn);
     /*! Adds the workers that the adviser was not asked about. */
     void add_unknown_options(waiting_step const &turn, std::vector<option> &options);
-    [[nodiscard]] static bool may_run(candidate const &where, queue_rules const &queue, step_definition const &step);
+    [[nodiscard]] static bool may_run(
+        worker_registration const &worker, queue_rules const &queue, step_definition const &step);
     /*! Returns how many tasks of a step fit into the room of options. */
     [[nodiscard]] static std::uint32_t slots_in(std::vector<option> const &options, step_definition const &step);
     [[nodiscard]] bool may_ask(waiting_step const &turn) const;
@@ -85,7 +87,7 @@
     std::vector<candidate> candidates_;
     /*! Position of each worker's candidate, by the index of its identifier. */
     std::vector<std::size_t> candidate_at_;
-    /*! Empty if room was taken since it was last found. */
+    /*! Cached; reset when a candidate's room shrinks. */
     std::optional<resources> most_room_;
     std::size_t blocked_gangs_{};
     /*! Gangs without any advice, and other steps without room, that were looked at in this round. */
--- a/src/kingcuplink/workflow/dispatch_state.cpp
+++ b/src/kingcuplink/workflow/dispatch_state.cpp
@@ -87,9 +87,10 @@
 }
 
 bool is_usable(live_worker const &worker, site_rules const &rules, instant const now) noexcept {
-    auto const answers = worker.seen_at > worker.unanswered_at && worker.seen_at + usable_silence > now;
+    auto const is_responsive = worker.asked_at > worker.unanswered_start_sent_at &&
+        worker.seen_at + usable_silence > now;
     return worker.is_registered && worker.is_held && !worker.entry.leaving && worker.quarantined_until <= now &&
-        answers && !rules.evacuated.contains(worker.entry.domain);
+        is_responsive && !rules.evacuated.contains(worker.entry.domain);
 }
 
 } // namespace kingcuplink::internal
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -136,7 +136,7 @@
     /*! When it last answered. */
     instant seen_at{};
     /*! When the latest start that it left unanswered was sent. */
-    instant unanswered_at{};
+    instant unanswered_start_sent_at{};
     /*! When the latest question that it answered was sent; answers may overtake each other. */
     instant asked_at{};
     /*! When its registration last named another boot or address than the one that answered. */
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -226,7 +226,8 @@
         state_.mark_begun(run->job);
         return;
     case start_answer::unknown:
-        state_.workers[run->worker].unanswered_at = std::max(state_.workers[run->worker].unanswered_at, sent_at);
+        state_.workers[run->worker].unanswered_start_sent_at = std::max(
+            state_.workers[run->worker].unanswered_start_sent_at, sent_at);
         run->stage = internal::placement_stage::unresolved;
         return;
     case start_answer::fenced:
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -108,7 +108,7 @@
     std::vector<run_stop> stops;
     std::vector<advice_query> queries;
     /*! Steps whose workers were looked at: the length of a round goes with them. */
-    std::size_t steps_served{};
+    std::size_t steps_examined{};
 };
 
 /*! Figures for status and metrics. */
--- a/test/workflow/dispatcher_test.cpp
+++ b/test/workflow/dispatcher_test.cpp
@@ -789,6 +789,20 @@
     }
 }
 
+// A task spent its attempts on the worker where it fails while a sound one was out for a moment.
+TEST_CASE("a task does not go back to where it failed while another worker takes no starts for a moment") {
+    scripted_fleet fleet{{.workers = 2u, .max_attempts = 4u}};
+    fleet.workers[1].reachable = false;
+    fleet.behaviour["a"] = {millis{100}, run_end::failed};
+    fleet.submit(scripted_fleet::job("a", step_of(1u, 10'000)));
+    fleet.run_for(millis{6'000});
+    CHECK(fleet.starts == 1u);
+    fleet.behaviour["a"] = {millis{100}, run_end::done};
+    fleet.workers[1].reachable = true;
+    fleet.run_for(millis{1'000});
+    CHECK(fleet.phase_of("a") == job_phase::done);
+}
+
 // A task that lasts has no attempts to lose, and its users wait while it is nowhere.
 TEST_CASE("a task that lasts goes back to where it failed while other workers are full") {
     for(auto const is_lasting: {true, false}) {
--- a/test/workflow/fixture.cpp
+++ b/test/workflow/fixture.cpp
@@ -186,7 +186,7 @@
     look_at_workers();
     dispatch_plan decided;
     leader->plan(now, decided);
-    most_steps_served = std::max(most_steps_served, decided.steps_served);
+    most_steps_examined = std::max(most_steps_examined, decided.steps_examined);
     for(auto const &stop: decided.stops) {
         obey(stop);
     }
--- a/test/workflow/fixture.hpp
+++ b/test/workflow/fixture.hpp
@@ -101,7 +101,7 @@
     std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>, std::uint32_t> stops;
     std::size_t queries{};
     /*! Most steps whose workers were looked at in one round. */
-    std::size_t most_steps_served{};
+    std::size_t most_steps_examined{};
 
 private:
     std::optional<progress_batch> batch_under_way;
--- a/test/workflow/load_test.cpp
+++ b/test/workflow/load_test.cpp
@@ -184,9 +184,9 @@
             scripted_fleet fleet{{.workers = 8u, .advice = advice}};
             hand_in_many(fleet, "job", pos == 0u ? 60 : 600, item.what);
             fleet.run_for(millis{5'000});
-            fleet.most_steps_served = 0u;
+            fleet.most_steps_examined = 0u;
             fleet.run_for(millis{1'000});
-            served[pos] = fleet.most_steps_served;
+            served[pos] = fleet.most_steps_examined;
             CHECK(fleet.fullest() > 0.9);
         }
         CHECK(served[1u] <= served[0u]);
