Look for a lapsed lease before each call in the stand-in

The tick alone noticed a lapse, up to 5 ms late: a call that came between extended the lease, and an end from before was held against the leader.

--- a/test/adapter/standin/site_worker.cpp
+++ b/test/adapter/standin/site_worker.cpp
@@ -189,18 +189,18 @@
     }
 }
 
-void site_worker::lapse() {
+void site_worker::mark_ends_lapsed() {
     for(auto &item: ended_) {
-        if(!std::exchange(item.is_void, true)) {
+        if(!std::exchange(item.has_lapsed, true)) {
             log_event(
-                "void as the lease lapsed", adapter::task_name(item.key) + " run " + std::to_string(item.key.run));
+                "lease lapsed after the end", adapter::task_name(item.key) + " run " + std::to_string(item.key.run));
         }
     }
 }
 
 void site_worker::advance(std::int64_t const now) {
     if(own_clock() > lease_until_) {
-        lapse();
+        mark_ends_lapsed();
     }
     for(auto item = runs_.begin(); item != runs_.end();) {
         auto const here = item++;
@@ -269,6 +269,7 @@
 
 boost::asio::awaitable<response> site_worker::carry_out(
     std::string const target, boost::json::value body, std::int64_t const arrived_at) {
+    advance(clock_ms());
     if(target == "/-/hold") {
         co_return co_await hold(std::move(body));
     }
@@ -332,7 +333,7 @@
     extend_lease(body);
     auto const kept = whole_in(body, "ack_cursor").value_or(0u);
     std::erase_if(ended_, [&](auto const &item) {
-        if(item.number <= kept && !item.is_void) {
+        if(item.number <= kept && !item.has_lapsed) {
             shared_.record.taken_note(item.key, item.how);
         }
         return item.number <= kept;
--- a/test/adapter/standin/site_worker.hpp
+++ b/test/adapter/standin/site_worker.hpp
@@ -134,7 +134,7 @@
         run_key key;
         run_end how{run_end::done};
         /*! Whether the lease has lapsed since: by the rules it can no longer be taken note of. */
-        bool is_void{};
+        bool has_lapsed{};
     };
 
     boost::asio::awaitable<response> handle(request message);
@@ -144,8 +144,8 @@
     boost::asio::awaitable<response> hold(boost::json::value body);
     [[nodiscard]] response start_run(boost::json::value const &body, run_key const &key, std::int64_t arrived_at);
     [[nodiscard]] response stop_run(run_key const &key);
-    /*! Makes the ends that are listed void. Precondition: the lease has lapsed. */
-    void lapse();
+    /*! Marks the ends that are listed as no longer to be taken note of. Precondition: the lease has lapsed. */
+    void mark_ends_lapsed();
     [[nodiscard]] bool takes_token(boost::json::value const &body);
     [[nodiscard]] bool has_ticket(boost::json::value const &body, run_key const &key) const;
     [[nodiscard]] response refused(std::string_view reason) const;
