Look up workers, sent runs and failures of tasks in one place

Cause: this work had written the same lookup of a worker by its name three more times, the test of a run that was sent once more beside the planner's, and the search of the workers on which a task failed twice.

Change: dispatch_state::find_worker(), was_sent() and has_failed_on() serve all; take_advice() decides in one place which workers an answer is for.

--- a/src/kingcuplink/workflow/dispatch_planner.cpp
+++ b/src/kingcuplink/workflow/dispatch_planner.cpp
@@ -40,10 +40,6 @@
         part(room.accelerators, capacity.accelerators);
 }
 
-bool has_failed_on(live_task const &task, worker_id const worker) {
-    return std::find(task.failed_on.begin(), task.failed_on.end(), worker) != task.failed_on.end();
-}
-
 bool has_label(worker_registration const &worker, std::string const &label) {
     return label.empty() || std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
 }
@@ -86,8 +82,7 @@
             continue;
         }
         auto const &worker = state_.workers[run->worker];
-        auto const was_sent = run->stage == placement_stage::running || run->stage == placement_stage::unresolved;
-        if(was_sent && worker.is_held) {
+        if(was_sent(*run) && worker.is_held) {
             run->stop_in_flight = true;
             out_.stops.push_back({id, worker.entry.name, worker.entry.address, worker.boot, run->key});
         }
--- a/src/kingcuplink/workflow/dispatch_state.cpp
+++ b/src/kingcuplink/workflow/dispatch_state.cpp
@@ -24,6 +24,11 @@
     }
 }
 
+live_worker const *dispatch_state::find_worker(std::string const &name) const {
+    auto const found = worker_ids.find(name);
+    return found == worker_ids.end() ? nullptr : workers.find(found->second);
+}
+
 live_task *dispatch_state::task_of(placement_id const id) {
     auto const *run = placements.find(id);
     auto *job = run != nullptr && run->is_known ? jobs.find(run->job) : nullptr;
@@ -86,6 +91,10 @@
     }
 }
 
+bool has_failed_on(live_task const &task, worker_id const worker) {
+    return std::find(task.failed_on.begin(), task.failed_on.end(), worker) != task.failed_on.end();
+}
+
 bool is_usable(live_worker const &worker, site_rules const &rules, instant const now) noexcept {
     auto const is_responsive = worker.asked_at > worker.unanswered_start_sent_at &&
         worker.seen_at + usable_silence > now;
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -56,6 +56,11 @@
     instant next_stop{};
 };
 
+/*! Tells whether the start of a run was sent by this leader and its answer, or the lack of one, is known. */
+[[nodiscard]] constexpr bool was_sent(placement const &run) noexcept {
+    return run.stage == placement_stage::running || run.stage == placement_stage::unresolved;
+}
+
 /*! One task of a live job. */
 struct live_task {
     bool done{};
@@ -73,6 +78,9 @@
     std::vector<worker_id> failed_on{};
 };
 
+/*! Tells whether a task failed on a worker. */
+[[nodiscard]] bool has_failed_on(live_task const &task, worker_id worker);
+
 /*! Ticket with which a step may start on a worker. */
 struct advice_ticket {
     std::string text;
@@ -188,6 +196,9 @@
     /*! Notes that a task of a job has begun somewhere. */
     void mark_begun(job_id job);
 
+    /*! Returns a worker by its name, or null. */
+    [[nodiscard]] live_worker const *find_worker(std::string const &name) const;
+
     /*! Returns the task of a placement, or null if its job does not have it as its latest run. */
     [[nodiscard]] live_task *task_of(placement_id id);
 
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -190,28 +190,28 @@
 }
 
 std::uint64_t dispatcher::boot_of(std::string const &worker) const {
-    auto const found = state_.worker_ids.find(worker);
-    return found == state_.worker_ids.end() ? 0u : state_.workers[found->second].boot;
+    auto const *found = state_.find_worker(worker);
+    return found == nullptr ? 0u : found->boot;
 }
 
 bool dispatcher::is_held(std::string const &worker) const {
-    auto const found = state_.worker_ids.find(worker);
-    return found != state_.worker_ids.end() && state_.workers[found->second].is_held;
+    auto const *found = state_.find_worker(worker);
+    return found != nullptr && found->is_held;
 }
 
 std::uint64_t dispatcher::restarts_of(std::string const &worker) const {
-    auto const found = state_.worker_ids.find(worker);
-    return found == state_.worker_ids.end() ? 0u : state_.workers[found->second].restarts;
+    auto const *found = state_.find_worker(worker);
+    return found == nullptr ? 0u : found->restarts;
 }
 
 std::uint64_t dispatcher::kept_end(std::string const &worker) const {
-    auto const found = state_.worker_ids.find(worker);
-    return found == state_.worker_ids.end() ? 0u : state_.workers[found->second].ends_kept;
+    auto const *found = state_.find_worker(worker);
+    return found == nullptr ? 0u : found->ends_kept;
 }
 
 std::uint64_t dispatcher::seen_end(std::string const &worker) const {
-    auto const found = state_.worker_ids.find(worker);
-    return found == state_.worker_ids.end() ? 0u : state_.workers[found->second].ends_seen;
+    auto const *found = state_.find_worker(worker);
+    return found == nullptr ? 0u : found->ends_seen;
 }
 
 void dispatcher::start_answered(placement_id const id, start_answer const answer, instant const now) {
@@ -281,16 +281,19 @@
     auto const restarted = std::exchange(advice.restarted, {});
     auto const *queue = find_queue(*state_.rules, job.definition.queue);
     auto const valid = queue != nullptr && queue->advice ? queue->advice->valid : millis{};
-    for(auto const &name: query.workers) {
+    auto const answered_for = [&](std::string const &name) -> std::optional<worker_id> {
         auto const worker = state_.worker_ids.find(name);
-        if(worker != state_.worker_ids.end() && !restarted.contains(worker->second)) {
-            advice.asked.insert(worker->second);
+        auto const is_known = worker != state_.worker_ids.end() && !restarted.contains(worker->second);
+        return is_known ? std::optional{worker->second} : std::nullopt;
+    };
+    for(auto const &name: query.workers) {
+        if(auto const worker = answered_for(name)) {
+            advice.asked.insert(*worker);
         }
     }
     for(auto const &grant: grants) {
-        auto const worker = state_.worker_ids.find(grant.worker);
-        if(worker != state_.worker_ids.end() && !restarted.contains(worker->second)) {
-            advice.approved[worker->second] = {grant.ticket, now + valid - internal::ticket_margin};
+        if(auto const worker = answered_for(grant.worker)) {
+            advice.approved[*worker] = {grant.ticket, now + valid - internal::ticket_margin};
         }
     }
 }
@@ -414,8 +417,7 @@
 }
 
 worker_registration const *dispatcher::find_worker(std::string const &name) const {
-    auto const found = state_.worker_ids.find(name);
-    auto const *worker = found == state_.worker_ids.end() ? nullptr : state_.workers.find(found->second);
+    auto const *worker = state_.find_worker(name);
     return worker != nullptr ? &worker->entry : nullptr;
 }
 
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -155,9 +155,7 @@
             continue;
         }
         // The answer may be that of a later boot, which has taken this start since.
-        auto const was_sent = run->stage == internal::placement_stage::running ||
-            run->stage == internal::placement_stage::unresolved;
-        if(!was_sent || run->since < sent_at) {
+        if(!internal::was_sent(*run) || run->since < sent_at) {
             lose_run(pos, run_loss::other_boot, now);
         }
     }
@@ -240,9 +238,8 @@
     auto &job = state_.jobs[id];
     auto &step = job.steps[key.step];
     auto const &definition = job.definition.steps[key.step];
-    if(auto &failed = step.tasks[key.index].failed_on;
-        std::find(failed.begin(), failed.end(), worker) == failed.end()) {
-        failed.push_back(worker);
+    if(auto &task = step.tasks[key.index]; !internal::has_failed_on(task, worker)) {
+        task.failed_on.push_back(worker);
     }
     if(definition.gang && key.run <= step.failed_run) {
         return;
