Take room of a candidate in one place

Cause: the cached room of the largest candidate was reset after each of three subtractions; one more that forgot it would have planned by a stale figure.

Change: take_room() subtracts and resets. No behaviour changes: test_workflow and test_replay pass as before.

--- a/src/kingcuplink/workflow/dispatch_planner.cpp
+++ b/src/kingcuplink/workflow/dispatch_planner.cpp
@@ -132,6 +132,11 @@
     return *most_room_;
 }
 
+void dispatch_planner::take_room(candidate &where, resources const &size) {
+    where.room -= size;
+    most_room_.reset();
+}
+
 bool dispatch_planner::can_be_skipped(waiting_step const &turn) {
     auto const &job = state_.jobs[turn.job];
     auto const &definition = job.definition.steps[turn.step];
@@ -247,8 +252,7 @@
     intent.ticket = where.ticket->text;
     intent.ticket_until = where.ticket->until;
     intent.since = now_;
-    where.on->room -= intent.charge;
-    most_room_.reset();
+    take_room(*where.on, intent.charge);
     state_.add_placement(std::move(intent));
     state_.mark_dirty(turn.job);
 }
@@ -452,8 +456,7 @@
             soon += state_.placements[id].stop_wanted ? state_.placements[id].charge : resources{};
         }
         auto const claimed = std::min(missing, fit_count(size, soon));
-        item.on->room -= size * claimed;
-        most_room_.reset();
+        take_room(*item.on, size * claimed);
         missing -= claimed;
         claims.push_back({item.on, soon - size * claimed});
     }
@@ -469,8 +472,7 @@
                 item.soon += state_.placements[id].charge;
             }
             item.soon -= size;
-            item.on->room -= size;
-            most_room_.reset();
+            take_room(*item.on, size);
             victims.insert(victims.end(), chosen.begin(), chosen.end());
             --missing;
         }
--- a/src/kingcuplink/workflow/dispatch_planner.hpp
+++ b/src/kingcuplink/workflow/dispatch_planner.hpp
@@ -49,6 +49,8 @@
     [[nodiscard]] bool can_be_skipped(waiting_step const &turn);
     /*! Returns the most room of any candidate, each dimension by itself. */
     [[nodiscard]] resources const &most_room();
+    /*! Takes room of a candidate for this round. */
+    void take_room(candidate &where, resources const &size);
     /*! Places what can be placed; true if advice may help to place more. */
     bool place_tasks(waiting_step const &turn, std::vector<option> const &options);
     /*! Tells whether a worker may get tasks of a step sooner or later, also if it takes none at present. */
@@ -87,7 +89,7 @@
     std::vector<candidate> candidates_;
     /*! Position of each worker's candidate, by the index of its identifier. */
     std::vector<std::size_t> candidate_at_;
-    /*! Cached; reset when a candidate's room shrinks. */
+    /*! Cached; take_room() resets it. */
     std::optional<resources> most_room_;
     std::size_t blocked_gangs_{};
     /*! Gangs without any advice, and other steps without room, that were looked at in this round. */
