--- a/src/kingcuplink/core/json_fields.hpp
+++ b/src/kingcuplink/core/json_fields.hpp
@@ -42,8 +42,11 @@
 /*! Returns a value that is a number within limits, or nothing. Never throws, whatever the number. Thread safe. */
 [[nodiscard]] std::optional<double> real_of(boost::json::value const &value, real_range range) noexcept;
 
+/*! Letters of a text of others that a log line shows. */
+inline constexpr std::size_t longest_shown = 64u;
+
 /*! Returns the beginning of a text of others for a log line: what is not printable ASCII becomes '?'. Thread safe. */
-[[nodiscard]] std::string printable(std::string_view text, std::size_t most);
+[[nodiscard]] std::string printable(std::string_view text, std::size_t most = longest_shown);
 
 } // namespace kingcuplink
 
--- a/src/kingcuplink/site/fleet_lead.cpp
+++ b/src/kingcuplink/site/fleet_lead.cpp
@@ -17,8 +17,6 @@
 
 /*! Keys of registrations that cannot be used of which the log tells; the others are only counted. */
 constexpr std::size_t most_odd_entries = 256u;
-/*! Letters of a key that a log line shows. */
-constexpr std::size_t longest_shown = 64u;
 
 std::uint64_t size_of(keyed_record const &record) {
     return record.key.size() + (record.value ? record.value->size() : 0u);
@@ -200,8 +198,7 @@
     }
     odd_entries_.insert_or_assign(record.key, fault);
     parts_.decisions.write(decision::registration_rejected,
-        {{"worker", printable(record.key, internal::longest_shown)}, {"reason", fault},
-            {"bytes", record.value->size()}});
+        {{"worker", printable(record.key)}, {"reason", fault}, {"bytes", record.value->size()}});
 }
 
 boost::asio::awaitable<void> fleet_lead::watch_worker([[maybe_unused]] self_pointer self, std::string name) {
