--- a/test/workflow/fixture.cpp
+++ b/test/workflow/fixture.cpp
@@ -1,5 +1,7 @@
 #include "fixture.hpp"
 
+#include "registration.hpp"
+
 #include <algorithm>
 
 namespace kingcuplink::test {
@@ -29,12 +31,7 @@
     rules->accounts.push_back(account);
     for(std::size_t pos{}; pos < shape.workers; ++pos) {
         worker item;
-        item.entry.name = "w" + std::to_string(pos);
-        item.entry.address = "10.0.0.1:" + std::to_string(1'000u + pos);
-        item.entry.service = "service";
-        item.entry.domain = "d" + std::to_string(pos / shape.workers_per_domain);
-        item.entry.capacity = shape.worker_size;
-        item.entry.boot = shape.first_boot;
+        item.entry = registration_of(pos, shape.workers_per_domain, shape.worker_size, shape.first_boot);
         workers.push_back(item);
     }
     change_leader();
--- a/test/workflow/replay.cpp
+++ b/test/workflow/replay.cpp
@@ -1,5 +1,7 @@
 #include "replay.hpp"
 
+#include "registration.hpp"
+
 #include <algorithm>
 #include <deque>
 
@@ -36,6 +38,11 @@
     return run.saved_before + worked / run.slowness;
 }
 
+/*! Returns the part of a run's work that its latest checkpoint holds. */
+millis checkpointed_work(replay_run const &run, instant const now) {
+    return work_done(run, now) / checkpoint_interval * checkpoint_interval;
+}
+
 std::string checkpoint_text(millis const saved) {
     return saved > millis{} ? std::to_string(saved.count()) : std::string{};
 }
@@ -125,7 +132,7 @@
             inventory.boot = item.entry.boot;
             for(auto const &run: item.runs) {
                 auto const saves = step_of(where.jobs[run.job]).checkpointing;
-                auto const saved = work_done(run, where.now) / checkpoint_interval * checkpoint_interval;
+                auto const saved = checkpointed_work(run, where.now);
                 inventory.running.push_back({run.key, saves ? checkpoint_text(saved) : std::string{}});
             }
             auto const kept = leader_->kept_end(item.entry.name);
@@ -229,12 +236,7 @@
     : now{load.begins_at}, rules{load.rules}, load_{load}, policy_{policy} {
     for(std::size_t pos{}; pos < load.workers; ++pos) {
         replay_worker item;
-        item.entry.name = "w" + std::to_string(pos);
-        item.entry.address = "10.0.0.1:" + std::to_string(1'000u + pos);
-        item.entry.service = "service";
-        item.entry.domain = "d" + std::to_string(pos / load.workers_per_domain);
-        item.entry.capacity = load.worker_size;
-        item.entry.boot = 1u;
+        item.entry = registration_of(pos, load.workers_per_domain, load.worker_size);
         workers.push_back(std::move(item));
     }
     jobs.reserve(load.jobs.size());
@@ -311,8 +313,7 @@
     for(auto const &run: where.runs) {
         auto &state = jobs[run.job];
         auto &task = state.tasks[run.key.index];
-        task.saved = step_of(state).checkpointing ? work_done(run, now) / checkpoint_interval * checkpoint_interval
-                                                  : millis{};
+        task.saved = step_of(state).checkpointing ? checkpointed_work(run, now) : millis{};
         auto const kept = std::max(millis{}, task.saved - run.saved_before) * run.slowness;
         state.thrown_away += core_seconds(run.size, std::chrono::duration_cast<millis>(now - run.began_at) - kept);
     }
