--- a/test/workflow/fleet_faults_test.cpp
+++ b/test/workflow/fleet_faults_test.cpp
@@ -41,17 +41,34 @@
     return text;
 }
 
-/*! Runs a simulation for each seed; prints the seeds that violate a rule, and the timeline of the first of them. */
-void run_seeds(simulation_setup setup, seed_range const &range) {
+std::string format_near_misses(near_miss_counters const &counters, std::size_t const starts) {
+    auto const text_of = [](std::string_view const name, std::size_t const count) {
+        return std::string{name} + "=" + std::to_string(count) + " ";
+    };
+    return text_of("starts", starts) + text_of("restarts", counters.restarts) +
+        text_of("under_live_lease", counters.restarts_under_live_lease) +
+        text_of("after_lapse", counters.restarts_after_lapse) + text_of("stale_fenced", counters.stale_starts_fenced) +
+        text_of("stale_late", counters.stale_starts_expired) + text_of("stale_old", counters.stale_starts_outdated) +
+        text_of("stale_other", counters.stale_starts_for_former_worker) + "shortest_after_lapse_ms=" +
+        (counters.restarts_after_lapse > 0u ? std::to_string(counters.shortest_time_after_lapse.count()) : "none");
+}
+
+/*!
+ * Runs a simulation for each seed; prints the seeds that violate a rule, and the timeline of the first of them. Returns
+ * the near misses of all seeds.
+ */
+near_miss_counters run_seeds(simulation_setup setup, seed_range const &range) {
     // Prompt registrations exclude failures due to registrations of an earlier boot, to expose other causes.
     setup.delays_registrations = std::getenv("KINGCUPLINK_PROMPT_REGISTRATIONS") == nullptr;
     auto const seeds = select_seeds(range);
     std::size_t starts{};
     std::size_t violating_seeds{};
+    near_miss_counters near_misses;
     for(auto const seed: seeds) {
         setup.seed = seed;
         auto const result = simulate_fleet(setup);
         starts += result.starts;
+        near_misses += result.near_misses;
         if(!result.violations.empty()) {
             MESSAGE("seed " << seed << ": " << result.violations.front());
             if(++violating_seeds == 1u) {
@@ -59,8 +76,10 @@
             }
         }
     }
+    MESSAGE(format_near_misses(near_misses, starts));
     CHECK(violating_seeds == 0u);
     CHECK(starts > seeds.size());
+    return near_misses;
 }
 
 } // namespace
@@ -149,4 +168,49 @@
     run_seeds(setup, {60u});
 }
 
+// Each boot of a worker has a name of its own from here on, as on the platform: no guard may rely on shared names.
+
+TEST_CASE("each kind of fault alone violates no rule if each boot has a name of its own") {
+    for(auto const fault: all_fleet_faults) {
+        CAPTURE(name_of(fault));
+        simulation_setup setup;
+        setup.renames_restarted_workers = true;
+        setup.faults = {fault};
+        setup.max_faults = 20;
+        run_seeds(setup, {10u});
+    }
+}
+
+TEST_CASE("concurrent faults of all kinds violate no rule if each boot has a name of its own") {
+    struct row {
+        millis lease_limit;
+        std::int64_t max_workers;
+        std::int64_t max_nodes;
+        std::int64_t max_faults;
+        std::uint64_t seeds;
+    };
+    std::array<row, 3u> const rows{{
+        {millis{6'000}, 6, 3, 24, 80u},
+        {millis{10'000}, 6, 3, 24, 60u},
+        {millis{6'000}, 24, 6, 60, 15u},
+    }};
+    near_miss_counters near_misses;
+    for(auto const &item: rows) {
+        CAPTURE(item.lease_limit.count());
+        CAPTURE(item.max_workers);
+        simulation_setup setup;
+        setup.renames_restarted_workers = true;
+        setup.faults = {all_fleet_faults.begin(), all_fleet_faults.end()};
+        setup.lease_limit = item.lease_limit;
+        setup.max_workers = item.max_workers;
+        setup.max_nodes = item.max_nodes;
+        setup.max_faults = item.max_faults;
+        near_misses += run_seeds(setup, {item.seeds});
+    }
+    // The faults have to bring the guards into play.
+    CHECK(near_misses.restarts_under_live_lease > 0u);
+    CHECK(near_misses.restarts_after_lapse > 0u);
+    CHECK(near_misses.stale_starts_fenced > 0u);
+}
+
 } // namespace kingcuplink::test
--- a/test/workflow/fleet_simulation.cpp
+++ b/test/workflow/fleet_simulation.cpp
@@ -15,8 +15,9 @@
 constexpr millis job_interval{350};
 constexpr resources worker_capacity{16'000, 65'536, 0};
 
-constexpr std::array<std::string_view, fleet_faults.size()> fault_names{
-    "worker_restart", "late_orders", "worker_cut", "node_freeze", "node_restart", "log_trouble"};
+constexpr std::array<std::string_view, all_fleet_faults.size()> fault_names{"worker_restart", "late_orders",
+    "worker_cut", "node_freeze", "node_restart", "log_trouble", "registration_loss", "worker_departure", "worker_stall",
+    "held_requests", "stale_reads", "log_compaction", "leader_resignation", "job_cancellation"};
 
 } // namespace
 
@@ -34,14 +35,15 @@
     account.name = "account";
     account.weight = 1'000.0;
     rules_->accounts.push_back(account);
-    auto const workers = static_cast<std::size_t>(draw(4, 6));
+    auto const workers = static_cast<std::size_t>(draw(setup.min_workers, setup.max_workers));
     for(std::size_t pos{}; pos < workers; ++pos) {
         auto const rate = 1.0 - 0.02 * static_cast<double>(draw(0, 100)) / 100.0;
-        workers_.emplace_back("w" + std::to_string(pos), worker_capacity, rate, checker_, queue_.now());
+        workers_.emplace_back(
+            "w" + std::to_string(pos), worker_capacity, rate, setup.lease_limit, checker_, queue_.now());
         registry_.emplace(workers_.back().name(), workers_.back().registration());
     }
     next_wakeups_.resize(workers);
-    auto const nodes = static_cast<std::size_t>(draw(2, 3));
+    auto const nodes = static_cast<std::size_t>(draw(setup.min_nodes, setup.max_nodes));
     nodes_.resize(nodes);
     for(std::size_t pos{}; pos < nodes; ++pos) {
         hosts_.push_back(std::make_unique<node_host>(*this, pos));
@@ -135,6 +137,7 @@
     result.terms = terms_;
     result.jobs_ended = ended_.size();
     result.faults = faults_;
+    result.near_misses = checker_.near_misses();
     for(auto const &violation: checker_.violations()) {
         result.violations.push_back(violation.text);
     }
@@ -150,6 +153,17 @@
     }
 }
 
+near_miss_counters &near_miss_counters::operator+=(near_miss_counters const &other) noexcept {
+    for(auto const counter: {&near_miss_counters::restarts, &near_miss_counters::restarts_under_live_lease,
+            &near_miss_counters::restarts_after_lapse, &near_miss_counters::stale_starts_fenced,
+            &near_miss_counters::stale_starts_expired, &near_miss_counters::stale_starts_outdated,
+            &near_miss_counters::stale_starts_for_former_worker}) {
+        this->*counter += other.*counter;
+    }
+    shortest_time_after_lapse = std::min(shortest_time_after_lapse, other.shortest_time_after_lapse);
+    return *this;
+}
+
 std::string_view name_of(fleet_fault const fault) noexcept {
     return fault_names[static_cast<std::size_t>(fault)];
 }
--- a/test/workflow/fleet_simulation.hpp
+++ b/test/workflow/fleet_simulation.hpp
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <kingcuplink/core/time.hpp>
 #include <set>
 #include <string>
 #include <string_view>
@@ -23,13 +24,36 @@
     /*! The process of an entry VM ends and restarts. */
     node_restart,
     /*! The log loses answers, executes appends late, rejects them, or is unreachable from entry VMs. */
-    log_failure
+    log_failure,
+    /*! The registrations of live workers are removed and return later. */
+    registration_loss,
+    /*! A worker announces that it leaves, goes earlier or later, and another one takes its address. */
+    worker_departure,
+    /*! A worker rejects starts although it is up, or its runs make no progress. */
+    worker_stall,
+    /*! Partitions hold requests and appends, and deliver them when they end. */
+    held_requests,
+    /*! Entry VMs read an earlier state of the log. */
+    stale_reads,
+    /*! Entry VMs lose their position in the log and read the newest records by key, page by page. */
+    log_compaction,
+    /*! The leader resigns. */
+    leader_resignation,
+    /*! Callers cancel jobs. */
+    job_cancellation
 };
 
-/*! All kinds of faults. */
+/*! Kinds of faults that are injected unless a simulation names others. */
 inline constexpr std::array<fleet_fault, 6u> fleet_faults{fleet_fault::worker_restart, fleet_fault::late_commands,
     fleet_fault::worker_partition, fleet_fault::node_pause, fleet_fault::node_restart, fleet_fault::log_failure};
 
+/*! All kinds of faults. */
+inline constexpr std::array<fleet_fault, 14u> all_fleet_faults{fleet_fault::worker_restart, fleet_fault::late_commands,
+    fleet_fault::worker_partition, fleet_fault::node_pause, fleet_fault::node_restart, fleet_fault::log_failure,
+    fleet_fault::registration_loss, fleet_fault::worker_departure, fleet_fault::worker_stall,
+    fleet_fault::held_requests, fleet_fault::stale_reads, fleet_fault::log_compaction, fleet_fault::leader_resignation,
+    fleet_fault::job_cancellation};
+
 /*! Returns the name of a kind of fault. */
 [[nodiscard]] std::string_view name_of(fleet_fault fault) noexcept;
 
@@ -38,6 +62,15 @@
     std::uint64_t seed{1u};
     /*! True if commands name the boot that they are meant for; otherwise every boot of the worker executes them. */
     bool commands_name_boot{true};
+    /*! True if each boot of a worker has a name of its own and the address of the boot before. */
+    bool renames_restarted_workers{};
+    /*! Number of workers and of entry VMs: between the lower and the upper bounds. */
+    std::int64_t min_workers{4};
+    std::int64_t max_workers{6};
+    std::int64_t min_nodes{2};
+    std::int64_t max_nodes{3};
+    /*! Longest lease that workers grant. */
+    millis lease_limit{12'000};
     /*! True if other work of the leader may run between the commit of an intent and its start command. */
     bool defers_starts{};
     /*! True if the registration of a restarted worker is delayed, as in real deployments. */
@@ -49,6 +82,26 @@
     bool records_timeline{};
 };
 
+/*! Counters of situations in which a guard, and not the order of events, excluded a second run of a task. */
+struct near_miss_counters {
+    /*! Starts of a task that had been started before. */
+    std::size_t restarts{};
+    /*! Restarts while another worker that was to run the task before, and did not, is up and holds a lease. */
+    std::size_t restarts_under_live_lease{};
+    /*! Restarts after a run of the task lapsed with the lease of its worker. */
+    std::size_t restarts_after_lapse{};
+    /*! Shortest time between such a lapse and the restart. */
+    millis shortest_time_after_lapse{millis::max()};
+    /*! Starts that a worker rejected while a later run of the task was started elsewhere, by the reason. */
+    std::size_t stale_starts_fenced{};
+    std::size_t stale_starts_expired{};
+    std::size_t stale_starts_outdated{};
+    std::size_t stale_starts_for_former_worker{};
+
+    /*! Adds the counters of another simulation. */
+    near_miss_counters &operator+=(near_miss_counters const &other) noexcept;
+};
+
 /*! Result of a simulation. */
 struct simulation_result {
     /*! Descriptions of the violated rules. */
@@ -59,6 +112,7 @@
     std::size_t terms{};
     std::size_t jobs_ended{};
     std::size_t faults{};
+    near_miss_counters near_misses;
 };
 
 /*!
--- a/test/workflow/simulated_calls.cpp
+++ b/test/workflow/simulated_calls.cpp
@@ -17,23 +17,29 @@
 
 } // namespace
 
-std::size_t simulated_fleet::index_of(std::string const &worker) const {
+std::size_t simulated_fleet::index_of(std::string const &address) const {
     auto const found = std::find_if(
-        workers_.begin(), workers_.end(), [&worker](auto const &item) { return item.name() == worker; });
+        workers_.begin(), workers_.end(), [&address](auto const &item) { return item.address() == address; });
     return static_cast<std::size_t>(found - workers_.begin());
 }
 
-bool simulated_fleet::is_partitioned(std::size_t const node, std::size_t const worker, bool const is_request) const {
-    return std::any_of(partitions_.begin(), partitions_.end(), [&](auto const &partition) {
+bool simulated_fleet::accepts(simulated_worker const &worker, call_target const &target) const {
+    auto const is_boot = target.boot == 0u || !setup_.commands_name_boot || worker.boot() == target.boot;
+    return worker.name() == target.name && is_boot;
+}
+
+worker_partition const *simulated_fleet::partition_at(
+    std::size_t const node, std::size_t const worker, bool const is_request) const {
+    auto const found = std::find_if(partitions_.begin(), partitions_.end(), [&](auto const &partition) {
         return partition.until > queue_.now() && partition.worker == worker && partition.node.value_or(node) == node &&
             (is_request ? partition.blocks_requests : partition.blocks_answers);
     });
+    return found == partitions_.end() ? nullptr : &*found;
 }
 
 template<typename Answer>
-void simulated_fleet::call(std::size_t const node, std::string const &name, std::uint64_t const boot,
-    millis const timeout, std::function<void(simulated_worker &, reply<Answer>)> execute,
-    std::function<void(outcome<Answer>)> done) {
+void simulated_fleet::call(std::size_t const node, call_target const &target, millis const timeout,
+    std::function<void(simulated_worker &, reply<Answer>)> execute, std::function<void(outcome<Answer>)> done) {
     auto const is_finished = std::make_shared<bool>(false);
     std::function<void(outcome<Answer>)> const finish = [this, node, is_finished, done = std::move(done)](
                                                             outcome<Answer> const &result) {
@@ -44,26 +50,30 @@
         });
     };
     on_node(node, timeout, [finish]() { finish({}); });
-    auto const worker = index_of(name);
+    auto const worker = index_of(target.address);
     // A paused entry VM sends the request after its pause, unless the request has timed out by then.
     on_node(node, draw(millis{}, millis{1}), [=, this, execute = std::move(execute)]() {
         if(!*is_finished) {
-            queue_.after(delay(), [=, this]() { deliver_request<Answer>(node, worker, boot, execute, finish); });
+            queue_.after(delay(), [=, this]() { deliver_request<Answer>(node, worker, target, execute, finish); });
         }
     });
 }
 
 template<typename Answer>
-void simulated_fleet::deliver_request(std::size_t const node, std::size_t const pos, std::uint64_t const boot,
+void simulated_fleet::deliver_request(std::size_t const node, std::size_t const pos, call_target const &target,
     std::function<void(simulated_worker &, reply<Answer>)> const &execute,
     std::function<void(outcome<Answer>)> const &finish) {
-    if(is_partitioned(node, pos, true)) {
+    if(auto const *partition = partition_at(node, pos, true); partition != nullptr) {
+        if(partition->holds_requests) {
+            queue_.after(partition->until - queue_.now() + delay(),
+                [=, this]() { deliver_request<Answer>(node, pos, target, execute, finish); });
+        }
         return;
     }
-    auto const execute_checked = [this, pos, boot, execute, finish](reply<Answer> const &answer) {
+    auto const execute_checked = [this, pos, target, execute, finish](reply<Answer> const &answer) {
         auto &worker = workers_[pos];
-        if(boot != 0u && setup_.commands_name_boot && worker.boot() != boot) {
-            finish({std::nullopt, false, true});
+        if(!accepts(worker, target)) {
+            finish({std::nullopt, false, true, worker.name() != target.name});
             return;
         }
         execute(worker, answer);
@@ -71,10 +81,9 @@
     };
     if(commands_delayed_until_ > queue_.now() && chance(command_delay_probability_)) {
         auto const extra_delay = chance(0.3) ? millis{} : draw(min_command_delay, max_command_delay);
-        queue_.after(extra_delay, [this, pos, boot, execute]() {
+        queue_.after(extra_delay, [this, pos, target, execute]() {
             auto &worker = workers_[pos];
-            auto const matches_boot = boot == 0u || !setup_.commands_name_boot || worker.boot() == boot;
-            if(worker.is_up() && matches_boot) {
+            if(worker.is_up() && accepts(worker, target)) {
                 execute(worker, [](auto const &) {});
                 schedule_worker_wakeup(pos);
             }
@@ -83,14 +92,14 @@
     }
     if(!workers_[pos].is_up()) {
         if(chance(0.5)) {
-            queue_.after(delay(), [finish]() { finish({std::nullopt, true, false}); });
+            queue_.after(delay(), [finish]() { finish({std::nullopt, true, false, false}); });
         }
         return;
     }
     execute_checked([this, node, pos, finish](std::optional<Answer> const &answer) {
         queue_.after(delay(), [=, this]() {
-            if(!is_partitioned(node, pos, false)) {
-                finish({answer, false, false});
+            if(partition_at(node, pos, false) == nullptr) {
+                finish({answer, false, false, false});
             }
         });
     });
@@ -127,7 +136,9 @@
     trace(run.key.job,
         boot_text + " answers " + std::string{name_of(answer)} + " to a start of " + text_of(run.key) + " with token " +
             std::to_string(token) + " meant for boot " + std::to_string(run.boot));
-    if(answer == start_answer::started) {
+    if(answer != start_answer::started) {
+        checker_.reject_start(run.key, answer);
+    } else {
         ++starts_;
         if(step.gang) {
             schedule_gang_completion(run.key.job, run.key.step);
@@ -187,46 +198,54 @@
     }
 }
 
-void node_host::poll(std::string const &worker, std::uint64_t const boot, poll_request const request,
-    millis const timeout, std::function<void(poll_answer const *)> done) {
+void node_host::poll(call_target const target, poll_request const request, millis const timeout,
+    std::function<void(poll_answer const *)> done) {
     fleet_.call<poll_answer>(
-        node_, worker, boot, timeout,
-        [this, request](simulated_worker &target, auto const &reply) {
-            target.poll(
+        node_, target, timeout,
+        [this, request](simulated_worker &worker, auto const &reply) {
+            worker.poll(
                 request.token, request.kept_end, request.expires_at, request.wait,
                 [reply](poll_answer const *const answer) {
                     reply(answer != nullptr ? std::optional{*answer} : std::nullopt);
                 },
                 now());
         },
-        [done = std::move(done)](auto const &outcome) { done(outcome.answer ? &*outcome.answer : nullptr); });
+        [done = std::move(done)](auto const &outcome) {
+            if(outcome.is_other_worker) {
+                poll_answer const other{false, true, 0, {}};
+                return done(&other);
+            }
+            done(outcome.answer ? &*outcome.answer : nullptr);
+        });
 }
 
 void node_host::start(run_start run, std::uint64_t const token, std::int64_t const expires_at, millis const timeout,
     std::function<void(start_answer)> done) {
-    auto const name = run.worker;
-    auto const boot = run.boot;
+    call_target const target{run.worker, run.address, run.boot};
+    auto const key = run.key;
     fleet_.call<start_answer>(
-        node_, name, boot, timeout,
-        [this, run = std::move(run), token, expires_at](simulated_worker &target, auto const &reply) {
-            reply(fleet_.execute_start(target, run, token, expires_at));
+        node_, target, timeout,
+        [this, run = std::move(run), token, expires_at](simulated_worker &worker, auto const &reply) {
+            reply(fleet_.execute_start(worker, run, token, expires_at));
         },
-        [done = std::move(done)](auto const &outcome) {
+        [this, done = std::move(done), key](auto const &outcome) {
+            if(outcome.is_other_worker) {
+                fleet_.checker_.reject_start(key, start_answer::other_boot);
+            }
             auto const silent = outcome.not_sent ? start_answer::not_sent : start_answer::unknown;
             done(outcome.is_other_boot ? start_answer::other_boot : outcome.answer.value_or(silent));
         });
 }
 
 void node_host::stop(run_stop stop, std::uint64_t const token, millis const timeout, std::function<void(bool)> done) {
-    auto const name = stop.worker;
-    auto const boot = stop.boot;
+    call_target const target{stop.worker, stop.address, stop.boot};
     fleet_.call<bool>(
-        node_, name, boot, timeout,
-        [this, stop = std::move(stop), token](simulated_worker &target, auto const &reply) {
+        node_, target, timeout,
+        [this, stop = std::move(stop), token](simulated_worker &worker, auto const &reply) {
             auto const grace = fleet_.draw(millis{30}, max_stop_grace);
-            auto const is_accepted = target.stop(stop.key, token, grace, now());
+            auto const is_accepted = worker.stop(stop.key, token, grace, now());
             fleet_.trace(stop.key.job,
-                target.name() + " boot " + std::to_string(target.boot()) + (is_accepted ? " accepts" : " rejects") +
+                worker.name() + " boot " + std::to_string(worker.boot()) + (is_accepted ? " accepts" : " rejects") +
                     " a stop of " + text_of(stop.key));
             reply(is_accepted);
         },
--- a/test/workflow/simulated_fleet.hpp
+++ b/test/workflow/simulated_fleet.hpp
@@ -25,6 +25,15 @@
 inline constexpr millis min_network_delay{1};
 inline constexpr millis max_network_delay{5};
 
+/*! Snapshot of the log that an entry VM reads page by page, in the order of the keys. */
+struct log_snapshot {
+    std::map<std::string, log_record> records;
+    /*! Key after which the next page begins. */
+    std::string after;
+    /*! Number of records in the log when the first page was read. */
+    std::size_t offset{};
+};
+
 /*! State of an entry VM. */
 struct simulated_node {
     std::string name;
@@ -36,6 +45,8 @@
     std::size_t offset{};
     /*! Time at which the last successful read of the log was sent. */
     instant read_at{};
+    /*! Set while the entry VM reads a snapshot of the log. */
+    std::optional<log_snapshot> snapshot;
     leader_watch watch{"", 0u};
     /*! True while a claim of the leadership is pending. */
     bool is_claiming{};
@@ -51,10 +62,20 @@
     bool blocks_requests{};
     bool blocks_answers{};
     instant until{};
+    /*! True if requests are not lost but delivered when the partition ends. */
+    bool holds_requests{};
 };
 
 /*! Kinds of failures of the log. From rejections on, reads of the log and of the registrations fail too. */
-enum class log_failure_kind : std::uint8_t { lost_answers, late_appends, rejections, unreachable, one_way_partition };
+enum class log_failure_kind : std::uint8_t {
+    lost_answers,
+    late_appends,
+    rejections,
+    unreachable,
+    one_way_partition,
+    /*! Appends are executed when the failure ends. */
+    held_appends
+};
 
 /*! Failure of the log as seen by one or all entry VMs. */
 struct log_failure {
@@ -66,6 +87,14 @@
     instant until{};
 };
 
+/*! Period in which an entry VM reads an earlier state of the log. */
+struct stale_read_period {
+    /*! Affected entry VM; all if empty. */
+    std::optional<std::size_t> node;
+    millis lag{};
+    instant until{};
+};
+
 class simulated_fleet;
 
 /*! Environment of the leader on one entry VM. */
@@ -79,11 +108,12 @@
     void append(
         std::vector<log_record> records, append_writer writer, std::function<void(append_result)> done) override;
     void read_registrations(std::function<void(std::optional<std::vector<worker_registration>>)> done) override;
-    void poll(std::string const &worker, std::uint64_t boot, poll_request request, millis timeout,
+    void poll(call_target target, poll_request request, millis timeout,
         std::function<void(poll_answer const *)> done) override;
     void start(run_start run, std::uint64_t token, std::int64_t expires_at, millis timeout,
         std::function<void(start_answer)> done) override;
     void stop(run_stop stop, std::uint64_t token, millis timeout, std::function<void(bool)> done) override;
+    void show_end(std::string const &job, job_phase phase) override;
     void send_heartbeat(std::uint64_t term, millis log_age, millis append_time) override;
     void trace(std::string const &job, std::string const &text) override;
     void fenced() override;
@@ -113,8 +143,9 @@
         std::optional<Answer> answer;
         /*! True if the connection failed before the request was sent. */
         bool not_sent{};
-        /*! True if the worker runs another boot than the request names. */
+        /*! True if another boot of the worker received the request, or another worker. */
         bool is_other_boot{};
+        bool is_other_worker{};
     };
 
     [[nodiscard]] std::int64_t draw(std::int64_t lower, std::int64_t upper) {
@@ -144,14 +175,18 @@
 
     // Requests to workers.
     template<typename Answer>
-    void call(std::size_t node, std::string const &name, std::uint64_t boot, millis timeout,
+    void call(std::size_t node, call_target const &target, millis timeout,
         std::function<void(simulated_worker &, reply<Answer>)> execute, std::function<void(outcome<Answer>)> done);
     template<typename Answer>
-    void deliver_request(std::size_t node, std::size_t worker, std::uint64_t boot,
+    void deliver_request(std::size_t node, std::size_t worker, call_target const &target,
         std::function<void(simulated_worker &, reply<Answer>)> const &execute,
         std::function<void(outcome<Answer>)> const &finish);
-    [[nodiscard]] bool is_partitioned(std::size_t node, std::size_t worker, bool is_request) const;
-    [[nodiscard]] std::size_t index_of(std::string const &worker) const;
+    /*! Returns a partition that blocks requests to a worker, or its answers, or null. */
+    [[nodiscard]] worker_partition const *partition_at(std::size_t node, std::size_t worker, bool is_request) const;
+    /*! Returns true if a worker executes the requests for a target. */
+    [[nodiscard]] bool accepts(simulated_worker const &worker, call_target const &target) const;
+    /*! Returns the index of the worker at an address. */
+    [[nodiscard]] std::size_t index_of(std::string const &address) const;
     start_answer execute_start(
         simulated_worker &worker, run_start const &run, std::uint64_t token, std::int64_t expires_at);
     void schedule_worker_wakeup(std::size_t worker);
@@ -165,7 +200,10 @@
     simulated_log::answer execute_append(
         std::size_t node, std::vector<log_record> const &records, std::optional<append_writer> writer);
     [[nodiscard]] log_failure const *log_failure_at(std::size_t node) const;
+    /*! Returns the number of records that a read of an entry VM returns at most. */
+    [[nodiscard]] std::size_t readable_records(std::size_t node) const;
     void read_log(std::size_t node);
+    void read_snapshot_page(std::size_t node);
     void apply(std::size_t node, log_record const &record);
 
     // Leaders.
@@ -187,6 +225,18 @@
     void partition_from_other_nodes(std::size_t node);
     void restart_node();
     void inject_log_failure();
+    void lose_registrations();
+    void retire_worker();
+    void stall_worker();
+    void delay_reads();
+    void compact_log();
+    void resign_leader();
+    void cancel_job();
+    /*! Starts the next boot of a worker after a delay. */
+    void boot_worker(std::size_t worker, millis delay);
+    [[nodiscard]] std::size_t pick_worker() {
+        return static_cast<std::size_t>(draw(0, static_cast<std::int64_t>(workers_.size()) - 1));
+    }
     /*! Returns the leader with the given probability, otherwise a random entry VM. */
     [[nodiscard]] std::size_t pick_node(double leader_probability);
     void schedule_registration(std::size_t worker);
@@ -198,6 +248,9 @@
     event_queue queue_;
     invariant_checker checker_;
     simulated_log log_;
+    /*! Times at which the records of the log were committed. */
+    std::vector<instant> commit_times_;
+    std::vector<stale_read_period> stale_reads_;
     std::shared_ptr<site_rules> rules_{std::make_shared<site_rules>()};
     std::vector<simulated_worker> workers_;
     std::vector<instant> next_wakeups_;
--- a/test/workflow/simulated_leader.cpp
+++ b/test/workflow/simulated_leader.cpp
@@ -7,14 +7,15 @@
 namespace kingcuplink::test {
 
 simulated_leader::simulated_leader(leader_host &host, std::string name, std::uint64_t const term,
-    std::uint64_t const sequence, instant const claimed_at, bool const defers_starts)
+    std::uint64_t const sequence, instant const claimed_at, millis const lease_limit, bool const defers_starts)
     : host_{host},
       name_{std::move(name)},
       term_{term},
       sequence_{sequence},
       defers_starts_{defers_starts},
-      lease_{std::min(max_worker_lease, timing::max_lease)},
-      dispatcher_{timing::lease_renewal_limit + max_worker_lease + timing::worker_timeout, host.now()},
+      lease_limit_{lease_limit},
+      lease_{std::min(lease_limit, timing::max_lease)},
+      dispatcher_{timing::lease_renewal_limit + lease_limit + timing::worker_timeout, host.now()},
       appended_at_{claimed_at} {}
 
 void simulated_leader::set_rules(std::shared_ptr<site_rules const> rules) {
@@ -26,6 +27,17 @@
     notify(plan_wakeup_);
 }
 
+void simulated_leader::cancel_job(std::string const &id) {
+    dispatcher_.cancel_job(id);
+    notify(plan_wakeup_);
+    notify(log_wakeup_);
+}
+
+void simulated_leader::resign() {
+    end();
+    host_.append({claim_record{term_, name_, true}}, {term_, ++sequence_}, [](append_result) {});
+}
+
 void simulated_leader::start() {
     run_registration_reader();
     run_planner();
@@ -134,10 +146,11 @@
 
 void simulated_leader::poll_worker(std::string const &name, poll_mode const mode, std::function<void(bool)> done) {
     auto const sent_at = host_.now();
-    auto boot = dispatcher_.boot_of(name);
+    call_target target{name, dispatcher_.find_worker(name)->address, dispatcher_.boot_of(name)};
+    auto const boot = target.boot;
     poll_request request{token_for(name), dispatcher_.kept_end(name), timing::poll_wait, std::nullopt};
     if(mode == poll_mode::first || !dispatcher_.is_reconciled(name)) {
-        boot = 0u;
+        target.boot = 0u;
         request.kept_end = 0u;
         request.wait = millis{};
     } else if(mode == poll_mode::immediate) {
@@ -145,14 +158,20 @@
         request.wait = millis{};
     } else if(auto const clock = estimate_clock(name, boot); clock && may_extend_leases(sent_at)) {
         request.expires_at = *clock + lease_.count();
-        dispatcher_.record_lease_extension(name, timing::lapsed_at(sent_at, max_worker_lease));
+        dispatcher_.record_lease_extension(name, timing::lapsed_at(sent_at, lease_limit_));
     }
-    host_.poll(name, boot, request, request.wait + timing::worker_timeout,
-        [self = shared_from_this(), name, sent_at, token = request.token, done = std::move(done)](
-            poll_answer const *const answer) {
+    host_.poll(target, request, request.wait + timing::worker_timeout,
+        [self = shared_from_this(), name, address = target.address, sent_at, token = request.token,
+            done = std::move(done)](poll_answer const *const answer) {
             if(self->is_stopped_) {
                 return done(false);
             }
+            if(answer != nullptr && answer->is_other_worker) {
+                self->dispatcher_.worker_replaced(name, address, sent_at, self->host_.now());
+                self->trace_losses();
+                self->notify(self->plan_wakeup_);
+                return done(false);
+            }
             if(answer != nullptr && answer->is_fenced && token == self->token_for(name)) {
                 self->fenced();
             }
@@ -289,6 +308,11 @@
     if(batch.empty()) {
         return;
     }
+    for(auto const &[id, progress]: batch.records) {
+        if(is_final(progress.phase)) {
+            host_.show_end(id, progress.phase);
+        }
+    }
     std::vector<run_start> starts;
     dispatcher_.batch_committed(batch, host_.now(), starts);
     for(auto const &run: starts) {
@@ -308,7 +332,7 @@
         handle_start_answer(run, start_answer::not_sent);
         return;
     }
-    dispatcher_.record_lease_extension(run.worker, timing::lapsed_at(now, max_worker_lease));
+    dispatcher_.record_lease_extension(run.worker, timing::lapsed_at(now, lease_limit_));
     auto const token = token_for(run.worker);
     host_.trace(run.key.job,
         name_ + " sends a start of " + text_of(run.key) + " to " + run.worker + " boot " + std::to_string(run.boot) +
--- a/test/workflow/simulated_leader.hpp
+++ b/test/workflow/simulated_leader.hpp
@@ -15,6 +15,14 @@
 
 namespace kingcuplink::test {
 
+/*! Worker for which a call is meant. */
+struct call_target {
+    std::string name;
+    std::string address;
+    /*! Boot for which the call is meant, zero for any. */
+    std::uint64_t boot{};
+};
+
 /*! Parameters of a poll of a worker. */
 struct poll_request {
     std::uint64_t token{};
@@ -46,10 +54,9 @@
 
     /*!
      * Polls a worker for its runs and completions; passes a null pointer if it did not answer within the timeout.
-     * @param boot Boot that the poll is meant for, zero for any.
      */
-    virtual void poll(std::string const &worker, std::uint64_t boot, poll_request request, millis timeout,
-        std::function<void(poll_answer const *)> done) = 0;
+    virtual void poll(
+        call_target target, poll_request request, millis timeout, std::function<void(poll_answer const *)> done) = 0;
 
     /*! Sends a start command to a worker; its lease expires at the given time of the worker's clock, in ms. */
     virtual void start(run_start run, std::uint64_t token, std::int64_t expires_at, millis timeout,
@@ -58,6 +65,9 @@
     /*! Sends a stop command to a worker; passes true if the worker accepted it. */
     virtual void stop(run_stop stop, std::uint64_t token, millis timeout, std::function<void(bool)> done) = 0;
 
+    /*! Reports the end of a job to the callers of all entry VMs. */
+    virtual void show_end(std::string const &job, job_phase phase) = 0;
+
     /*! Sends a heartbeat to the other entry VMs. */
     virtual void send_heartbeat(std::uint64_t term, millis log_age, millis append_time) = 0;
 
@@ -74,10 +84,11 @@
     /*!
      * Constructs a leader; the host must outlive it.
      * @param claimed_at Time at which the append that claimed the term was first sent.
+     * @param lease_limit Longest lease that workers grant.
      * @param defers_starts True if other work may run between the commit of an intent and its start command.
      */
     simulated_leader(leader_host &host, std::string name, std::uint64_t term, std::uint64_t sequence,
-        instant claimed_at, bool defers_starts);
+        instant claimed_at, millis lease_limit, bool defers_starts);
 
     /*! Sets the operators' rules. */
     void set_rules(std::shared_ptr<site_rules const> rules);
@@ -85,9 +96,15 @@
     /*! Adds a job in the state that the log gives it. */
     void add_job(job_entry const &entry);
 
+    /*! Cancels a job on a caller's request. */
+    void cancel_job(std::string const &id);
+
     /*! Starts all periodic activities. */
     void start();
 
+    /*! Ends all activities and appends the resignation, once. */
+    void resign();
+
     /*! Ends all activities permanently. */
     void end() noexcept {
         is_stopped_ = true;
@@ -148,6 +165,7 @@
     std::uint64_t term_;
     std::uint64_t sequence_;
     bool defers_starts_;
+    millis lease_limit_;
     millis lease_;
     dispatcher dispatcher_;
     std::map<std::string, worker_clock> clocks_;
--- a/test/workflow/simulated_log.hpp
+++ b/test/workflow/simulated_log.hpp
@@ -14,6 +14,12 @@
 struct claim_record {
     std::uint64_t term{};
     std::string leader;
+    bool resigned{};
+};
+
+/*! Request of a caller to cancel a job. */
+struct cancellation_record {
+    std::string job;
 };
 
 /*! Progress of a job. */
@@ -22,7 +28,7 @@
     job_progress progress;
 };
 
-using log_record = std::variant<job_definition, progress_record, claim_record>;
+using log_record = std::variant<job_definition, progress_record, claim_record, cancellation_record>;
 
 /*! Outcome of an append. */
 enum class append_result : std::uint8_t { done, refused, fenced, out_of_sequence, unknown };
--- a/test/workflow/simulated_nodes.cpp
+++ b/test/workflow/simulated_nodes.cpp
@@ -13,6 +13,30 @@
 constexpr millis max_append_delay{6'000};
 /*! Time limit of an entry VM for an answer of the log. */
 constexpr millis log_timeout{1'200};
+/*! Duration of reading a page of a snapshot. */
+constexpr millis min_page_time{2};
+constexpr millis max_page_time{200};
+/*! Number of records in a page. */
+constexpr std::size_t page_records = 20u;
+
+/*! Returns the key under which the log retains the newest record. */
+std::string key_of(log_record const &record) {
+    struct visitor {
+        std::string operator()(job_definition const &job) const {
+            return "job/" + job.id;
+        }
+        std::string operator()(progress_record const &item) const {
+            return "progress/" + item.job;
+        }
+        std::string operator()(cancellation_record const &item) const {
+            return "cancel/" + item.job;
+        }
+        std::string operator()(claim_record const &) const {
+            return "leader";
+        }
+    };
+    return std::visit(visitor{}, record);
+}
 
 } // namespace
 
@@ -28,8 +52,11 @@
     auto const answer = log_.append(records, writer);
     for(auto pos = before; pos < log_.records().size(); ++pos) {
         auto const &record = log_.records()[pos];
+        commit_times_.push_back(queue_.now());
         if(auto const *claim = std::get_if<claim_record>(&record); claim != nullptr) {
-            trace({}, "the log commits the claim of " + claim->leader + " with term " + std::to_string(claim->term));
+            trace({},
+                "the log commits the " + std::string{claim->resigned ? "resignation" : "claim"} + " of " +
+                    claim->leader + " with term " + std::to_string(claim->term));
         }
         auto const *item = std::get_if<progress_record>(&record);
         if(item == nullptr) {
@@ -49,6 +76,9 @@
         }
         if(is_final(item->progress.phase) && ended_.emplace(item->job, item->progress.phase).second) {
             trace(item->job, "the log commits the job as " + std::string{name_of(item->progress.phase)});
+            if(item->progress.phase == job_phase::done) {
+                checker_.show_done(item->job);
+            }
             auto const &steps = jobs_.at(item->job).steps;
             auto const has_exhausted_attempts = [&]() {
                 for(std::uint32_t step{}; step < steps.size(); ++step) {
@@ -96,6 +126,13 @@
         if(is_affected && failure->kind == log_failure_kind::unreachable) {
             return;
         }
+        if(is_affected && failure->kind == log_failure_kind::held_appends) {
+            queue_.after(failure->until - queue_.now() + delay(), [=, this]() {
+                auto const answer = execute_append(node, records, writer);
+                queue_.after(delay(), [=]() { finish(answer); });
+            });
+            return;
+        }
         auto const is_late = is_affected && failure->kind == log_failure_kind::late_appends;
         auto const time = draw(millis{8}, millis{30}) + (is_late ? draw(min_append_delay, max_append_delay) : millis{});
         queue_.after(time, [=, this]() {
@@ -107,7 +144,21 @@
     });
 }
 
+std::size_t simulated_fleet::readable_records(std::size_t const node) const {
+    auto const found = std::find_if(stale_reads_.begin(), stale_reads_.end(),
+        [&](auto const &item) { return item.until > queue_.now() && item.node.value_or(node) == node; });
+    if(found == stale_reads_.end()) {
+        return commit_times_.size();
+    }
+    auto const end = std::upper_bound(commit_times_.begin(), commit_times_.end(), queue_.now() - found->lag);
+    return static_cast<std::size_t>(end - commit_times_.begin());
+}
+
 void simulated_fleet::read_log(std::size_t const node) {
+    if(nodes_[node].snapshot) {
+        read_snapshot_page(node);
+        return;
+    }
     auto const sent_at = queue_.now();
     on_node(node, delay(), [this, node, sent_at]() {
         auto const *failure = log_failure_at(node);
@@ -118,8 +169,9 @@
             return;
         }
         auto const first = nodes_[node].offset;
-        std::vector<log_record> const records{
-            log_.records().begin() + static_cast<std::ptrdiff_t>(first), log_.records().end()};
+        auto const last = std::max(first, readable_records(node));
+        std::vector<log_record> const records{log_.records().begin() + static_cast<std::ptrdiff_t>(first),
+            log_.records().begin() + static_cast<std::ptrdiff_t>(last)};
         on_node(node, delay(), [this, node, sent_at, records]() {
             nodes_[node].read_at = sent_at;
             for(auto const &record: records) {
@@ -134,6 +186,44 @@
     });
 }
 
+void simulated_fleet::read_snapshot_page(std::size_t const node) {
+    on_node(node, draw(min_page_time, max_page_time), [this, node]() {
+        auto &snapshot = *nodes_[node].snapshot;
+        if(log_failure_at(node) != nullptr && chance(log_failure_at(node)->probability)) {
+            snapshot = {};
+            on_node(node, timing::log_retry, [this, node]() { read_log(node); });
+            return;
+        }
+        snapshot.offset = snapshot.after.empty() ? log_.records().size() : snapshot.offset;
+        std::map<std::string, log_record> newest;
+        for(auto const &record: log_.records()) {
+            newest.insert_or_assign(key_of(record), record);
+        }
+        auto next = newest.upper_bound(snapshot.after);
+        for(std::size_t count{}; count < page_records && next != newest.end(); ++count, ++next) {
+            snapshot.records.insert_or_assign(next->first, next->second);
+            snapshot.after = next->first;
+        }
+        if(next != newest.end()) {
+            read_snapshot_page(node);
+            return;
+        }
+        auto const complete = std::move(snapshot);
+        nodes_[node].snapshot.reset();
+        nodes_[node].offset = complete.offset;
+        nodes_[node].watch.record_leader_activity(queue_.now());
+        // Jobs are defined before records that refer to them are applied.
+        for(auto const prefix: {"job/", "progress/", "cancel/", "leader"}) {
+            for(auto const &[key, record]: complete.records) {
+                if(key.starts_with(prefix)) {
+                    apply(node, record);
+                }
+            }
+        }
+        read_log(node);
+    });
+}
+
 void simulated_fleet::apply(std::size_t const node, log_record const &record) {
     auto &entry = nodes_[node];
     auto const now = queue_.now();
@@ -145,11 +235,15 @@
         entry.watch.record_leader_activity(now);
         entry.table.advance(item->job, item->progress, now);
     } else if(auto const *claim = std::get_if<claim_record>(&record); claim != nullptr) {
-        entry.watch.apply_claim({claim->term, claim->leader, {}, false}, now);
+        entry.watch.apply_claim({claim->term, claim->leader, {}, claim->resigned}, now);
         if(entry.leader_role != nullptr && entry.watch.claim().term > entry.leader_role->term()) {
             entry.leader_role->end();
             hosts_[node]->fenced();
         }
+    } else if(auto const *request = std::get_if<cancellation_record>(&record); request != nullptr) {
+        if(entry.table.cancel(request->job) && entry.leader_role != nullptr) {
+            entry.leader_role->cancel_job(request->job);
+        }
     }
 }
 
@@ -219,7 +313,7 @@
     ++terms_;
     trace({}, entry.name + " becomes leader with term " + std::to_string(term));
     entry.leader_role = std::make_shared<simulated_leader>(
-        *hosts_[node], entry.name, term, sequence, claimed_at, setup_.defers_starts);
+        *hosts_[node], entry.name, term, sequence, claimed_at, setup_.lease_limit, setup_.defers_starts);
     entry.leader_role->set_rules(rules_);
     std::vector<job_entry const *> entries;
     for(auto const &[id, job]: entry.table.jobs()) {
@@ -264,6 +358,12 @@
     after(fleet_.delay(), [done = std::move(done), entries = std::move(entries)]() { done(entries); });
 }
 
+void node_host::show_end(std::string const &job, job_phase const phase) {
+    if(phase == job_phase::done) {
+        fleet_.checker_.show_done(job);
+    }
+}
+
 void node_host::send_heartbeat(std::uint64_t const term, millis const log_age, millis const append_time) {
     for(std::size_t pos{}; pos < fleet_.nodes_.size(); ++pos) {
         if(pos != node_) {
--- a/test/workflow/simulated_worker.cpp
+++ b/test/workflow/simulated_worker.cpp
@@ -20,6 +20,7 @@
 
 void invariant_checker::record_intent(run_key const &key, std::string const &worker) {
     intents_.emplace(key, worker);
+    assignments_[task_of(key)][key.run].insert(worker);
 }
 
 void invariant_checker::define(job_definition const &job, std::uint32_t const max_attempts) {
@@ -30,14 +31,66 @@
     violations_.push_back({key, std::move(text)});
 }
 
-void invariant_checker::begin(std::string const &worker, run_key const &key) {
+void invariant_checker::count_near_misses(std::string const &worker, run_key const &key, instant const now) {
     auto const task = task_of(key);
+    auto const &runs = assignments_[task];
+    auto const later = runs.lower_bound(key.run);
+    if(later == runs.begin()) {
+        return;
+    }
+    ++near_misses_.restarts;
+    auto const may_begin = [&](std::uint32_t const run, std::string const &other) {
+        auto earlier = key;
+        earlier.run = run;
+        return other != worker && leased_workers_.contains(other) && !ended_runs_.contains({earlier, other});
+    };
+    auto const is_near_miss = std::any_of(runs.begin(), later, [&](auto const &row) {
+        return std::any_of(
+            row.second.begin(), row.second.end(), [&](auto const &other) { return may_begin(row.first, other); });
+    });
+    near_misses_.restarts_under_live_lease += is_near_miss ? 1u : 0u;
+    if(auto const lapsed = lapses_.find(task); lapsed != lapses_.end()) {
+        ++near_misses_.restarts_after_lapse;
+        near_misses_.shortest_time_after_lapse = std::min(near_misses_.shortest_time_after_lapse, now - lapsed->second);
+        lapses_.erase(lapsed);
+    }
+}
+
+void invariant_checker::reject_start(run_key const &key, start_answer const reason) {
+    auto const &runs = assignments_[task_of(key)];
+    if(runs.upper_bound(key.run) == runs.end()) {
+        return;
+    }
+    switch(reason) {
+    case start_answer::fenced:
+        ++near_misses_.stale_starts_fenced;
+        break;
+    case start_answer::late:
+        ++near_misses_.stale_starts_expired;
+        break;
+    case start_answer::outdated:
+        ++near_misses_.stale_starts_outdated;
+        break;
+    case start_answer::other_boot:
+        ++near_misses_.stale_starts_for_former_worker;
+        break;
+    default:
+        break;
+    }
+}
+
+void invariant_checker::begin(std::string const &worker, run_key const &key, instant const now) {
+    auto const task = task_of(key);
+    count_near_misses(worker, key, now);
     for(auto const &[host, other]: running_runs_[task]) {
         report(key, "concurrent runs: " + text_of(key) + " on " + worker + ", " + text_of(other) + " on " + host);
     }
     if(succeeded_tasks_.contains(task)) {
         report(key, "started after its successful completion was acknowledged: " + text_of(key) + " on " + worker);
     }
+    if(shown_done_.contains(key.job)) {
+        report(key, "started after its job was shown as done: " + text_of(key) + " on " + worker);
+    }
     for(auto &[number, end]: pending_completions_) {
         // A start of the same run is no restart: the members of a gang complete successfully together.
         if(task_of(end.key) == task && end.key.run != key.run) {
@@ -57,9 +110,13 @@
     running_runs_[task_of(key)].erase(worker);
 }
 
-void invariant_checker::end(
-    std::string const &worker, std::uint64_t const boot, listed_completion const &end, bool const is_gang) {
+void invariant_checker::end(std::string const &worker, std::uint64_t const boot, listed_completion const &end,
+    bool const is_gang, instant const now) {
     record_lost_run(worker, end.key);
+    ended_runs_.emplace(end.key, worker);
+    if(end.how == run_outcome::lapsed) {
+        lapses_[task_of(end.key)] = now;
+    }
     if(end.how == run_outcome::failed) {
         ++failure_counts_[task_of(end.key)];
     }
@@ -68,7 +125,12 @@
     }
 }
 
+void invariant_checker::record_lease(std::string const &worker) {
+    leased_workers_.insert(worker);
+}
+
 void invariant_checker::record_lease_expiry(std::string const &worker) {
+    leased_workers_.erase(worker);
     for(auto &[number, end]: pending_completions_) {
         end.lease_expired = end.lease_expired || std::get<0>(number) == worker;
     }
@@ -100,9 +162,15 @@
     return found == failure_counts_.end() ? 0u : found->second;
 }
 
-simulated_worker::simulated_worker(
-    std::string name, resources const capacity, double const clock_rate, invariant_checker &checker, instant const now)
-    : name_{std::move(name)}, capacity_{capacity}, clock_rate_{clock_rate}, checker_{checker}, booted_at_{now} {}
+simulated_worker::simulated_worker(std::string name, resources const capacity, double const clock_rate,
+    millis const lease_limit, invariant_checker &checker, instant const now)
+    : name_{std::move(name)},
+      address_{name_},
+      capacity_{capacity},
+      clock_rate_{clock_rate},
+      lease_limit_{lease_limit},
+      checker_{checker},
+      booted_at_{now} {}
 
 std::int64_t simulated_worker::clock(instant const now) const {
     return static_cast<std::int64_t>(std::floor(static_cast<double>((now - booted_at_).count()) * clock_rate_));
@@ -111,11 +179,12 @@
 worker_registration simulated_worker::registration() const {
     worker_registration entry;
     entry.name = name_;
-    entry.address = name_;
+    entry.address = address_;
     entry.service = "service";
     entry.domain = "domain";
     entry.capacity = capacity_;
     entry.boot = boot_;
+    entry.leaving = is_leaving_;
     return entry;
 }
 
@@ -133,8 +202,11 @@
     }
 }
 
-void simulated_worker::restart(instant const now) {
+void simulated_worker::restart(instant const now, std::optional<std::string> name) {
+    name_ = std::move(name).value_or(name_);
     is_up_ = true;
+    is_leaving_ = false;
+    rejects_starts_until_ = {};
     ++boot_;
     booted_at_ = now;
     highest_token_ = 0u;
@@ -143,6 +215,12 @@
     next_completion_ = 1u;
 }
 
+void simulated_worker::stall(millis const time) {
+    for(auto &[key, run]: runs_) {
+        run.ends_at += run.is_gang ? millis{} : time;
+    }
+}
+
 resources simulated_worker::used() const {
     resources sum;
     for(auto const &[key, run]: runs_) {
@@ -152,8 +230,11 @@
 }
 
 void simulated_worker::extend(std::int64_t const expires_at, instant const now) {
-    lease_expires_at_ = std::max(lease_expires_at_, std::min(expires_at, clock(now) + max_worker_lease.count()));
+    lease_expires_at_ = std::max(lease_expires_at_, std::min(expires_at, clock(now) + lease_limit_.count()));
     lease_expired_ = lease_expired_ && lease_expires_at_ <= clock(now);
+    if(!lease_expired_) {
+        checker_.record_lease(name_);
+    }
 }
 
 start_answer simulated_worker::start(
@@ -162,6 +243,9 @@
     if(token < highest_token_) {
         return start_answer::fenced;
     }
+    if(rejects_starts_until_ > now) {
+        return start_answer::unhealthy;
+    }
     highest_token_ = token;
     if(expires_at <= clock(now)) {
         return start_answer::late;
@@ -174,7 +258,7 @@
         found != latest_finished_runs_.end() && key.run <= found->second) {
         return start_answer::outdated;
     }
-    checker_.begin(name_, key);
+    checker_.begin(name_, key, now);
     if(!fits(used() + run.size, capacity_)) {
         checker_.report(key, "exceeds the capacity of its worker: " + text_of(key) + " on " + name_);
     }
@@ -213,7 +297,7 @@
     std::optional<std::int64_t> const expires_at, millis const wait, poll_reply reply, instant const now) {
     advance(now);
     if(token < highest_token_) {
-        poll_answer const refused{true, clock(now), {}};
+        poll_answer const refused{true, false, clock(now), {}};
         reply(&refused);
         return;
     }
@@ -241,7 +325,7 @@
     auto &latest = latest_finished_runs_[task_of(key)];
     latest = std::max(latest, key.run);
     completions_.push_back({next_completion_++, key, how, {}});
-    checker_.end(name_, boot_, completions_.back(), is_gang);
+    checker_.end(name_, boot_, completions_.back(), is_gang, now);
     answer_waiters(now, true);
 }
 
--- a/test/workflow/simulated_worker.hpp
+++ b/test/workflow/simulated_worker.hpp
@@ -1,6 +1,8 @@
 #ifndef KINGCUPLINK_TEST_WORKFLOW_SIMULATED_WORKER_HPP_INCLUDED
 #define KINGCUPLINK_TEST_WORKFLOW_SIMULATED_WORKER_HPP_INCLUDED
 
+#include "fleet_simulation.hpp"
+
 #include <functional>
 #include <kingcuplink/workflow/dispatcher.hpp>
 #include <map>
@@ -11,9 +13,6 @@
 
 namespace kingcuplink::test {
 
-/*! Longest lease that a simulated worker grants. */
-inline constexpr millis max_worker_lease{12'000};
-
 /*! Identifies a task by job, step and index, independent of its runs. */
 using task_key = std::tuple<std::string, std::uint32_t, std::uint32_t>;
 
@@ -35,10 +34,13 @@
     void define(job_definition const &job, std::uint32_t max_attempts);
 
     /*! Records the begin of a run. */
-    void begin(std::string const &worker, run_key const &key);
+    void begin(std::string const &worker, run_key const &key, instant now);
+
+    /*! Records that a worker rejected the start of a run. */
+    void reject_start(run_key const &key, start_answer reason);
 
     /*! Records the end of a run. */
-    void end(std::string const &worker, std::uint64_t boot, listed_completion const &end, bool is_gang);
+    void end(std::string const &worker, std::uint64_t boot, listed_completion const &end, bool is_gang, instant now);
 
     /*! Records that a run was lost with its worker. */
     void record_lost_run(std::string const &worker, run_key const &key);
@@ -46,9 +48,17 @@
     /*! Records that a worker may discard its completions up to a number. */
     void acknowledge(std::string const &worker, std::uint64_t boot, std::uint64_t number);
 
+    /*! Records that a worker holds a lease. */
+    void record_lease(std::string const &worker);
+
     /*! Records that a worker's lease expired: its unacknowledged completions no longer count. */
     void record_lease_expiry(std::string const &worker);
 
+    /*! Records that callers see a job as done. */
+    void show_done(std::string const &job) {
+        shown_done_.insert(job);
+    }
+
     /*! Records a violation. */
     void report(run_key const &key, std::string text);
 
@@ -65,6 +75,10 @@
     /*! Returns the number of failed runs of a task. */
     [[nodiscard]] std::uint32_t failures(task_key const &task) const;
 
+    [[nodiscard]] near_miss_counters const &near_misses() const noexcept {
+        return near_misses_;
+    }
+
 private:
     /*! A successful or failed completion that is not acknowledged yet. */
     struct pending_completion {
@@ -76,11 +90,21 @@
         bool lease_expired{};
     };
 
+    /*! Counts what a start of a task is near to: earlier runs of the task that are over or never began. */
+    void count_near_misses(std::string const &worker, run_key const &key, instant now);
+
     std::set<std::pair<run_key, std::string>> intents_;
+    /*! Workers that were to run a task, by its runs. */
+    std::map<task_key, std::map<std::uint32_t, std::set<std::string>>> assignments_;
+    std::set<std::pair<run_key, std::string>> ended_runs_;
+    std::set<std::string> leased_workers_;
+    std::map<task_key, instant> lapses_;
+    near_miss_counters near_misses_;
     std::map<std::string, std::uint32_t> max_attempts_;
     std::map<task_key, std::map<std::string, run_key>> running_runs_;
     std::map<std::tuple<std::string, std::uint64_t, std::uint64_t>, pending_completion> pending_completions_;
     std::set<task_key> succeeded_tasks_;
+    std::set<std::string> shown_done_;
     std::map<task_key, std::uint32_t> failure_counts_;
     std::map<task_key, std::uint32_t> acknowledged_failures_;
     std::vector<violation> violations_;
@@ -89,6 +113,8 @@
 /*! Answer of a simulated worker to a poll. */
 struct poll_answer {
     bool is_fenced{};
+    /*! True if another worker answered at the address. */
+    bool is_other_worker{};
     std::int64_t clock{};
     worker_inventory inventory;
 };
@@ -114,14 +140,32 @@
         std::optional<instant> stops_at{};
     };
 
-    /*! Constructs a worker; the checker must outlive it. */
-    simulated_worker(std::string name, resources capacity, double clock_rate, invariant_checker &checker, instant now);
+    /*!
+     * Constructs a worker; the checker must outlive it.
+     * @param name Name of the worker and its address.
+     * @param lease_limit Longest lease that it grants.
+     */
+    simulated_worker(std::string name, resources capacity, double clock_rate, millis lease_limit,
+        invariant_checker &checker, instant now);
 
     /*! Drops all runs, completions and waiting polls; the worker is down until restart(). */
     void crash();
 
-    /*! Starts the next boot. */
-    void restart(instant now);
+    /*! Starts the next boot, under its own name if one is given. */
+    void restart(instant now, std::optional<std::string> name = std::nullopt);
+
+    /*! Announces that the worker leaves; it goes on until crash(). */
+    void announce_departure() noexcept {
+        is_leaving_ = true;
+    }
+
+    /*! Rejects starts until the given time. */
+    void reject_starts(instant const until) noexcept {
+        rejects_starts_until_ = until;
+    }
+
+    /*! Delays the completion of all current runs. */
+    void stall(millis time);
 
     /*! Applies the events that are due: lease expiry, stops, completions and poll time limits. */
     void advance(instant now);
@@ -159,6 +203,10 @@
         return name_;
     }
 
+    [[nodiscard]] std::string const &address() const noexcept {
+        return address_;
+    }
+
     [[nodiscard]] std::uint64_t boot() const noexcept {
         return boot_;
     }
@@ -182,8 +230,10 @@
     [[nodiscard]] resources used() const;
 
     std::string name_;
+    std::string address_;
     resources capacity_;
     double clock_rate_;
+    millis lease_limit_;
     invariant_checker &checker_;
     std::uint64_t boot_{1u};
     bool is_up_{true};
@@ -191,6 +241,8 @@
     std::uint64_t highest_token_{};
     std::int64_t lease_expires_at_{};
     bool lease_expired_{true};
+    bool is_leaving_{};
+    instant rejects_starts_until_{};
     std::map<run_key, live_run> runs_;
     std::vector<listed_completion> completions_;
     std::uint64_t next_completion_{1u};
