--- a/src/kingcuplink/core/counters.hpp
+++ b/src/kingcuplink/core/counters.hpp
@@ -49,6 +49,8 @@
     handover_received,
     job_adopted,
     registration_rejected,
+    unknown_run_listed,
+    concurrent_run_listed,
     count
 };
 
--- a/src/kingcuplink/core/decision_log.hpp
+++ b/src/kingcuplink/core/decision_log.hpp
@@ -37,6 +37,7 @@
     run_stopped,
     run_ended,
     run_lost,
+    run_unknown,
     worker_seen,
     worker_silent,
     worker_restarted,
--- a/src/kingcuplink/site/fleet_leader.cpp
+++ b/src/kingcuplink/site/fleet_leader.cpp
@@ -247,7 +247,7 @@
         dispatcher_.worker_replaced(name, entry.address, sent_at, current_time());
     if(is_replaced) {
         parts_.decisions.write(decision::worker_replaced, {{"worker", name}, {"address", entry.address}});
-        log_lost_runs();
+        log_run_changes();
         plan_wakeup_.notify();
     }
     if(answer.outcome != poll_outcome::answered) {
@@ -270,7 +270,7 @@
         }
     }
     dispatcher_.apply_inventory(name, answer.inventory, sent_at, now);
-    log_lost_runs();
+    log_run_changes();
     plan_wakeup_.notify();
     append_wakeup_.notify();
     co_return true;
@@ -299,7 +299,7 @@
     remove_silent_advisers(now);
     dispatch_plan decided;
     dispatcher_.plan(now, decided);
-    log_lost_runs();
+    log_run_changes();
     for(auto &stop: decided.stops) {
         boost::asio::co_spawn(parts_.context, stop_run(shared_from_this(), std::move(stop)), fail_fast);
     }
@@ -490,12 +490,26 @@
     }
 }
 
-void fleet_leader::log_lost_runs() {
+void fleet_leader::log_run_changes() {
     for(auto const &lost: dispatcher_.take_lost_runs()) {
         auto fields = internal::run_fields(lost.key, lost.worker, lost.boot);
         fields["why"] = name_of(lost.reason);
         parts_.decisions.write(decision::run_lost, std::move(fields));
     }
+    for(auto const &run: dispatcher_.take_unknown_runs()) {
+        log_unknown_run(run);
+    }
+}
+
+void fleet_leader::log_unknown_run(unknown_run const &run) {
+    parts_.stats.add(event::unknown_run_listed);
+    if(!run.other_worker.empty()) {
+        parts_.stats.add(event::concurrent_run_listed);
+    }
+    auto fields = internal::run_fields(run.key, run.worker, run.boot);
+    fields["latest_run"] = run.latest_run;
+    fields["other_worker"] = run.other_worker;
+    parts_.decisions.write(decision::run_unknown, std::move(fields));
 }
 
 std::uint32_t fleet_leader::most_millicores() const noexcept {
--- a/src/kingcuplink/site/fleet_leader.hpp
+++ b/src/kingcuplink/site/fleet_leader.hpp
@@ -118,7 +118,8 @@
     void send_heartbeats();
     [[nodiscard]] std::uint32_t most_millicores() const noexcept;
     void notify_job_ends(progress_batch const &batch);
-    void log_lost_runs();
+    void log_run_changes();
+    void log_unknown_run(unknown_run const &run);
     boost::asio::awaitable<void> run_appender(self_pointer self);
     /*! Appends records to the log, retrying until they are committed; returns false if the leader has ended. */
     boost::asio::awaitable<bool> append_records(std::vector<keyed_record> records);
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -401,6 +401,10 @@
     return std::exchange(lost_, {});
 }
 
+std::vector<unknown_run> dispatcher::take_unknown_runs() {
+    return std::exchange(unknown_, {});
+}
+
 dispatch_statistics dispatcher::figures(instant const now) const {
     dispatch_statistics result;
     result.jobs = state_.jobs.size();
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -230,6 +230,9 @@
     /*! Returns the runs removed without a completion since the last call, for the decision log. */
     [[nodiscard]] std::vector<lost_run> take_lost_runs();
 
+    /*! Returns the unknown runs that workers listed since the last call, for the decision log. */
+    [[nodiscard]] std::vector<unknown_run> take_unknown_runs();
+
     /*! Returns the current statistics. */
     [[nodiscard]] dispatch_statistics figures(instant now) const;
 
@@ -251,6 +254,8 @@
         worker_id worker, worker_inventory const &inventory, run_loss reason, instant sent_at, instant now);
     /*! Adds a listed run without a matching placement and requests its stop. */
     void add_unknown_run(worker_id worker, listed_run const &run, instant now);
+    /*! Describes an unknown run for the decision log. */
+    [[nodiscard]] unknown_run describe_unknown_run(worker_id worker, run_key const &key) const;
     /*! Resets the state of a worker for another boot; its runs are kept until they are compared with its inventory. */
     void reset_for_boot(worker_id worker, std::uint64_t boot);
     /*! Removes a run that did not succeed; if it belongs to a gang, the other members are stopped. */
@@ -265,6 +270,7 @@
 
     internal::dispatch_state state_;
     std::vector<lost_run> lost_;
+    std::vector<unknown_run> unknown_;
 };
 
 } // namespace kingcuplink
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -317,26 +317,45 @@
     }
 }
 
+unknown_run dispatcher::describe_unknown_run(worker_id const id, run_key const &key) const {
+    auto const &worker = state_.workers[id];
+    unknown_run result{key, worker.registration.name, worker.boot, 0u, {}};
+    auto const found = state_.job_ids.find(key.job);
+    if(found == state_.job_ids.end() || is_final(state_.jobs[found->second].phase)) {
+        return result;
+    }
+    auto const &steps = state_.jobs[found->second].steps;
+    if(key.step < steps.size() && key.index < steps[key.step].tasks.size()) {
+        auto const &task = steps[key.step].tasks[key.index];
+        result.latest_run = task.run;
+        if(auto const *other = state_.placements.find(task.placement); other != nullptr) {
+            result.other_worker = state_.workers[other->worker].registration.name;
+        }
+    }
+    return result;
+}
+
 void dispatcher::add_unknown_run(worker_id const id, listed_run const &run, instant const now) {
-    internal::placement unknown_run;
-    unknown_run.worker = id;
-    unknown_run.key = run.key;
-    unknown_run.stage = internal::placement_stage::running;
-    unknown_run.is_known = false;
-    unknown_run.stop_requested = true;
+    unknown_.push_back(describe_unknown_run(id, run.key));
+    internal::placement placed;
+    placed.worker = id;
+    placed.key = run.key;
+    placed.stage = internal::placement_stage::running;
+    placed.is_known = false;
+    placed.stop_requested = true;
     auto &worker = state_.workers[id];
     // The run was started by this leader or an earlier one, so its lease expires no later than theirs.
     worker.leases_expire_at = std::max(worker.leases_expire_at, state_.inherited_leases_end_at);
-    unknown_run.stage_since = now;
+    placed.stage_since = now;
     // The size is unknown: the worker counts as full until the run is gone, whichever other runs end there.
-    unknown_run.charge = worker.registration.capacity;
+    placed.charge = worker.registration.capacity;
     if(auto const found = state_.job_ids.find(run.key.job); found != state_.job_ids.end()) {
         auto const &job = state_.jobs[found->second];
         if(run.key.step < job.definition.steps.size()) {
-            unknown_run.charge = job.definition.steps[run.key.step].task_size;
+            placed.charge = job.definition.steps[run.key.step].task_size;
         }
     }
-    state_.add_placement(std::move(unknown_run));
+    state_.add_placement(std::move(placed));
 }
 
 void dispatcher::expire_leases(instant const now) {
--- a/src/kingcuplink/workflow/types.hpp
+++ b/src/kingcuplink/workflow/types.hpp
@@ -133,6 +133,18 @@
     run_loss reason{run_loss::not_listed};
 };
 
+/*! A run on a worker that the leader did not expect there. */
+struct unknown_run {
+    run_key key;
+    std::string worker;
+    /*! Boot of the worker, as last polled. */
+    std::uint64_t boot{};
+    /*! Latest run of the task, or zero if its job has ended or is not known. */
+    std::uint32_t latest_run{};
+    /*! Worker on which the task runs or will run, if any: two runs of a task may exist then. */
+    std::string other_worker;
+};
+
 /*! A run that a worker lists as running. */
 struct listed_run {
     run_key key;
