Log the sequence number of a claim

Two claims of one term with equal numbers would both be answered as done: the log takes the second for a repeat of the first. The number shows in leadership_claimed whether that happened.

--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -533,7 +533,8 @@
     std::vector<keyed_record> records;
     records.push_back(encode(leader_claim{term, parts_.settings.name, parts_.settings.peer_address, false}));
     parts_.decisions.write(decision::leadership_claimed,
-        {{"term", term}, {"earlier", watch_.claim().name}, {"silent_ms", watch_.silence(current_time()).count()}});
+        {{"term", term}, {"sequence", sequence}, {"earlier", watch_.claim().name},
+            {"silent_ms", watch_.silence(current_time()).count()}});
     append_answer answer;
     auto const claimed_at = current_time();
     do {
