Take no run for unknown that older lists of its worker still name

A worker answers a long poll when a run ends, and may answer a poll that was sent later before that. If the newer lists arrive first, the older ones still name the run that ended: the leader stopped it as an unknown run, and charged the whole worker for it if its job was over, until the next poll. Lists now carry the time of the worker's clock, and what only older lists name is left out. What older lists lack still counts: it is dated by the poll.

Ruled out: that such a run was lost while it was alive.

Test: "a run that older lists still name is not unknown"; its first row failed before.

--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -148,6 +148,8 @@
     instant unanswered_start_sent_at{};
     /*! Time at which the latest answered poll was sent; answers may arrive out of order. */
     instant answered_poll_sent_at{};
+    /*! Time of the latest applied lists by the clock of the current boot, in ms; lists may be applied out of order. */
+    std::int64_t listed_at{};
     /*! Time at which the registration last changed to an address or boot that differs from the last answer. */
     instant registration_mismatch_at{};
     /*! Time at which all leases granted or extended so far have expired by any clock. */
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -165,7 +165,8 @@
     /*!
      * Reconciles the runs of a worker with the inventory in its answer to a poll. If another boot answers, listed runs
      * continue, because a command for the earlier boot may have reached this one. Runs that had started in the earlier
-     * boot are lost. Answers to polls sent before an answered one are ignored.
+     * boot are lost. Answers to polls sent before an answered one are ignored. A worker may list its runs for a long
+     * poll after it has listed them for a poll that was sent later; of the older lists only what they lack counts.
      * @param sent_at Time at which the poll was sent; the effects of later commands may be missing.
      */
     void apply_inventory(std::string const &worker, worker_inventory const &inventory, instant sent_at, instant now);
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -51,6 +51,7 @@
     ++worker.restarts;
     worker.last_recorded_completion = 0u;
     worker.last_persisted_completion = 0u;
+    worker.listed_at = 0;
     worker.failing_jobs.clear();
     worker.quarantined_until = {};
     for(auto const pos: worker.placements) {
@@ -312,6 +313,12 @@
             }
         }
     }
+    auto &worker = state_.workers[id];
+    if(inventory.listed_at < worker.listed_at) {
+        // What ended between these lists and the latest ones is not unknown.
+        return;
+    }
+    worker.listed_at = inventory.listed_at;
     for(auto const &[key, run]: listed) {
         add_unknown_run(id, *run, now);
     }
--- a/src/kingcuplink/workflow/types.hpp
+++ b/src/kingcuplink/workflow/types.hpp
@@ -171,6 +171,8 @@
      * from both lists may then have ended.
      */
     bool has_all_completions{true};
+    /*! Time of the lists by the clock of the worker in this boot, in ms. */
+    std::int64_t listed_at{};
 };
 
 /*! Registration of a worker. */
--- a/test/workflow/unknown_run_test.cpp
+++ b/test/workflow/unknown_run_test.cpp
@@ -70,4 +70,31 @@
     }
 }
 
+// A long poll may be answered before a poll that was sent later, with newer lists: a run that ended in between was
+// taken for an unknown one, stopped, and charged with the whole worker if its job was over.
+TEST_CASE("a run that older lists still name is not unknown") {
+    struct row {
+        std::string_view name;
+        std::uint64_t boot;
+        std::int64_t listed_at;
+        std::size_t expected_unknown;
+    };
+    std::array<row, 4u> const rows{{
+        {"older lists", 1u, 900, 0u},
+        {"newer lists", 1u, 1'100, 1u},
+        {"lists of the same time", 1u, 1'000, 1u},
+        {"lists of another boot, whose clock started anew", 2u, 900, 1u},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        scripted_fleet fleet{{.workers = 1u}};
+        auto const &name = fleet.workers.front().entry.name;
+        fleet.leader->apply_inventory(name, {1u, {}, {}, true, 1'000}, fleet.now, fleet.now);
+        fleet.now += round_interval;
+        worker_inventory const late{item.boot, {{{"ended", 0u, 0u, 1u}, {}}}, {}, true, item.listed_at};
+        fleet.leader->apply_inventory(name, late, fleet.now, fleet.now);
+        CHECK(fleet.leader->take_unknown_runs().size() == item.expected_unknown);
+    }
+}
+
 } // namespace kingcuplink::test
