Simulate runs that outlast their leases

Most of its runs ended before a lease did. The share of long steps is a parameter now, and a test plays four sets of faults with 0.7 of them.

--- a/test/workflow/fleet_faults_test.cpp
+++ b/test/workflow/fleet_faults_test.cpp
@@ -181,6 +181,33 @@
     }
 }
 
+// Guards against a leader that extends leases for longer than its successor waits for them, and against conclusions
+// from lists that are older than what they are compared with: both need runs that outlast their leases.
+TEST_CASE("runs that outlast their leases run once while leaders and workers are cut off") {
+    struct row {
+        std::string_view name;
+        std::set<fleet_fault> faults;
+    };
+    std::array<row, 4u> const rows{{
+        {"leaders lose the log and reach the workers alone", {fleet_fault::log_failure, fleet_fault::worker_partition}},
+        {"leaders pause", {fleet_fault::node_pause, fleet_fault::worker_partition}},
+        {"commands and appends are held and delivered later",
+            {fleet_fault::held_requests, fleet_fault::late_commands, fleet_fault::log_failure}},
+        {"registrations are lost beside changes of the leader",
+            {fleet_fault::registration_loss, fleet_fault::worker_partition, fleet_fault::node_restart}},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        simulation_setup setup;
+        setup.renames_restarted_workers = true;
+        setup.faults = item.faults;
+        setup.lease_limit = millis{6'000};
+        setup.long_step_share = 0.7;
+        setup.max_faults = 24;
+        run_seeds(setup, {25u});
+    }
+}
+
 TEST_CASE("concurrent faults of all kinds violate no rule if each boot has a name of its own") {
     struct row {
         millis lease_limit;
--- a/test/workflow/fleet_simulation.cpp
+++ b/test/workflow/fleet_simulation.cpp
@@ -92,7 +92,8 @@
         step.gang = chance(0.25);
         step.count = static_cast<std::uint32_t>(draw(step.gang ? 2 : 1, 4));
         step.task_size = {draw(1, 4) * 1'500, 1'024, 0};
-        step.estimate = chance(0.1) ? draw(millis{8'000}, millis{16'000}) : draw(millis{200}, millis{4'000});
+        step.estimate = chance(setup_.long_step_share) ? draw(millis{8'000}, millis{16'000})
+                                                       : draw(millis{200}, millis{4'000});
         if(pos > 0u) {
             step.after = {pos - 1u};
         }
--- a/test/workflow/fleet_simulation.hpp
+++ b/test/workflow/fleet_simulation.hpp
@@ -76,6 +76,8 @@
     /*! True if the registration of a restarted worker is delayed, as in real deployments. */
     bool delays_registrations{true};
     std::set<fleet_fault> faults{fleet_faults.begin(), fleet_faults.end()};
+    /*! Share of the steps whose tasks run for longer than a lease. */
+    double long_step_share{0.1};
     /*! Upper bound of the number of injected faults; the lower bound is three. */
     std::int64_t max_faults{12};
     /*! True to record the timeline. */
