Ignore lists for polls that were sent before a worker was replaced

An answer of another worker at the address takes the runs of the one that is gone off the books. A list that this one had still answered to an earlier poll, and that arrives afterwards, brought it back: the worker counted as reconciled, and its runs as unknown ones, until their lease had lapsed. Test: "an answer to an earlier poll does not bring back a worker that was replaced", which failed before.

--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -149,6 +149,8 @@
     }
     auto const has_changed = worker.is_reconciled || !worker.placements.empty();
     worker.is_reconciled = false;
+    // Lists for earlier polls come from the worker that is gone.
+    worker.answered_poll_sent_at = sent_at;
     auto const runs = worker.placements;
     for(auto const pos: runs) {
         auto const *run = state_.placements.find(pos);
--- a/test/workflow/unknown_run_test.cpp
+++ b/test/workflow/unknown_run_test.cpp
@@ -70,6 +70,19 @@
     }
 }
 
+// A list that was answered to an earlier poll arrived after another worker had answered at the address: the worker that
+// was gone counted as present.
+TEST_CASE("an answer to an earlier poll does not bring back a worker that was replaced") {
+    scripted_fleet fleet{{.workers = 1u}};
+    fleet.run_for(millis{100});
+    auto const &entry = fleet.workers[0].entry;
+    auto const sent_at = fleet.now;
+    fleet.now += round_interval;
+    REQUIRE(fleet.leader->worker_replaced(entry.name, entry.address, fleet.now, fleet.now));
+    fleet.leader->apply_inventory(entry.name, {entry.boot, {}, {}}, sent_at, fleet.now);
+    CHECK_FALSE(fleet.leader->is_reconciled(entry.name));
+}
+
 // A long poll may be answered before a poll that was sent later, with newer lists: a run that ended in between was
 // taken for an unknown one, stopped, and charged with the whole worker if its job was over.
 TEST_CASE("a run that older lists still name is not unknown") {
