Keep the time of the leases of a worker that is removed

A worker without runs on the books is removed when its registration is, and registered anew when it returns. The time up to which its leases last was forgotten: an unknown run that it lists counted as lapsed in the next round, without a stop, and its task was started at once. Test: "an unknown run on a worker that registers again is not taken for lapsed", which failed before.

--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -166,6 +166,7 @@
 struct former_worker {
     std::uint64_t boot{};
     std::uint64_t restarts{};
+    instant leases_expire_at{};
 };
 
 /*! One client account. */
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -23,6 +23,7 @@
         if(auto const former = state_.former_workers.find(entry.name); former != state_.former_workers.end()) {
             worker.boot = former->second.boot;
             worker.restarts = former->second.restarts;
+            worker.leases_expire_at = former->second.leases_expire_at;
         }
         worker.registration = std::move(entry);
         found->second = state_.workers.emplace(std::move(worker));
@@ -385,7 +386,7 @@
         }
         if(!state_.workers[id].is_registered && state_.workers[id].placements.empty()) {
             auto const &gone = state_.workers[id];
-            state_.former_workers[gone.registration.name] = {gone.boot, gone.restarts};
+            state_.former_workers[gone.registration.name] = {gone.boot, gone.restarts, gone.leases_expire_at};
             state_.worker_ids.erase(gone.registration.name);
             state_.workers.erase(id);
         }
--- a/test/workflow/unknown_run_test.cpp
+++ b/test/workflow/unknown_run_test.cpp
@@ -70,6 +70,24 @@
     }
 }
 
+// A worker that had been removed for a while lost the time of its leases: an unknown run there counted as lapsed.
+TEST_CASE("an unknown run on a worker that registers again is not taken for lapsed") {
+    scripted_fleet fleet{{.workers = 2u}};
+    report_runs(fleet, 0u, {});
+    auto const &entry = fleet.workers[0].entry;
+    fleet.leader->record_lease_extension(entry.name, fleet.now + millis{60'000});
+    fleet.now += inherited_lease + round_interval;
+    fleet.leader->unregister_worker(entry.name);
+    dispatch_plan decided;
+    fleet.leader->plan(fleet.now, decided);
+    REQUIRE(fleet.leader->find_worker(entry.name) == nullptr);
+    fleet.submit(scripted_fleet::job("a", single_task_step()));
+    fleet.leader->register_worker(entry, fleet.now);
+    report_runs(fleet, 0u, {{"a", 0u, 0u, 1u}});
+    report_runs(fleet, 1u, {});
+    CHECK(plan_and_commit(fleet).empty());
+}
+
 // A list that was answered to an earlier poll arrived after another worker had answered at the address: the worker that
 // was gone counted as present.
 TEST_CASE("an answer to an earlier poll does not bring back a worker that was replaced") {
