Count the success of a run that was given up while it lived

A task waits while its worker lists an unknown run of it. If that run succeeds before its stop, its end was acknowledged and not counted, and the task was started again: a start after an end that is noted. Such a success now ends the task, and whatever runs of it are placed elsewhere are stopped. Failures and stops of unknown runs do not count, as before. Found by a reviewer's reading. Test: "the success of an unknown run ends its task", whose first three rows failed before.

--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -246,6 +246,8 @@
     void stop_runs(job_id id, std::uint32_t step);
     void finish_task(job_id id, run_key const &key);
     void finish_step(job_id id, std::uint32_t step);
+    /*! Stops the runs that were started after one that succeeded, of a task or of a gang. */
+    void stop_later_runs(job_id id, run_key const &key);
     void count_failure(job_id id, run_key const &key, worker_id worker);
     /*! Updates the quarantine of a worker after a run has ended there. */
     void update_quarantine(worker_id worker, job_id job, run_outcome how, instant now);
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -174,11 +174,15 @@
         auto &job = state_.jobs[id];
         auto const is_known = end.key.step < job.steps.size() && end.key.index < job.steps[end.key.step].tasks.size();
         auto *task = is_known ? &job.steps[end.key.step].tasks[end.key.index] : nullptr;
-        auto const is_current = task != nullptr && task->run == end.key.run && task->ended_run < end.key.run &&
-            !task->done;
+        // An unknown run was given up, but it was alive: its success counts.
+        auto const is_unknown_success = !placed.is_null() && !state_.placements[placed].is_known &&
+            end.how == run_outcome::done;
+        auto const is_current = task != nullptr && !task->done &&
+            ((task->run == end.key.run && task->ended_run < end.key.run) ||
+                (is_unknown_success && end.key.run <= task->run));
         if(is_current && !is_final(job.phase)) {
             auto &step = job.steps[end.key.step];
-            task->ended_run = end.key.run;
+            task->ended_run = std::max(task->ended_run, end.key.run);
             state_.mark_running(id);
             if(!end.checkpoint.empty()) {
                 task->checkpoint = end.checkpoint;
@@ -187,6 +191,9 @@
             update_quarantine(worker, id, end.how, now);
             if(end.how == run_outcome::done && !job.definition.steps[end.key.step].long_running) {
                 finish_task(id, end.key);
+                if(is_unknown_success) {
+                    stop_later_runs(id, end.key);
+                }
             } else if(end.how == run_outcome::failed) {
                 count_failure(id, end.key, worker);
             }
@@ -225,6 +232,15 @@
     }
 }
 
+void dispatcher::stop_later_runs(job_id const id, run_key const &key) {
+    if(state_.jobs[id].definition.steps[key.step].gang) {
+        stop_runs(id, key.step);
+    } else if(auto *run = state_.placements.find(state_.jobs[id].steps[key.step].tasks[key.index].placement);
+              run != nullptr) {
+        run->stop_requested = true;
+    }
+}
+
 void dispatcher::finish_step(job_id const id, std::uint32_t const step) {
     auto &job = state_.jobs[id];
     for(std::uint32_t pos{step + 1u}; pos < job.steps.size(); ++pos) {
--- a/test/workflow/unknown_run_test.cpp
+++ b/test/workflow/unknown_run_test.cpp
@@ -70,6 +70,43 @@
     }
 }
 
+// The success of a run that had been given up was acknowledged and not counted: its task was started again.
+TEST_CASE("the success of an unknown run ends its task") {
+    struct row {
+        std::string_view name;
+        step_definition step;
+        std::uint32_t run;
+        run_outcome how;
+        bool is_done;
+    };
+    std::array<row, 5u> const rows{{
+        {"the latest run", single_task_step(), 2u, run_outcome::done, true},
+        {"an earlier run", single_task_step(), 1u, run_outcome::done, true},
+        {"a member of a gang", gang_step(), 1u, run_outcome::done, true},
+        {"an earlier run that failed", single_task_step(), 1u, run_outcome::failed, false},
+        {"an earlier run that was stopped", single_task_step(), 1u, run_outcome::stopped, false},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        scripted_fleet fleet{{.workers = 2u}};
+        fleet.submit(scripted_fleet::job("a", item.step));
+        forget_run(fleet, "a", 2u);
+        fleet.now += round_interval;
+        run_key const key{"a", 0u, 0u, item.run};
+        report_runs(fleet, 0u, {key});
+        report_runs(fleet, 1u, {});
+        REQUIRE(plan_and_commit(fleet).empty());
+        fleet.now += round_interval;
+        worker_inventory inventory;
+        inventory.boot = fleet.workers[0].entry.boot;
+        inventory.ended.push_back({1u, key, item.how, {}});
+        fleet.leader->apply_inventory(fleet.workers[0].entry.name, inventory, fleet.now, fleet.now);
+        report_runs(fleet, 1u, {});
+        CHECK(plan_and_commit(fleet).empty() == item.is_done);
+        CHECK((fleet.leader->figures(fleet.now).jobs == 0u) == item.is_done);
+    }
+}
+
 // A worker that had been removed for a while lost the time of its leases: an unknown run there counted as lapsed.
 TEST_CASE("an unknown run on a worker that registers again is not taken for lapsed") {
     scripted_fleet fleet{{.workers = 2u}};
