--- a/test/adapter/adapter_test.cpp
+++ b/test/adapter/adapter_test.cpp
@@ -347,6 +347,32 @@
     CHECK(worker->leaving);
 }
 
+// An entry under the key of a living worker, with a service that does not exist and another worker's address, ended the
+// runs of that worker on the books of a new leader.
+TEST_CASE("a registration for a service that the configuration does not name is rejected") {
+    struct row {
+        std::string_view services;
+        bool is_accepted;
+    };
+    std::array<row, 4u> const rows{{
+        {R"([{"name":"s"},{"name":"t"}])", true},
+        {R"([{"name":"t"}])", false},
+        {R"([])", true},
+        {R"("s")", true},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(item.services);
+        adapter::site_reader reader;
+        site_rules rules;
+        auto const text = R"({"version":1,"routes":[],"tenants":[],"services":)" + std::string{item.services} + "}";
+        REQUIRE(reader.worker("i-1", registration).worker);
+        REQUIRE(reader.apply({"config", text}, rules));
+        auto const reading = reader.worker("i-1", registration);
+        CHECK(reading.worker.has_value() == item.is_accepted);
+        CHECK(reading.fault == (item.is_accepted ? "" : "service"));
+    }
+}
+
 TEST_CASE("operator records are applied to the rules") {
     adapter::site_reader reader;
     site_rules rules;
