Split what adds unknown runs, and name its parts plainly

After reading the diff as a newcomer: listed_at_ms is a worker's clock and no instant, the map counts unknown runs, and reconcile_runs hands over what it could not match. No change of behaviour.

--- a/src/kingcuplink/workflow/dispatch_state.cpp
+++ b/src/kingcuplink/workflow/dispatch_state.cpp
@@ -40,7 +40,7 @@
 }
 
 bool dispatch_state::has_unknown_run(live_job const &job, std::uint32_t const step, std::uint32_t const index) const {
-    return !unknown_runs.empty() && unknown_runs.contains({job.definition.id, step, index});
+    return !unknown_run_counts.empty() && unknown_run_counts.contains({job.definition.id, step, index});
 }
 
 placement_id dispatch_state::add_placement(placement value) {
@@ -57,7 +57,7 @@
         ++job.placements;
         --step.waiting;
     } else {
-        ++unknown_runs[{run.key.job, run.key.step, run.key.index}];
+        ++unknown_run_counts[{run.key.job, run.key.step, run.key.index}];
     }
     return id;
 }
@@ -70,9 +70,9 @@
     std::erase(worker.placements, id);
     placements.erase(id);
     if(!run.is_known) {
-        auto const unknown = unknown_runs.find({run.key.job, run.key.step, run.key.index});
+        auto const unknown = unknown_run_counts.find({run.key.job, run.key.step, run.key.index});
         if(--unknown->second == 0u) {
-            unknown_runs.erase(unknown);
+            unknown_run_counts.erase(unknown);
         }
     }
     auto *job = run.is_known ? jobs.find(run.job) : nullptr;
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -149,7 +149,7 @@
     /*! Time at which the latest answered poll was sent; answers may arrive out of order. */
     instant answered_poll_sent_at{};
     /*! Time of the latest applied lists by the clock of the current boot, in ms; lists may be applied out of order. */
-    std::int64_t listed_at{};
+    std::int64_t listed_at_ms{};
     /*! Time at which the registration last changed to an address or boot that differs from the last answer. */
     instant registration_mismatch_at{};
     /*! Time at which all leases granted or extended so far have expired by any clock. */
@@ -194,7 +194,7 @@
     /*! Time at which all leases granted by earlier leaders have expired. */
     instant inherited_leases_end_at{};
     /*! Number of unknown runs of a task, by job, step and index. */
-    std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>, std::uint32_t> unknown_runs;
+    std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>, std::uint32_t> unknown_run_counts;
 
     /*! Schedules the progress of a job for the next batch. */
     void mark_dirty(job_id job);
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -403,7 +403,7 @@
 }
 
 std::vector<unknown_run> dispatcher::take_unknown_runs() {
-    return std::exchange(unknown_, {});
+    return std::exchange(unreported_unknown_runs_, {});
 }
 
 dispatch_statistics dispatcher::figures(instant const now) const {
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <kingcuplink/workflow/dispatch_state.hpp>
 #include <kingcuplink/workflow/job_table.hpp>
+#include <map>
 #include <memory>
 #include <span>
 #include <string>
@@ -255,6 +256,9 @@
     /*! Compares the placements of a worker with its inventory; missing runs are lost for the given reason. */
     void reconcile_runs(
         worker_id worker, worker_inventory const &inventory, run_loss reason, instant sent_at, instant now);
+    /*! Adds the listed runs without a matching placement, unless a newer inventory was applied before. */
+    void add_unknown_runs(worker_id worker, worker_inventory const &inventory,
+        std::map<run_key, listed_run const *> const &unmatched, instant now);
     /*! Adds a listed run without a matching placement and requests its stop. */
     void add_unknown_run(worker_id worker, listed_run const &run, instant now);
     /*! Describes an unknown run for the decision log. */
@@ -273,7 +277,7 @@
 
     internal::dispatch_state state_;
     std::vector<lost_run> lost_;
-    std::vector<unknown_run> unknown_;
+    std::vector<unknown_run> unreported_unknown_runs_;
 };
 
 } // namespace kingcuplink
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -52,7 +52,7 @@
     ++worker.restarts;
     worker.last_recorded_completion = 0u;
     worker.last_persisted_completion = 0u;
-    worker.listed_at = 0;
+    worker.listed_at_ms = 0;
     worker.failing_jobs.clear();
     worker.quarantined_until = {};
     for(auto const pos: worker.placements) {
@@ -332,13 +332,18 @@
             }
         }
     }
+    add_unknown_runs(id, inventory, listed, now);
+}
+
+void dispatcher::add_unknown_runs(worker_id const id, worker_inventory const &inventory,
+    std::map<run_key, listed_run const *> const &unmatched, instant const now) {
     auto &worker = state_.workers[id];
-    if(inventory.listed_at < worker.listed_at) {
-        // What ended between these lists and the latest ones is not unknown.
+    if(inventory.listed_at_ms < worker.listed_at_ms) {
+        // A newer inventory was applied before this one: runs that ended in between are not unknown.
         return;
     }
-    worker.listed_at = inventory.listed_at;
-    for(auto const &[key, run]: listed) {
+    worker.listed_at_ms = inventory.listed_at_ms;
+    for(auto const &[key, run]: unmatched) {
         add_unknown_run(id, *run, now);
     }
 }
@@ -362,7 +367,7 @@
 }
 
 void dispatcher::add_unknown_run(worker_id const id, listed_run const &run, instant const now) {
-    unknown_.push_back(describe_unknown_run(id, run.key));
+    unreported_unknown_runs_.push_back(describe_unknown_run(id, run.key));
     internal::placement placed;
     placed.worker = id;
     placed.key = run.key;
--- a/src/kingcuplink/workflow/types.hpp
+++ b/src/kingcuplink/workflow/types.hpp
@@ -172,7 +172,7 @@
      */
     bool has_all_completions{true};
     /*! Time of the lists by the clock of the worker in this boot, in ms. */
-    std::int64_t listed_at{};
+    std::int64_t listed_at_ms{};
 };
 
 /*! Registration of a worker. */
--- a/test/workflow/simulated_worker.cpp
+++ b/test/workflow/simulated_worker.cpp
@@ -284,7 +284,7 @@
     poll_answer result;
     result.clock = clock(now);
     result.inventory.boot = boot_;
-    result.inventory.listed_at = result.clock;
+    result.inventory.listed_at_ms = result.clock;
     for(auto const &[key, run]: runs_) {
         result.inventory.running.push_back({key, {}});
     }
--- a/test/workflow/unknown_run_test.cpp
+++ b/test/workflow/unknown_run_test.cpp
@@ -144,7 +144,7 @@
     struct row {
         std::string_view name;
         std::uint64_t boot;
-        std::int64_t listed_at;
+        std::int64_t listed_at_ms;
         std::size_t expected_unknown;
     };
     std::array<row, 4u> const rows{{
@@ -159,7 +159,7 @@
         auto const &name = fleet.workers.front().entry.name;
         fleet.leader->apply_inventory(name, {1u, {}, {}, true, 1'000}, fleet.now, fleet.now);
         fleet.now += round_interval;
-        worker_inventory const late{item.boot, {{{"ended", 0u, 0u, 1u}, {}}}, {}, true, item.listed_at};
+        worker_inventory const late{item.boot, {{{"ended", 0u, 0u, 1u}, {}}}, {}, true, item.listed_at_ms};
         fleet.leader->apply_inventory(name, late, fleet.now, fleet.now);
         CHECK(fleet.leader->take_unknown_runs().size() == item.expected_unknown);
     }
