--- a/src/kingcuplink/core/counters.cpp
+++ b/src/kingcuplink/core/counters.cpp
@@ -12,7 +12,7 @@
     "peer_bytes_received", "control_bytes_sent", "control_bytes_received", "document_records_applied",
     "document_edits_appended", "documents_from_peers", "log_reads_failed", "log_appends_failed", "journal_appends",
     "connections_accepted", "connections_discarded", "handovers_sent", "handovers_received", "jobs_adopted",
-    "registrations_rejected", "unknown_runs_listed", "concurrent_runs_listed"};
+    "registrations_rejected", "unknown_runs_listed", "concurrent_runs_listed", "starts_confirmed_late"};
 
 void append_line(
     std::string &text, std::string_view const name, std::string_view const label, std::uint64_t const value) {
--- a/src/kingcuplink/core/counters.hpp
+++ b/src/kingcuplink/core/counters.hpp
@@ -51,6 +51,7 @@
     registration_rejected,
     unknown_run_listed,
     concurrent_run_listed,
+    start_confirmed_late,
     count
 };
 
--- a/src/kingcuplink/core/decision_log.hpp
+++ b/src/kingcuplink/core/decision_log.hpp
@@ -38,6 +38,7 @@
     run_ended,
     run_lost,
     run_unknown,
+    run_confirmed_late,
     worker_seen,
     worker_silent,
     worker_restarted,
--- a/src/kingcuplink/site/fleet_leader.cpp
+++ b/src/kingcuplink/site/fleet_leader.cpp
@@ -489,6 +489,13 @@
     for(auto const &run: dispatcher_.take_unknown_runs()) {
         log_unknown_run(run);
     }
+    for(auto const &run: dispatcher_.take_late_confirmations()) {
+        parts_.stats.add(event::start_confirmed_late);
+        auto fields = internal::run_fields(run.key, run.worker, run.boot);
+        fields["after_ms"] = run.delay.count();
+        fields["ticket"] = run.has_ticket;
+        parts_.decisions.write(decision::run_confirmed_late, std::move(fields));
+    }
 }
 
 void fleet_leader::log_unknown_run(unknown_run const &run) {
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -48,6 +48,8 @@
     instant ticket_until{};
     /*! Time at which the current stage began. */
     instant stage_since{};
+    /*! Time at which this leader sent the start. */
+    instant sent_at{};
     /*! True once the intent is part of a batch for the log. */
     bool is_batched{};
     bool stop_requested{};
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -377,6 +377,7 @@
         }
         run->stage = internal::placement_stage::awaiting_answer;
         run->stage_since = now;
+        run->sent_at = now;
     }
     // If a member of a gang was dropped, the other members are not started.
     for(auto const id: batch.starts) {
@@ -406,6 +407,10 @@
     return std::exchange(unreported_unknown_runs_, {});
 }
 
+std::vector<late_confirmation> dispatcher::take_late_confirmations() {
+    return std::exchange(late_confirmations_, {});
+}
+
 dispatch_statistics dispatcher::figures(instant const now) const {
     dispatch_statistics result;
     result.jobs = state_.jobs.size();
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -235,6 +235,9 @@
     /*! Returns the unknown runs that workers listed since the last call, for the decision log. */
     [[nodiscard]] std::vector<unknown_run> take_unknown_runs();
 
+    /*! Returns the runs without an answer to their start that were listed since the last call, for the decision log. */
+    [[nodiscard]] std::vector<late_confirmation> take_late_confirmations();
+
     /*! Returns the current statistics. */
     [[nodiscard]] dispatch_statistics figures(instant now) const;
 
@@ -261,6 +264,8 @@
         std::map<run_key, listed_run const *> const &unmatched, instant now);
     /*! Adds a listed run without a matching placement and requests its stop. */
     void add_unknown_run(worker_id worker, listed_run const &run, instant now);
+    /*! Reports a run that its worker lists, if its start had no answer until now. */
+    void report_late_confirmation(internal::placement const &run, instant now);
     /*! Describes an unknown run for the decision log. */
     [[nodiscard]] unknown_run describe_unknown_run(worker_id worker, run_key const &key) const;
     /*! Resets the state of a worker for another boot; its runs are kept until they are compared with its inventory. */
@@ -278,6 +283,7 @@
     internal::dispatch_state state_;
     std::vector<lost_run> lost_;
     std::vector<unknown_run> unreported_unknown_runs_;
+    std::vector<late_confirmation> late_confirmations_;
 };
 
 } // namespace kingcuplink
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -166,8 +166,19 @@
     return has_changed;
 }
 
+void dispatcher::report_late_confirmation(internal::placement const &run, instant const now) {
+    if(run.stage == internal::placement_stage::unresolved) {
+        auto const &host = state_.workers[run.worker];
+        late_confirmations_.push_back(
+            {run.key, host.registration.name, host.boot, now - run.sent_at, !run.ticket.empty()});
+    }
+}
+
 void dispatcher::apply_completion(worker_id const worker, listed_completion const &end, instant const now) {
     auto const placed = find_run(worker, end.key);
+    if(!placed.is_null()) {
+        report_late_confirmation(state_.placements[placed], now);
+    }
     auto const found = state_.job_ids.find(end.key.job);
     if(found != state_.job_ids.end()) {
         auto const id = found->second;
@@ -305,6 +316,7 @@
             continue;
         }
         if(auto const found = listed.find(run->key); found != listed.end()) {
+            report_late_confirmation(*run, now);
             if(run->stage != internal::placement_stage::running) {
                 run->stage = internal::placement_stage::running;
                 run->stage_since = now;
--- a/src/kingcuplink/workflow/types.hpp
+++ b/src/kingcuplink/workflow/types.hpp
@@ -145,6 +145,17 @@
     std::string other_worker;
 };
 
+/*! A run whose start had no answer, listed by its worker for the first time. */
+struct late_confirmation {
+    run_key key;
+    std::string worker;
+    /*! Boot of the worker that listed the run. */
+    std::uint64_t boot{};
+    /*! Time since the start was sent. */
+    millis delay{};
+    bool has_ticket{};
+};
+
 /*! A run that a worker lists as running. */
 struct listed_run {
     run_key key;
