Count the delay of commands before an unlisted run has lapsed

Cause: a lapse counted from the sending of the latest lease. A start or a lease extension that a later boot executes seconds later begins a whole lease then: an expiry by the clock of the boot before means nothing to it.

Change: a run that its worker has not listed lapses only when the longest delay of a command has passed as well, and the first list of a run records a whole lease from then. For starts with tickets, nothing but the latter changes.

The rows of "an unlisted run lapses only after the leases of late commands" and "the lease of a run that is listed for the first time is recorded from then" fail without the change.

--- a/src/kingcuplink/workflow/dispatch_state.cpp
+++ b/src/kingcuplink/workflow/dispatch_state.cpp
@@ -39,6 +39,15 @@
     return task.placement == id ? &task : nullptr;
 }
 
+instant dispatch_state::lapse_time(placement const &run) const {
+    auto const leases_expire_at = workers[run.worker].leases_expire_at;
+    if(!run.may_begin_in_other_boot || run.is_listed) {
+        return leases_expire_at;
+    }
+    // The start, or a lease extension, may be executed late by a boot that no leader has polled.
+    return std::max(leases_expire_at + limits.command_delay, run.may_begin_until + limits.longest_lease);
+}
+
 bool dispatch_state::has_unknown_run(live_job const &job, std::uint32_t const step, std::uint32_t const index) const {
     return !unknown_run_counts.empty() && unknown_run_counts.contains({job.definition.id, step, index});
 }
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -57,6 +57,8 @@
     bool may_begin_in_other_boot{};
     /*! Time until which the start may be executed although it was not until now; in the past if that is excluded. */
     instant may_begin_until{};
+    /*! True once the worker has listed the run. */
+    bool is_listed{};
     /*! True once the intent is part of a batch for the log. */
     bool is_batched{};
     bool stop_requested{};
@@ -220,6 +222,9 @@
     /*! Returns the task of a placement, or null if the placement is not the current one of the task. */
     [[nodiscard]] live_task *task_of(placement_id id);
 
+    /*! Returns the time at which a run is over by any clock if its worker is not heard from. */
+    [[nodiscard]] instant lapse_time(placement const &run) const;
+
     /*! Returns true if a worker listed an unknown run of a task that is not over. */
     [[nodiscard]] bool has_unknown_run(live_job const &job, std::uint32_t step, std::uint32_t index) const;
 
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -360,6 +360,11 @@
         state_.mark_running(run.job);
     }
     run.may_begin_until = {};
+    if(!std::exchange(run.is_listed, true) && run.may_begin_in_other_boot) {
+        // The run may have begun, with a lease of its own, long after its start was sent.
+        auto &worker = state_.workers[run.worker];
+        worker.leases_expire_at = std::max(worker.leases_expire_at, now + state_.limits.longest_lease);
+    }
 }
 
 void dispatcher::add_unknown_runs(worker_id const id, worker_inventory const &inventory,
@@ -400,10 +405,12 @@
     placed.key = run.key;
     placed.stage = internal::placement_stage::running;
     placed.is_known = false;
+    placed.is_listed = true;
     placed.stop_requested = true;
     auto &worker = state_.workers[id];
-    // The run was started by this leader or an earlier one, so its lease expires no later than theirs.
-    worker.leases_expire_at = std::max(worker.leases_expire_at, state_.inherited_leases_end_at);
+    // This leader or an earlier one started the run. If its start was late, its lease may be as young as the list.
+    worker.leases_expire_at = std::max(
+        {worker.leases_expire_at, state_.inherited_leases_end_at, now + state_.limits.longest_lease});
     placed.stage_since = now;
     // The size is unknown: the worker counts as full until the run is gone, whichever other runs end there.
     placed.charge = worker.registration.capacity;
@@ -427,7 +434,7 @@
                 // The lease of a run with a pending start may be requested at any time until the answer arrives.
                 auto const may_lapse = run != nullptr && run->stage != internal::placement_stage::intended &&
                     run->stage != internal::placement_stage::awaiting_answer;
-                if(may_lapse) {
+                if(may_lapse && state_.lapse_time(*run) < now) {
                     remove_lost_run(pos, run_loss::lapsed, now);
                 }
             }
--- a/test/workflow/fleet_faults_test.cpp
+++ b/test/workflow/fleet_faults_test.cpp
@@ -162,7 +162,8 @@
     setup.commands_name_boot = false;
     run_seeds(setup,
         {60u,
-            {182u, 206u, 327u, 346u, 700125u, 700142u, 700195u, 700208u, 700221u, 700449u, 701230u, 701366u, 701601u}});
+            {182u, 206u, 327u, 346u, 700125u, 700142u, 700195u, 700208u, 700221u, 700449u, 700522u, 701230u, 701366u,
+                701601u}});
 }
 
 // The same with every kind of fault: the platform bounds the delay of commands, also of those that a partition holds.
--- a/test/workflow/outstanding_start_test.cpp
+++ b/test/workflow/outstanding_start_test.cpp
@@ -208,4 +208,59 @@
     }
 }
 
+// A run was given up as lapsed although its start, or a lease extension, could be executed late by a boot that had not
+// been polled: its lease began seconds after the recorded one.
+TEST_CASE("an unlisted run lapses only after the leases of late commands") {
+    struct row {
+        std::string_view name;
+        start_answer answer;
+        /*! True if the worker has listed the run before its answers are lost. */
+        bool is_listed;
+        /*! Time between the last lease extension and the lapse, beyond the recorded lease. */
+        millis expected_allowance;
+    };
+    std::array<row, 3u> const rows{{
+        {"the start had no answer", start_answer::unknown, false, late_limits.command_delay},
+        {"the start was answered by an unknown boot", start_answer::started, false, late_limits.command_delay},
+        {"the run was listed", start_answer::started, true, millis{}},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        scripted_fleet fleet{{.workers = 1u, .limits = late_limits}};
+        auto const starts = start_job(fleet, step_of(1u));
+        REQUIRE(starts.size() == 1u);
+        fleet.leader->record_lease_extension(starts.front().worker, fleet.now + late_limits.longest_lease);
+        fleet.leader->start_answered(starts.front().placement, item.answer, fleet.now);
+        if(item.is_listed) {
+            report(fleet, starts.front().worker, 1u, {starts.front().key});
+        }
+        auto const lapses_at = fleet.now + late_limits.longest_lease + item.expected_allowance;
+        fleet.now = lapses_at;
+        static_cast<void>(plan(fleet));
+        CHECK(fleet.leader->take_lost_runs().empty());
+        fleet.now = lapses_at + round_interval;
+        static_cast<void>(plan(fleet));
+        auto const lost = fleet.leader->take_lost_runs();
+        REQUIRE(lost.size() == 1u);
+        CHECK(lost.front().reason == run_loss::lapsed);
+    }
+}
+
+// The same, for a run that a late start began in the next boot: its lease is as young as the list.
+TEST_CASE("the lease of a run that is listed for the first time is recorded from then") {
+    scripted_fleet fleet{{.workers = 1u, .limits = late_limits}};
+    auto const starts = start_job(fleet, step_of(1u));
+    REQUIRE(starts.size() == 1u);
+    fleet.leader->record_lease_extension(starts.front().worker, fleet.now + late_limits.longest_lease);
+    lose_answers(fleet, starts);
+    fleet.now += millis{11'000};
+    report(fleet, starts.front().worker, 2u, {starts.front().key});
+    fleet.now += late_limits.longest_lease;
+    static_cast<void>(plan(fleet));
+    CHECK(fleet.leader->take_lost_runs().empty());
+    fleet.now += round_interval;
+    static_cast<void>(plan(fleet));
+    CHECK(fleet.leader->take_lost_runs().size() == 1u);
+}
+
 } // namespace kingcuplink::test
