Let the stand-in reject tickets of an earlier boot

The stand-in's tickets named step, worker and time, so that the next boot under the same id accepted them for 2 s. A ticket now also names the boot it was issued in, and the admin switch boot_tickets lets a worker check it.

--- a/test/adapter/standin/site_main.cpp
+++ b/test/adapter/standin/site_main.cpp
@@ -82,7 +82,10 @@
         for(auto const &worker: body.at("workers").as_array()) {
             auto const name = std::string{worker.as_string()};
             if(is_allowed(step, name)) {
-                good.push_back(boost::json::array{name, make_ticket(step, name)});
+                auto const found = workers_.find(machine_of(name));
+                // While the worker is down, the ticket is one of the boot that ended.
+                auto const born = found == workers_.end() ? 0u : found->second->born();
+                good.push_back(boost::json::array{name, make_ticket(step, name, born)});
             }
         }
         co_return json_answer(200u, boost::json::object{{"good", std::move(good)}});
@@ -159,6 +162,9 @@
         if(auto const *enabled = body.if_contains("tells_boots_apart")) {
             worker.rejects_stale_boots = enabled->as_bool();
         }
+        if(auto const *enabled = body.if_contains("boot_tickets")) {
+            worker.binds_tickets = enabled->as_bool();
+        }
         if(auto const *percent = body.if_contains("late_percent")) {
             worker.late_command_percent = percent->to_number<std::int64_t>();
         }
--- a/test/adapter/standin/site_worker.cpp
+++ b/test/adapter/standin/site_worker.cpp
@@ -81,13 +81,16 @@
     return member;
 }
 
-std::string make_ticket(std::string const &step, std::string const &worker) {
-    return step + "|" + worker + "|" + std::to_string(clock_ms());
+std::string make_ticket(std::string const &step, std::string const &worker, std::uint64_t const born) {
+    return step + "|" + worker + "|" + std::to_string(clock_ms()) + "|" + std::to_string(born);
+}
+
+std::string machine_of(std::string const &worker) {
+    return worker.substr(0u, worker.find('-'));
 }
 
 bool is_allowed(std::string const &step, std::string const &worker) {
-    // Ids of all boots of a machine share the part before the hyphen.
-    auto const machine = worker.substr(0u, worker.find('-'));
+    auto const machine = machine_of(worker);
     // Two workers accept every step, so that no step waits forever.
     return machine == "w0" || machine == "w1" || stable_hash(step + machine) % 10u < allowed_tenths;
 }
@@ -371,7 +374,8 @@
     auto const step = key.job + ".0." + std::to_string(key.step);
     auto const prefix = step + "|" + name_ + "|";
     return is_allowed(step, name_) && ticket.starts_with(prefix) &&
-        std::stoll(ticket.substr(prefix.size())) + ticket_ms >= clock_ms();
+        std::stoll(ticket.substr(prefix.size())) + ticket_ms >= clock_ms() &&
+        (!binds_tickets || ticket.ends_with("|" + std::to_string(born_)));
 }
 
 response site_worker::start_run(boost::json::value const &body, run_key const &key, std::int64_t const arrived_at) {
--- a/test/adapter/standin/site_worker.hpp
+++ b/test/adapter/standin/site_worker.hpp
@@ -102,6 +102,9 @@
     /*! Whether a boot answers 421 to calls that arrived in an earlier boot under the same id. */
     bool rejects_stale_boots{true};
 
+    /*! Whether a boot rejects tickets of an earlier boot; otherwise these stay valid for their time. */
+    bool binds_tickets{};
+
     /*! True while runs make no progress. */
     bool is_stuck{};
 
@@ -119,6 +122,11 @@
     /*! Registers the worker with its true fields. */
     void register_self();
 
+    /*! Returns the start of the latest boot, in Unix milliseconds of its own clock. */
+    [[nodiscard]] std::uint64_t born() const noexcept {
+        return born_;
+    }
+
 private:
     struct run {
         run_key key;
@@ -179,8 +187,11 @@
     std::int64_t held_percent_{};
 };
 
-/*! Returns a ticket that allows a step to start on a worker. */
-[[nodiscard]] std::string make_ticket(std::string const &step, std::string const &worker);
+/*! Returns a ticket that allows a step to start on a worker, issued in the boot with a start time. */
+[[nodiscard]] std::string make_ticket(std::string const &step, std::string const &worker, std::uint64_t born);
+
+/*! Returns the machine of a worker: ids of all boots of a machine share the part before the hyphen. */
+[[nodiscard]] std::string machine_of(std::string const &worker);
 
 /*! Returns whether a step may run on a worker. The result is the same for every call. */
 [[nodiscard]] bool is_allowed(std::string const &step, std::string const &worker);
