--- a/test/adapter/standin/site_main.cpp
+++ b/test/adapter/standin/site_main.cpp
@@ -162,6 +162,9 @@
         if(auto const *enabled = body.if_contains("tells_boots_apart")) {
             worker.rejects_stale_boots = enabled->as_bool();
         }
+        if(auto const *enabled = body.if_contains("drops_late_calls")) {
+            worker.drops_late_calls = enabled->as_bool();
+        }
         if(auto const *enabled = body.if_contains("boot_tickets")) {
             worker.binds_tickets = enabled->as_bool();
         }
--- a/test/adapter/standin/site_worker.cpp
+++ b/test/adapter/standin/site_worker.cpp
@@ -254,6 +254,11 @@
     auto const arrived_at = clock_ms();
     auto const boot = boot_;
     auto const is_held = co_await delay(target);
+    if(boot != boot_ && drops_late_calls) {
+        log_event("dropped", name_ + " " + target + ", sent to boot " + std::to_string(boot));
+        // The restart closed the connection of this answer.
+        co_return json_answer(503u, boost::json::object{});
+    }
     if(service_->fault.outage) {
         co_return json_answer(503u, boost::json::object{});
     }
--- a/test/adapter/standin/site_worker.hpp
+++ b/test/adapter/standin/site_worker.hpp
@@ -102,6 +102,9 @@
     /*! Whether a boot answers 421 to calls that arrived in an earlier boot under the same id. */
     bool rejects_stale_boots{true};
 
+    /*! Whether calls that are delayed are lost when the worker restarts. */
+    bool drops_late_calls{};
+
     /*! Whether a boot rejects tickets of an earlier boot; otherwise these stay valid for their time. */
     bool binds_tickets{};
 
