--- a/test/adapter/standin/site_main.cpp
+++ b/test/adapter/standin/site_main.cpp
@@ -157,7 +157,13 @@
                 shift == nullptr ? 0 : shift->to_number<std::int64_t>()});
         }
         if(auto const *percent = body.if_contains("held_percent")) {
-            worker.hold_calls(percent->to_number<std::int64_t>(), body.at("seed").to_number<std::uint32_t>());
+            site_worker::hold_options options;
+            options.percent = percent->to_number<std::int64_t>();
+            options.seed = body.at("seed").to_number<std::uint32_t>();
+            if(auto const *shortest = body.if_contains("shortest_hold_ms")) {
+                options.shortest_ms = shortest->to_number<std::int64_t>();
+            }
+            worker.hold_calls(options);
         }
         if(auto const *enabled = body.if_contains("tells_boots_apart")) {
             worker.rejects_stale_boots = enabled->as_bool();
--- a/test/adapter/standin/site_worker.cpp
+++ b/test/adapter/standin/site_worker.cpp
@@ -26,8 +26,6 @@
 constexpr std::int64_t ticket_ms = 2'000;
 /*! Delay of a command that is executed late. */
 constexpr std::int64_t late_command_delay_ms = 2'000;
-constexpr std::int64_t min_hold_ms = 2'000;
-constexpr std::int64_t max_hold_ms = 12'000;
 /*! Tolerance for the transmission time of a call. */
 constexpr std::int64_t lease_margin_ms = 200;
 /*! Time for which the registration of an ended boot remains. */
@@ -145,9 +143,9 @@
     register_self();
 }
 
-void site_worker::hold_calls(std::int64_t const percent, std::uint32_t const seed) {
-    held_percent_ = percent;
-    random_engine().seed(seed);
+void site_worker::hold_calls(hold_options const options) {
+    held_ = options;
+    random_engine().seed(options.seed);
 }
 
 void site_worker::restart(restart_options const next) {
@@ -300,8 +298,8 @@
 }
 
 boost::asio::awaitable<bool> site_worker::delay(std::string const target) {
-    if(held_percent_ > 0 && random_between(0, 99) < held_percent_) {
-        auto const time = random_between(min_hold_ms, max_hold_ms);
+    if(held_.percent > 0 && random_between(0, 99) < held_.percent) {
+        auto const time = random_between(held_.shortest_ms, held_.longest_ms);
         log_event("held for " + std::to_string(time) + " ms", name_ + " " + target);
         if(random_between(0, 1) == 0) {
             service_->close_connections();
--- a/test/adapter/standin/site_worker.hpp
+++ b/test/adapter/standin/site_worker.hpp
@@ -92,12 +92,17 @@
     /*! Percentage of starts and stops that are executed and answered two seconds late. */
     std::int64_t late_command_percent{};
 
-    /*!
-     * Delays a percentage of all calls by 2 to 12 s before they are executed; callers get no answer in time, or lose
-     * their connection.
-     * @param seed Seed of the random choice of calls and delays.
-     */
-    void hold_calls(std::int64_t percent, std::uint32_t seed);
+    /*! Which calls are delayed, and for how long. */
+    struct hold_options {
+        std::int64_t percent{};
+        /*! Seed of the random choice of calls and delays. */
+        std::uint32_t seed{1u};
+        std::int64_t shortest_ms{2'000};
+        std::int64_t longest_ms{12'000};
+    };
+
+    /*! Delays a percentage of all calls before they are executed; some of their callers lose their connection. */
+    void hold_calls(hold_options options);
 
     /*! Whether a boot answers 421 to calls that arrived in an earlier boot under the same id. */
     bool rejects_stale_boots{true};
@@ -187,7 +192,7 @@
     /*! Highest run number of each task that was stopped or ended here. */
     std::map<scripted_task, std::uint32_t> closed_;
     bool is_leaving_{};
-    std::int64_t held_percent_{};
+    hold_options held_;
 };
 
 /*! Returns a ticket that allows a step to start on a worker, issued in the boot with a start time. */
