--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -4,6 +4,7 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 #include <iostream>
+#include <optional>
 
 ABSL_FLAG(std::uint64_t, seed, 1u, "First seed; it draws the faults, the callers and their jobs.");
 ABSL_FLAG(std::uint64_t, seeds, 1u, "How many seeds are played, one after the other.");
@@ -13,14 +14,21 @@
     "freeze.");
 ABSL_FLAG(bool, shared_ids, false,
     "Whether a worker that started again under its id carries out what was sent to the boot before, instead of 421.");
+ABSL_FLAG(std::optional<bool>, tickets, std::nullopt,
+    "Whether queues use advice, so that starts need tickets; by default they do, except with --late_orders.");
+ABSL_FLAG(bool, boot_tickets, false, "Whether a ticket is valid only in the boot of its worker that it was issued in.");
+ABSL_FLAG(bool, drop_late_calls, false, "Whether calls that are held are lost when their worker restarts.");
+ABSL_FLAG(int, shortest_hold_ms, 2'000,
+    "Shortest time for which a call is held; a start that is held for less than 2 s may still have a valid ticket.");
 ABSL_FLAG(int, seconds, 15, "Time for which faults are played with each seed.");
 
 int main(int argc, char **argv) {
     absl::SetProgramUsageMessage("Plays faults on real processes of kingcuplink and checks what must always hold.\n"
                                  "Exit codes: 0 if all held, 1 if not.");
     absl::ParseCommandLine(argc, argv);
-    kingcuplink::soak::soak_options const options{
-        absl::GetFlag(FLAGS_odd_entries), absl::GetFlag(FLAGS_late_orders), absl::GetFlag(FLAGS_shared_ids)};
+    kingcuplink::soak::soak_options const options{absl::GetFlag(FLAGS_odd_entries), absl::GetFlag(FLAGS_late_orders),
+        absl::GetFlag(FLAGS_shared_ids), absl::GetFlag(FLAGS_tickets), absl::GetFlag(FLAGS_boot_tickets),
+        absl::GetFlag(FLAGS_drop_late_calls), absl::GetFlag(FLAGS_shortest_hold_ms)};
     std::uint64_t failed{};
     auto const first = absl::GetFlag(FLAGS_seed);
     for(auto seed = first; seed < first + absl::GetFlag(FLAGS_seeds); ++seed) {
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -42,15 +42,16 @@
 soak_run::soak_run(std::uint64_t const seed, soak_options const options)
     : random_{seed}, seed_{seed}, options_{options} {
     test::site_options site;
-    // A ticket lapses sooner than a call that is held arrives.
-    site.uses_adviser = !options_.late_orders;
+    // A ticket lapses sooner than a call that is held for the usual time arrives.
+    site.uses_adviser = options_.tickets.value_or(!options_.late_orders);
     site.route = [this](std::string const &user, std::string const &part, std::string const &address) {
         return route(user, part, address);
     };
     proxy_thread_ = std::thread{[this]() { context_.run(); }};
     site_ = std::make_unique<test::site_fleet>(std::move(site));
     for(auto const &worker: site_->workers()) {
-        site_->change_platform({{"worker", worker}, {"tells_boots_apart", !options_.shared_ids}});
+        site_->change_platform({{"worker", worker}, {"tells_boots_apart", !options_.shared_ids},
+            {"boot_tickets", options_.boot_tickets}, {"drops_late_calls", options_.drop_late_calls}});
     }
     result_.folder = site_->processes().folder();
 }
@@ -243,7 +244,8 @@
     if(!harmed_.insert("calls to " + worker).second) {
         return std::nullopt;
     }
-    site_->change_platform({{"worker", worker}, {"held_percent", held_percent}, {"seed", seed}});
+    site_->change_platform({{"worker", worker}, {"held_percent", held_percent}, {"seed", seed},
+        {"shortest_hold_ms", options_.shortest_hold_ms}});
     auto const *ending = end.contains("restart_ms") ? ", until it restarts," : "";
     return open_fault{{}, "calls to " + worker + " are held" + ending, [this, worker, end]() {
                           site_->change_platform(end);
--- a/soak/soak_run.hpp
+++ b/soak/soak_run.hpp
@@ -26,6 +26,14 @@
     bool late_orders{};
     /*! Boots under one id do not refuse what was sent to an earlier one. */
     bool shared_ids{};
+    /*! Whether starts need tickets; by default they do, except with late orders. */
+    std::optional<bool> tickets{};
+    /*! Tickets are valid in the boot that they were issued in. */
+    bool boot_tickets{};
+    /*! Calls that are held are lost when their worker restarts. */
+    bool drop_late_calls{};
+    /*! Shortest time for which late orders hold a call. */
+    std::int64_t shortest_hold_ms{2'000};
 };
 
 /*! What one seed showed. */
