Record starts after a success that is acknowledged only later

The users' rule counts a start after a run has ended done if that end is taken note of then or later; the stand-in counted only starts after the acknowledgement. An end whose worker lost it at a restart is never acknowledged and stays uncounted, also if the same run starts there again. Of the test's rows, 'acknowledged after the start' failed before (0 breaches instead of 1).

--- a/test/adapter/standin/site_record.cpp
+++ b/test/adapter/standin/site_record.cpp
@@ -70,6 +70,11 @@
     if(task.is_success_acknowledged) {
         breach("started after its success was acknowledged: " + name);
     }
+    // The same run starts again only in a later boot, which has lost the earlier end.
+    task.starts_after_success.erase(key.run);
+    for(auto &[run, starts]: task.starts_after_success) {
+        starts.push_back(name);
+    }
     for(auto const before: steps.at(key.step).after) {
         if(!is_step_done(key.job, before, steps.at(before))) {
             breach("started before step " + std::to_string(before) + " was done: " + name);
@@ -82,13 +87,21 @@
     log_event(name_of(how), run_name(key));
     auto &task = tasks_[{key.job, key.step, key.index}];
     task.running.erase(key.run);
-    task.has_succeeded = task.has_succeeded || how == run_outcome::done;
+    if(how == run_outcome::done) {
+        task.has_succeeded = true;
+        task.starts_after_success[key.run];
+    }
 }
 
 void site_record::acknowledged(run_key const &key, run_outcome const how) {
     log_event("end acknowledged", run_name(key));
     if(how == run_outcome::done) {
-        tasks_[{key.job, key.step, key.index}].is_success_acknowledged = true;
+        auto &task = tasks_[{key.job, key.step, key.index}];
+        task.is_success_acknowledged = true;
+        for(auto const &start: task.starts_after_success[key.run]) {
+            breach("started after its success, which was acknowledged later: " + start);
+        }
+        task.starts_after_success.erase(key.run);
     }
 }
 
--- a/test/adapter/standin/site_record.hpp
+++ b/test/adapter/standin/site_record.hpp
@@ -64,6 +64,8 @@
         bool has_succeeded{};
         /*! True once a successful end was acknowledged. */
         bool is_success_acknowledged{};
+        /*! Starts that followed a successful end that was not acknowledged yet, by the run that ended. */
+        std::map<std::uint32_t, std::vector<std::string>> starts_after_success;
     };
 
     void breach(std::string text);
