--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -31,8 +31,8 @@
 constexpr std::size_t longest_late_fault_ms = 9'000u;
 constexpr std::size_t held_percent = 40u;
 constexpr std::size_t longest_down_ms = 1'500u;
-/*! Time after which no call is held any more, with a margin. */
-constexpr auto longest_hold = std::chrono::seconds{13};
+/*! Time beyond the longest hold after which no call is held any more. */
+constexpr auto hold_margin = std::chrono::seconds{1};
 constexpr auto step = milliseconds{50};
 /*! Time for everything to be done once all faults are healed: inherited leases of 13 s, and the backlog. */
 constexpr auto settle_limit = std::chrono::seconds{60};
@@ -245,7 +245,7 @@
         return std::nullopt;
     }
     site_->change_platform({{"worker", worker}, {"held_percent", held_percent}, {"seed", seed},
-        {"shortest_hold_ms", options_.shortest_hold_ms}});
+        {"shortest_hold_ms", options_.shortest_hold_ms}, {"longest_hold_ms", options_.longest_hold_ms}});
     auto const *ending = end.contains("restart_ms") ? ", until it restarts," : "";
     return open_fault{{}, "calls to " + worker + " are held" + ending, [this, worker, end]() {
                           site_->change_platform(end);
@@ -393,7 +393,7 @@
     heal_all();
     load.stop();
     if(options_.late_orders) {
-        std::this_thread::sleep_for(longest_hold);
+        std::this_thread::sleep_for(milliseconds{options_.longest_hold_ms} + hold_margin);
     }
     result_.breaches.insert(result_.breaches.end(), load.breaches().begin(), load.breaches().end());
     check_jobs(load);
--- a/soak/soak_run.hpp
+++ b/soak/soak_run.hpp
@@ -32,8 +32,9 @@
     bool boot_tickets{};
     /*! Calls that are held are lost when their worker restarts. */
     bool drop_late_calls{};
-    /*! Shortest time for which late orders hold a call. */
+    /*! Range of the times for which late orders hold a call. */
     std::int64_t shortest_hold_ms{2'000};
+    std::int64_t longest_hold_ms{12'000};
 };
 
 /*! What one seed showed. */
--- a/test/adapter/standin/site_main.cpp
+++ b/test/adapter/standin/site_main.cpp
@@ -163,6 +163,9 @@
             if(auto const *shortest = body.if_contains("shortest_hold_ms")) {
                 options.shortest_ms = shortest->to_number<std::int64_t>();
             }
+            if(auto const *longest = body.if_contains("longest_hold_ms")) {
+                options.longest_ms = longest->to_number<std::int64_t>();
+            }
             worker.hold_calls(options);
         }
         if(auto const *enabled = body.if_contains("tells_boots_apart")) {
