Let the soak choose the longest down time of restarts

With short holds, a short down time lets starts with tickets arrive in the next boot while their ticket is valid. The default and the draws stay.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -21,6 +21,7 @@
 ABSL_FLAG(int, shortest_hold_ms, 2'000,
     "Shortest time for which a call is held; a start that is held for less than 2 s may still have a valid ticket.");
 ABSL_FLAG(int, longest_hold_ms, 12'000, "Longest time for which a call is held.");
+ABSL_FLAG(std::uint32_t, longest_down_ms, 1'500, "Longest time for which a worker that restarts is down.");
 ABSL_FLAG(int, seconds, 15, "Time for which faults are played with each seed.");
 
 int main(int argc, char **argv) {
@@ -30,7 +31,7 @@
     kingcuplink::soak::soak_options const options{absl::GetFlag(FLAGS_odd_entries), absl::GetFlag(FLAGS_late_orders),
         absl::GetFlag(FLAGS_shared_ids), absl::GetFlag(FLAGS_tickets), absl::GetFlag(FLAGS_boot_tickets),
         absl::GetFlag(FLAGS_drop_late_calls), absl::GetFlag(FLAGS_shortest_hold_ms),
-        absl::GetFlag(FLAGS_longest_hold_ms)};
+        absl::GetFlag(FLAGS_longest_hold_ms), absl::GetFlag(FLAGS_longest_down_ms)};
     std::uint64_t failed{};
     auto const first = absl::GetFlag(FLAGS_seed);
     for(auto seed = first; seed < first + absl::GetFlag(FLAGS_seeds); ++seed) {
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -30,7 +30,6 @@
 constexpr std::size_t shortest_late_fault_ms = 2'000u;
 constexpr std::size_t longest_late_fault_ms = 9'000u;
 constexpr std::size_t held_percent = 40u;
-constexpr std::size_t longest_down_ms = 1'500u;
 /*! Time beyond the longest hold after which no call is held any more. */
 constexpr auto hold_margin = std::chrono::seconds{1};
 constexpr auto step = milliseconds{50};
@@ -227,7 +226,7 @@
 
 json::object soak_run::any_restart(std::string const &worker) {
     constexpr std::array<std::int64_t, 5u> shifts{0, 0, -3'600'000, -2'000, 3'600'000};
-    json::object change{{"worker", worker}, {"restart_ms", 1u + draw(longest_down_ms)},
+    json::object change{{"worker", worker}, {"restart_ms", 1u + draw(options_.longest_down_ms)},
         {"clock_shift_ms", shifts[draw(shifts.size())]}};
     if(draw(3u) == 0u) {
         change["new_id"] = true;
--- a/soak/soak_run.hpp
+++ b/soak/soak_run.hpp
@@ -35,6 +35,8 @@
     /*! Range of the times for which late orders hold a call. */
     std::int64_t shortest_hold_ms{2'000};
     std::int64_t longest_hold_ms{12'000};
+    /*! Longest time for which a worker that restarts is down, with late orders. */
+    std::uint32_t longest_down_ms{1'500};
 };
 
 /*! What one seed showed. */
