--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -30,9 +30,8 @@
 constexpr std::size_t shortest_late_fault_ms = 2'000u;
 constexpr std::size_t longest_late_fault_ms = 9'000u;
 constexpr std::size_t held_percent = 40u;
-constexpr std::size_t longest_down_ms = 1'500u;
-/*! Time after which no call is held any more, with a margin. */
-constexpr auto longest_hold = std::chrono::seconds{13};
+/*! Time beyond the longest hold after which no call is held any more. */
+constexpr auto hold_margin = std::chrono::seconds{1};
 constexpr auto step = milliseconds{50};
 /*! Time for everything to be done once all faults are healed: inherited leases of 13 s, and the backlog. */
 constexpr auto settle_limit = std::chrono::seconds{60};
@@ -42,15 +41,16 @@
 soak_run::soak_run(std::uint64_t const seed, soak_options const options)
     : random_{seed}, seed_{seed}, options_{options} {
     test::site_options site;
-    // A ticket lapses sooner than a call that is held arrives.
-    site.uses_adviser = !options_.late_orders;
+    // A ticket lapses sooner than a call that is held for the usual time arrives.
+    site.uses_adviser = options_.tickets.value_or(!options_.late_orders);
     site.route = [this](std::string const &user, std::string const &part, std::string const &address) {
         return route(user, part, address);
     };
     proxy_thread_ = std::thread{[this]() { context_.run(); }};
     site_ = std::make_unique<test::site_fleet>(std::move(site));
     for(auto const &worker: site_->workers()) {
-        site_->change_platform({{"worker", worker}, {"tells_boots_apart", !options_.shared_ids}});
+        site_->change_platform({{"worker", worker}, {"tells_boots_apart", !options_.shared_ids},
+            {"boot_tickets", options_.boot_tickets}, {"drops_late_calls", options_.drop_late_calls}});
     }
     result_.folder = site_->processes().folder();
 }
@@ -226,7 +226,7 @@
 
 json::object soak_run::any_restart(std::string const &worker) {
     constexpr std::array<std::int64_t, 5u> shifts{0, 0, -3'600'000, -2'000, 3'600'000};
-    json::object change{{"worker", worker}, {"restart_ms", 1u + draw(longest_down_ms)},
+    json::object change{{"worker", worker}, {"restart_ms", 1u + draw(options_.longest_down_ms)},
         {"clock_shift_ms", shifts[draw(shifts.size())]}};
     if(draw(3u) == 0u) {
         change["new_id"] = true;
@@ -243,7 +243,8 @@
     if(!harmed_.insert("calls to " + worker).second) {
         return std::nullopt;
     }
-    site_->change_platform({{"worker", worker}, {"held_percent", held_percent}, {"seed", seed}});
+    site_->change_platform({{"worker", worker}, {"held_percent", held_percent}, {"seed", seed},
+        {"shortest_hold_ms", options_.shortest_hold_ms}, {"longest_hold_ms", options_.longest_hold_ms}});
     auto const *ending = end.contains("restart_ms") ? ", until it restarts," : "";
     return open_fault{{}, "calls to " + worker + " are held" + ending, [this, worker, end]() {
                           site_->change_platform(end);
@@ -391,7 +392,7 @@
     heal_all();
     load.stop();
     if(options_.late_orders) {
-        std::this_thread::sleep_for(longest_hold);
+        std::this_thread::sleep_for(milliseconds{options_.longest_hold_ms} + hold_margin);
     }
     result_.breaches.insert(result_.breaches.end(), load.breaches().begin(), load.breaches().end());
     check_jobs(load);
--- a/soak/soak_run.hpp
+++ b/soak/soak_run.hpp
@@ -26,6 +26,17 @@
     bool late_orders{};
     /*! Boots under one id do not refuse what was sent to an earlier one. */
     bool shared_ids{};
+    /*! Whether starts need tickets; by default they do, except with late orders. */
+    std::optional<bool> tickets{};
+    /*! Tickets are valid in the boot that they were issued in. */
+    bool boot_tickets{};
+    /*! Calls that are held are lost when their worker restarts. */
+    bool drop_late_calls{};
+    /*! Range of the times for which late orders hold a call. */
+    std::int64_t shortest_hold_ms{2'000};
+    std::int64_t longest_hold_ms{12'000};
+    /*! Longest time for which a worker that restarts is down, with late orders. */
+    std::uint32_t longest_down_ms{1'500};
 };
 
 /*! What one seed showed. */
--- a/test/adapter/standin/site_main.cpp
+++ b/test/adapter/standin/site_main.cpp
@@ -82,7 +82,10 @@
         for(auto const &worker: body.at("workers").as_array()) {
             auto const name = std::string{worker.as_string()};
             if(is_allowed(step, name)) {
-                good.push_back(boost::json::array{name, make_ticket(step, name)});
+                auto const found = workers_.find(machine_of(name));
+                // While the worker is down, the ticket is one of the boot that ended.
+                auto const born = found == workers_.end() ? 0u : found->second->born();
+                good.push_back(boost::json::array{name, make_ticket(step, name, born)});
             }
         }
         co_return json_answer(200u, boost::json::object{{"good", std::move(good)}});
@@ -154,11 +157,26 @@
                 shift == nullptr ? 0 : shift->to_number<std::int64_t>()});
         }
         if(auto const *percent = body.if_contains("held_percent")) {
-            worker.hold_calls(percent->to_number<std::int64_t>(), body.at("seed").to_number<std::uint32_t>());
+            site_worker::hold_options options;
+            options.percent = percent->to_number<std::int64_t>();
+            options.seed = body.at("seed").to_number<std::uint32_t>();
+            if(auto const *shortest = body.if_contains("shortest_hold_ms")) {
+                options.shortest_ms = shortest->to_number<std::int64_t>();
+            }
+            if(auto const *longest = body.if_contains("longest_hold_ms")) {
+                options.longest_ms = longest->to_number<std::int64_t>();
+            }
+            worker.hold_calls(options);
         }
         if(auto const *enabled = body.if_contains("tells_boots_apart")) {
             worker.rejects_stale_boots = enabled->as_bool();
         }
+        if(auto const *enabled = body.if_contains("drops_late_calls")) {
+            worker.drops_late_calls = enabled->as_bool();
+        }
+        if(auto const *enabled = body.if_contains("boot_tickets")) {
+            worker.binds_tickets = enabled->as_bool();
+        }
         if(auto const *percent = body.if_contains("late_percent")) {
             worker.late_command_percent = percent->to_number<std::int64_t>();
         }
--- a/test/adapter/standin/site_worker.cpp
+++ b/test/adapter/standin/site_worker.cpp
@@ -26,8 +26,6 @@
 constexpr std::int64_t ticket_ms = 2'000;
 /*! Delay of a command that is executed late. */
 constexpr std::int64_t late_command_delay_ms = 2'000;
-constexpr std::int64_t min_hold_ms = 2'000;
-constexpr std::int64_t max_hold_ms = 12'000;
 /*! Tolerance for the transmission time of a call. */
 constexpr std::int64_t lease_margin_ms = 200;
 /*! Time for which the registration of an ended boot remains. */
@@ -81,13 +79,16 @@
     return member;
 }
 
-std::string make_ticket(std::string const &step, std::string const &worker) {
-    return step + "|" + worker + "|" + std::to_string(clock_ms());
+std::string make_ticket(std::string const &step, std::string const &worker, std::uint64_t const born) {
+    return step + "|" + worker + "|" + std::to_string(clock_ms()) + "|" + std::to_string(born);
+}
+
+std::string machine_of(std::string const &worker) {
+    return worker.substr(0u, worker.find('-'));
 }
 
 bool is_allowed(std::string const &step, std::string const &worker) {
-    // Ids of all boots of a machine share the part before the hyphen.
-    auto const machine = worker.substr(0u, worker.find('-'));
+    auto const machine = machine_of(worker);
     // Two workers accept every step, so that no step waits forever.
     return machine == "w0" || machine == "w1" || stable_hash(step + machine) % 10u < allowed_tenths;
 }
@@ -142,9 +143,9 @@
     register_self();
 }
 
-void site_worker::hold_calls(std::int64_t const percent, std::uint32_t const seed) {
-    held_percent_ = percent;
-    random_engine().seed(seed);
+void site_worker::hold_calls(hold_options const options) {
+    held_ = options;
+    random_engine().seed(options.seed);
 }
 
 void site_worker::restart(restart_options const next) {
@@ -251,6 +252,11 @@
     auto const arrived_at = clock_ms();
     auto const boot = boot_;
     auto const is_held = co_await delay(target);
+    if(boot != boot_ && drops_late_calls) {
+        log_event("dropped", name_ + " " + target + ", sent to boot " + std::to_string(boot));
+        // The restart closed the connection of this answer.
+        co_return json_answer(503u, boost::json::object{});
+    }
     if(service_->fault.outage) {
         co_return json_answer(503u, boost::json::object{});
     }
@@ -292,8 +298,8 @@
 }
 
 boost::asio::awaitable<bool> site_worker::delay(std::string const target) {
-    if(held_percent_ > 0 && random_between(0, 99) < held_percent_) {
-        auto const time = random_between(min_hold_ms, max_hold_ms);
+    if(held_.percent > 0 && random_between(0, 99) < held_.percent) {
+        auto const time = random_between(held_.shortest_ms, held_.longest_ms);
         log_event("held for " + std::to_string(time) + " ms", name_ + " " + target);
         if(random_between(0, 1) == 0) {
             service_->close_connections();
@@ -371,7 +377,8 @@
     auto const step = key.job + ".0." + std::to_string(key.step);
     auto const prefix = step + "|" + name_ + "|";
     return is_allowed(step, name_) && ticket.starts_with(prefix) &&
-        std::stoll(ticket.substr(prefix.size())) + ticket_ms >= clock_ms();
+        std::stoll(ticket.substr(prefix.size())) + ticket_ms >= clock_ms() &&
+        (!binds_tickets || ticket.ends_with("|" + std::to_string(born_)));
 }
 
 response site_worker::start_run(boost::json::value const &body, run_key const &key, std::int64_t const arrived_at) {
