Let the simulation of faults play tickets of the adviser

The simulated queue had no advice, although all queues of the sites in force use it, so no simulation told what tickets exclude. Workers reject starts without a ticket for this step and worker that is young enough and, by choice, of this boot; the order of the checks is that of the stand-in: token, late, running, old, ticket. A start that lacks only the ticket extends no lease.

Not played: the adviser's taking one call at a time for each entry VM.

--- a/test/workflow/fleet_simulation.cpp
+++ b/test/workflow/fleet_simulation.cpp
@@ -31,6 +31,10 @@
     queue.max_attempts = max_attempts;
     queue.stretch = 2.0;
     queue.target = millis{1'000};
+    if(setup.tickets) {
+        queue.advice = advice_terms_of(*setup.tickets);
+        adviser_.emplace(*setup.tickets, setup.seed);
+    }
     rules_->queues.push_back(queue);
     account_rules account;
     account.name = "account";
@@ -158,7 +162,8 @@
     for(auto const counter: {&near_miss_counters::restarts, &near_miss_counters::restarts_under_live_lease,
             &near_miss_counters::restarts_after_lapse, &near_miss_counters::stale_starts_fenced,
             &near_miss_counters::stale_starts_expired, &near_miss_counters::stale_starts_outdated,
-            &near_miss_counters::stale_starts_for_former_worker, &near_miss_counters::unknown_runs}) {
+            &near_miss_counters::stale_starts_for_former_worker, &near_miss_counters::stale_starts_without_ticket,
+            &near_miss_counters::starts_for_other_boot_without_ticket, &near_miss_counters::unknown_runs}) {
         this->*counter += other.*counter;
     }
     shortest_time_after_lapse = std::min(shortest_time_after_lapse, other.shortest_time_after_lapse);
--- a/test/workflow/fleet_simulation.hpp
+++ b/test/workflow/fleet_simulation.hpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <kingcuplink/core/time.hpp>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -59,6 +60,14 @@
 /*! Returns the name of a kind of fault. */
 [[nodiscard]] std::string_view name_of(fleet_fault fault) noexcept;
 
+/*! Tickets without which workers reject starts. */
+struct ticket_terms {
+    /*! Time from its issue during which a ticket is valid. */
+    millis validity{};
+    /*! True if a ticket is valid only for the boot of its worker for which it was issued. */
+    bool names_boot{true};
+};
+
 /*! Parameters of a simulation. */
 struct simulation_setup {
     std::uint64_t seed{1u};
@@ -82,6 +91,8 @@
     double long_step_share{0.1};
     /*! Upper bound of the number of injected faults; the lower bound is three. */
     std::int64_t max_faults{12};
+    /*! Set if starts need tickets of the adviser. */
+    std::optional<ticket_terms> tickets{};
     /*! True to record the timeline. */
     bool records_timeline{};
 };
@@ -104,6 +115,9 @@
     std::size_t stale_starts_expired{};
     std::size_t stale_starts_outdated{};
     std::size_t stale_starts_for_former_worker{};
+    std::size_t stale_starts_without_ticket{};
+    /*! Starts that another boot of the worker than the intended one rejected for want of a valid ticket only. */
+    std::size_t starts_for_other_boot_without_ticket{};
     /*! Runs of unfinished tasks that a worker listed and the leader did not expect there. */
     std::size_t unknown_runs{};
 
--- a/test/workflow/simulated_calls.cpp
+++ b/test/workflow/simulated_calls.cpp
@@ -140,12 +140,15 @@
     live.ends_at = queue_.now() + (step.gang ? gang_timeout : length);
     live.how = chance(0.12) ? run_outcome::failed : run_outcome::done;
     auto const boot_text = worker.name() + " boot " + std::to_string(worker.boot());
-    auto const answer = worker.start(run.key, live, token, expires_at, queue_.now());
+    auto const answer = worker.start(run.key, live, token, expires_at, has_ticket(worker, run), queue_.now());
     trace(run.key.job,
         boot_text + " answers " + std::string{name_of(answer)} + " to a start of " + text_of(run.key) + " with token " +
             std::to_string(token) + " meant for boot " + std::to_string(run.boot));
     if(answer != start_answer::started) {
         checker_.reject_start(run.key, answer);
+        if(answer == start_answer::bad_ticket && worker.boot() != run.boot) {
+            checker_.count_start_for_other_boot_without_ticket();
+        }
     } else {
         ++starts_;
         if(step.gang) {
--- a/test/workflow/simulated_fleet.hpp
+++ b/test/workflow/simulated_fleet.hpp
@@ -3,6 +3,7 @@
 
 #include "event_queue.hpp"
 #include "fleet_simulation.hpp"
+#include "simulated_adviser.hpp"
 #include "simulated_leader.hpp"
 
 #include <functional>
@@ -117,6 +118,7 @@
     void start(run_start run, std::uint64_t token, std::int64_t expires_at, millis timeout,
         std::function<void(start_answer)> done) override;
     void stop(run_stop stop, std::uint64_t token, millis timeout, std::function<void(bool)> done) override;
+    void ask_adviser(advice_query query, advice_callback done) override;
     void show_end(std::string const &job, job_phase phase) override;
     void send_heartbeat(std::uint64_t term, millis log_age, millis append_time) override;
     void trace(std::string const &job, std::string const &text) override;
@@ -203,6 +205,14 @@
     void end_incomplete_gangs(std::size_t worker);
     void finish_gang(std::string const &job, std::uint32_t step, std::uint32_t run);
 
+    // The adviser.
+    void ask_adviser(std::size_t node, advice_query const &query, leader_host::advice_callback done);
+    /*! Returns true if a query that an entry VM sends now gets no answer. */
+    [[nodiscard]] bool is_query_lost(std::size_t node);
+    [[nodiscard]] std::vector<advice_grant> answer_query(advice_query const &query);
+    /*! Returns true if a worker needs no ticket to start a run, or accepts the one that the start carries. */
+    [[nodiscard]] bool has_ticket(simulated_worker const &worker, run_start const &run);
+
     // The log.
     void append(std::size_t node, std::vector<log_record> records, append_writer writer,
         std::function<void(simulated_log::answer)> done);
@@ -264,6 +274,8 @@
     std::vector<instant> commit_times_;
     std::vector<stale_read_period> stale_reads_;
     std::shared_ptr<site_rules> rules_{std::make_shared<site_rules>()};
+    /*! Set if starts need tickets. */
+    std::optional<simulated_adviser> adviser_;
     std::vector<simulated_worker> workers_;
     std::vector<instant> next_wakeups_;
     std::vector<simulated_node> nodes_;
--- a/test/workflow/simulated_leader.cpp
+++ b/test/workflow/simulated_leader.cpp
@@ -222,9 +222,26 @@
     for(auto const &stop: decided.stops) {
         stop_run(stop);
     }
+    for(auto const &query: decided.queries) {
+        ask_adviser(query);
+    }
     notify(log_wakeup_);
 }
 
+void simulated_leader::ask_adviser(advice_query const &query) {
+    host_.ask_adviser(query, [self = shared_from_this(), query](auto const &grants) {
+        if(self->is_stopped_) {
+            return;
+        }
+        if(grants) {
+            self->dispatcher_.take_advice(query, *grants, self->host_.now());
+        } else {
+            self->dispatcher_.advice_failed(query, self->host_.now());
+        }
+        self->notify(self->plan_wakeup_);
+    });
+}
+
 void simulated_leader::run_log_writer() {
     wait(log_wakeup_, timing::leader_record_interval, [self = shared_from_this()]() {
         self->host_.after(timing::append_batch_delay, [self]() {
--- a/test/workflow/simulated_leader.hpp
+++ b/test/workflow/simulated_leader.hpp
@@ -36,6 +36,8 @@
 class leader_host {
 public:
     using action = std::function<void()>;
+    /*! Receives the approved workers, or an empty optional if the adviser did not answer. */
+    using advice_callback = std::function<void(std::optional<std::vector<advice_grant>> const &)>;
 
     virtual ~leader_host() = default;
 
@@ -67,6 +69,9 @@
     /*! Sends a stop command to a worker; passes true if the worker accepted it. */
     virtual void stop(run_stop stop, std::uint64_t token, millis timeout, std::function<void(bool)> done) = 0;
 
+    /*! Sends a query to the adviser. */
+    virtual void ask_adviser(advice_query query, advice_callback done) = 0;
+
     /*! Reports the end of a job to the callers of all entry VMs. */
     virtual void show_end(std::string const &job, job_phase phase) = 0;
 
@@ -142,6 +147,7 @@
     void poll_immediately(std::string const &name);
     void run_planner();
     void plan();
+    void ask_adviser(advice_query const &query);
     void run_log_writer();
     void append_batch();
     /*! @param possibly_committed_since When the first attempt with an unknown outcome was sent, if there was one. */
--- a/test/workflow/simulated_worker.cpp
+++ b/test/workflow/simulated_worker.cpp
@@ -74,6 +74,9 @@
     case start_answer::other_boot:
         ++near_misses_.stale_starts_for_former_worker;
         break;
+    case start_answer::bad_ticket:
+        ++near_misses_.stale_starts_without_ticket;
+        break;
     default:
         break;
     }
@@ -237,8 +240,8 @@
     }
 }
 
-start_answer simulated_worker::start(
-    run_key const &key, live_run run, std::uint64_t const token, std::int64_t const expires_at, instant const now) {
+start_answer simulated_worker::start(run_key const &key, live_run run, std::uint64_t const token,
+    std::int64_t const expires_at, bool const has_ticket, instant const now) {
     advance(now);
     if(token < highest_token_) {
         return start_answer::fenced;
@@ -250,12 +253,18 @@
     if(expires_at <= clock(now)) {
         return start_answer::late;
     }
+    auto const is_running = runs_.contains(key);
+    auto const finished = latest_finished_runs_.find(task_of(key));
+    auto const is_outdated = finished != latest_finished_runs_.end() && key.run <= finished->second;
+    if(!is_running && !is_outdated && !has_ticket) {
+        // Such a start does not extend the lease.
+        return start_answer::bad_ticket;
+    }
     extend(expires_at, now);
-    if(runs_.contains(key)) {
+    if(is_running) {
         return start_answer::started;
     }
-    if(auto const found = latest_finished_runs_.find(task_of(key));
-        found != latest_finished_runs_.end() && key.run <= found->second) {
+    if(is_outdated) {
         return start_answer::outdated;
     }
     checker_.begin(name_, key, now);
--- a/test/workflow/simulated_worker.hpp
+++ b/test/workflow/simulated_worker.hpp
@@ -44,6 +44,11 @@
     /*! Records that a worker rejected the start of a run. */
     void reject_start(run_key const &key, start_answer reason);
 
+    /*! Records that another boot than the intended one rejected a start only because of its ticket. */
+    void count_start_for_other_boot_without_ticket() noexcept {
+        ++near_misses_.starts_for_other_boot_without_ticket;
+    }
+
     /*! Records the end of a run. */
     void end(std::string const &worker, std::uint64_t boot, listed_completion const &end, bool is_gang, instant now);
 
@@ -178,8 +183,10 @@
     /*!
      * Executes a start command.
      * @param expires_at Expiry of the lease by the clock of the worker, in ms.
+     * @param has_ticket False if the start needs a ticket and carries none that is valid.
      */
-    start_answer start(run_key const &key, live_run run, std::uint64_t token, std::int64_t expires_at, instant now);
+    start_answer start(
+        run_key const &key, live_run run, std::uint64_t token, std::int64_t expires_at, bool has_ticket, instant now);
 
     /*! Executes a stop command; returns false if the token is too low. */
     bool stop(run_key const &key, std::uint64_t token, millis grace, instant now);
