Test what tickets exclude, and list the late polls that they do not

A poll that acknowledges ends is late; its worker restarts; before the leader knows the next boot, a start meant for the earlier one is executed there at once. The late poll has the token of that start, so it is not fenced, and discards the end of the run before a leader has read it. The polls were sent 2 to 6 s before the starts.

So a ticket binds a start to the boot that the adviser knew, not to the one that the leader meant.

--- a/test/workflow/fleet_faults_test.cpp
+++ b/test/workflow/fleet_faults_test.cpp
@@ -45,12 +45,16 @@
     auto const text_of = [](std::string_view const name, std::size_t const count) {
         return std::string{name} + "=" + std::to_string(count) + " ";
     };
+    auto const refused = counters.stale_starts_without_ticket + counters.starts_for_other_boot_without_ticket;
+    auto const tickets = refused == 0u ? std::string{}
+                                       : text_of("stale_ticket", counters.stale_starts_without_ticket) +
+            text_of("other_boot_ticket", counters.starts_for_other_boot_without_ticket);
     return text_of("starts", starts) + text_of("restarts", counters.restarts) +
         text_of("under_live_lease", counters.restarts_under_live_lease) +
         text_of("after_lapse", counters.restarts_after_lapse) + text_of("stale_fenced", counters.stale_starts_fenced) +
         text_of("stale_late", counters.stale_starts_expired) + text_of("stale_old", counters.stale_starts_outdated) +
         text_of("stale_other", counters.stale_starts_for_former_worker) + text_of("unknown", counters.unknown_runs) +
-        "shortest_after_lapse_ms=" +
+        tickets + "shortest_after_lapse_ms=" +
         (counters.restarts_after_lapse > 0u ? std::to_string(counters.shortest_time_after_lapse.count()) : "none");
 }
 
@@ -83,6 +87,14 @@
     return near_misses;
 }
 
+/*! Runs simulations in which starts carry tickets and commands name no boot. */
+near_miss_counters run_seeds_with_tickets(
+    simulation_setup setup, ticket_terms const &tickets, seed_range const &range) {
+    setup.commands_name_boot = false;
+    setup.tickets = tickets;
+    return run_seeds(setup, range);
+}
+
 } // namespace
 
 TEST_CASE("a fleet without faults ends every job and violates no rule") {
@@ -162,6 +174,32 @@
     run_seeds(setup, {0u, {182u, 206u, 327u, 346u}});
 }
 
+// Starts carry tickets in the next three tests: a boot rejects a start that was delayed on its way to an earlier one.
+// Each test checks that some starts were rejected by another boot only because of their ticket.
+TEST_CASE("concurrent faults, including late commands, violate no rule if tickets name the boot") {
+    auto const near_misses = run_seeds_with_tickets({}, {millis{1'500}, true}, {60u});
+    CHECK(near_misses.starts_for_other_boot_without_ticket > 0u);
+}
+
+// Here only the age of its ticket gives such a start away.
+TEST_CASE("concurrent faults, including late commands, violate no rule if tickets expire before they arrive") {
+    auto const near_misses = run_seeds_with_tickets({}, {millis{1'500}, false}, {60u, {803543u, 805513u}});
+    CHECK(near_misses.starts_for_other_boot_without_ticket > 0u);
+}
+
+// Guards against a late poll that was meant for an earlier boot. A boot that the leader has not polled yet executes a
+// start at once, by a ticket that was issued for this boot, and the poll acknowledges the end of the run before any
+// leader has read it.
+TEST_CASE("late polls to an earlier boot discard no end of a run that a ticket allowed") {
+    run_seeds_with_tickets({}, {millis{1'500}, true}, {0u, {805513u}});
+    simulation_setup setup;
+    setup.faults = {fleet_fault::worker_restart, fleet_fault::late_commands, fleet_fault::worker_partition,
+        fleet_fault::node_pause};
+    setup.max_faults = 30;
+    auto const near_misses = run_seeds_with_tickets(setup, {millis{1'500}, true}, {40u, {800738u, 800952u}});
+    CHECK(near_misses.starts_for_other_boot_without_ticket > 0u);
+}
+
 // Guards against a planning round that drops a start which was committed and passed on, but not sent yet.
 TEST_CASE("concurrent faults violate no rule if starts wait for other work of the leader") {
     simulation_setup setup;
