Acknowledge no end that a later boot could read for another one

Cause: a poll acknowledges ends by their number, and numbers begin anew with each boot. A poll that is executed late by the next boot discarded ends that no leader had read, and the leader took the run for lost. Tickets do not exclude it: the adviser may know a boot before the leader does, so a start that was meant for one boot is executed by the next one at once (, with tickets that name the boot).

Change: a poll acknowledges only numbers that were not confirmed yet, and none while a run may be in a boot that the leader does not know. A start, or a poll without an acknowledgement, begins an epoch, which raises the fencing token, while an acknowledgement has no answer: whichever boot executes it rejects that poll. A worker that is removed and returns begins one as well. A leader resigns once half of the epochs of a worker are used.

--- a/src/kingcuplink/site/fleet_leader.cpp
+++ b/src/kingcuplink/site/fleet_leader.cpp
@@ -68,8 +68,9 @@
 }
 
 bool fleet_leader::should_yield(instant const now) const noexcept {
-    return leader_since_ + timing::min_leadership_time <= now &&
-        has_twice_the_processor(most_millicores(), parts_.settings.processor_millicores);
+    return dispatcher_.needs_new_term() ||
+        (leader_since_ + timing::min_leadership_time <= now &&
+            has_twice_the_processor(most_millicores(), parts_.settings.processor_millicores));
 }
 
 boost::asio::awaitable<void> fleet_leader::resign(std::string_view const reason) {
@@ -205,8 +206,9 @@
             parts_.decisions.write(answered ? decision::worker_seen : decision::worker_silent, {{"worker", name}});
         }
         was_answered = answered;
-        auto const has_no_news = dispatcher_.has_unpersisted_completions(name) &&
-            dispatcher_.seen_end(name) == seen_before;
+        auto const has_pending_ends = dispatcher_.has_unpersisted_completions(name) ||
+            dispatcher_.withholds_acknowledgement(name);
+        auto const has_no_news = has_pending_ends && dispatcher_.seen_end(name) == seen_before;
         auto const spacing = has_no_news ? timing::unpersisted_poll_spacing : timing::poll_spacing;
         co_await pause(answered ? spacing : timing::poll_retry_delay);
     }
@@ -218,13 +220,15 @@
     auto const sent_at = current_time();
     auto const boot = dispatcher_.boot_of(name);
     worker_target target{entry.name, entry.address};
-    poll_request request{token_for(name), dispatcher_.kept_end(name), timing::poll_wait, std::nullopt};
-    if(mode == poll_mode::immediate || !dispatcher_.is_reconciled(name)) {
-        request.kept_end = 0u;
-        request.wait = millis{};
-    } else if(auto const lease = clocks_.request(name, boot, sent_at); lease && may_extend_leases(sent_at)) {
-        request.expires_at = lease->expires_at;
-        dispatcher_.record_lease_extension(name, lease->lapses_at);
+    auto const is_long = mode == poll_mode::long_poll && dispatcher_.is_reconciled(name);
+    auto const acknowledged = dispatcher_.begin_poll(name, is_long);
+    poll_request request{command_token(term_, acknowledged.epoch), acknowledged.number, millis{}, std::nullopt};
+    if(is_long) {
+        request.wait = timing::poll_wait;
+        if(auto const lease = clocks_.request(name, boot, sent_at); lease && may_extend_leases(sent_at)) {
+            request.expires_at = lease->expires_at;
+            dispatcher_.record_lease_extension(name, lease->lapses_at);
+        }
     }
     auto const answer = co_await parts_.workers.poll(std::move(target), request, request.wait + timing::worker_timeout);
     if(ended_) {
@@ -261,6 +265,7 @@
         }
     }
     dispatcher_.apply_inventory(name, answer.inventory, sent_at, now);
+    dispatcher_.poll_answered(name, acknowledged);
     log_run_changes();
     plan_wakeup_.notify();
     append_wakeup_.notify();
--- a/src/kingcuplink/site/leader_limits.hpp
+++ b/src/kingcuplink/site/leader_limits.hpp
@@ -13,8 +13,8 @@
  */
 [[nodiscard]] constexpr dispatch_limits leader_limits(
     millis const lease_limit, millis const command_delay_limit) noexcept {
-    return {timing::lease_renewal_limit + lease_limit + timing::worker_timeout, timing::lease_renewal_limit,
-        command_delay_limit, timing::longest_lease(lease_limit)};
+    return {timing::lease_renewal_limit + lease_limit + timing::worker_timeout,
+        timing::lease_renewal_limit + timing::worker_timeout, command_delay_limit, timing::longest_lease(lease_limit)};
 }
 
 } // namespace kingcuplink
--- a/src/kingcuplink/workflow/dispatch_state.cpp
+++ b/src/kingcuplink/workflow/dispatch_state.cpp
@@ -39,6 +39,24 @@
     return task.placement == id ? &task : nullptr;
 }
 
+bool dispatch_state::may_have_run_in_other_boot(live_worker const &worker) const {
+    return std::any_of(worker.placements.begin(), worker.placements.end(), [&](auto const id) {
+        auto const &run = placements[id];
+        if(run.is_listed || run.stage == placement_stage::intended) {
+            return false;
+        }
+        auto const excluded_since = std::max(run.stage_since, run.may_begin_until);
+        return run.stage == placement_stage::awaiting_answer || excluded_since >= worker.answered_poll_sent_at;
+    });
+}
+
+void dispatch_state::fence_acknowledgements(live_worker &worker) {
+    if(worker.unanswered_acknowledgements > 0u) {
+        worker.unanswered_acknowledgements = 0u;
+        highest_command_epoch = std::max(highest_command_epoch, ++worker.command_epoch);
+    }
+}
+
 instant dispatch_state::lapse_time(placement const &run) const {
     auto const leases_expire_at = workers[run.worker].leases_expire_at;
     if(!run.may_begin_in_other_boot || run.is_listed) {
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -51,11 +51,11 @@
     /*! Time at which this leader sent the start. */
     instant sent_at{};
     /*!
-     * True if a later boot of the worker may execute the start: it carries no ticket, which would be valid in one boot
-     * only.
+     * True if the start carries no ticket. A ticket is valid in one boot of the worker only; without one, any later
+     * boot may execute the start.
      */
     bool may_begin_in_other_boot{};
-    /*! Time until which the start may be executed although it was not until now; in the past if that is excluded. */
+    /*! Time until which a later boot may execute the start; in the past if that is excluded. */
     instant may_begin_until{};
     /*! True once the worker has listed the run. */
     bool is_listed{};
@@ -145,7 +145,7 @@
     std::uint64_t boot{};
     /*! Address that gave the last answer; empty before the first one. */
     std::string answered_address{};
-    /*! Part of the fencing token that increases with each change of the boot between answers. */
+    /*! Part of the fencing token that increases within a term. */
     std::uint64_t command_epoch{};
     resources used;
     std::vector<placement_id> placements;
@@ -167,6 +167,10 @@
     instant leases_expire_at{};
     std::uint64_t last_recorded_completion{};
     std::uint64_t last_persisted_completion{};
+    /*! Number up to which the current boot has confirmed acknowledgements. */
+    std::uint64_t last_acknowledged_completion{};
+    /*! Number of acknowledging polls in this epoch that are not answered. */
+    std::uint32_t unanswered_acknowledgements{};
     /*! Jobs with failed runs on the worker since the last successful run. */
     std::set<job_id> failing_jobs;
     instant quarantined_until{};
@@ -203,6 +207,8 @@
     std::size_t short_queries{};
     std::size_t long_queries{};
     dispatch_limits limits;
+    /*! Highest epoch of any worker that a command without an answer has begun. */
+    std::uint64_t highest_command_epoch{};
     /*! Time at which all leases granted by earlier leaders have expired. */
     instant inherited_leases_end_at{};
     /*! Time until which starts that earlier leaders sent without an answer may be executed. */
@@ -222,6 +228,20 @@
     /*! Returns the task of a placement, or null if the placement is not the current one of the task. */
     [[nodiscard]] live_task *task_of(placement_id id);
 
+    /*!
+     * Returns true if a run of a worker may be in a later boot than the known one. The answer to a start does not name
+     * the boot, and the adviser may issue a ticket for a boot that is not known yet. Only a list that was requested
+     * after the answer, or after the start can no longer be executed, excludes it. Until then, a poll that
+     * acknowledges completions of the known boot could discard the end of the run.
+     */
+    [[nodiscard]] bool may_have_run_in_other_boot(live_worker const &worker) const;
+
+    /*!
+     * Begins an epoch if acknowledgements to a worker have no answer. The boot that executes the next command then
+     * rejects them; otherwise they could discard the end of a run there that no leader has read.
+     */
+    void fence_acknowledgements(live_worker &worker);
+
     /*! Returns the time at which a run is over by any clock if its worker is not heard from. */
     [[nodiscard]] instant lapse_time(placement const &run) const;
 
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -216,6 +216,41 @@
     return found == nullptr ? 0u : found->last_persisted_completion;
 }
 
+completion_acknowledgement dispatcher::begin_poll(std::string const &worker, bool const may_acknowledge) {
+    auto const found = state_.worker_ids.find(worker);
+    if(found == state_.worker_ids.end()) {
+        return {};
+    }
+    auto &entry = state_.workers[found->second];
+    if(may_acknowledge && entry.last_persisted_completion > entry.last_acknowledged_completion &&
+        !state_.may_have_run_in_other_boot(entry)) {
+        ++entry.unanswered_acknowledgements;
+        return {entry.last_persisted_completion, entry.boot, entry.command_epoch};
+    }
+    state_.fence_acknowledgements(entry);
+    return {0u, entry.boot, entry.command_epoch};
+}
+
+void dispatcher::poll_answered(std::string const &worker, completion_acknowledgement const &sent) {
+    auto const found = state_.worker_ids.find(worker);
+    if(found == state_.worker_ids.end() || sent.number == 0u) {
+        return;
+    }
+    auto &entry = state_.workers[found->second];
+    if(entry.boot == sent.boot) {
+        entry.last_acknowledged_completion = std::max(entry.last_acknowledged_completion, sent.number);
+    }
+    if(entry.command_epoch == sent.epoch) {
+        --entry.unanswered_acknowledgements;
+    }
+}
+
+bool dispatcher::withholds_acknowledgement(std::string const &worker) const {
+    auto const *found = state_.find_worker(worker);
+    return found != nullptr && found->last_persisted_completion > found->last_acknowledged_completion &&
+        state_.may_have_run_in_other_boot(*found);
+}
+
 std::uint64_t dispatcher::seen_end(std::string const &worker) const {
     auto const *found = state_.find_worker(worker);
     return found == nullptr ? 0u : found->last_recorded_completion;
@@ -399,10 +434,11 @@
             state_.remove_placement(id, now);
             continue;
         }
-        auto &host = state_.workers[run->worker];
         if(run->may_begin_in_other_boot) {
             run->may_begin_until = instant::max();
         }
+        auto &host = state_.workers[run->worker];
+        state_.fence_acknowledgements(host);
         auto const &worker = host.registration;
         auto const &job = state_.jobs[run->job];
         auto const &step = job.steps[run->key.step];
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -73,17 +73,28 @@
 /*! Returns the name of an answer. */
 [[nodiscard]] std::string_view name_of(start_answer answer) noexcept;
 
+/*! Number of epochs of a worker within a term. */
+inline constexpr unsigned command_epoch_bits = 20u;
+inline constexpr std::uint64_t max_command_epoch = (std::uint64_t{1} << command_epoch_bits) - 1u;
+
 /*!
  * Returns the fencing token of commands to a worker. It increases with the leader's term and, within a term, with the
  * epoch of the worker: each observed restart begins one, so that a boot rejects late commands that were sent to an
- * earlier one.
+ * earlier one; and so does a command that follows an acknowledgement without an answer.
  */
 [[nodiscard]] constexpr std::uint64_t command_token(std::uint64_t const term, std::uint64_t const epoch) noexcept {
-    constexpr unsigned epoch_bits = 20u;
-    constexpr std::uint64_t max_epoch = (std::uint64_t{1} << epoch_bits) - 1u;
-    return (term << epoch_bits) | (epoch < max_epoch ? epoch : max_epoch);
+    return (term << command_epoch_bits) | (epoch < max_command_epoch ? epoch : max_command_epoch);
 }
 
+/*! Acknowledgement of the completions of a worker that a poll carries. */
+struct completion_acknowledgement {
+    /*! Number of the last completion that the worker may discard; zero for none. */
+    std::uint64_t number{};
+    /*! Boot and epoch of the worker in which the poll is sent. */
+    std::uint64_t boot{};
+    std::uint64_t epoch{};
+};
+
 /*! Position up to which the records of a batch account for the completions of a worker. */
 struct completion_cursor {
     worker_id worker;
@@ -191,9 +202,28 @@
     /*! Returns the epoch of a worker for command_token(), or zero. */
     [[nodiscard]] std::uint64_t command_epoch_of(std::string const &worker) const;
 
+    /*! Returns true if a worker has used half of its epochs: another term should begin before they run out. */
+    [[nodiscard]] bool needs_new_term() const noexcept {
+        return state_.highest_command_epoch > max_command_epoch / 2u;
+    }
+
     /*! Returns the number of the last completion of a worker that is committed to the log. */
     [[nodiscard]] std::uint64_t kept_end(std::string const &worker) const;
 
+    /*!
+     * Begins a poll of a worker and returns what it acknowledges: the completions that are committed to the log and not
+     * confirmed as acknowledged. There are none while a run may be in an unknown boot of the worker. The poll is sent
+     * in the returned epoch.
+     * @param may_acknowledge False for a poll that acknowledges nothing, because it may reach an unknown boot.
+     */
+    [[nodiscard]] completion_acknowledgement begin_poll(std::string const &worker, bool may_acknowledge);
+
+    /*! Records that a poll was answered; to be called once for it, after apply_inventory(). */
+    void poll_answered(std::string const &worker, completion_acknowledgement const &sent);
+
+    /*! Returns true if a worker has completions that cannot be acknowledged yet. It answers polls at once then. */
+    [[nodiscard]] bool withholds_acknowledgement(std::string const &worker) const;
+
     /*! Returns the number of the last recorded completion of a worker. */
     [[nodiscard]] std::uint64_t seen_end(std::string const &worker) const;
 
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -52,6 +52,8 @@
     ++worker.command_epoch;
     worker.last_recorded_completion = 0u;
     worker.last_persisted_completion = 0u;
+    worker.last_acknowledged_completion = 0u;
+    worker.unanswered_acknowledgements = 0u;
     worker.listed_at_ms = 0;
     worker.failing_jobs.clear();
     worker.quarantined_until = {};
@@ -60,6 +62,7 @@
         auto &run = state_.placements[pos];
         run.first_stop_answer_at.reset();
         run.next_stop_at = {};
+        run.is_listed = false;
         if(run.stage == internal::placement_stage::intended) {
             run.ticket_until = {};
         }
@@ -360,7 +363,7 @@
         state_.mark_running(run.job);
     }
     run.may_begin_until = {};
-    if(!std::exchange(run.is_listed, true) && run.may_begin_in_other_boot) {
+    if(!std::exchange(run.is_listed, true)) {
         // The run may have begun, with a lease of its own, long after its start was sent.
         auto &worker = state_.workers[run.worker];
         worker.leases_expire_at = std::max(worker.leases_expire_at, now + state_.limits.longest_lease);
@@ -440,7 +443,8 @@
             }
         }
         if(!state_.workers[id].is_registered && state_.workers[id].placements.empty()) {
-            auto const &gone = state_.workers[id];
+            auto &gone = state_.workers[id];
+            state_.fence_acknowledgements(gone);
             state_.former_workers[gone.registration.name] = {gone.boot, gone.command_epoch, gone.leases_expire_at};
             state_.worker_ids.erase(gone.registration.name);
             state_.workers.erase(id);
