Keep a start that another boot may execute when its worker is replaced

What callers see: two runs of one task, if a worker is replaced at its address and later returns there under its id, within the delay of a command.

Cause: the answer of another worker at the address ended all runs of the worker, also a start without an answer that a later boot may execute.

Change: such a start stays until its delay has passed. Test "a start that another boot may execute outlasts the replacement of its worker".

--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -158,7 +158,8 @@
     auto const runs = worker.placements;
     for(auto const pos: runs) {
         auto const *run = state_.placements.find(pos);
-        if(run == nullptr || run->stage == internal::placement_stage::awaiting_answer) {
+        if(run == nullptr || run->stage == internal::placement_stage::awaiting_answer ||
+            run->may_begin_until > sent_at) {
             continue;
         }
         // A start answered after the poll was sent may have been accepted by a later boot: such a run is kept.
--- a/test/workflow/outstanding_start_test.cpp
+++ b/test/workflow/outstanding_start_test.cpp
@@ -393,4 +393,19 @@
     CHECK(fleet.leader->begin_poll("w0", false).epoch == 1u);
 }
 
+// Another worker that answered at the address of a worker ended its runs, also those that a later boot may begin.
+TEST_CASE("a start that another boot may execute outlasts the replacement of its worker") {
+    scripted_fleet fleet{{.workers = 1u, .limits = late_limits}};
+    auto const starts = start_job(fleet, step_of(1u));
+    REQUIRE(starts.size() == 1u);
+    lose_answers(fleet, starts);
+    fleet.now += round_interval;
+    auto const address = fleet.leader->find_worker("w0")->address;
+    CHECK(fleet.leader->worker_replaced("w0", address, fleet.now, fleet.now));
+    CHECK(fleet.leader->take_lost_runs().empty());
+    fleet.now += late_limits.command_delay;
+    fleet.leader->worker_replaced("w0", address, fleet.now, fleet.now);
+    CHECK(fleet.leader->take_lost_runs().size() == 1u);
+}
+
 } // namespace kingcuplink::test
