Name the reason for which a leader resigns

One text stood for two reasons since leaders resign when the epochs of a worker run short: an operator could not tell which. leadership_ended names the one.

--- a/src/kingcuplink/site/fleet_leader.cpp
+++ b/src/kingcuplink/site/fleet_leader.cpp
@@ -67,10 +67,14 @@
     append_wakeup_.notify();
 }
 
-bool fleet_leader::should_yield(instant const now) const noexcept {
-    return dispatcher_.needs_new_term() ||
-        (leader_since_ + timing::min_leadership_time <= now &&
-            has_twice_the_processor(most_millicores(), parts_.settings.processor_millicores));
+std::optional<std::string_view> fleet_leader::reason_to_resign(instant const now) const noexcept {
+    if(dispatcher_.needs_new_term()) {
+        return "a worker has used half of its epochs";
+    }
+    auto const has_larger_peer = leader_since_ + timing::min_leadership_time <= now &&
+        has_twice_the_processor(most_millicores(), parts_.settings.processor_millicores);
+    return has_larger_peer ? std::optional<std::string_view>{"another entry VM has at least twice the processor time"}
+                           : std::nullopt;
 }
 
 boost::asio::awaitable<void> fleet_leader::resign(std::string_view const reason) {
--- a/src/kingcuplink/site/fleet_leader.hpp
+++ b/src/kingcuplink/site/fleet_leader.hpp
@@ -11,6 +11,7 @@
 #include <kingcuplink/workflow/dispatcher.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -47,8 +48,8 @@
     /*! Stops the leader and appends its resignation to the log; the reason is written to the decision log. */
     boost::asio::awaitable<void> resign(std::string_view reason);
 
-    /*! Returns whether leadership should move to a live entry VM with at least twice the processor time. */
-    [[nodiscard]] bool should_yield(instant now) const noexcept;
+    /*! Returns why another leadership should begin, or nothing: a larger entry VM, or few epochs left. */
+    [[nodiscard]] std::optional<std::string_view> reason_to_resign(instant now) const noexcept;
 
     /*! Replaces the operators' rules. */
     void set_rules(std::shared_ptr<site_rules const> rules);
@@ -90,7 +91,7 @@
 
     /*! Mode of polling a worker for its runs. */
     enum class poll_mode : std::uint8_t {
-        /*! The worker may delay its answer until a run ends; leases are extended and ended runs acknowledged. */
+        /*! The worker may delay its answer until a run ends; leases are extended, and completions acknowledged. */
         long_poll,
         /*! The worker answers at once; no lease is extended and no end acknowledged, whichever boot answers. */
         immediate
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -510,9 +510,12 @@
 boost::asio::awaitable<void> site_node::watch_leader() {
     while(true) {
         co_await pause(internal::leader_check_interval);
-        if(leader_ != nullptr && leader_->should_yield(current_time())) {
-            co_await resign(
-                "another entry VM has at least twice the processor time, or the epochs of a worker run out");
+        std::optional<std::string_view> reason;
+        if(leader_ != nullptr) {
+            reason = leader_->reason_to_resign(current_time());
+        }
+        if(reason) {
+            co_await resign(*reason);
         } else if(leader_ != nullptr) {
             remove_expired_jobs();
         } else if(should_claim(current_time())) {
