Let runs with tickets lapse with their recorded lease again

What callers see: tasks that wait for half a minute after their worker is gone.

Cause: counted the delay of commands for every run that is not listed yet, which are all runs that a new leader inherits. For a start without a ticket that is the rule.

Change: the delay counts for starts without a ticket alone, as before. The raise of the recorded lease at a change of the boot stays: it costs nothing where each life has its own id.

--- a/src/kingcuplink/workflow/dispatch_state.cpp
+++ b/src/kingcuplink/workflow/dispatch_state.cpp
@@ -59,7 +59,7 @@
 
 instant dispatch_state::lapse_time(placement const &run) const {
     auto const leases_expire_at = workers[run.worker].leases_expire_at;
-    if(run.is_listed) {
+    if(!run.may_begin_in_other_boot || run.is_listed) {
         return leases_expire_at;
     }
     // The start, or a lease extension, may be executed late by a boot that no leader has polled.
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -57,7 +57,7 @@
     bool may_begin_in_other_boot{};
     /*! Time until which a later boot may execute the start; in the past if that is excluded. */
     instant may_begin_until{};
-    /*! True once the worker has listed the run. */
+    /*! True once the known boot of the worker has listed the run. */
     bool is_listed{};
     /*! True once the intent is part of a batch for the log. */
     bool is_batched{};
