Simulate a leader without the log that keeps a worker to itself

No test and no simulation found the guard "a leader without the log extends no lease" out of action: its successor polls the other workers, and the first of them that the leader polls fences it. The new fault cuts the fleet in two: the leader reaches one worker alone, which the others do not reach, and no log.

--- a/test/workflow/fleet_faults.cpp
+++ b/test/workflow/fleet_faults.cpp
@@ -70,6 +70,9 @@
     case fleet_fault::job_cancellation:
         cancel_job();
         break;
+    case fleet_fault::fleet_split:
+        split_fleet();
+        break;
     }
 }
 
@@ -282,6 +285,23 @@
             std::to_string((until - queue_.now()).count()) + " ms");
 }
 
+void simulated_fleet::split_fleet() {
+    auto const leader = pick_node(1.0);
+    auto const kept = pick_worker();
+    auto const until = queue_.now() + draw(millis{15'000}, millis{30'000});
+    log_failures_.push_back({log_failure_kind::unreachable, leader, 1.0, until});
+    for(std::size_t node{}; node < nodes_.size(); ++node) {
+        for(std::size_t pos{}; pos < workers_.size(); ++pos) {
+            if((node == leader) != (pos == kept)) {
+                partitions_.push_back({pos, node, true, true, until});
+            }
+        }
+    }
+    trace({},
+        nodes_[leader].name + " reaches only " + workers_[kept].name() + ", which the others do not, until " +
+            format_time(until));
+}
+
 void simulated_fleet::restart_node() {
     auto const node = pick_node(0.7);
     auto &entry = nodes_[node];
--- a/test/workflow/fleet_faults_test.cpp
+++ b/test/workflow/fleet_faults_test.cpp
@@ -237,6 +237,19 @@
     run_seeds(setup, {60u});
 }
 
+// Guards against a leader without the log that extends leases for as long as it reaches a worker which its successor
+// does not reach: the successor waits for the lease that the last append allowed.
+TEST_CASE("a leader without the log extends no lease for longer than its successor waits") {
+    simulation_setup setup;
+    setup.renames_restarted_workers = true;
+    setup.faults = {fleet_fault::fleet_split};
+    setup.lease_limit = millis{6'000};
+    setup.long_step_share = 0.2;
+    setup.longest_step = millis{40'000};
+    setup.max_faults = 3;
+    run_seeds(setup, {25u, {47u, 86u, 114u, 145u, 164u, 216u, 300u}});
+}
+
 // Each boot of a worker has a name of its own from here on, as on the platform: no guard may rely on shared names.
 
 TEST_CASE("each kind of fault alone violates no rule if each boot has a name of its own") {
--- a/test/workflow/fleet_simulation.cpp
+++ b/test/workflow/fleet_simulation.cpp
@@ -15,10 +15,10 @@
 constexpr millis job_interval{350};
 constexpr resources worker_capacity{16'000, 65'536, 0};
 
-constexpr std::array<std::string_view, all_fleet_faults.size()> fault_names{"worker_restart", "late_commands",
-    "worker_partition", "node_pause", "node_restart", "log_failure", "registration_loss", "worker_departure",
-    "worker_stall", "held_requests", "stale_reads", "log_compaction", "leader_resignation", "midway_pause",
-    "job_cancellation"};
+constexpr std::array<std::string_view, 16u> fault_names{"worker_restart", "late_commands", "worker_partition",
+    "node_pause", "node_restart", "log_failure", "registration_loss", "worker_departure", "worker_stall",
+    "held_requests", "stale_reads", "log_compaction", "leader_resignation", "midway_pause", "job_cancellation",
+    "fleet_split"};
 
 } // namespace
 
@@ -97,7 +97,7 @@
         step.gang = chance(0.25);
         step.count = static_cast<std::uint32_t>(draw(step.gang ? 2 : 1, 4));
         step.task_size = {draw(1, 4) * 1'500, 1'024, 0};
-        step.estimate = chance(setup_.long_step_share) ? draw(millis{8'000}, millis{16'000})
+        step.estimate = chance(setup_.long_step_share) ? draw(millis{8'000}, setup_.longest_step)
                                                        : draw(millis{200}, millis{4'000});
         if(pos > 0u) {
             step.after = {pos - 1u};
--- a/test/workflow/fleet_simulation.hpp
+++ b/test/workflow/fleet_simulation.hpp
@@ -43,7 +43,9 @@
     /*! An entry VM is paused between two readings of its clock within one event. */
     midway_pause,
     /*! Callers cancel jobs. */
-    job_cancellation
+    job_cancellation,
+    /*! The leader loses the log and all workers but one, which the other entry VMs lose. */
+    fleet_split
 };
 
 /*! Kinds of faults that are injected unless a simulation names others. */
@@ -91,6 +93,8 @@
     std::set<fleet_fault> faults{fleet_faults.begin(), fleet_faults.end()};
     /*! Share of the steps whose tasks run for longer than a lease. */
     double long_step_share{0.1};
+    /*! Longest estimate of such a step. */
+    millis longest_step{16'000};
     /*! Upper bound of the number of injected faults; the lower bound is three. */
     std::int64_t max_faults{12};
     /*! Set if starts need tickets of the adviser. */
--- a/test/workflow/simulated_fleet.hpp
+++ b/test/workflow/simulated_fleet.hpp
@@ -243,6 +243,7 @@
     /*! Partitions a random worker from all entry VMs except one. */
     void partition_from_other_nodes(std::size_t node);
     void restart_node();
+    void split_fleet();
     void inject_log_failure();
     void lose_registrations();
     void retire_worker();
