Count the bytes of calls to the platform by purpose

Cause unknown of full links could not be told from the metrics: all bytes of control calls were one counter. They are counted by purpose (polls, starts, stops, appends, reads, advice) and direction, as kingcuplink_platform_bytes_total. No behaviour changes.

--- a/src/kingcuplink/core/counters.cpp
+++ b/src/kingcuplink/core/counters.cpp
@@ -12,7 +12,11 @@
     "peer_bytes_received", "control_bytes_sent", "control_bytes_received", "document_records_applied",
     "document_edits_appended", "documents_from_peers", "log_reads_failed", "log_appends_failed", "journal_appends",
     "connections_accepted", "connections_discarded", "handovers_sent", "handovers_received", "jobs_adopted",
-    "registrations_rejected", "unknown_runs_listed", "concurrent_runs_listed", "starts_confirmed_late"};
+    "registrations_rejected", "unknown_runs_listed", "concurrent_runs_listed", "starts_confirmed_late",
+    "starts_relayed", "start_relays_failed", "relayed_starts_sent"};
+
+constexpr std::array<std::string_view, traffic_count> traffic_names{
+    "other", "log_append", "log_read", "worker_poll", "worker_start", "worker_stop", "advice"};
 
 void append_line(
     std::string &text, std::string_view const name, std::string_view const label, std::uint64_t const value) {
@@ -23,8 +27,18 @@
     text.append(" ").append(std::to_string(value)).append("\n");
 }
 
+void append_bytes(
+    std::string &text, std::string_view const purpose, std::string_view const direction, std::uint64_t const value) {
+    text.append("kingcuplink_platform_bytes_total{purpose=\"").append(purpose);
+    text.append("\",direction=\"").append(direction).append("\"} ").append(std::to_string(value)).append("\n");
+}
+
 } // namespace internal
 
+std::string_view name_of(traffic const purpose) noexcept {
+    return internal::traffic_names[static_cast<std::size_t>(purpose)];
+}
+
 std::string counters::prometheus_text() const {
     std::string text{"# TYPE kingcuplink_refusals_total counter\n"};
     for(auto const &row: refusal_table()) {
@@ -38,6 +52,11 @@
     for(std::size_t pos{}; pos < event_count; ++pos) {
         internal::append_line(text, internal::event_names[pos], {}, value(static_cast<event>(pos)));
     }
+    for(std::size_t pos{}; pos < traffic_count; ++pos) {
+        auto const purpose = static_cast<traffic>(pos);
+        internal::append_bytes(text, name_of(purpose), "sent", bytes_sent(purpose));
+        internal::append_bytes(text, name_of(purpose), "received", bytes_received(purpose));
+    }
     return text;
 }
 
--- a/src/kingcuplink/core/counters.hpp
+++ b/src/kingcuplink/core/counters.hpp
@@ -52,13 +52,25 @@
     unknown_run_listed,
     concurrent_run_listed,
     start_confirmed_late,
+    start_relayed,
+    start_relay_failed,
+    relayed_start_sent,
     count
 };
 
+/*! Purpose of calls to the platform, by which their bytes are counted. */
+enum class traffic : std::uint8_t { other, log_append, log_read, worker_poll, worker_start, worker_stop, advice, count };
+
+/*! Number of purposes. */
+inline constexpr std::size_t traffic_count = static_cast<std::size_t>(traffic::count);
+
+/*! Returns the name of a purpose. */
+[[nodiscard]] std::string_view name_of(traffic purpose) noexcept;
+
 /*! Number of events. */
 inline constexpr std::size_t event_count = static_cast<std::size_t>(event::count);
 
-/*! Event, refusal and retry counters of a process. Thread safe. */
+/*! Event, refusal, retry and byte counters of a process. Thread safe. */
 class counters {
 public:
     /*! Counts a refusal. */
@@ -76,6 +88,22 @@
         events_[static_cast<std::size_t>(what)].fetch_add(amount, std::memory_order_relaxed);
     }
 
+    /*! Adds the bytes of a call, without those of the transport, to the counters of its purpose. */
+    void add(traffic const purpose, std::uint64_t const sent, std::uint64_t const received) noexcept {
+        sent_[static_cast<std::size_t>(purpose)].fetch_add(sent, std::memory_order_relaxed);
+        received_[static_cast<std::size_t>(purpose)].fetch_add(received, std::memory_order_relaxed);
+    }
+
+    /*! Returns the number of bytes sent for a purpose. */
+    [[nodiscard]] std::uint64_t bytes_sent(traffic const purpose) const noexcept {
+        return sent_[static_cast<std::size_t>(purpose)].load(std::memory_order_relaxed);
+    }
+
+    /*! Returns the number of bytes received for a purpose. */
+    [[nodiscard]] std::uint64_t bytes_received(traffic const purpose) const noexcept {
+        return received_[static_cast<std::size_t>(purpose)].load(std::memory_order_relaxed);
+    }
+
     /*! Returns the value of a counter. */
     [[nodiscard]] std::uint64_t value(refusal const reason) const noexcept {
         return refusals_[static_cast<std::size_t>(reason)].load(std::memory_order_relaxed);
@@ -96,6 +124,8 @@
     cells<refusal_count> refusals_{};
     cells<retry_reason_count> retries_{};
     cells<event_count> events_{};
+    cells<traffic_count> sent_{};
+    cells<traffic_count> received_{};
 };
 
 } // namespace kingcuplink
--- a/src/kingcuplink/platform/http_client.cpp
+++ b/src/kingcuplink/platform/http_client.cpp
@@ -66,6 +66,7 @@
     stream->expires_after(options.timeout);
     auto const sent = co_await internal::http::async_write(*stream, request, token);
     stats_.add(event::control_bytes_sent, sent);
+    stats_.add(options.purpose, sent, 0u);
     if(error) {
         stats_.add(event::connection_discarded);
         discard_idle(address);
@@ -77,6 +78,7 @@
     parser.header_limit(config::header_limit);
     auto const received = co_await internal::http::async_read(*stream, buffer, parser, token);
     stats_.add(event::control_bytes_received, received);
+    stats_.add(options.purpose, 0u, received);
     if(error) {
         stats_.add(event::connection_discarded);
         if(result.reused) {
@@ -95,16 +97,16 @@
 boost::asio::awaitable<std::pair<exchange, boost::json::value>> http_client::send_json(std::string address,
     boost::beast::http::verb const verb, std::string target, boost::json::value body, millis const timeout) {
     http_request request{verb, target, 11};
-    co_return co_await send_json(std::move(address), std::move(request), std::move(body), timeout);
+    exchange_options const options{.timeout = timeout};
+    co_return co_await send_json(std::move(address), std::move(request), std::move(body), options);
 }
 
 boost::asio::awaitable<std::pair<exchange, boost::json::value>> http_client::send_json(
-    std::string address, http_request request, boost::json::value body, millis const timeout) {
+    std::string address, http_request request, boost::json::value body, exchange_options const options) {
     if(!body.is_null()) {
         request.set(internal::http::field::content_type, "application/json");
         request.body() = boost::json::serialize(body);
     }
-    exchange_options const options{.timeout = timeout};
     std::pair<exchange, boost::json::value> result;
     result.first = co_await send(std::move(address), std::move(request), options);
     if(result.first.outcome == attempt_outcome::answered) {
--- a/src/kingcuplink/platform/http_client.hpp
+++ b/src/kingcuplink/platform/http_client.hpp
@@ -30,6 +30,8 @@
     std::uint64_t body_limit{config::control_body_limit};
     /*! Connections that were last used before this time are not reused. */
     instant distrust_before{};
+    /*! Counter of the bytes that are sent and received. */
+    traffic purpose{traffic::other};
 };
 
 /*! Result of an exchange. */
@@ -68,7 +70,7 @@
 
     /*! Sends JSON as the body of a prepared request and parses the answer like the overload above. */
     boost::asio::awaitable<std::pair<exchange, boost::json::value>> send_json(
-        std::string address, http_request request, boost::json::value body, millis timeout);
+        std::string address, http_request request, boost::json::value body, exchange_options options);
 
     /*! Closes connections that have been idle for longer than config::idle_limit. */
     void close_expired();
