--- a/src/kingcuplink/site/keyed_reader.cpp
+++ b/src/kingcuplink/site/keyed_reader.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+#include <iterator>
 #include <kingcuplink/platform/http_client.hpp>
 #include <kingcuplink/site/keyed_reader.hpp>
 #include <utility>
@@ -10,11 +12,14 @@
     if(!synced_) {
         co_return co_await read_snapshot();
     }
+    advance();
     auto const sent_at = current_time();
     auto answer = co_await log_.read(stream_, offset_, wait);
     switch(answer.outcome) {
     case read_outcome::done:
+        std::erase_if(answer.records, [this](auto const &record) { return is_excluded(record.offset); });
         offset_ = answer.next;
+        advance();
         behind_ = offset_ < answer.end;
         if(!behind_) {
             fresh_at_ = sent_at;
@@ -29,8 +34,30 @@
     co_return std::nullopt;
 }
 
+bool keyed_reader::skip(std::uint64_t const from, std::size_t const count) {
+    if(!synced_ || from < offset_) {
+        return false;
+    }
+    excluded_.emplace(from, from + count);
+    skipped_ += count;
+    return true;
+}
+
+bool keyed_reader::is_excluded(std::uint64_t const offset) const {
+    auto const next = excluded_.upper_bound(offset);
+    return next != excluded_.begin() && offset < std::prev(next)->second;
+}
+
+void keyed_reader::advance() {
+    while(!excluded_.empty() && excluded_.begin()->first <= offset_) {
+        offset_ = std::max(offset_, excluded_.begin()->second);
+        excluded_.erase(excluded_.begin());
+    }
+}
+
 boost::asio::awaitable<std::optional<keyed_batch>> keyed_reader::read_snapshot() {
     keyed_batch batch{true, {}};
+    excluded_.clear();
     auto const sent_at = current_time();
     std::optional<std::uint64_t> end;
     std::string after;
--- a/src/kingcuplink/site/keyed_reader.hpp
+++ b/src/kingcuplink/site/keyed_reader.hpp
@@ -30,6 +30,18 @@
      */
     boost::asio::awaitable<std::optional<keyed_batch>> next(millis wait);
 
+    /*!
+     * Excludes records from the next reads, because the caller has appended and applied them itself.
+     * @param from Offset of the first record.
+     * @return False if they may already have been read, or while there is no snapshot: the caller must not apply them.
+     */
+    bool skip(std::uint64_t from, std::size_t count);
+
+    /*! Returns the number of records that were excluded so far. */
+    [[nodiscard]] std::uint64_t skipped() const noexcept {
+        return skipped_;
+    }
+
     /*! Returns the offset of the first record that has not been delivered. */
     [[nodiscard]] std::uint64_t offset() const noexcept {
         return offset_;
@@ -52,10 +64,16 @@
 
 private:
     boost::asio::awaitable<std::optional<keyed_batch>> read_snapshot();
+    [[nodiscard]] bool is_excluded(std::uint64_t offset) const;
+    /*! Advances the offset over excluded records. */
+    void advance();
 
     keyed_log &log_;
     log_stream stream_;
     std::uint64_t offset_{};
+    /*! Ends of the ranges of excluded records, by their first offsets. */
+    std::map<std::uint64_t, std::uint64_t> excluded_;
+    std::uint64_t skipped_{};
     bool synced_{};
     bool behind_{};
     instant fresh_at_{};
