--- a/src/kingcuplink/core/counters.hpp
+++ b/src/kingcuplink/core/counters.hpp
@@ -59,7 +59,16 @@
 };
 
 /*! Purpose of calls to the platform, by which their bytes are counted. */
-enum class traffic : std::uint8_t { other, log_append, log_read, worker_poll, worker_start, worker_stop, advice, count };
+enum class traffic : std::uint8_t {
+    other,
+    log_append,
+    log_read,
+    worker_poll,
+    worker_start,
+    worker_stop,
+    advice,
+    count
+};
 
 /*! Number of purposes. */
 inline constexpr std::size_t traffic_count = static_cast<std::size_t>(traffic::count);
--- a/src/kingcuplink/daemon/settings.cpp
+++ b/src/kingcuplink/daemon/settings.cpp
@@ -4,6 +4,7 @@
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
 #include <array>
+#include <cmath>
 #include <kingcuplink/core/flag_environment.hpp>
 #include <kingcuplink/daemon/settings.hpp>
 #include <kingcuplink/platform/http_client.hpp>
@@ -36,6 +37,10 @@
 ABSL_FLAG(double, processor_share, 0.0,
     "With a store: processor cores of this entry VM, 0 (unknown) to 1024. Entry VMs with many cores are preferred as "
     "fleet leader.");
+ABSL_FLAG(double, link_mbps, 0.0,
+    "With a store: speed of this entry VM's link in Mbit/s, 0 (unknown) to 400000. A leader whose starts fill a slow "
+    "link "
+    "has them relayed by the other entry VMs.");
 ABSL_FLAG(int, status_time_s, 120, "With a store: time for which the state of an ended job is reported, 1 to 86400 s.");
 ABSL_FLAG(int, shutdown_time_ms, 5000, "With a store: maximum time between SIGTERM and exit, 500 to 600000 ms.");
 
@@ -43,16 +48,17 @@
 
 namespace internal {
 
-constexpr std::array<std::string_view, 20u> setting_names{"name", "failure_domain", "http_address", "peer_address",
+constexpr std::array<std::string_view, 21u> setting_names{"name", "failure_domain", "http_address", "peer_address",
     "platform_address", "traffic_threads", "drain_grace_ms", "drain_limit_ms", "allow_faults", "platform",
     "callers_address", "readiness_address", "metrics_address", "log_address", "adviser_address", "lease_limit_ms",
-    "command_delay_limit_ms", "processor_share", "status_time_s", "shutdown_time_ms"};
+    "command_delay_limit_ms", "processor_share", "link_mbps", "status_time_s", "shutdown_time_ms"};
 constexpr std::string_view name_rule{"1 to 63 of a-z, 0-9 and -"};
 constexpr std::string_view address_rule{"an IP address and a port, such as 10.0.0.1:8080"};
 constexpr int max_threads = 64;
 constexpr int max_drain_ms = 600'000;
 constexpr int max_status_s = 86'400;
 constexpr double max_cores = 1'024.0;
+constexpr double max_link_mbps = 400'000.0;
 constexpr double millicores_per_core = 1'000.0;
 
 std::string setting_error(std::string_view const flag, std::string_view const value, std::string_view const allowed) {
@@ -176,6 +182,10 @@
     if(!(cores >= 0.0 && cores <= max_cores)) {
         return setting_error("processor_share", std::to_string(cores), "from 0 to 1024");
     }
+    auto const link = absl::GetFlag(FLAGS_link_mbps);
+    if(!(link >= 0.0 && link <= max_link_mbps)) {
+        return setting_error("link_mbps", std::to_string(link), "from 0 to 400000");
+    }
     auto const lease_limit = absl::GetFlag(FLAGS_lease_limit_ms);
     auto const command_delay_limit = absl::GetFlag(FLAGS_command_delay_limit_ms);
     auto const status_time = absl::GetFlag(FLAGS_status_time_s);
@@ -187,6 +197,7 @@
         {"shutdown_time_ms", shutdown_time, 500, max_drain_ms},
     }};
     settings.processor_millicores = static_cast<std::uint32_t>(cores * millicores_per_core);
+    settings.link_mbps = static_cast<std::uint32_t>(std::ceil(link));
     settings.lease_limit = millis{lease_limit};
     settings.command_delay_limit = millis{command_delay_limit};
     settings.status_time = std::chrono::seconds{status_time};
--- a/src/kingcuplink/site/fleet_leader.cpp
+++ b/src/kingcuplink/site/fleet_leader.cpp
@@ -34,22 +34,26 @@
 } // namespace internal
 
 fleet_leader::fleet_leader(node_parts const parts, peer_link &peers, std::uint64_t const term,
-    std::uint64_t const sequence, instant const claimed_at, fenced_listener on_fenced, end_listener on_end)
+    std::uint64_t const sequence, instant const claimed_at, fenced_listener on_fenced, commit_listener on_commit)
     : parts_{parts},
       peers_{peers},
       term_{term},
       sequence_{sequence},
       on_fenced_{std::move(on_fenced)},
-      on_end_{std::move(on_end)},
+      on_commit_{std::move(on_commit)},
       dispatcher_{leader_limits(parts.settings.lease_limit, parts.settings.command_delay_limit), current_time()},
       registrations_{parts.log, log_stream::workers},
+      queries_{parts, peers, term,
+          [this](std::string const &asker, advice_query const &query, advice_queries::grants const &grants) {
+              settle_question(asker, query, grants);
+          }},
+      relay_{parts, peers, known_peers_, term},
+      load_{parts.stats, current_time()},
       clocks_{parts.settings.lease_limit},
       plan_wakeup_{parts.context},
       append_wakeup_{parts.context},
       leader_since_{current_time()},
-      appended_at_{claimed_at} {
-    advisers_.add(parts_.settings.name);
-}
+      appended_at_{claimed_at} {}
 
 void fleet_leader::start() {
     auto const self = shared_from_this();
@@ -296,7 +300,7 @@
 
 void fleet_leader::plan() {
     auto const now = current_time();
-    remove_silent_advisers(now);
+    remove_silent_peers(now);
     dispatch_plan decided;
     dispatcher_.plan(now, decided);
     log_run_changes();
@@ -304,7 +308,7 @@
         boost::asio::co_spawn(parts_.context, stop_run(shared_from_this(), std::move(stop)), fail_fast);
     }
     for(auto &query: decided.queries) {
-        ask(std::move(query));
+        queries_.ask(std::move(query), shared_from_this());
     }
     append_wakeup_.notify();
 }
@@ -384,6 +388,7 @@
                 append_time_ = current_time() - sent_at;
                 parts_.times.add(latency::log_append, append_time_);
                 parts_.stats.add(event::journal_appended);
+                on_commit_(answer.offset, chunk);
                 break;
             case append_outcome::fenced:
             case append_outcome::out_of_sequence:
@@ -411,9 +416,7 @@
     if(lease && !ended_ && may_extend_leases(now)) {
         dispatcher_.record_lease_extension(run.worker, lease->lapses_at);
         parts_.stats.add(event::task_start_sent);
-        worker_target target{run.worker, run.address};
-        answer = co_await parts_.workers.start(
-            std::move(target), run, token, lease->expires_at, timing::command_timeout);
+        answer = co_await send_start(run, token, lease->expires_at);
         parts_.times.add(latency::task_start, current_time() - now);
     }
     if(ended_) {
@@ -446,6 +449,26 @@
     append_wakeup_.notify();
 }
 
+boost::asio::awaitable<start_answer> fleet_leader::send_start(
+    run_start run, std::uint64_t const token, std::int64_t const expires_at) {
+    auto const *worker = dispatcher_.find_worker(run.worker);
+    auto domain = worker == nullptr ? std::string{} : worker->domain;
+    auto const relayed = co_await relay_.send(run, std::move(domain), token, expires_at);
+    if(relayed) {
+        co_return *relayed;
+    }
+    if(ended_ || !may_extend_leases(current_time())) {
+        co_return start_answer::not_sent;
+    }
+    worker_target target{run.worker, run.address};
+    co_return co_await parts_.workers.start(
+        std::move(target), std::move(run), token, expires_at, timing::command_timeout);
+}
+
+void fleet_leader::handle_start_reply(std::string const &peer, wire::start_reply const &reply) {
+    relay_.handle_reply(peer, reply);
+}
+
 boost::asio::awaitable<void> fleet_leader::stop_run([[maybe_unused]] self_pointer self, run_stop stop) {
     parts_.stats.add(event::task_stop_sent);
     worker_target target{stop.worker, stop.address};
@@ -464,8 +487,11 @@
 }
 
 boost::asio::awaitable<void> fleet_leader::run_heartbeats([[maybe_unused]] self_pointer self) {
-    while(!ended_) {
-        send_heartbeats();
+    for(std::uint64_t round{}; !ended_; ++round) {
+        for(auto const &receiver: known_peers_.heartbeat_receivers(round)) {
+            send_heartbeat(receiver);
+        }
+        report_load(current_time());
         co_await pause(timing::heartbeat_interval);
     }
 }
@@ -484,8 +510,7 @@
     if(ends.rows().empty()) {
         return;
     }
-    on_end_(ends);
-    for(auto const &[peer, entry]: known_peers_) {
+    for(auto const &peer: known_peers_.names()) {
         peers_.send(peer, message);
     }
 }
@@ -520,117 +545,63 @@
 }
 
 std::uint32_t fleet_leader::most_millicores() const noexcept {
-    auto most = parts_.settings.processor_millicores;
-    for(auto const &[peer, entry]: known_peers_) {
-        most = std::max(most, entry.processor_millicores);
-    }
-    return most;
+    return std::max(parts_.settings.processor_millicores, known_peers_.most_millicores());
 }
 
-void fleet_leader::send_heartbeats() {
-    // The entry VMs with the most processor time receive heartbeats, since they should lead next.
-    std::vector<std::pair<std::uint32_t, std::string_view>> receivers;
-    for(auto const &[peer, entry]: known_peers_) {
-        receivers.emplace_back(entry.processor_millicores, peer);
-    }
-    std::sort(receivers.begin(), receivers.end(), std::greater<>{});
-    receivers.resize(std::min(receivers.size(), timing::max_heartbeat_receivers));
+void fleet_leader::send_heartbeat(heartbeat_receiver const &receiver) {
     wire::envelope message;
     auto &heartbeat = *message.mutable_leader_beat();
     heartbeat.set_term(term_);
     heartbeat.set_log_age_ms(static_cast<std::uint64_t>(std::max(millis{}, current_time() - appended_at_).count()));
     heartbeat.set_most_millicores(most_millicores());
     heartbeat.set_append_ms(static_cast<std::uint64_t>(append_time_.count()));
-    for(auto const &[millicores, peer]: receivers) {
-        peers_.send(std::string{peer}, message);
-    }
+    heartbeat.set_interval_ms(static_cast<std::uint32_t>(receiver.interval.count()));
+    peers_.send(std::string{receiver.name}, message);
 }
 
-void fleet_leader::add_peer(std::string const &peer, wire::introduction const &introduction) {
-    peers_.connect(peer, introduction.peer_address());
-    advisers_.add(peer);
-    known_peers_[peer] = {current_time(), introduction.processor_millicores()};
-    dispatcher_.set_querying_vms(advisers_.size());
-}
-
-void fleet_leader::remove_silent_advisers(instant const now) {
-    for(auto entry = known_peers_.begin(); entry != known_peers_.end();) {
-        if(entry->second.seen_at + timing::adviser_silence > now) {
-            ++entry;
-            continue;
-        }
-        advisers_.remove(entry->first);
-        entry = known_peers_.erase(entry);
-        dispatcher_.set_querying_vms(advisers_.size());
+void fleet_leader::report_load(instant const now) {
+    if(!load_.is_due(now)) {
+        return;
     }
+    auto const figures = dispatcher_.figures(now);
+    auto fields = load_.next(parts_.stats, now);
+    fields["term"] = term_;
+    fields["jobs"] = figures.jobs;
+    fields["waiting_tasks"] = figures.waiting_tasks;
+    fields["runs"] = figures.runs;
+    fields["append_age_ms"] = (now - appended_at_).count();
+    fields["append_ms"] = append_time_.count();
+    parts_.decisions.write(decision::leader_load, std::move(fields));
 }
 
-void fleet_leader::ask(advice_query query) {
-    auto const now = current_time();
-    auto const booking = advisers_.assign(query.duration, now);
-    auto const limit = booking.ends_at - now + timing::advice_slack;
-    if(booking.name == parts_.settings.name) {
-        boost::asio::co_spawn(parts_.context, ask_adviser(shared_from_this(), std::move(query), limit), fail_fast);
-        return;
-    }
-    wire::envelope message;
-    auto &question = *message.mutable_advice_question();
-    question.set_id(++next_question_id_);
-    question.set_job(query.job);
-    question.set_step(query.step);
-    question.set_patience_ms(static_cast<std::uint64_t>(limit.count()));
-    for(auto const &worker: query.workers) {
-        question.add_workers(worker);
-    }
-    pending_questions_.emplace(next_question_id_, pending_question{booking.name, std::move(query)});
-    // A message that cannot be sent is treated like one without an answer.
-    auto const time = peers_.send(booking.name, message) ? limit : millis{};
-    boost::asio::co_spawn(parts_.context, expire_question(shared_from_this(), next_question_id_, time), fail_fast);
-}
-
-boost::asio::awaitable<void> fleet_leader::ask_adviser(
-    [[maybe_unused]] self_pointer self, advice_query query, millis const limit) {
-    auto const asked_at = current_time();
-    auto const grants = co_await parts_.advice.ask(query, limit);
-    if(grants) {
-        parts_.times.add(latency::advice, current_time() - asked_at);
-    }
-    if(!ended_) {
-        settle_question(parts_.settings.name, query, grants);
+void fleet_leader::add_peer(std::string const &peer, wire::introduction const &introduction) {
+    peers_.connect(peer, introduction.peer_address());
+    peer_introduction entry{introduction.failure_domain(), introduction.processor_millicores(), introduction.process(),
+        introduction.sent_at_ms()};
+    if(known_peers_.introduce(peer, std::move(entry), current_time())) {
+        queries_.add_vm(peer);
+        dispatcher_.set_querying_vms(queries_.vms());
+        send_heartbeat({peer, timing::slow_heartbeat_interval});
     }
 }
 
-boost::asio::awaitable<void> fleet_leader::expire_question(
-    [[maybe_unused]] self_pointer self, std::uint64_t const id, millis const time) {
-    co_await pause(time);
-    if(auto const found = pending_questions_.find(id); found != pending_questions_.end() && !ended_) {
-        auto const question = std::move(found->second);
-        pending_questions_.erase(found);
-        settle_question(question.peer, question.query, std::nullopt);
+void fleet_leader::remove_silent_peers(instant const now) {
+    for(auto const &name: known_peers_.remove_silent(now)) {
+        queries_.remove_vm(name);
+        dispatcher_.set_querying_vms(queries_.vms());
     }
 }
 
 void fleet_leader::take_advice(std::string const &peer, wire::advice_answer const &answer) {
-    auto const found = pending_questions_.find(answer.id());
-    if(found == pending_questions_.end() || found->second.peer != peer || ended_) {
-        return;
-    }
-    auto const question = std::move(found->second);
-    pending_questions_.erase(found);
-    std::optional<std::vector<advice_grant>> grants;
-    if(answer.answered()) {
-        grants.emplace();
-        for(auto const &grant: answer.grants()) {
-            grants->push_back({grant.worker(), grant.ticket()});
-        }
-    }
-    settle_question(peer, question.query, grants);
+    queries_.handle_answer(peer, answer);
 }
 
 void fleet_leader::settle_question(
-    std::string const &asker, advice_query const &query, std::optional<std::vector<advice_grant>> const &grants) {
+    std::string const &asker, advice_query const &query, advice_queries::grants const &grants) {
+    if(ended_) {
+        return;
+    }
     auto const now = current_time();
-    advisers_.release(asker, grants.has_value(), now);
     if(grants) {
         dispatcher_.take_advice(query, *grants, now);
     } else {
--- a/src/kingcuplink/site/fleet_leader.hpp
+++ b/src/kingcuplink/site/fleet_leader.hpp
@@ -2,17 +2,21 @@
 #define KINGCUPLINK_SITE_FLEET_LEADER_HPP_INCLUDED
 
 #include <functional>
+#include <kingcuplink/site/advice_queries.hpp>
 #include <kingcuplink/site/keyed_reader.hpp>
+#include <kingcuplink/site/leader_peers.hpp>
+#include <kingcuplink/site/load_report.hpp>
 #include <kingcuplink/site/node_parts.hpp>
+#include <kingcuplink/site/start_relay.hpp>
 #include <kingcuplink/site/wakeup.hpp>
 #include <kingcuplink/site/worker_clocks.hpp>
 #include <kingcuplink/wire/peer_link.hpp>
-#include <kingcuplink/workflow/adviser_pool.hpp>
 #include <kingcuplink/workflow/dispatcher.hpp>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -28,8 +32,8 @@
     /*! Called once when the log or a worker rejects the term because it has received a higher one. */
     using fenced_listener = std::function<void()>;
 
-    /*! Called with jobs that ended, after their final phases were committed to the log. */
-    using end_listener = std::function<void(wire::job_ends const &)>;
+    /*! Called with records that the leader appended to the log, and the offset of the first one. */
+    using commit_listener = std::function<void(std::uint64_t offset, std::span<keyed_record const>)>;
 
     /*!
      * Constructs a leader; the references must outlive it.
@@ -37,7 +41,7 @@
      * @param claimed_at When that append was first sent; a later leader may have claimed a higher term since.
      */
     fleet_leader(node_parts parts, peer_link &peers, std::uint64_t term, std::uint64_t sequence, instant claimed_at,
-        fenced_listener on_fenced, end_listener on_end);
+        fenced_listener on_fenced, commit_listener on_commit);
 
     /*! Starts the leader. Must be called once, after the rules and all jobs were added. */
     void start();
@@ -60,12 +64,15 @@
     /*! Cancels a job on a caller's request. */
     void cancel_job(std::string const &id);
 
-    /*! Registers or refreshes an entry VM that introduced itself and can send questions to the adviser. */
+    /*! Registers or refreshes an entry VM that introduced itself: it queries the adviser and relays starts. */
     void add_peer(std::string const &peer, wire::introduction const &introduction);
 
     /*! Handles the adviser's answer that another entry VM forwarded. */
     void take_advice(std::string const &peer, wire::advice_answer const &answer);
 
+    /*! Handles another entry VM's answer to a relayed start. */
+    void handle_start_reply(std::string const &peer, wire::start_reply const &reply);
+
     /*! Schedules the removal of jobs from the log. */
     void remove_jobs(std::vector<std::string> const &ids);
 
@@ -77,18 +84,6 @@
     [[nodiscard]] dispatch_statistics figures() const;
 
 private:
-    /*! Entry VM that introduced itself. */
-    struct peer_entry {
-        instant seen_at{};
-        std::uint32_t processor_millicores{};
-    };
-
-    /*! Question that another entry VM sends to the adviser on the leader's behalf. */
-    struct pending_question {
-        std::string peer;
-        advice_query query;
-    };
-
     /*! Mode of polling a worker for its runs. */
     enum class poll_mode : std::uint8_t {
         /*! The worker may delay its answer until a run ends; leases are extended, and completions acknowledged. */
@@ -110,8 +105,9 @@
     boost::asio::awaitable<void> poll_immediately(self_pointer self, std::string worker);
     boost::asio::awaitable<void> run_planner(self_pointer self);
     boost::asio::awaitable<void> run_heartbeats(self_pointer self);
-    void send_heartbeats();
+    void send_heartbeat(heartbeat_receiver const &receiver);
     [[nodiscard]] std::uint32_t most_millicores() const noexcept;
+    void report_load(instant now);
     void notify_job_ends(progress_batch const &batch);
     void log_run_changes();
     void log_unknown_run(unknown_run const &run);
@@ -120,14 +116,12 @@
     boost::asio::awaitable<bool> append_records(std::vector<keyed_record> records);
     [[nodiscard]] keyed_record own_claim() const;
     boost::asio::awaitable<void> start_run(self_pointer self, run_start run);
+    /*! Sends a start, through another entry VM while the load calls for it. */
+    boost::asio::awaitable<start_answer> send_start(run_start run, std::uint64_t token, std::int64_t expires_at);
     boost::asio::awaitable<void> stop_run(self_pointer self, run_stop stop);
-    boost::asio::awaitable<void> ask_adviser(self_pointer self, advice_query query, millis limit);
-    boost::asio::awaitable<void> expire_question(self_pointer self, std::uint64_t id, millis time);
-    void ask(advice_query query);
-    void settle_question(
-        std::string const &asker, advice_query const &query, std::optional<std::vector<advice_grant>> const &grants);
+    void settle_question(std::string const &asker, advice_query const &query, advice_queries::grants const &grants);
     void plan();
-    void remove_silent_advisers(instant now);
+    void remove_silent_peers(instant now);
     /*! Ends the leadership because a higher term exists. */
     void fenced(std::string_view by);
     [[nodiscard]] std::uint64_t token_for(std::string const &worker) const;
@@ -138,13 +132,13 @@
     std::uint64_t term_;
     std::uint64_t sequence_;
     fenced_listener on_fenced_;
-    end_listener on_end_;
+    commit_listener on_commit_;
     dispatcher dispatcher_;
     keyed_reader registrations_;
-    adviser_pool advisers_;
-    std::map<std::string, peer_entry> known_peers_;
-    std::map<std::uint64_t, pending_question> pending_questions_;
-    std::uint64_t next_question_id_{};
+    leader_peers known_peers_;
+    advice_queries queries_;
+    start_relay relay_;
+    load_report load_;
     worker_clocks clocks_;
     std::set<std::string> watched_;
     /*! Reasons of rejected registrations, by key. */
--- a/src/kingcuplink/site/fwd.hpp
+++ b/src/kingcuplink/site/fwd.hpp
@@ -15,6 +15,18 @@
 
 class worker_clocks;
 
+class advice_queries;
+
+class leader_peers;
+
+class load_report;
+
+class record_appender;
+
+class relay_policy;
+
+class start_relay;
+
 class fleet_leader;
 
 class site_node;
--- a/src/kingcuplink/site/leader_watch.cpp
+++ b/src/kingcuplink/site/leader_watch.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 #include <kingcuplink/core/hash.hpp>
 #include <kingcuplink/site/leader_watch.hpp>
 #include <kingcuplink/site/timing.hpp>
@@ -6,6 +7,17 @@
 
 namespace kingcuplink {
 
+namespace internal {
+
+constexpr std::array<std::string_view, 6u> claim_reason_names{
+    "no_leader", "leader_resigned", "own_former_process", "leader_silent", "appends_faster", "leader_stalled"};
+
+} // namespace internal
+
+std::string_view name_of(claim_reason const reason) noexcept {
+    return internal::claim_reason_names[static_cast<std::size_t>(reason)];
+}
+
 leader_watch::leader_watch(std::string own_name, std::uint32_t const own_millicores)
     : own_name_{std::move(own_name)}, own_millicores_{own_millicores} {}
 
@@ -14,12 +26,30 @@
     if(claim.term < claim_.term) {
         return false;
     }
+    if(claim.term > claim_.term) {
+        count_replacement(now);
+    }
     auto const is_change = claim.term > claim_.term || claim.resigned != claim_.resigned;
     claim_ = std::move(claim);
     claim_backoff_ = is_change ? millis{} : claim_backoff_;
     return is_change;
 }
 
+void leader_watch::count_replacement(instant const now) noexcept {
+    auto const was_stalled = has_heartbeats() && !claim_.resigned &&
+        heartbeat_received_at_ + heartbeat_.interval + timing::heartbeat_timeout > now &&
+        heartbeat_.log_age > timing::replaceable_leader_timeout;
+    if(!was_stalled) {
+        replacement_backoff_ = {};
+    } else if(claim_applied_at_ + timing::max_replacement_backoff < now) {
+        replacement_backoff_ = timing::replacement_backoff;
+    } else {
+        replacement_backoff_ = std::clamp(
+            replacement_backoff_ * 2, timing::replacement_backoff, timing::max_replacement_backoff);
+    }
+    claim_applied_at_ = now;
+}
+
 void leader_watch::record_leader_activity(instant const now) noexcept {
     leader_record_at_ = now;
 }
@@ -50,7 +80,8 @@
 }
 
 bool leader_watch::accepts_records(instant const now) const noexcept {
-    return has_heartbeats() && heartbeat_received_at_ + timing::relay_heartbeat_age > now &&
+    auto const extra_interval = std::max(millis{}, heartbeat_.interval - timing::heartbeat_interval);
+    return has_heartbeats() && heartbeat_received_at_ + timing::relay_heartbeat_age + extra_interval > now &&
         heartbeat_.log_age < timing::stalled_leader_timeout;
 }
 
@@ -58,32 +89,44 @@
     return other > 0u && millicores / 2u >= other;
 }
 
-bool leader_watch::should_claim(instant const read_at, instant const now) const noexcept {
+millis leader_watch::silence_limit() const noexcept {
+    auto const has_frequent_heartbeats = has_heartbeats() && heartbeat_.interval <= timing::heartbeat_interval;
+    return has_frequent_heartbeats ? timing::heartbeat_timeout : timing::leader_record_timeout;
+}
+
+std::optional<claim_reason> leader_watch::reason_to_claim(instant const read_at, instant const now) const noexcept {
     // Unread records may contain the claim of a new leader.
     auto const is_behind = read_at + timing::jobs_wait + timing::claim_freshness <= now;
     if(is_behind || now < next_claim_at_) {
-        return false;
+        return std::nullopt;
     }
     if(claim_.term == 0u || claim_.resigned || claim_.name == own_name_) {
-        // There is no leader, or the leader was an earlier process of this entry VM.
-        return leader_record_at_ + claim_delay() < now;
+        if(leader_record_at_ + claim_delay() >= now) {
+            return std::nullopt;
+        }
+        return claim_.term == 0u ? claim_reason::no_leader
+            : claim_.resigned    ? claim_reason::leader_resigned
+                                 : claim_reason::own_former_process;
     }
-    auto const silence_limit = has_heartbeats() ? timing::heartbeat_timeout : timing::leader_record_timeout;
-    if(std::max(leader_record_at_, heartbeat_received_at_) + silence_limit + claim_delay() < now) {
-        return true;
+    if(std::max(leader_record_at_, heartbeat_received_at_) + silence_limit() + claim_delay() < now) {
+        return claim_reason::leader_silent;
     }
-    return is_leader_stalled();
+    return reason_to_replace(now);
 }
 
-bool leader_watch::is_leader_stalled() const noexcept {
-    if(!has_heartbeats()) {
-        return false;
+std::optional<claim_reason> leader_watch::reason_to_replace(instant const now) const noexcept {
+    if(!has_heartbeats() || claim_applied_at_ + replacement_backoff_ > now) {
+        return std::nullopt;
     }
     // A log that is slow for this entry VM too does not justify replacing the leader.
     auto const can_append_instead = own_append_at_ + timing::own_append_age > heartbeat_received_at_ &&
         heartbeat_.log_age > timing::replaceable_leader_timeout + own_append_took_ * timing::relay_appends;
-    return can_append_instead ||
-        heartbeat_.log_age > timing::stalled_leader_timeout + claim_delay() * timing::stalled_claim_spread_factor;
+    if(can_append_instead) {
+        return claim_reason::appends_faster;
+    }
+    auto const is_stalled = heartbeat_.log_age >
+        timing::stalled_leader_timeout + claim_delay() * timing::stalled_claim_spread_factor;
+    return is_stalled ? std::optional{claim_reason::leader_stalled} : std::nullopt;
 }
 
 millis leader_watch::claim_delay() const noexcept {
--- a/src/kingcuplink/site/leader_watch.hpp
+++ b/src/kingcuplink/site/leader_watch.hpp
@@ -4,7 +4,9 @@
 #include <cstdint>
 #include <kingcuplink/core/time.hpp>
 #include <kingcuplink/site/record_codec.hpp>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace kingcuplink {
 
@@ -25,8 +27,27 @@
     millis append_time{};
     /*! Processor time of the largest entry VM that the leader knows, in thousandths of a core. */
     std::uint32_t most_millicores{};
+    /*! Time until the leader's next heartbeat to this entry VM. */
+    millis interval{};
 };
 
+/*! Reason for which an entry VM claims leadership. */
+enum class claim_reason : std::uint8_t {
+    no_leader,
+    leader_resigned,
+    /*! The leader was an earlier process of this entry VM. */
+    own_former_process,
+    /*! Neither heartbeats nor records of the leader arrive. */
+    leader_silent,
+    /*! The leader's appends are not done, but those of this entry VM are. */
+    appends_faster,
+    /*! The leader's appends have not been done for so long that it is replaced by any entry VM. */
+    leader_stalled
+};
+
+/*! Returns the name of a reason. */
+[[nodiscard]] std::string_view name_of(claim_reason reason) noexcept;
+
 /*!
  * Failure detector for the fleet's leader: decides when an entry VM should claim leadership. It performs
  * no I/O and reads no clock. Safety does not depend on it, since the log accepts one claim per term only.
@@ -77,15 +98,24 @@
     /*! Returns whether records may be relayed to the leader: its heartbeats arrive and its appends succeed. */
     [[nodiscard]] bool accepts_records(instant now) const noexcept;
 
+    /*! Returns the time since the leader's latest append as of its latest heartbeat. */
+    [[nodiscard]] millis leader_log_age() const noexcept {
+        return heartbeat_.log_age;
+    }
+
     /*!
-     * Returns whether this entry VM should claim leadership.
+     * Returns why this entry VM should claim leadership, or nothing.
      * @param read_at When the latest read that reached the end of the log was sent.
      */
-    [[nodiscard]] bool should_claim(instant read_at, instant now) const noexcept;
+    [[nodiscard]] std::optional<claim_reason> reason_to_claim(instant read_at, instant now) const noexcept;
 
 private:
-    /*! Returns whether the leader sends heartbeats but no longer appends, so that it has to be replaced. */
-    [[nodiscard]] bool is_leader_stalled() const noexcept;
+    /*! Returns why a leader that sends heartbeats but no longer appends has to be replaced, or nothing. */
+    [[nodiscard]] std::optional<claim_reason> reason_to_replace(instant now) const noexcept;
+    /*! Updates the time before the next replacement of a stalled leader for a claim of a higher term. */
+    void count_replacement(instant now) noexcept;
+    /*! Returns the time without heartbeats and records after which the leader counts as silent. */
+    [[nodiscard]] millis silence_limit() const noexcept;
     /*! Returns how long this entry VM delays a claim so that the claims of several entry VMs are spread. */
     [[nodiscard]] millis claim_delay() const noexcept;
 
@@ -99,6 +129,8 @@
     millis own_append_took_{};
     instant next_claim_at_{};
     millis claim_backoff_{};
+    instant claim_applied_at_{};
+    millis replacement_backoff_{};
 };
 
 } // namespace kingcuplink
--- /dev/null
+++ b/src/kingcuplink/site/load_report.cpp
@@ -0,0 +1,46 @@
+#include <algorithm>
+#include <chrono>
+#include <kingcuplink/site/load_report.hpp>
+#include <kingcuplink/site/timing.hpp>
+#include <string>
+
+namespace kingcuplink {
+
+load_report::load_report(counters const &stats, instant const now) : reported_{read(stats)}, reported_at_{now} {}
+
+bool load_report::is_due(instant const now) const noexcept {
+    return reported_at_ + timing::load_report_interval <= now;
+}
+
+boost::json::object load_report::next(counters const &stats, instant const now) {
+    constexpr std::uint64_t millis_per_second = 1'000u;
+    auto const current = read(stats);
+    auto const elapsed = static_cast<std::uint64_t>(std::max<std::int64_t>(1, (now - reported_at_).count()));
+    auto const rate = [elapsed](std::uint64_t const after, std::uint64_t const before) {
+        return (after - before) * millis_per_second / elapsed;
+    };
+    boost::json::object sent{{"peers", rate(current.peers_sent, reported_.peers_sent)}};
+    boost::json::object received{{"peers", rate(current.peers_received, reported_.peers_received)}};
+    for(std::size_t pos{}; pos < traffic_count; ++pos) {
+        auto const name = name_of(static_cast<traffic>(pos));
+        boost::json::string_view const key{name.data(), name.size()};
+        sent[key] = rate(current.sent[pos], reported_.sent[pos]);
+        received[key] = rate(current.received[pos], reported_.received[pos]);
+    }
+    reported_ = current;
+    reported_at_ = now;
+    return {{"sent", std::move(sent)}, {"received", std::move(received)}};
+}
+
+load_report::totals load_report::read(counters const &stats) {
+    totals result;
+    for(std::size_t pos{}; pos < traffic_count; ++pos) {
+        result.sent[pos] = stats.bytes_sent(static_cast<traffic>(pos));
+        result.received[pos] = stats.bytes_received(static_cast<traffic>(pos));
+    }
+    result.peers_sent = stats.value(event::peer_bytes_sent);
+    result.peers_received = stats.value(event::peer_bytes_received);
+    return result;
+}
+
+} // namespace kingcuplink
--- /dev/null
+++ b/src/kingcuplink/site/record_appender.cpp
@@ -0,0 +1,202 @@
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <kingcuplink/platform/http_client.hpp>
+#include <kingcuplink/platform/pause.hpp>
+#include <kingcuplink/site/record_appender.hpp>
+#include <kingcuplink/site/timing.hpp>
+#include <random>
+#include <utility>
+
+namespace kingcuplink {
+
+namespace internal {
+
+/*! Time limit for an append if the caller specifies none; longer time limits are reduced to it. */
+constexpr millis default_timeout{2'000};
+/*! Part of a caller's time limit that is reserved for the transmission of the answer. */
+constexpr millis answer_reserve{300};
+
+} // namespace internal
+
+record_appender::record_appender(
+    node_parts const parts, leader_watch &watch, peer_link &peers, commit_listener on_commit)
+    : parts_{parts},
+      watch_{watch},
+      peers_{peers},
+      on_commit_{std::move(on_commit)},
+      queue_wakeup_{parts.context},
+      // The leader may answer requests of an earlier process of this entry VM: their numbers must not recur.
+      next_relay_id_{(std::uint64_t{std::random_device{}()} << 32u) | std::random_device{}()} {}
+
+record_appender::pending_record_pointer record_appender::enqueue(keyed_record record, millis const timeout) {
+    auto item = std::make_shared<pending_record>(parts_.context);
+    item->record = std::move(record);
+    auto const reserve = std::min(internal::answer_reserve, timeout / 4);
+    auto const time = timeout > millis{} ? timeout - reserve : internal::default_timeout;
+    item->give_up_at = current_time() + std::min(time, internal::default_timeout);
+    pending_records_.push_back(item);
+    queue_wakeup_.notify();
+    return item;
+}
+
+boost::asio::awaitable<append_outcome> record_appender::append(keyed_record record, millis const timeout) {
+    auto const item = enqueue(std::move(record), timeout);
+    while(!item->is_settled && current_time() < item->give_up_at) {
+        co_await item->settled.wait(item->give_up_at - current_time());
+    }
+    if(!item->is_settled) {
+        // The append may still succeed, but the caller is answered that its outcome is unknown.
+        item->is_settled = true;
+        item->outcome = append_outcome::unknown;
+    }
+    co_return item->outcome;
+}
+
+boost::asio::awaitable<void> record_appender::run() {
+    while(true) {
+        co_await queue_wakeup_.wait(timing::slow_append);
+        if(pending_records_.empty()) {
+            continue;
+        }
+        co_await pause(timing::caller_batch_delay);
+        // Sends one append at a time, so that records are batched while the log is slow, unless an append is stuck.
+        if(appends_in_flight_ == 0u || last_append_sent_at_ + timing::slow_append < current_time()) {
+            boost::asio::co_spawn(parts_.context, append_pending(std::exchange(pending_records_, {})), fail_fast);
+        }
+    }
+}
+
+bool record_appender::leader_accepts_records() const {
+    return !is_leading_ && watch_.accepts_records(current_time());
+}
+
+boost::asio::awaitable<append_outcome> record_appender::relay_to_leader(
+    std::vector<pending_record_pointer> items, millis const timeout) {
+    wire::envelope message;
+    auto &request = *message.mutable_append_request();
+    auto const id = ++next_relay_id_;
+    request.set_id(id);
+    request.set_patience_ms(static_cast<std::uint64_t>(timeout.count()));
+    for(auto const &item: items) {
+        auto &record = *request.add_records();
+        record.set_key(item->record.key);
+        record.set_value(item->record.value.value_or(std::string{}));
+    }
+    auto const waiting = std::make_shared<relay>(parts_.context);
+    pending_relays_.emplace(id, waiting);
+    if(peers_.send(watch_.claim().name, message)) {
+        auto const give_up_at = current_time() + timeout;
+        while(!waiting->is_answered && leader_accepts_records() && current_time() < give_up_at) {
+            co_await waiting->answered.wait(timing::relay_check_interval);
+        }
+    } else {
+        waiting->outcome = append_outcome::refused;
+    }
+    pending_relays_.erase(id);
+    co_return waiting->outcome;
+}
+
+boost::asio::awaitable<append_answer> record_appender::append_directly(std::vector<keyed_record> records) {
+    auto const sent_at = current_time();
+    auto const answer = co_await parts_.log.append(log_stream::jobs, std::move(records), std::nullopt);
+    if(answer.outcome == append_outcome::done) {
+        watch_.record_own_append(current_time() - sent_at, current_time());
+        parts_.times.add(latency::log_append, current_time() - sent_at);
+    }
+    co_return answer;
+}
+
+boost::asio::awaitable<void> record_appender::append_pending(std::vector<pending_record_pointer> items) {
+    auto const settle = [](pending_record_pointer const &item, append_outcome const outcome) {
+        if(!item->is_settled) {
+            item->outcome = outcome;
+            item->is_settled = true;
+        }
+        item->settled.notify();
+    };
+    ++appends_in_flight_;
+    last_append_sent_at_ = current_time();
+    auto refusals = 0;
+    auto may_be_done = false;
+    auto retry = timing::log_retry;
+    if(leader_accepts_records()) {
+        // The leader batches the records of all entry VMs.
+        auto const outcome = co_await relay_to_leader(items, watch_.relay_time_limit());
+        may_be_done = outcome == append_outcome::unknown;
+        refusals += outcome == append_outcome::refused ? 1 : 0;
+        if(outcome == append_outcome::done) {
+            for(auto const &item: items) {
+                settle(item, append_outcome::done);
+            }
+            items.clear();
+        }
+    }
+    while(!items.empty()) {
+        std::vector<keyed_record> records;
+        records.reserve(items.size());
+        for(auto const &item: items) {
+            records.push_back(item->record);
+        }
+        auto const answer = co_await append_directly(std::move(records));
+        auto const is_done = answer.outcome == append_outcome::done;
+        may_be_done = may_be_done || answer.outcome == append_outcome::unknown;
+        refusals += answer.outcome == append_outcome::refused ? 1 : 0;
+        // A record that may be in the log is appended again, which is idempotent.
+        auto const failure = may_be_done ? append_outcome::unknown : append_outcome::refused;
+        auto const is_rejected = !may_be_done && refusals > 1;
+        auto const now = current_time();
+        std::erase_if(items, [&](auto const &item) {
+            if(!is_done && !is_rejected && item->give_up_at > now) {
+                return false;
+            }
+            settle(item, is_done ? append_outcome::done : failure);
+            return true;
+        });
+        if(!items.empty()) {
+            parts_.stats.add(event::log_append_failed);
+            co_await pause(retry);
+            retry = std::min(retry * 2, timing::max_log_retry);
+        }
+    }
+    --appends_in_flight_;
+    queue_wakeup_.notify();
+}
+
+boost::asio::awaitable<void> record_appender::answer_request(std::string peer, wire::append_request request) {
+    std::vector<pending_record_pointer> items;
+    auto const timeout = millis{static_cast<std::int64_t>(request.patience_ms())} + internal::answer_reserve;
+    for(auto const &record: request.records()) {
+        items.push_back(enqueue({record.key(), record.value()}, timeout));
+    }
+    auto is_done = true;
+    auto is_refused = true;
+    for(auto const &item: items) {
+        while(!item->is_settled && current_time() < item->give_up_at) {
+            co_await item->settled.wait(item->give_up_at - current_time());
+        }
+        is_done = is_done && item->is_settled && item->outcome == append_outcome::done;
+        is_refused = is_refused && item->is_settled && item->outcome == append_outcome::refused;
+    }
+    if(is_done) {
+        for(auto const &item: items) {
+            on_commit_(item->record);
+        }
+    }
+    wire::envelope message;
+    message.mutable_append_reply()->set_id(request.id());
+    message.mutable_append_reply()->set_done(is_done);
+    message.mutable_append_reply()->set_refused(is_refused);
+    peers_.send(peer, message);
+}
+
+void record_appender::handle_reply(wire::append_reply const &reply) {
+    if(auto const found = pending_relays_.find(reply.id()); found != pending_relays_.end()) {
+        found->second->outcome = reply.done() ? append_outcome::done
+            : reply.refused()                 ? append_outcome::refused
+                                              : append_outcome::unknown;
+        found->second->is_answered = true;
+        found->second->answered.notify();
+    }
+}
+
+} // namespace kingcuplink
--- /dev/null
+++ b/src/kingcuplink/site/record_appender.hpp
@@ -0,0 +1,96 @@
+#ifndef KINGCUPLINK_SITE_RECORD_APPENDER_HPP_INCLUDED
+#define KINGCUPLINK_SITE_RECORD_APPENDER_HPP_INCLUDED
+
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <functional>
+#include <kingcuplink/site/leader_watch.hpp>
+#include <kingcuplink/site/node_parts.hpp>
+#include <kingcuplink/site/wakeup.hpp>
+#include <kingcuplink/wire/peer_link.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace kingcuplink {
+
+/*!
+ * Appends callers' records to the log in batches: through the leader while it accepts records, otherwise directly.
+ * Must only be used on the control thread.
+ */
+class record_appender {
+public:
+    /*! Called with each record that was appended for another entry VM. */
+    using commit_listener = std::function<void(keyed_record const &)>;
+
+    /*! Constructs an appender; the references must outlive it. */
+    record_appender(node_parts parts, leader_watch &watch, peer_link &peers, commit_listener on_commit);
+
+    /*! Sends the batches; never returns. */
+    boost::asio::awaitable<void> run();
+
+    /*! Sets whether this entry VM leads, and therefore appends directly. */
+    void set_leading(bool const leads) noexcept {
+        is_leading_ = leads;
+    }
+
+    /*! Appends a caller's record and waits for the outcome; `unknown` once the time limit has expired. */
+    boost::asio::awaitable<append_outcome> append(keyed_record record, millis timeout);
+
+    /*! Appends the records that another entry VM relayed, and answers it. */
+    boost::asio::awaitable<void> answer_request(std::string peer, wire::append_request request);
+
+    /*! Handles the leader's answer to relayed records. */
+    void handle_reply(wire::append_reply const &reply);
+
+    /*! Returns whether records can be relayed to the leader. */
+    [[nodiscard]] bool leader_accepts_records() const;
+
+private:
+    /*! Record of a caller that is waiting for its append to the log. */
+    struct pending_record {
+        explicit pending_record(boost::asio::io_context &context) : settled{context} {}
+
+        keyed_record record;
+        instant give_up_at{};
+        append_outcome outcome{append_outcome::unknown};
+        bool is_settled{};
+        wakeup settled;
+    };
+
+    using pending_record_pointer = std::shared_ptr<pending_record>;
+
+    /*! Request to the leader to append records. */
+    struct relay {
+        explicit relay(boost::asio::io_context &context) : answered{context} {}
+
+        append_outcome outcome{append_outcome::unknown};
+        bool is_answered{};
+        wakeup answered;
+    };
+
+    pending_record_pointer enqueue(keyed_record record, millis timeout);
+    boost::asio::awaitable<append_outcome> relay_to_leader(std::vector<pending_record_pointer> items, millis timeout);
+    boost::asio::awaitable<void> append_pending(std::vector<pending_record_pointer> items);
+    /*! Appends the records to the log once and counts the append. */
+    boost::asio::awaitable<append_answer> append_directly(std::vector<keyed_record> records);
+
+    node_parts parts_;
+    leader_watch &watch_;
+    peer_link &peers_;
+    commit_listener on_commit_;
+    bool is_leading_{};
+    std::vector<pending_record_pointer> pending_records_;
+    wakeup queue_wakeup_;
+    /*! Number of appends of callers' records in progress, and when the latest was sent. */
+    std::size_t appends_in_flight_{};
+    instant last_append_sent_at_{};
+    /*! Unanswered requests to the leader, by identifier. */
+    std::map<std::uint64_t, std::shared_ptr<relay>> pending_relays_;
+    std::uint64_t next_relay_id_{};
+};
+
+} // namespace kingcuplink
+
+#endif
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -14,10 +14,6 @@
 namespace internal {
 
 constexpr std::size_t job_id_length = 16u;
-/*! Time limit for an append if the caller specifies none; longer time limits are reduced to it. */
-constexpr millis default_timeout{2'000};
-/*! Part of a caller's time limit that is reserved for the transmission of the answer. */
-constexpr millis answer_reserve{300};
 /*! Time without the log after which readiness is cleared, so that callers use other entry VMs; covers two more reads.
  */
 constexpr millis log_outage_grace{300};
@@ -25,6 +21,8 @@
 constexpr millis removal_interval{5'000};
 /*! Time between checks of the leader. */
 constexpr millis leader_check_interval{50};
+/*! Time between checks for the job of a relayed start. */
+constexpr millis relay_check_interval{20};
 /*! Time between clearing the readiness and resigning leadership, for the load balancer to react. */
 constexpr millis resign_delay{300};
 
@@ -63,18 +61,21 @@
     : parts_{parts},
       jobs_reader_{parts.log, log_stream::jobs},
       rules_reader_{parts.log, log_stream::rules},
-      queue_wakeup_{parts.context},
       watch_{parts.settings.name, parts.settings.processor_millicores},
       random_{std::random_device{}()},
-      peers_{parts.settings.name, parts.settings.peer_address, parts.stats, [this](wire::envelope message) {
-                 boost::asio::post(parts_.context, [this, message = std::move(message)]() { handle(message); });
-             }} {}
+      process_{random_()},
+      peers_{parts.settings.name, parts.settings.peer_address, parts.stats,
+          [this](wire::envelope message) {
+              boost::asio::post(parts_.context, [this, message = std::move(message)]() { handle(message); });
+          }},
+      appender_{parts, watch_, peers_, [this](keyed_record const &record) { apply(record); }} {}
 
 void site_node::start() {
-    for(auto const loop: {&site_node::follow_jobs, &site_node::follow_rules, &site_node::run_append_queue,
-            &site_node::watch_leader, &site_node::introduce}) {
+    for(auto const loop:
+        {&site_node::follow_jobs, &site_node::follow_rules, &site_node::watch_leader, &site_node::introduce}) {
         boost::asio::co_spawn(parts_.context, (this->*loop)(), fail_fast);
     }
+    boost::asio::co_spawn(parts_.context, appender_.run(), fail_fast);
 }
 
 // Callers.
@@ -136,7 +137,8 @@
         parts_.times.add(latency::acceptance, current_time() - job.accepted_at);
         parts_.decisions.write(decision::job_accepted,
             {{"job", id}, {"queue", job.queue}, {"account", job.account}, {"rules", rules_->version},
-                {"ms", (current_time() - job.accepted_at).count()}});
+                {"ms", (current_time() - job.accepted_at).count()},
+                {"log_age_ms", (current_time() - jobs_reader_.fresh_at()).count()}});
         define(std::move(job));
         co_return caller_answer{std::nullopt, job_phase::queued, std::nullopt};
     case append_outcome::unknown:
@@ -171,6 +173,14 @@
         outcome == append_outcome::unknown ? refusal::outcome_unknown : refusal::log_unavailable, id);
 }
 
+boost::asio::awaitable<append_outcome> site_node::append_record(keyed_record record, millis const timeout) {
+    if(!log_reachable_ && !appender_.leader_accepts_records()) {
+        // Fails fast so that the caller can try another entry VM.
+        co_return append_outcome::refused;
+    }
+    co_return co_await appender_.append(std::move(record), timeout);
+}
+
 bool site_node::is_fresh() const {
     return jobs_reader_.fresh_at() + timing::max_pending_age > current_time();
 }
@@ -203,144 +213,12 @@
     return {std::nullopt, std::nullopt, known_jobs_.pending(queue.name)};
 }
 
-site_node::pending_record_pointer site_node::enqueue_record(keyed_record record, millis const timeout) {
-    auto item = std::make_shared<pending_record>(parts_.context);
-    item->record = std::move(record);
-    auto const reserve = std::min(internal::answer_reserve, timeout / 4);
-    auto const time = timeout > millis{} ? timeout - reserve : internal::default_timeout;
-    item->give_up_at = current_time() + std::min(time, internal::default_timeout);
-    pending_records_.push_back(item);
-    queue_wakeup_.notify();
-    return item;
-}
-
-boost::asio::awaitable<append_outcome> site_node::append_record(keyed_record record, millis const timeout) {
-    if(!log_reachable_ && !leader_accepts_records()) {
-        // Fails fast so that the caller can try another entry VM.
-        co_return append_outcome::refused;
-    }
-    auto const item = enqueue_record(std::move(record), timeout);
-    while(!item->is_settled && current_time() < item->give_up_at) {
-        co_await item->settled.wait(item->give_up_at - current_time());
-    }
-    if(!item->is_settled) {
-        // The append may still succeed, but the caller is answered that its outcome is unknown.
-        item->is_settled = true;
-        item->outcome = append_outcome::unknown;
-    }
-    co_return item->outcome;
-}
-
-boost::asio::awaitable<void> site_node::run_append_queue() {
-    while(true) {
-        co_await queue_wakeup_.wait(timing::slow_append);
-        if(pending_records_.empty()) {
-            continue;
-        }
-        co_await pause(timing::caller_batch_delay);
-        // Sends one append at a time, so that records are batched while the log is slow, unless an append is stuck.
-        if(appends_in_flight_ == 0u || last_append_sent_at_ + timing::slow_append < current_time()) {
-            boost::asio::co_spawn(parts_.context, append_pending(std::exchange(pending_records_, {})), fail_fast);
-        }
-    }
-}
-
-bool site_node::leader_accepts_records() const {
-    return leader_ == nullptr && watch_.accepts_records(current_time());
-}
-
-boost::asio::awaitable<append_outcome> site_node::relay_to_leader(
-    std::vector<pending_record_pointer> items, millis const timeout) {
-    wire::envelope message;
-    auto &request = *message.mutable_append_request();
-    auto const id = ++next_relay_id_;
-    request.set_id(id);
-    request.set_patience_ms(static_cast<std::uint64_t>(timeout.count()));
-    for(auto const &item: items) {
-        auto &record = *request.add_records();
-        record.set_key(item->record.key);
-        record.set_value(item->record.value.value_or(std::string{}));
-    }
-    auto const waiting = std::make_shared<relay>(parts_.context);
-    pending_relays_.emplace(id, waiting);
-    if(peers_.send(watch_.claim().name, message)) {
-        auto const give_up_at = current_time() + timeout;
-        while(!waiting->is_answered && leader_accepts_records() && current_time() < give_up_at) {
-            co_await waiting->answered.wait(timing::relay_check_interval);
-        }
-    } else {
-        waiting->outcome = append_outcome::refused;
-    }
-    pending_relays_.erase(id);
-    co_return waiting->outcome;
-}
-
-boost::asio::awaitable<void> site_node::append_pending(std::vector<pending_record_pointer> items) {
-    auto const settle = [](pending_record_pointer const &item, append_outcome const outcome) {
-        if(!item->is_settled) {
-            item->outcome = outcome;
-            item->is_settled = true;
-        }
-        item->settled.notify();
-    };
-    ++appends_in_flight_;
-    last_append_sent_at_ = current_time();
-    auto refusals = 0;
-    auto may_be_done = false;
-    auto retry = timing::log_retry;
-    if(leader_accepts_records()) {
-        // The leader batches the records of all entry VMs.
-        auto const outcome = co_await relay_to_leader(items, watch_.relay_time_limit());
-        may_be_done = outcome == append_outcome::unknown;
-        refusals += outcome == append_outcome::refused ? 1 : 0;
-        if(outcome == append_outcome::done) {
-            for(auto const &item: items) {
-                settle(item, append_outcome::done);
-            }
-            items.clear();
-        }
-    }
-    while(!items.empty()) {
-        std::vector<keyed_record> records;
-        records.reserve(items.size());
-        for(auto const &item: items) {
-            records.push_back(item->record);
-        }
-        auto const sent_at = current_time();
-        auto const answer = co_await parts_.log.append(log_stream::jobs, std::move(records), std::nullopt);
-        auto const is_done = answer.outcome == append_outcome::done;
-        if(is_done) {
-            watch_.record_own_append(current_time() - sent_at, current_time());
-            parts_.times.add(latency::log_append, current_time() - sent_at);
-        }
-        may_be_done = may_be_done || answer.outcome == append_outcome::unknown;
-        refusals += answer.outcome == append_outcome::refused ? 1 : 0;
-        // A record that may be in the log is appended again, which is idempotent.
-        auto const failure = may_be_done ? append_outcome::unknown : append_outcome::refused;
-        auto const is_rejected = !may_be_done && refusals > 1;
-        auto const now = current_time();
-        std::erase_if(items, [&](auto const &item) {
-            if(!is_done && !is_rejected && item->give_up_at > now) {
-                return false;
-            }
-            settle(item, is_done ? append_outcome::done : failure);
-            return true;
-        });
-        if(!items.empty()) {
-            parts_.stats.add(event::log_append_failed);
-            co_await pause(retry);
-            retry = std::min(retry * 2, timing::max_log_retry);
-        }
-    }
-    --appends_in_flight_;
-    queue_wakeup_.notify();
-}
-
 // The log.
 
 boost::asio::awaitable<void> site_node::follow_jobs() {
     while(true) {
-        auto batch = co_await jobs_reader_.next(timing::jobs_wait);
+        auto const wait = read_wait();
+        auto batch = co_await jobs_reader_.next(wait);
         update_log_reachability(batch.has_value());
         if(!batch) {
             refresh_ready();
@@ -355,6 +233,12 @@
     }
 }
 
+millis site_node::read_wait() noexcept {
+    // While the leader appends, a read that waits would return the leader's next append.
+    auto const skipped = std::exchange(skipped_records_, jobs_reader_.skipped());
+    return leader_ != nullptr && skipped != skipped_records_ ? millis{} : timing::jobs_wait;
+}
+
 millis site_node::read_spacing() const noexcept {
     if(is_claiming_) {
         return timing::claimant_read_spacing;
@@ -388,6 +272,12 @@
     }
 }
 
+void site_node::apply_own(std::uint64_t const offset, std::span<keyed_record const> const records) {
+    if(jobs_reader_.skip(offset, records.size())) {
+        std::for_each(records.begin(), records.end(), [this](auto const &record) { apply(record); });
+    }
+}
+
 void site_node::apply(keyed_record const &record) {
     auto name = parse_record_key(record.key);
     if(!name) {
@@ -518,18 +408,18 @@
             co_await resign(*reason);
         } else if(leader_ != nullptr) {
             remove_expired_jobs();
-        } else if(should_claim(current_time())) {
-            co_await claim();
+        } else if(auto const reason_to_lead = reason_to_claim(current_time())) {
+            co_await claim(*reason_to_lead);
         }
     }
 }
 
-bool site_node::should_claim(instant const now) const {
+std::optional<claim_reason> site_node::reason_to_claim(instant const now) const {
     auto const can_lead = !draining_ && rules_ != nullptr && jobs_reader_.is_synced() && log_reachable_;
-    return can_lead && watch_.should_claim(jobs_reader_.fresh_at(), now);
+    return can_lead ? watch_.reason_to_claim(jobs_reader_.fresh_at(), now) : std::nullopt;
 }
 
-boost::asio::awaitable<void> site_node::claim() {
+boost::asio::awaitable<void> site_node::claim(claim_reason const reason) {
     auto const term = watch_.claim().term + 1u;
     // Random sequence number: the log accepts the first of several claims of one term and rejects the others as out of
     // sequence.
@@ -537,8 +427,9 @@
     std::vector<keyed_record> records;
     records.push_back(encode(leader_claim{term, parts_.settings.name, parts_.settings.peer_address, false}));
     parts_.decisions.write(decision::leadership_claimed,
-        {{"term", term}, {"sequence", sequence}, {"earlier", watch_.claim().name},
-            {"silent_ms", watch_.silence(current_time()).count()}});
+        {{"term", term}, {"sequence", sequence}, {"earlier", watch_.claim().name}, {"reason", name_of(reason)},
+            {"silent_ms", watch_.silence(current_time()).count()},
+            {"leader_log_age_ms", watch_.leader_log_age().count()}});
     append_answer answer;
     auto const claimed_at = current_time();
     do {
@@ -565,7 +456,9 @@
 void site_node::begin_leadership(std::uint64_t const term, std::uint64_t const sequence, instant const claimed_at) {
     leader_ = std::make_shared<fleet_leader>(
         parts_, peers_, term, sequence, claimed_at, [this]() { end_leadership(); },
-        [this](wire::job_ends const &ends) { handle_job_ends(ends); });
+        [this](
+            std::uint64_t const offset, std::span<keyed_record const> const records) { apply_own(offset, records); });
+    appender_.set_leading(true);
     parts_.stats.add(event::leadership_taken);
     leader_->set_rules(rules_);
     std::vector<job_entry const *> entries;
@@ -584,6 +477,7 @@
     parts_.stats.add(event::leadership_lost);
     watch_.record_leader_activity(current_time());
     leader_ = nullptr;
+    appender_.set_leading(false);
 }
 
 void site_node::drain() {
@@ -601,6 +495,7 @@
 boost::asio::awaitable<void> site_node::resign(std::string_view const reason) {
     if(auto const leader = std::exchange(leader_, nullptr); leader != nullptr) {
         parts_.stats.add(event::leadership_lost);
+        appender_.set_leading(false);
         co_await leader->resign(reason);
         watch_.record_leader_activity(current_time());
     }
@@ -618,9 +513,13 @@
         }
         peers_.connect(leader.name, leader.peer_address);
         wire::envelope message;
-        message.mutable_introduction()->set_peer_address(parts_.settings.peer_address);
-        message.mutable_introduction()->set_term(leader.term);
-        message.mutable_introduction()->set_processor_millicores(parts_.settings.processor_millicores);
+        auto &introduction = *message.mutable_introduction();
+        introduction.set_peer_address(parts_.settings.peer_address);
+        introduction.set_term(leader.term);
+        introduction.set_processor_millicores(parts_.settings.processor_millicores);
+        introduction.set_failure_domain(parts_.settings.failure_domain);
+        introduction.set_process(process_);
+        introduction.set_sent_at_ms(current_time().time_since_epoch().count());
         peers_.send(leader.name, message);
     }
 }
@@ -633,9 +532,15 @@
     } else if(message.has_job_ends()) {
         handle_job_ends(message.job_ends());
     } else if(message.has_append_request()) {
-        boost::asio::co_spawn(parts_.context, answer_append(message.sender(), message.append_request()), fail_fast);
+        boost::asio::co_spawn(
+            parts_.context, appender_.answer_request(message.sender(), message.append_request()), fail_fast);
     } else if(message.has_append_reply()) {
-        handle_append_reply(message.append_reply());
+        appender_.handle_reply(message.append_reply());
+    } else if(message.has_start_request()) {
+        boost::asio::co_spawn(
+            parts_.context, answer_start_request(message.sender(), message.start_request()), fail_fast);
+    } else if(message.has_start_reply() && leader_ != nullptr) {
+        leader_->handle_start_reply(message.sender(), message.start_reply());
     } else if(message.has_advice_question() && message.sender() == watch_.claim().name) {
         boost::asio::co_spawn(
             parts_.context, answer_advice_question(message.sender(), message.advice_question()), fail_fast);
@@ -647,7 +552,7 @@
 void site_node::handle_heartbeat(wire::leader_beat const &heartbeat) {
     auto const time_of = [](std::uint64_t const ms) { return millis{static_cast<std::int64_t>(ms)}; };
     watch_.record_heartbeat({heartbeat.term(), time_of(heartbeat.log_age_ms()), time_of(heartbeat.append_ms()),
-                                heartbeat.most_millicores()},
+                                heartbeat.most_millicores(), time_of(heartbeat.interval_ms())},
         current_time());
 }
 
@@ -662,41 +567,38 @@
     }
 }
 
-boost::asio::awaitable<void> site_node::answer_append(std::string peer, wire::append_request request) {
-    std::vector<pending_record_pointer> items;
-    auto const timeout = millis{static_cast<std::int64_t>(request.patience_ms())} + internal::answer_reserve;
-    for(auto const &record: request.records()) {
-        items.push_back(enqueue_record({record.key(), record.value()}, timeout));
-    }
-    auto is_done = true;
-    auto is_refused = true;
-    for(auto const &item: items) {
-        while(!item->is_settled && current_time() < item->give_up_at) {
-            co_await item->settled.wait(item->give_up_at - current_time());
-        }
-        is_done = is_done && item->is_settled && item->outcome == append_outcome::done;
-        is_refused = is_refused && item->is_settled && item->outcome == append_outcome::refused;
-    }
-    if(is_done) {
-        for(auto const &item: items) {
-            apply(item->record);
+relay_state site_node::relay_state_for(std::string const &job) const {
+    return {draining_, watch_.claim().term, process_, current_time().time_since_epoch().count(), known_jobs_.find(job)};
+}
+
+boost::asio::awaitable<void> site_node::answer_start_request(std::string peer, wire::start_request request) {
+    auto refused = reason_to_decline(request, relay_state_for(request.job()));
+    while(refused == relay_refusal::job_unknown) {
+        // The job may have been accepted so recently that this entry VM has not read it yet.
+        co_await pause(internal::relay_check_interval);
+        auto const state = relay_state_for(request.job());
+        refused = reason_to_decline(request, state);
+        if(state.clock + internal::relay_check_interval.count() > request.send_before_ms()) {
+            break;
         }
     }
     wire::envelope message;
-    message.mutable_append_reply()->set_id(request.id());
-    message.mutable_append_reply()->set_done(is_done);
-    message.mutable_append_reply()->set_refused(is_refused);
-    peers_.send(peer, message);
-}
-
-void site_node::handle_append_reply(wire::append_reply const &reply) {
-    if(auto const found = pending_relays_.find(reply.id()); found != pending_relays_.end()) {
-        found->second->outcome = reply.done() ? append_outcome::done
-            : reply.refused()                 ? append_outcome::refused
-                                              : append_outcome::unknown;
-        found->second->is_answered = true;
-        found->second->answered.notify();
+    message.mutable_start_reply()->set_id(request.id());
+    message.mutable_start_reply()->set_declined(refused.has_value());
+    if(refused) {
+        parts_.decisions.write(decision::start_relay_declined,
+            {{"job", request.job()}, {"worker", request.worker()}, {"leader", peer}, {"term", request.term()},
+                {"reason", name_of(*refused)},
+                {"late_ms", current_time().time_since_epoch().count() - request.send_before_ms()}});
+    } else {
+        auto run = start_of(request, known_jobs_.find(request.job())->definition);
+        worker_target target{run.worker, run.address};
+        parts_.stats.add(event::relayed_start_sent);
+        auto const answer = co_await parts_.workers.start(
+            std::move(target), std::move(run), request.token(), request.expires_at_ms(), timing::command_timeout);
+        message.mutable_start_reply()->set_answer(static_cast<std::uint32_t>(answer));
     }
+    peers_.send(peer, message);
 }
 
 boost::asio::awaitable<void> site_node::answer_advice_question(std::string peer, wire::advice_question question) {
@@ -728,6 +630,7 @@
     };
     add("rules_version", rules_ == nullptr ? 0u : rules_->version);
     add("log_age_ms", (current_time() - jobs_reader_.fresh_at()).count());
+    add("log_records_skipped_total", jobs_reader_.skipped());
     add("leader_term", watch_.claim().term);
     add("leads", leader_ != nullptr ? 1 : 0);
     add("jobs_known", known_jobs_.jobs().size());
--- a/src/kingcuplink/site/site_node.hpp
+++ b/src/kingcuplink/site/site_node.hpp
@@ -7,13 +7,16 @@
 #include <kingcuplink/site/keyed_reader.hpp>
 #include <kingcuplink/site/leader_watch.hpp>
 #include <kingcuplink/site/node_parts.hpp>
+#include <kingcuplink/site/record_appender.hpp>
 #include <kingcuplink/site/record_codec.hpp>
+#include <kingcuplink/site/start_relay.hpp>
 #include <kingcuplink/wire/peer_link.hpp>
 #include <kingcuplink/workflow/job_table.hpp>
 #include <map>
 #include <memory>
 #include <optional>
 #include <random>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -81,28 +84,6 @@
     [[nodiscard]] std::string metrics() const;
 
 private:
-    /*! Record of a caller that is waiting for its append to the log. */
-    struct pending_record {
-        explicit pending_record(boost::asio::io_context &context) : settled{context} {}
-
-        keyed_record record;
-        instant give_up_at{};
-        append_outcome outcome{append_outcome::unknown};
-        bool is_settled{};
-        wakeup settled;
-    };
-
-    using pending_record_pointer = std::shared_ptr<pending_record>;
-
-    /*! Request to the leader to append records. */
-    struct relay {
-        explicit relay(boost::asio::io_context &context) : answered{context} {}
-
-        append_outcome outcome{append_outcome::unknown};
-        bool is_answered{};
-        wakeup answered;
-    };
-
     // Callers.
     boost::asio::awaitable<caller_answer> submit(
         caller_request request, queue_rules const &queue, std::string account, std::string id);
@@ -111,13 +92,9 @@
     [[nodiscard]] caller_answer queue_answer(queue_rules const &queue) const;
     /*! Waits until the log is read up to its current end; returns false if it cannot be read in time. */
     boost::asio::awaitable<bool> catch_up();
-    /*! Appends a caller's record and waits for the outcome; `unknown` once the time limit has expired. */
+    /*! Appends a caller's record and waits for the outcome; `refused` at once if neither log nor leader is reachable.
+     */
     boost::asio::awaitable<append_outcome> append_record(keyed_record record, millis timeout);
-    pending_record_pointer enqueue_record(keyed_record record, millis timeout);
-    boost::asio::awaitable<append_outcome> relay_to_leader(std::vector<pending_record_pointer> items, millis timeout);
-    [[nodiscard]] bool leader_accepts_records() const;
-    boost::asio::awaitable<void> run_append_queue();
-    boost::asio::awaitable<void> append_pending(std::vector<pending_record_pointer> items);
     [[nodiscard]] bool is_fresh() const;
 
     // The log.
@@ -125,17 +102,20 @@
     boost::asio::awaitable<void> follow_rules();
     void apply_jobs(keyed_batch batch);
     void apply(keyed_record const &record);
+    /*! Applies records that the leader of this entry VM has appended, instead of reading them back. */
+    void apply_own(std::uint64_t offset, std::span<keyed_record const> records);
     void define(job_definition job);
     void apply_rules(keyed_batch const &batch);
     void handle_claim(leader_claim claim);
+    [[nodiscard]] millis read_wait() noexcept;
     [[nodiscard]] millis read_spacing() const noexcept;
     void update_log_reachability(bool reached);
     void remove_expired_jobs();
 
     // Leadership.
     boost::asio::awaitable<void> watch_leader();
-    [[nodiscard]] bool should_claim(instant now) const;
-    boost::asio::awaitable<void> claim();
+    [[nodiscard]] std::optional<claim_reason> reason_to_claim(instant now) const;
+    boost::asio::awaitable<void> claim(claim_reason reason);
     void begin_leadership(std::uint64_t term, std::uint64_t sequence, instant claimed_at);
     void end_leadership();
     boost::asio::awaitable<void> resign(std::string_view reason);
@@ -145,8 +125,9 @@
     void handle(wire::envelope const &message);
     void handle_heartbeat(wire::leader_beat const &heartbeat);
     void handle_job_ends(wire::job_ends const &ends);
-    boost::asio::awaitable<void> answer_append(std::string peer, wire::append_request request);
-    void handle_append_reply(wire::append_reply const &reply);
+    [[nodiscard]] relay_state relay_state_for(std::string const &job) const;
+    /*! Sends a start to a worker on the leader's behalf, or declines it. */
+    boost::asio::awaitable<void> answer_start_request(std::string peer, wire::start_request request);
     boost::asio::awaitable<void> answer_advice_question(std::string peer, wire::advice_question question);
 
     void refresh_ready();
@@ -156,14 +137,6 @@
     keyed_reader rules_reader_;
     job_table known_jobs_;
     std::shared_ptr<site_rules const> rules_;
-    std::vector<pending_record_pointer> pending_records_;
-    wakeup queue_wakeup_;
-    /*! Number of appends of callers' records in progress, and when the latest was sent. */
-    std::size_t appends_in_flight_{};
-    instant last_append_sent_at_{};
-    /*! Unanswered requests to the leader, by identifier. */
-    std::map<std::uint64_t, std::shared_ptr<relay>> pending_relays_;
-    std::uint64_t next_relay_id_{};
     leader_watch watch_;
     /*! True after a claim of this entry VM was appended until it is read back from the log. */
     bool is_claiming_{};
@@ -174,7 +147,12 @@
     bool draining_{};
     std::atomic<bool> ready_{};
     std::mt19937_64 random_;
+    /*! Identifies this process in introductions. */
+    std::uint64_t process_;
+    /*! Records that the reader of jobs had skipped before its latest read. */
+    std::uint64_t skipped_records_{};
     peer_link peers_;
+    record_appender appender_;
 };
 
 } // namespace kingcuplink
--- a/src/kingcuplink/site/site_settings.hpp
+++ b/src/kingcuplink/site/site_settings.hpp
@@ -30,6 +30,8 @@
     millis status_time{120'000};
     /*! Processor time of this entry VM in thousandths of a core; zero if unknown. */
     std::uint32_t processor_millicores{};
+    /*! Speed of this entry VM's link in Mbit/s; zero if unknown. */
+    std::uint32_t link_mbps{};
     /*! Time between SIGTERM and the end of the process. */
     millis shutdown_time{5'000};
 };
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -11,11 +11,14 @@
 inline constexpr millis max_lease{8'000};
 /*! Time between the leader's heartbeats to other entry VMs. */
 inline constexpr millis heartbeat_interval{200};
+/*! Number of entry VMs that receive a heartbeat in every interval, at most 1 KB/s each. */
+inline constexpr std::size_t max_frequent_heartbeats{64u};
 /*!
- * Number of entry VMs that receive heartbeats, at most 1 KB/s each; the others detect a failed leader from
- * the log.
+ * Every how many intervals the other entry VMs receive a heartbeat. They relay records to the leader, but detect its
+ * failure from the log.
  */
-inline constexpr std::size_t max_heartbeat_receivers{64u};
+inline constexpr std::uint64_t slow_heartbeat_rounds{5u};
+inline constexpr millis slow_heartbeat_interval{heartbeat_interval * slow_heartbeat_rounds};
 /*! Time without heartbeats and records after which an entry VM claims leadership; four heartbeats. */
 inline constexpr millis heartbeat_timeout{800};
 /*! Time without the leader's records after which an entry VM that receives no heartbeats claims leadership. */
@@ -32,6 +35,12 @@
  * longer than leader_record_interval.
  */
 inline constexpr millis replaceable_leader_timeout{1'000};
+/*!
+ * Time after a stalled leader was replaced before its successor may be replaced for the same reason; it doubles with
+ * each such change, since a successor that does no better shows that leaders are not the cause.
+ */
+inline constexpr millis replacement_backoff{2'000};
+inline constexpr millis max_replacement_backoff{16'000};
 /*! Age of an own append up to which an entry VM takes the log as reachable for itself, if not for the leader. */
 inline constexpr millis own_append_age{800};
 /*! Age of the latest read, in addition to its wait, up to which an entry VM may claim leadership. */
@@ -106,10 +115,25 @@
 inline constexpr millis introduction_interval{1'000};
 /*! Time between introductions until the leader's first heartbeat arrives. */
 inline constexpr millis first_introduction_interval{100};
-/*! Time without an introduction after which the leader sends an entry VM no more questions for its adviser. */
-inline constexpr millis adviser_silence{3'200};
+/*! Time without an introduction after which the leader sends an entry VM no more requests. */
+inline constexpr millis peer_silence{3'200};
+/*! Age of the latest introduction up to which an entry VM relays starts. */
+inline constexpr millis relay_clock_age{2'200};
+/*! Time after the leader's decision for which an entry VM may send a relayed start. */
+inline constexpr millis start_relay_lifetime{300};
+/*! Time for which an entry VM that did not answer a relayed start, or declined it, relays no others. */
+inline constexpr millis failed_relay_pause{2'000};
 /*! Time limit for an adviser's answer, in addition to its expected duration. */
 inline constexpr millis advice_slack{1'500};
+/*!
+ * Time limit for the answer to a relayed start: once it has passed, the entry VM has surely sent the start, or will not
+ * send it.
+ */
+inline constexpr millis start_relay_timeout{start_relay_lifetime + command_timeout + millis{100}};
+static_assert(start_relay_lifetime + command_timeout <= worker_timeout,
+    "a successor assumes that starts are sent for lease_renewal_limit and worker_timeout at most");
+/*! Time between lines about the leader's load in the decision log. */
+inline constexpr millis load_report_interval{5'000};
 /*! Time between planning rounds if no event triggers one. */
 inline constexpr millis plan_interval{100};
 /*! Shortest pause between planning rounds. */
--- a/test/site/leader_watch_test.cpp
+++ b/test/site/leader_watch_test.cpp
@@ -137,7 +137,7 @@
     }};
     for(auto const &row: rows) {
         CAPTURE(row.description);
-        CHECK(watch_of(row).should_claim(start - row.read_age, start) == row.claims);
+        CHECK(watch_of(row).reason_to_claim(start - row.read_age, start).has_value() == row.claims);
     }
 }
 
@@ -164,7 +164,7 @@
         watch.apply_claim({7u, "leader", "address", false}, start);
         for(auto now = start; now < start + std::chrono::seconds{seconds}; now += millis{50}) {
             watch.record_heartbeat({7u, std::chrono::duration_cast<millis>(now - start), millis{400}, 250u}, now);
-            if(watch.should_claim(now, now)) {
+            if(watch.reason_to_claim(now, now)) {
                 ++claims;
                 watch.record_failed_claim(now);
             }
@@ -185,4 +185,87 @@
     CHECK(watch.apply_claim({7u, "new", "address", true}, start));
 }
 
+TEST_CASE("the reason for a claim is named") {
+    struct reason_row {
+        watch_scenario scenario;
+        claim_reason reason;
+    };
+    std::array<reason_row, 6u> const rows{{
+        {{.description = "no leader", .leader = "", .record_age = millis{300}}, claim_reason::no_leader},
+        {{.description = "resigned", .leader = "other", .resigned = true, .record_age = millis{300}},
+            claim_reason::leader_resigned},
+        {{.description = "own process", .leader = "self", .record_age = millis{300}}, claim_reason::own_former_process},
+        {{.description = "silent", .leader = "other", .record_age = millis{1'100}, .heartbeat_age = millis{1'100}},
+            claim_reason::leader_silent},
+        {{.description = "this VM appends faster",
+             .leader = "other",
+             .record_age = millis{1'500},
+             .heartbeat_age = millis{100},
+             .leader_log_age = millis{1'500},
+             .own_append_age = millis{300}},
+            claim_reason::appends_faster},
+        {{.description = "stalled",
+             .leader = "other",
+             .record_age = millis{6'600},
+             .heartbeat_age = millis{100},
+             .leader_log_age = millis{6'600}},
+            claim_reason::leader_stalled},
+    }};
+    for(auto const &row: rows) {
+        CAPTURE(row.scenario.description);
+        CHECK(watch_of(row.scenario).reason_to_claim(start - millis{100}, start) == row.reason);
+        CHECK_FALSE(name_of(row.reason).empty());
+    }
+}
+
+// An entry VM with infrequent heartbeats does not take each gap between them for a failure of the leader.
+TEST_CASE("the limits for the leader's silence and for relays follow the interval of its heartbeats") {
+    struct interval_row {
+        millis interval;
+        millis age;
+        bool accepts_records;
+        bool claims;
+    };
+    std::array<interval_row, 6u> const rows{{
+        {timing::heartbeat_interval, millis{400}, true, false},
+        {timing::heartbeat_interval, millis{600}, false, false},
+        {timing::heartbeat_interval, millis{1'100}, false, true},
+        {timing::slow_heartbeat_interval, millis{1'100}, true, false},
+        {timing::slow_heartbeat_interval, millis{1'400}, false, false},
+        {timing::slow_heartbeat_interval, millis{3'300}, false, true},
+    }};
+    for(auto const &row: rows) {
+        CAPTURE(row.interval.count());
+        CAPTURE(row.age.count());
+        leader_watch watch{"self", 250u};
+        watch.apply_claim({7u, "other", "address", false}, start - row.age);
+        watch.record_heartbeat({7u, millis{}, millis{10}, 250u, row.interval}, start - row.age);
+        CHECK(watch.accepts_records(start) == row.accepts_records);
+        CHECK(watch.reason_to_claim(start, start).has_value() == row.claims);
+    }
+}
+
+// Leaders whose links were full replaced one another every four seconds; each began without the state of its workers.
+TEST_CASE("leadership does not move between equally slow VMs") {
+    constexpr auto seconds = 60;
+    leader_watch watch{"self", 250u};
+    auto term = 1u;
+    auto led_since = start;
+    watch.apply_claim({term, "leader", "address", false}, start);
+    auto changes = 0;
+    for(auto now = start; now < start + std::chrono::seconds{seconds}; now += millis{50}) {
+        // Every leader stalls from its beginning, while small appends of this entry VM are done.
+        watch.record_heartbeat({term, now - led_since, millis{1'500}, 250u, timing::heartbeat_interval}, now);
+        watch.record_own_append(millis{20}, now);
+        if(watch.reason_to_claim(now, now)) {
+            ++changes;
+            ++term;
+            led_since = now;
+            watch.apply_claim({term, "leader " + std::to_string(term), "address", false}, now);
+        }
+    }
+    CHECK(changes > 0);
+    CHECK(changes <= 6);
+}
+
 } // namespace kingcuplink::test
--- /dev/null
+++ b/test/site/load_report_test.cpp
@@ -0,0 +1,37 @@
+#include <doctest/doctest.h>
+#include <kingcuplink/site/load_report.hpp>
+#include <kingcuplink/site/timing.hpp>
+
+namespace kingcuplink::test {
+
+TEST_CASE("a load report holds the bytes per second since the report before, by purpose") {
+    constexpr instant start{millis{1'000'000}};
+    counters stats;
+    stats.add(traffic::worker_poll, 700u, 900u);
+    load_report report{stats, start};
+    auto const due_at = start + timing::load_report_interval;
+    CHECK_FALSE(report.is_due(due_at - millis{1}));
+    CHECK(report.is_due(due_at));
+    stats.add(traffic::worker_poll, 50'000u, 100'000u);
+    stats.add(event::peer_bytes_sent, 25'000u);
+    auto const first = report.next(stats, due_at);
+    CHECK(first.at("sent").at("worker_poll").as_uint64() == 10'000u);
+    CHECK(first.at("received").at("worker_poll").as_uint64() == 20'000u);
+    CHECK(first.at("sent").at("peers").as_uint64() == 5'000u);
+    CHECK(first.at("sent").at("worker_start").as_uint64() == 0u);
+    CHECK_FALSE(report.is_due(due_at));
+    auto const second = report.next(stats, due_at + timing::load_report_interval);
+    CHECK(second.at("sent").at("worker_poll").as_uint64() == 0u);
+}
+
+TEST_CASE("bytes are counted by purpose and direction") {
+    counters stats;
+    stats.add(traffic::log_append, 10u, 20u);
+    auto const text = stats.prometheus_text();
+    CHECK(text.find("kingcuplink_platform_bytes_total{purpose=\"log_append\",direction=\"sent\"} 10\n") !=
+        std::string::npos);
+    CHECK(text.find("kingcuplink_platform_bytes_total{purpose=\"log_append\",direction=\"received\"} 20\n") !=
+        std::string::npos);
+}
+
+} // namespace kingcuplink::test
--- a/test/site/scripted_site.cpp
+++ b/test/site/scripted_site.cpp
@@ -12,6 +12,8 @@
 
 constexpr auto max_run_time = std::chrono::seconds{5};
 constexpr std::size_t worker_count = 2u;
+/*! Slow enough for a leader to have starts relayed after three jobs within a second. */
+constexpr std::uint32_t scripted_link_mbps = 1u;
 /*! Delay of the log's answer to a read without new records. */
 constexpr millis read_pause{5};
 
@@ -229,6 +231,7 @@
     settings.failure_domain = "domain";
     settings.peer_address = std::move(address);
     settings.processor_millicores = millicores;
+    settings.link_mbps = scripted_link_mbps;
     node = std::make_unique<site_node>(
         node_parts{context, settings, stats, times, decisions, log, decoder, site.workers, adviser});
     node->start();
--- a/test/site/site_test.cpp
+++ b/test/site/site_test.cpp
@@ -91,6 +91,47 @@
     CHECK(reader.fresh_at() > fresh_at);
 }
 
+// A leader read back all that it had appended itself, which took as much of its link as the appends.
+TEST_CASE("a reader leaves out records that were applied when they were appended, and no others") {
+    struct row {
+        std::string_view name;
+        /*! Offset and number of the records that are left out. */
+        std::uint64_t from;
+        std::size_t count;
+        std::vector<std::string> expected;
+    };
+    std::array<row, 5u> const rows{{
+        {"none", 9u, 1u, {"1", "2", "3", "4"}},
+        {"the next ones", 1u, 2u, {"3", "4"}},
+        {"ones after others", 2u, 2u, {"1", "4"}},
+        {"the last ones", 3u, 2u, {"1", "2"}},
+        {"all", 1u, 4u, {}},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        boost::asio::io_context context{1};
+        memory_log log{context};
+        keyed_reader reader{log, log_stream::jobs};
+        log.add({"0", "value"});
+        REQUIRE(run_to_end(context, reader.next(millis{})));
+        for(auto const *key: {"1", "2", "3", "4"}) {
+            log.add({key, "value"});
+        }
+        CHECK(reader.skip(item.from, item.count));
+        std::vector<std::string> keys;
+        auto const batch = run_to_end(context, reader.next(millis{}));
+        REQUIRE(batch);
+        for(auto const &record: batch->records) {
+            keys.push_back(record.key);
+        }
+        CHECK(keys == item.expected);
+        CHECK(reader.offset() == 5u);
+        CHECK_FALSE(reader.is_behind());
+        // What was read already cannot be left out: it must not be applied again after later records.
+        CHECK_FALSE(reader.skip(4u, 1u));
+    }
+}
+
 TEST_CASE("a job is accepted, run and reported as done, also across a change of leaders") {
     scripted_site site{2u};
     site.run_until([&]() { return site.leader() != nullptr; });
@@ -247,6 +288,62 @@
     CHECK(site.vms[other]->log.appends == sent_before);
 }
 
+TEST_CASE("a leader whose starts fill its link has them sent by other entry VMs, and each task runs once") {
+    scripted_site site{2u};
+    site.run_until([&]() { return site.leader() != nullptr; });
+    REQUIRE(site.leader() != nullptr);
+    auto const other = site.follower();
+    site.run_for(millis{300});
+    auto jobs = 0u;
+    auto const relayed = [&]() { return site.vms[other]->stats.value(event::relayed_start_sent); };
+    for(; jobs < 60u && relayed() < 6u; ++jobs) {
+        auto id = std::to_string(jobs);
+        id.insert(0u, 16u - id.size(), '0');
+        CHECK_FALSE(site.ask(other, caller_operation::submit, id).refused);
+        site.run_for(millis{40});
+        site.workers.end_all();
+    }
+    CHECK(relayed() >= 6u);
+    site.run_for(millis{300});
+    CHECK(site.workers.starts() == 2u * jobs);
+}
+
+// A process that stood still sends no start that it was asked for before: the leader may have started the task
+// elsewhere.
+TEST_CASE("an entry VM that was paused sends no start that it was asked to relay before") {
+    scripted_site site{2u};
+    site.run_until([&]() { return site.leader() != nullptr; });
+    REQUIRE(site.leader() != nullptr);
+    auto const other = site.follower();
+    auto const leading = 1u - other;
+    site.run_for(millis{300});
+    auto number = 0u;
+    auto const submit_to_leader = [&]() {
+        auto id = std::to_string(number++);
+        id.insert(0u, 16u - id.size(), '0');
+        CHECK_FALSE(site.ask(leading, caller_operation::submit, id).refused);
+    };
+    auto const relayed = [&]() { return site.vms[leading]->stats.value(event::start_relayed); };
+    while(number < 60u && relayed() == 0u) {
+        submit_to_leader();
+        site.run_for(millis{40});
+        site.workers.end_all();
+    }
+    REQUIRE(relayed() > 0u);
+    site.run_for(millis{200});
+    auto const asked = relayed();
+    auto const sent = site.vms[other]->stats.value(event::relayed_start_sent);
+    site.vms[other]->is_alive = false;
+    while(number < 80u && relayed() == asked) {
+        submit_to_leader();
+    }
+    REQUIRE(relayed() > asked);
+    site.run_for(timing::start_relay_lifetime + millis{100});
+    site.vms[other]->is_alive = true;
+    site.run_for(millis{300});
+    CHECK(site.vms[other]->stats.value(event::relayed_start_sent) == sent);
+}
+
 TEST_CASE("workers with unpersisted ends of runs are not polled continuously") {
     scripted_site site{1u};
     site.run_until([&]() { return site.leader() != nullptr; });
--- a/test/workflow/dispatcher_test.cpp
+++ b/test/workflow/dispatcher_test.cpp
@@ -373,8 +373,7 @@
         fleet.change_leader();
         auto const begun_at = fleet.now;
         auto const ask_address = [&]() {
-            CHECK_FALSE(
-                fleet.leader->worker_replaced(found->entry.name, found->entry.address, fleet.now, fleet.now));
+            CHECK_FALSE(fleet.leader->worker_replaced(found->entry.name, found->entry.address, fleet.now, fleet.now));
             fleet.run_for(millis{300});
         };
         while(fleet.now < begun_at + item.corrected_after.value_or(inherited_lease - millis{600})) {
--- a/test/workflow/fleet_faults_test.cpp
+++ b/test/workflow/fleet_faults_test.cpp
@@ -1,7 +1,9 @@
 #include "fleet_simulation.hpp"
 
+#include <array>
 #include <cstdlib>
 #include <doctest/doctest.h>
+#include <kingcuplink/site/timing.hpp>
 #include <string>
 #include <vector>
 
@@ -237,6 +239,31 @@
     run_seeds(setup, {60u});
 }
 
+// Guards against entry VMs that send relayed starts after a pause, when a successor of the leader no longer counts with
+// them.
+TEST_CASE("concurrent faults of all kinds violate no rule if entry VMs relay starts") {
+    struct row {
+        bool renames_restarted_workers;
+        std::optional<ticket_terms> tickets;
+    };
+    std::array<row, 4u> const rows{{{true, std::nullopt}, {true, ticket_terms{millis{1'500}, true}},
+        {false, std::nullopt}, {false, ticket_terms{millis{1'500}, true}}}};
+    for(auto const &item: rows) {
+        CAPTURE(item.renames_restarted_workers);
+        CAPTURE(item.tickets.has_value());
+        simulation_setup setup;
+        setup.start_relay_lifetime = timing::start_relay_lifetime;
+        setup.renames_restarted_workers = item.renames_restarted_workers;
+        setup.commands_name_boot = item.renames_restarted_workers;
+        setup.faults = {all_fleet_faults.begin(), all_fleet_faults.end()};
+        setup.lease_limit = millis{6'000};
+        setup.max_faults = 24;
+        setup.max_request_delay = millis{12'000};
+        setup.tickets = item.tickets;
+        run_seeds(setup, {40u});
+    }
+}
+
 // Guards against a leader without the log that extends leases for as long as it reaches a worker which its successor
 // does not reach: the successor waits for the lease that the last append allowed.
 TEST_CASE("a leader without the log extends no lease for longer than its successor waits") {
--- a/test/workflow/fleet_simulation.hpp
+++ b/test/workflow/fleet_simulation.hpp
@@ -86,6 +86,8 @@
     millis lease_limit{12'000};
     /*! True if other work of the leader may run between the commit of an intent and its start command. */
     bool defers_starts{};
+    /*! Time for which an entry VM may send a start that it relays for the leader; none relays if empty. */
+    std::optional<millis> start_relay_lifetime{};
     /*! True if the registration of a restarted worker is delayed, as in real deployments. */
     bool delays_registrations{true};
     /*! Longest time after its sending at which a worker executes a request; unlimited if empty. */
--- a/test/workflow/simulated_calls.cpp
+++ b/test/workflow/simulated_calls.cpp
@@ -1,6 +1,8 @@
 #include "simulated_fleet.hpp"
 
 #include <algorithm>
+#include <kingcuplink/site/timing.hpp>
+#include <memory>
 #include <utility>
 
 namespace kingcuplink::test {
@@ -234,10 +236,47 @@
 
 void node_host::start(run_start run, std::uint64_t const token, std::int64_t const expires_at, millis const timeout,
     std::function<void(start_answer)> done) {
+    if(fleet_.setup_.start_relay_lifetime) {
+        relay_start(std::move(run), token, expires_at, timeout, std::move(done));
+    } else {
+        start_from(node_, std::move(run), token, expires_at, timeout, std::move(done));
+    }
+}
+
+void node_host::relay_start(run_start run, std::uint64_t const token, std::int64_t const expires_at,
+    millis const timeout, std::function<void(start_answer)> done) {
+    auto const relay = static_cast<std::size_t>(fleet_.draw(0, static_cast<std::int64_t>(fleet_.nodes_.size()) - 1));
+    auto const is_settled = std::make_shared<bool>(false);
+    std::function<void(start_answer)> const settle = [this, is_settled, done = std::move(done)](
+                                                         start_answer const answer) {
+        fleet_.on_node(node_, millis{}, [is_settled, done, answer]() {
+            if(!std::exchange(*is_settled, true)) {
+                done(answer);
+            }
+        });
+    };
+    fleet_.on_node(node_, timing::start_relay_timeout, [settle]() { settle(start_answer::unknown); });
+    auto const send_before = fleet_.queue_.now() + *fleet_.setup_.start_relay_lifetime;
+    auto const handle = [=, this]() {
+        if(fleet_.queue_.now() > send_before) {
+            fleet_.queue_.after(fleet_.delay(), [settle]() { settle(start_answer::not_sent); });
+            return;
+        }
+        start_from(relay, run, token, expires_at, timeout, [this, settle](start_answer const answer) {
+            fleet_.queue_.after(fleet_.delay(), [settle, answer]() { settle(answer); });
+        });
+    };
+    // A paused entry VM sends and receives the request after its pause.
+    fleet_.on_node(node_, fleet_.draw(millis{}, millis{1}),
+        [=, this]() { fleet_.queue_.after(fleet_.delay(), [=, this]() { fleet_.on_node(relay, millis{}, handle); }); });
+}
+
+void node_host::start_from(std::size_t const node, run_start run, std::uint64_t const token,
+    std::int64_t const expires_at, millis const timeout, std::function<void(start_answer)> done) {
     call_target const target{run.worker, run.address, run.boot};
     auto const key = run.key;
     fleet_.call<start_answer>(
-        node_, target, timeout,
+        node, target, timeout,
         [this, run = std::move(run), token, expires_at](simulated_worker &worker, auto const &reply) {
             reply(fleet_.execute_start(worker, run, token, expires_at));
         },
--- a/test/workflow/simulated_fleet.hpp
+++ b/test/workflow/simulated_fleet.hpp
@@ -126,6 +126,13 @@
     void fenced() override;
 
 private:
+    /*! Sends a start from an entry VM, which need not be this one. */
+    void start_from(std::size_t node, run_start run, std::uint64_t token, std::int64_t expires_at, millis timeout,
+        std::function<void(start_answer)> done);
+    /*! Has another entry VM send a start, as start_relay does. */
+    void relay_start(run_start run, std::uint64_t token, std::int64_t expires_at, millis timeout,
+        std::function<void(start_answer)> done);
+
     simulated_fleet &fleet_;
     std::size_t node_;
 };
--- a/test/workflow/simulated_nodes.cpp
+++ b/test/workflow/simulated_nodes.cpp
@@ -260,7 +260,7 @@
     on_node(node, millis{50}, [this, node]() {
         auto const &entry = nodes_[node];
         auto const is_idle = entry.leader_role == nullptr && !entry.is_claiming;
-        if(is_idle && entry.watch.should_claim(entry.read_at, queue_.now())) {
+        if(is_idle && entry.watch.reason_to_claim(entry.read_at, queue_.now())) {
             claim(node);
         }
         watch_leader(node);
