--- a/src/kingcuplink/site/advice_queries.cpp
+++ b/src/kingcuplink/site/advice_queries.cpp
@@ -54,8 +54,8 @@
     settle(parts_.settings.name, query, approved);
 }
 
-boost::asio::awaitable<void> advice_queries::expire([[maybe_unused]] std::shared_ptr<void const> owner,
-    std::string const peer, std::uint64_t const id, millis const time) {
+boost::asio::awaitable<void> advice_queries::expire(
+    [[maybe_unused]] std::shared_ptr<void const> owner, std::string peer, std::uint64_t const id, millis const time) {
     co_await pause(time);
     if(auto const query = pending_.take(id, peer)) {
         settle(peer, *query, std::nullopt);
