--- a/src/kingcuplink/site/relay_policy.cpp
+++ b/src/kingcuplink/site/relay_policy.cpp
@@ -12,8 +12,6 @@
 constexpr std::uint64_t direct_link_percent = 10u;
 /*! Bytes of a start in addition to its payload. */
 constexpr std::uint64_t start_overhead = 500u;
-/*! Size of a payload from which relaying a start saves most of its bytes. */
-constexpr std::size_t min_relayed_payload = 512u;
 constexpr std::uint64_t bytes_per_megabit = 125'000u;
 constexpr std::uint64_t whole_percent = 100u;
 
@@ -47,10 +45,9 @@
     return second == second_ + 1 ? current_ : load{};
 }
 
-bool relay_policy::is_relayed(std::size_t const payload_bytes, instant const now) const noexcept {
+bool relay_policy::is_relaying(instant const now) const noexcept {
     auto const last = last_whole_second(now);
-    return last.starts > internal::max_direct_starts ||
-        (last.bytes > max_bytes_ && payload_bytes >= internal::min_relayed_payload);
+    return last.starts > internal::max_direct_starts || last.bytes > max_bytes_;
 }
 
 } // namespace kingcuplink
--- a/src/kingcuplink/site/relay_policy.hpp
+++ b/src/kingcuplink/site/relay_policy.hpp
@@ -18,11 +18,8 @@
     /*! Records a start with a payload of the given size, whichever way it is sent. */
     void record_start(std::size_t payload_bytes, instant now) noexcept;
 
-    /*!
-     * Returns whether a start is relayed: if the starts of the latest whole second exceed what the leader should send
-     * by itself. A start with a small payload takes hardly less of the link when it is relayed.
-     */
-    [[nodiscard]] bool is_relayed(std::size_t payload_bytes, instant now) const noexcept;
+    /*! Returns whether the starts of the latest whole second exceed what the leader should send by itself. */
+    [[nodiscard]] bool is_relaying(instant now) const noexcept;
 
 private:
     struct load {
--- a/src/kingcuplink/site/start_relay.cpp
+++ b/src/kingcuplink/site/start_relay.cpp
@@ -41,7 +41,7 @@
     run_start run, std::string failure_domain, std::uint64_t const token, std::int64_t const expires_at) {
     auto const now = current_time();
     policy_.record_start(run.payload.size(), now);
-    if(!policy_.is_relayed(run.payload.size(), now)) {
+    if(!policy_.is_relaying(now)) {
         co_return std::nullopt;
     }
     auto const grant = known_.relay_for(run.worker, failure_domain, now);
--- a/test/site/start_relay_test.cpp
+++ b/test/site/start_relay_test.cpp
@@ -104,10 +104,11 @@
         std::size_t payload_bytes;
         bool is_relayed;
     };
-    std::array<row, 7u> const rows{{
+    std::array<row, 8u> const rows{{
         {"large payloads on a slow link", 2u, 130u, 2'400u, true},
         {"few starts on a slow link", 2u, 5u, 2'400u, false},
-        {"small payloads on a slow link", 2u, 130u, 300u, false},
+        {"small payloads on a slow link", 2u, 130u, 300u, true},
+        {"few starts with small payloads", 2u, 30u, 300u, false},
         {"large payloads on a fast link", 1'000u, 130u, 2'400u, false},
         {"large payloads on a link of unknown speed", 0u, 130u, 2'400u, false},
         {"more starts than one processor should send", 0u, 1'240u, 2'400u, true},
@@ -116,12 +117,12 @@
     for(auto const &item: rows) {
         CAPTURE(item.name);
         relay_policy policy{item.link_mbps};
-        CHECK_FALSE(policy.is_relayed(item.payload_bytes, start));
+        CHECK_FALSE(policy.is_relaying(start));
         for(std::uint64_t pos{}; pos < item.starts_per_second; ++pos) {
             policy.record_start(item.payload_bytes, start + millis{pos * 1'000u / item.starts_per_second});
         }
-        CHECK(policy.is_relayed(item.payload_bytes, start + millis{1'000}) == item.is_relayed);
-        CHECK_FALSE(policy.is_relayed(item.payload_bytes, start + millis{2'000}));
+        CHECK(policy.is_relaying(start + millis{1'000}) == item.is_relayed);
+        CHECK_FALSE(policy.is_relaying(start + millis{2'000}));
     }
 }
 
