--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -185,8 +185,8 @@
 
     /*!
      * Records that a different worker answered at the address of a worker. The runs there are lost, unless their start
-     * is pending or was answered after the poll was sent; late commands have no effect. Ignored if the worker has not
-     * answered this leader from the address or has answered a later poll, or if its registration names another address.
+     * is pending or was answered after the poll was sent; late commands have no effect. Ignored if the worker answered
+     * at another address or answered a later poll, or if its registration names another address.
      * @param address Polled address.
      * @param sent_at Time at which the poll was sent.
      * @return True if the state of the worker changed.
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -150,10 +150,8 @@
         return false;
     }
     auto &worker = state_.workers[found->second];
-    // A registration may come from another writer: only an address from which the worker itself has answered tells, by
-    // another worker's answer, that it is gone. The runs of any other worker lapse.
-    if(worker.answered_address != address || address != worker.registration.address ||
-        sent_at < worker.answered_poll_sent_at) {
+    auto const has_moved = !worker.answered_address.empty() && worker.answered_address != address;
+    if(has_moved || address != worker.registration.address || sent_at < worker.answered_poll_sent_at) {
         return false;
     }
     auto const has_changed = worker.is_reconciled || !worker.placements.empty();
