--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -22,7 +22,7 @@
 /*! Time between checks of the leader. */
 constexpr millis leader_check_interval{50};
 /*! Time between checks for the job of a relayed start. */
-constexpr millis relay_check_interval{20};
+constexpr millis job_check_interval{20};
 /*! Time between clearing the readiness and resigning leadership, for the load balancer to react. */
 constexpr millis resign_delay{300};
 
@@ -575,10 +575,10 @@
     auto refused = reason_to_decline(request, relay_state_for(request.job()));
     while(refused == relay_refusal::job_unknown) {
         // The job may have been accepted so recently that this entry VM has not read it yet.
-        co_await pause(internal::relay_check_interval);
+        co_await pause(internal::job_check_interval);
         auto const state = relay_state_for(request.job());
         refused = reason_to_decline(request, state);
-        if(state.clock + internal::relay_check_interval.count() > request.send_before_ms()) {
+        if(state.clock + internal::job_check_interval.count() > request.send_before_ms()) {
             break;
         }
     }
