Apply a cancellation that precedes the job's definition in the log

Cause: the submission had no answer and was executed by the log after the cancel. An entry VM answered 410 for the unknown job without a record, and the job table ignored cancellations of unknown jobs, so that nothing met the late definition.

Ruled out: a slow reader or leader (the definition was not in the log when the cancel was answered), the VM that took the submission (any VM answers so).

Change: the cancellation is appended before the answer and kept until the definition comes or it expires; 410 needs a read of the log past the cancellation. Ended jobs and cancellations are retained for at least 15 s, so that a small status_time_s does not reopen the gap.

--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -140,7 +140,7 @@
                 {"ms", (current_time() - job.accepted_at).count()},
                 {"log_age_ms", (current_time() - jobs_reader_.fresh_at()).count()}});
         define(std::move(job));
-        co_return caller_answer{std::nullopt, job_phase::queued, std::nullopt};
+        co_return caller_answer{std::nullopt, job_table::visible_phase(*known_jobs_.find(id)), std::nullopt};
     case append_outcome::unknown:
         parts_.decisions.write(decision::job_outcome_unknown, {{"job", id}, {"queue", job.queue}});
         co_return internal::refused(refusal::outcome_unknown, id);
@@ -152,25 +152,28 @@
 }
 
 boost::asio::awaitable<caller_answer> site_node::cancel(caller_request const &request, std::string id) {
-    auto const *known = known_jobs_.find(id);
-    if(known == nullptr) {
-        co_return internal::refused(refusal::job_unknown, id);
-    }
-    if(is_final(job_table::visible_phase(*known))) {
+    if(auto const *known = known_jobs_.find(id); known != nullptr && is_final(job_table::visible_phase(*known))) {
         co_return caller_answer{std::nullopt, job_table::visible_phase(*known), std::nullopt};
     }
+    // Also for an unknown job: a submission that had no answer may reach the log after this record.
     auto record = encode_cancellation(id);
     auto const outcome = co_await append_record(std::move(record), request.timeout);
-    if(outcome == append_outcome::done) {
-        parts_.decisions.write(decision::job_cancelled, {{"job", id}});
-        known_jobs_.cancel(id);
-        if(leader_ != nullptr) {
-            leader_->cancel_job(id);
-        }
-        co_return caller_answer{std::nullopt, job_phase::cancelled, std::nullopt};
+    if(outcome != append_outcome::done) {
+        co_return internal::refused(
+            outcome == append_outcome::unknown ? refusal::outcome_unknown : refusal::log_unavailable, id);
+    }
+    if(known_jobs_.cancel(id, current_time()) && leader_ != nullptr) {
+        leader_->cancel_job(id);
+    }
+    // The definition may precede the cancellation in the log: only a reader that has passed both can deny the job.
+    auto const is_read = known_jobs_.find(id) != nullptr || co_await catch_up();
+    auto const *known = known_jobs_.find(id);
+    parts_.decisions.write(decision::job_cancelled, {{"job", id}, {"known", known != nullptr}});
+    if(known == nullptr && is_read) {
+        co_return internal::refused(refusal::job_unknown, id);
     }
-    co_return internal::refused(
-        outcome == append_outcome::unknown ? refusal::outcome_unknown : refusal::log_unavailable, id);
+    auto const phase = known != nullptr ? job_table::visible_phase(*known) : job_phase::cancelled;
+    co_return caller_answer{std::nullopt, phase, std::nullopt};
 }
 
 boost::asio::awaitable<append_outcome> site_node::append_record(keyed_record record, millis const timeout) {
@@ -303,7 +306,7 @@
         }
         break;
     case record_kind::cancellation:
-        if(known_jobs_.cancel(name->id) && leader_ != nullptr) {
+        if(known_jobs_.cancel(name->id, now) && leader_ != nullptr) {
             leader_->cancel_job(name->id);
         }
         break;
@@ -389,7 +392,7 @@
         return;
     }
     jobs_removed_at_ = now;
-    auto const ids = known_jobs_.ended_before(now - parts_.settings.status_time);
+    auto const ids = known_jobs_.expired_before(now - retention_of(parts_.settings));
     if(!ids.empty()) {
         leader_->remove_jobs(ids);
     }
--- a/src/kingcuplink/site/site_settings.hpp
+++ b/src/kingcuplink/site/site_settings.hpp
@@ -1,8 +1,9 @@
 #ifndef KINGCUPLINK_SITE_SITE_SETTINGS_HPP_INCLUDED
 #define KINGCUPLINK_SITE_SITE_SETTINGS_HPP_INCLUDED
 
+#include <algorithm>
 #include <cstdint>
-#include <kingcuplink/core/time.hpp>
+#include <kingcuplink/site/timing.hpp>
 #include <string>
 
 namespace kingcuplink {
@@ -36,6 +37,11 @@
     millis shutdown_time{5'000};
 };
 
+/*! Returns the time for which the log retains the records of an ended job, or the cancellation of an unknown one. */
+[[nodiscard]] constexpr millis retention_of(site_settings const &settings) noexcept {
+    return std::max(settings.status_time, timing::late_append_limit);
+}
+
 } // namespace kingcuplink
 
 #endif
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -75,6 +75,11 @@
 /*! Delay before a failed append or read is retried; it doubles for appends of callers' records. */
 inline constexpr millis log_retry{150};
 inline constexpr millis max_log_retry{1'200};
+/*!
+ * Time after which an append without an answer is no longer executed by the log. Jobs and cancellations are retained at
+ * least as long: a submission that is executed after their removal would run again.
+ */
+inline constexpr millis late_append_limit{15'000};
 /*! Longest time that the log waits for a record of rules or registrations; each read is billed. */
 inline constexpr millis log_wait{1'500};
 /*!
--- a/src/kingcuplink/workflow/job_table.cpp
+++ b/src/kingcuplink/workflow/job_table.cpp
@@ -8,6 +8,7 @@
     auto const [found, inserted] = jobs_.try_emplace(id);
     if(inserted) {
         found->second.definition = std::move(definition);
+        found->second.cancel_requested = early_cancellations_.erase(id) > 0u;
         count(found->second, 1);
     }
     return inserted;
@@ -30,9 +31,13 @@
     count(entry, 1);
 }
 
-bool job_table::cancel(std::string const &id) {
+bool job_table::cancel(std::string const &id, instant const now) {
     auto const found = jobs_.find(id);
-    if(found == jobs_.end() || is_final(found->second.progress.phase)) {
+    if(found == jobs_.end()) {
+        early_cancellations_.try_emplace(id, now);
+        return false;
+    }
+    if(is_final(found->second.progress.phase)) {
         return false;
     }
     count(found->second, -1);
@@ -54,6 +59,7 @@
         count(found->second, -1);
         jobs_.erase(found);
     }
+    early_cancellations_.erase(id);
 }
 
 job_entry const *job_table::find(std::string const &id) const {
@@ -74,13 +80,18 @@
     return found == pending_.end() ? 0u : static_cast<std::size_t>(found->second);
 }
 
-std::vector<std::string> job_table::ended_before(instant const time) const {
+std::vector<std::string> job_table::expired_before(instant const time) const {
     std::vector<std::string> ids;
     for(auto const &[id, entry]: jobs_) {
         if(is_final(entry.progress.phase) && entry.ended_at < time) {
             ids.push_back(id);
         }
     }
+    for(auto const &[id, read_at]: early_cancellations_) {
+        if(read_at < time) {
+            ids.push_back(id);
+        }
+    }
     return ids;
 }
 
--- a/src/kingcuplink/workflow/job_table.hpp
+++ b/src/kingcuplink/workflow/job_table.hpp
@@ -23,18 +23,22 @@
 
 /*!
  * Table of jobs built from the log. Entry VMs that have read the log up to the same position hold the same jobs. The
- * first definition of an identifier and the latest progress apply. Not thread safe.
+ * first definition of an identifier and the latest progress apply. A cancellation applies whether its record precedes
+ * or follows the definition: a submission without an answer may reach the log late. Not thread safe.
  */
 class job_table {
 public:
-    /*! Adds a job. Returns false if the identifier is already in use. */
+    /*! Adds a job; it is cancelled if a cancellation preceded it. Returns false if the identifier is in use. */
     bool define(job_definition definition);
 
     /*! Updates the progress of a job; ignored if the job is unknown. */
     void advance(std::string const &id, job_progress progress, instant now);
 
-    /*! Records a cancellation by a caller. Returns false if the job is unknown or has ended. */
-    bool cancel(std::string const &id);
+    /*!
+     * Records a cancellation by a caller; that of an unknown job is retained for a later definition. Returns false if
+     * the job is unknown or has ended.
+     */
+    bool cancel(std::string const &id, instant now);
 
     /*!
      * Records the final phase of a job that the leader reported before the record was read from the log. Precondition:
@@ -42,7 +46,7 @@
      */
     void set_reported_phase(std::string const &id, job_phase phase);
 
-    /*! Removes a job. */
+    /*! Removes a job and its cancellation. */
     void forget(std::string const &id);
 
     /*! Returns a job, or null. */
@@ -54,8 +58,8 @@
     /*! Returns the number of jobs of a queue that are reported as queued. */
     [[nodiscard]] std::size_t pending(std::string const &queue) const;
 
-    /*! Returns the identifiers of jobs whose end was read before a time. */
-    [[nodiscard]] std::vector<std::string> ended_before(instant time) const;
+    /*! Returns the identifiers of jobs whose end, and of unknown jobs whose cancellation, was read before a time. */
+    [[nodiscard]] std::vector<std::string> expired_before(instant time) const;
 
     /*! Returns all jobs. */
     [[nodiscard]] std::unordered_map<std::string, job_entry> const &jobs() const noexcept {
@@ -67,6 +71,8 @@
 
     std::unordered_map<std::string, job_entry> jobs_;
     std::unordered_map<std::string, std::int64_t> pending_;
+    /*! Times at which cancellations of unknown jobs were read, by job. */
+    std::unordered_map<std::string, instant> early_cancellations_;
 };
 
 } // namespace kingcuplink
--- a/test/site/scripted_site.cpp
+++ b/test/site/scripted_site.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <fcntl.h>
+#include <kingcuplink/platform/http_client.hpp>
 #include <kingcuplink/platform/pause.hpp>
 #include <thread>
 
@@ -280,13 +281,7 @@
     request.path = "/p/" + id;
     request.key = key;
     if(operation == caller_operation::submit) {
-        request.draft.emplace();
-        request.draft->payload = std::string(payload_bytes, 'x');
-        step_definition step;
-        step.count = 2u;
-        step.task_size = {1'000, 256, 0};
-        step.estimate = millis{1'000};
-        request.draft->steps.push_back(step);
+        request.draft = job(id);
     }
     std::optional<caller_answer> result;
     boost::asio::co_spawn(vms[pos]->context, vms[pos]->node->serve(std::move(request)),
@@ -300,6 +295,21 @@
     return result.value_or(caller_answer{problem{refusal::outcome_unknown, "no answer"}, std::nullopt, std::nullopt});
 }
 
+job_definition scripted_site::job(std::string id) {
+    job_definition result;
+    result.id = std::move(id);
+    result.queue = "queue";
+    result.account = "account";
+    result.payload = std::string(payload_bytes, 'x');
+    result.accepted_at = current_time();
+    step_definition step;
+    step.count = 2u;
+    step.task_size = {1'000, 256, 0};
+    step.estimate = millis{1'000};
+    result.steps.push_back(step);
+    return result;
+}
+
 site_node *scripted_site::leader() {
     for(auto const &item: vms) {
         if(item->is_alive && item->node->leads()) {
--- a/test/site/scripted_site.hpp
+++ b/test/site/scripted_site.hpp
@@ -161,6 +161,9 @@
     caller_answer ask(std::size_t vm, caller_operation operation, std::string const &id,
         std::string const &host = "host", std::string const &key = "key");
 
+    /*! Returns the definition of a job as an entry VM accepts it. */
+    [[nodiscard]] static job_definition job(std::string id);
+
     /*! Returns the leader, or null if there is none. */
     [[nodiscard]] site_node *leader();
 
--- a/test/site/site_test.cpp
+++ b/test/site/site_test.cpp
@@ -187,6 +187,86 @@
     }
 }
 
+// A job ran although its cancel was acknowledged: its submission, which had no answer, reached the log after the
+// cancel.
+TEST_CASE("a job whose submission reaches the log after its cancellation is not started") {
+    enum class change : std::uint8_t { none, leader, all_processes };
+    struct row {
+        std::string_view name;
+        bool is_cancelled_at_leader;
+        change between;
+    };
+    std::array<row, 5u> const rows{{
+        {"cancelled at the leader", true, change::none},
+        {"cancelled at another entry VM", false, change::none},
+        {"the leader stops after it cancelled the job", true, change::leader},
+        {"the leader stops after another entry VM cancelled the job", false, change::leader},
+        {"all entry VMs are replaced and read a snapshot", false, change::all_processes},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        scripted_site site{2u};
+        site.run_until([&]() { return site.leader() != nullptr; });
+        REQUIRE(site.leader() != nullptr);
+        auto const *id = "00000000000000aa";
+        auto const vm = item.is_cancelled_at_leader ? 1u - site.follower() : site.follower();
+        auto const answer = site.ask(vm, caller_operation::cancel, id);
+        REQUIRE(answer.refused);
+        CHECK(answer.refused->reason == refusal::job_unknown);
+        if(item.between == change::leader) {
+            site.kill_leader();
+        } else if(item.between == change::all_processes) {
+            site.log.compact_before(site.log.end());
+            site.add_vm();
+            site.vms[0]->is_alive = site.vms[1]->is_alive = false;
+        }
+        site.run_until([&]() { return site.leader() != nullptr; });
+        REQUIRE(site.leader() != nullptr);
+        auto const *control = "00000000000000ab";
+        for(auto const *late: {id, control}) {
+            site.log.add(encode(scripted_site::job(late)));
+        }
+        site.run_until([&]() { return site.workers.runs() == 2u; });
+        site.run_for(millis{300});
+        CHECK(site.workers.starts() == 2u);
+        CHECK(site.ask(site.survivor(), caller_operation::ask, control).phase == job_phase::running);
+        CHECK(site.ask(site.survivor(), caller_operation::ask, id).phase == job_phase::cancelled);
+        CHECK(site.ask(site.survivor(), caller_operation::submit, id).phase == job_phase::cancelled);
+    }
+}
+
+TEST_CASE("a job that is submitted after its cancellation is accepted as cancelled") {
+    scripted_site site{2u};
+    site.run_until([&]() { return site.leader() != nullptr; });
+    for(auto vm = 0u; vm < 2u; ++vm) {
+        auto const id = "00000000000000a" + std::to_string(vm);
+        CHECK(site.ask(vm, caller_operation::cancel, id).refused);
+        // No such job exists before the submission.
+        CHECK(site.ask(vm, caller_operation::ask, id).refused);
+        CHECK(site.ask(1u - vm, caller_operation::submit, id).phase == job_phase::cancelled);
+    }
+    site.run_for(millis{300});
+    CHECK(site.workers.starts() == 0u);
+}
+
+// The records of an ended job were removed before its submission, repeated by a log that answers late, reached the log.
+TEST_CASE("jobs and cancellations are retained while the log may execute an earlier append") {
+    struct row {
+        millis status_time;
+        millis expected;
+    };
+    std::array<row, 3u> const rows{{
+        {millis{1'000}, timing::late_append_limit},
+        {timing::late_append_limit, timing::late_append_limit},
+        {millis{120'000}, millis{120'000}},
+    }};
+    for(auto const &item: rows) {
+        site_settings settings;
+        settings.status_time = item.status_time;
+        CHECK(retention_of(settings) == item.expected);
+    }
+}
+
 TEST_CASE("an ended job takes little space in the log, and an entry VM that starts later reports its end") {
     scripted_site site{1u};
     site.run_until([&]() { return site.leader() != nullptr; });
--- a/test/workflow/dispatcher_test.cpp
+++ b/test/workflow/dispatcher_test.cpp
@@ -696,7 +696,7 @@
     scripted_fleet fleet;
     fleet.submit(scripted_fleet::job("a", make_step(4u, 10'000)));
     fleet.run_for(millis{300});
-    fleet.table.cancel("a");
+    fleet.table.cancel("a", fleet.now);
     fleet.leader->cancel_job("a");
     fleet.run_for(millis{300});
     CHECK(fleet.run_count("a") == 0u);
--- a/test/workflow/load_test.cpp
+++ b/test/workflow/load_test.cpp
@@ -130,7 +130,7 @@
     submit_jobs(fleet, "batch", 60, batch);
     fleet.run_for(millis{1'000});
     for(auto pos = 0; pos < 60; ++pos) {
-        fleet.table.cancel("batch" + std::to_string(pos));
+        fleet.table.cancel("batch" + std::to_string(pos), fleet.now);
         fleet.leader->cancel_job("batch" + std::to_string(pos));
     }
     fleet.run_for(millis{200});
--- a/test/workflow/simulated_nodes.cpp
+++ b/test/workflow/simulated_nodes.cpp
@@ -241,7 +241,7 @@
             hosts_[node]->fenced();
         }
     } else if(auto const *request = std::get_if<cancellation_record>(&record); request != nullptr) {
-        if(entry.table.cancel(request->job) && entry.leader_role != nullptr) {
+        if(entry.table.cancel(request->job, now) && entry.leader_role != nullptr) {
             entry.leader_role->cancel_job(request->job);
         }
     }
