Reserve capacity only for gangs that can start

Cause: reserve_for_gang withheld whatever was there, also if the gang could not start with the whole fleet, and took back only its preemptions.

Ruled out: advice, quotas and quarantine (the case has none); the control without the gang is done at once.

Change: a gang may hold capacity if it is expected to start before it loses its value, by the estimates of the runs it waits for; on a service that is less than half in use, only if that is within 3 s. The limit of members on one worker now counts for reservations and preemptions.

--- a/src/kingcuplink/workflow/dispatch_planner.cpp
+++ b/src/kingcuplink/workflow/dispatch_planner.cpp
@@ -9,6 +9,8 @@
 
 /*! Maximum number of gangs with a capacity reservation in one round. */
 constexpr std::size_t max_reserving_gangs = 4u;
+/*! Time for which capacity of a mostly idle fleet may be reserved for a gang. */
+constexpr millis idle_reservation_limit{3'000};
 /*! Maximum number of waiting gangs, in order of rank, for which a first advice is requested in one round. */
 constexpr std::size_t max_first_advice_gangs = 8u;
 /*! Maximum number of workers in one query; a limit of the adviser. */
@@ -174,10 +176,15 @@
     return worker.service == queue.service && has_label(worker, step.required_label);
 }
 
+std::uint32_t dispatch_planner::slots_on_worker(step_definition const &step, resources const &capacity) noexcept {
+    auto const fitting = std::min(step.count, fit_count(step.task_size, capacity));
+    return step.most_per_worker > 0u ? std::min(step.most_per_worker, fitting) : fitting;
+}
+
 std::uint32_t dispatch_planner::slots_in(std::vector<option> const &options, step_definition const &step) {
     std::uint32_t slots{};
     for(auto const &item: options) {
-        slots += std::min(step.count, fit_count(step.task_size, item.on->available));
+        slots += slots_on_worker(step, item.on->available);
     }
     return slots;
 }
@@ -367,7 +374,8 @@
     }
     // Tickets are short-lived: they are renewed only if the gang could start with them.
     auto const slots = slots_in(options, definition);
-    if(current.rank.tier < service_tier::too_late && reserve_for_gang(current, options, definition.count)) {
+    if(current.rank.tier < service_tier::too_late && reserving_gangs_ < max_reserving_gangs &&
+        may_reserve_for_gang(current, options) && reserve_for_gang(current, options)) {
         return true;
     }
     std::vector<option> unqueried;
@@ -391,13 +399,9 @@
         if(item.ticket == nullptr) {
             continue;
         }
-        auto fitting = fit_count(definition.task_size, item.on->available);
-        if(definition.most_per_worker > 0u) {
-            fitting = std::min(fitting, definition.most_per_worker);
-        }
-        if(fitting > 0u) {
+        if(auto const fitting = slots_on_worker(definition, item.on->available); fitting > 0u) {
             allocations.push_back({&item, fitting});
-            slots += std::min(fitting, static_cast<std::uint32_t>(members.size()));
+            slots += fitting;
         }
     }
     if(slots < members.size()) {
@@ -450,32 +454,94 @@
     return victims;
 }
 
-bool dispatch_planner::reserve_for_gang(
-    waiting_step const &current, std::vector<option> &options, std::uint32_t const count) {
-    if(++reserving_gangs_ > max_reserving_gangs) {
-        return false;
+instant dispatch_planner::expected_end(placement const &run) const {
+    auto const *job = run.is_known ? state_.jobs.find(run.job) : nullptr;
+    if(job == nullptr || run.stop_requested) {
+        return now_;
+    }
+    auto const &definition = job->definition.steps[run.key.step];
+    if(definition.long_running) {
+        return instant::max();
+    }
+    // A run that has exceeded its estimate is expected to take twice as long as it has taken so far.
+    auto const elapsed = now_ - run.stage_since;
+    return run.stage_since + (elapsed < definition.estimate ? definition.estimate : elapsed * 2);
+}
+
+resources dispatch_planner::expected_capacity(live_worker const &worker, instant const at) const {
+    auto capacity = worker.registration.capacity;
+    for(auto const id: worker.placements) {
+        auto const &run = state_.placements[id];
+        capacity -= expected_end(run) > at ? run.charge : resources{};
+    }
+    return capacity;
+}
+
+bool dispatch_planner::is_mostly_idle(std::string const &service) {
+    auto const [found, inserted] = mostly_idle_.try_emplace(service);
+    if(inserted) {
+        resources used;
+        resources capacity;
+        for(auto const &worker: state_.workers.values()) {
+            if(worker.is_registered && worker.registration.service == service) {
+                used += worker.used;
+                capacity += worker.registration.capacity;
+            }
+        }
+        found->second = dominant_fraction(used, capacity) < 0.5;
+    }
+    return found->second;
+}
+
+bool dispatch_planner::may_reserve_for_gang(waiting_step const &current, std::vector<option> const &options) {
+    auto const &job = state_.jobs[current.job];
+    auto const &definition = job.definition.steps[current.step];
+    auto latest_start = job.objective.late - job.objective.remaining[current.step];
+    if(is_mostly_idle(current.queue->service)) {
+        latest_start = std::min(latest_start, now_ + idle_reservation_limit);
     }
-    auto const &size = state_.jobs[current.job].definition.steps[current.step].task_size;
+    auto possible = options;
+    if(current.queue->advice) {
+        // The adviser may still approve the others.
+        add_unqueried_options(current, possible);
+    }
+    std::uint32_t slots{};
+    for(auto const &item: possible) {
+        slots += slots_on_worker(definition, expected_capacity(*item.on->worker, latest_start));
+        if(slots >= definition.count) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool dispatch_planner::reserve_for_gang(waiting_step const &current, std::vector<option> &options) {
+    ++reserving_gangs_;
+    auto const &definition = state_.jobs[current.job].definition.steps[current.step];
+    auto const &size = definition.task_size;
     struct reservation {
         candidate *on;
         /*! Capacity available after pending stops; starts are limited to the capacity available now. */
         resources available_after_stops;
+        /*! Number of members that the worker may take in addition. */
+        std::uint32_t remaining_slots;
     };
     std::vector<reservation> reservations;
-    auto missing = count;
+    auto missing = definition.count;
     for(auto &item: options) {
         auto available_after_stops = item.on->available;
         for(auto const id: item.on->worker->placements) {
             available_after_stops += state_.placements[id].stop_requested ? state_.placements[id].charge : resources{};
         }
-        auto const reserved = std::min(missing, fit_count(size, available_after_stops));
+        auto const most = definition.most_per_worker > 0u ? definition.most_per_worker : definition.count;
+        auto const reserved = std::min(missing, slots_on_worker(definition, available_after_stops));
         reserve(*item.on, size * reserved);
         missing -= reserved;
-        reservations.push_back({item.on, available_after_stops - size * reserved});
+        reservations.push_back({item.on, available_after_stops - size * reserved, most - reserved});
     }
     std::vector<placement_id> victims;
     for(auto &item: reservations) {
-        while(missing > 0u) {
+        for(; missing > 0u && item.remaining_slots > 0u; --item.remaining_slots) {
             auto const chosen = victims_for(current, *item.on->worker, item.available_after_stops, size);
             if(chosen.empty()) {
                 break;
--- a/src/kingcuplink/workflow/dispatch_planner.hpp
+++ b/src/kingcuplink/workflow/dispatch_planner.hpp
@@ -2,7 +2,9 @@
 #define KINGCUPLINK_WORKFLOW_DISPATCH_PLANNER_HPP_INCLUDED
 
 #include <kingcuplink/workflow/dispatcher.hpp>
+#include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace kingcuplink::internal {
@@ -73,11 +75,22 @@
     /*! Places the members on as few workers as possible. Returns false, placing none, if they do not all fit. */
     [[nodiscard]] bool place_members(
         waiting_step const &current, std::vector<option> const &options, std::span<std::uint32_t const> members);
+    /*!
+     * Returns true if capacity may be withheld from lower ranks for a gang: if the gang is expected to start before it
+     * loses its value, and shortly if the fleet is mostly idle.
+     */
+    [[nodiscard]] bool may_reserve_for_gang(waiting_step const &current, std::vector<option> const &options);
+    /*! Returns true if less than half of the capacity of a service is in use, in every dimension. */
+    [[nodiscard]] bool is_mostly_idle(std::string const &service);
+    /*! Returns the capacity of a worker without the runs that are expected to continue at a time. */
+    [[nodiscard]] resources expected_capacity(live_worker const &worker, instant at) const;
+    /*! Returns the time at which a run is expected to end; instant::max() for a long-running one. */
+    [[nodiscard]] instant expected_end(placement const &run) const;
     /*!
      * Reserves capacity for a gang and preempts other runs if that frees enough for it. Returns true if the gang can
      * start once the pending stops are done.
      */
-    bool reserve_for_gang(waiting_step const &current, std::vector<option> &options, std::uint32_t count);
+    bool reserve_for_gang(waiting_step const &current, std::vector<option> &options);
     /*! Returns runs to preempt on a worker so that one task fits, or nothing if it would not fit or fits already. */
     [[nodiscard]] std::vector<placement_id> victims_for(
         waiting_step const &current, live_worker const &worker, resources available, resources const &size) const;
@@ -93,6 +106,8 @@
     void add_unqueried_options(waiting_step const &current, std::vector<option> &options);
     [[nodiscard]] static bool may_run(
         worker_registration const &worker, queue_rules const &queue, step_definition const &step);
+    /*! Returns the number of tasks of a step that fit into the given capacity of one worker. */
+    [[nodiscard]] static std::uint32_t slots_on_worker(step_definition const &step, resources const &capacity) noexcept;
     /*! Returns the number of tasks of a step that fit into the available capacity of the options. */
     [[nodiscard]] static std::uint32_t slots_in(std::vector<option> const &options, step_definition const &step);
     /*! Returns true if the step needs advice and no query or retry delay is pending. */
@@ -112,6 +127,8 @@
     /*! Cached; reserve() resets it. */
     std::optional<resources> max_available_;
     std::size_t reserving_gangs_{};
+    /*! Results of is_mostly_idle(), by service. */
+    std::map<std::string, bool> mostly_idle_;
     /*! Gangs without any advice that were processed in this round. */
     std::size_t first_advice_gangs_{};
     /*! Steps other than gangs that found no capacity in this round and could use advice. */
--- a/test/workflow/load_test.cpp
+++ b/test/workflow/load_test.cpp
@@ -99,6 +99,111 @@
     CHECK(fleet.peak_utilization() <= 1.0);
 }
 
+// Jobs of another queue were not started on an idle fleet for minutes: it was reserved for a gang that could never
+// start.
+TEST_CASE("gangs that cannot start soon leave an idle fleet to other jobs") {
+    struct row {
+        std::string_view name;
+        /*! Members, their size and the most on one worker; each of the three workers has 64 cores. */
+        std::uint32_t members;
+        std::int64_t millicores;
+        std::uint32_t most_per_worker;
+        /*! Number of such gangs. */
+        int gangs;
+        bool is_worker_missing;
+        /*! Duration of a run of 8 cores on each worker that cannot be preempted, and whether it has no end. */
+        millis occupied;
+        bool is_long_running;
+    };
+    constexpr millis free{};
+    std::array<row, 7u> const rows{{
+        {"larger than the fleet", 40u, 8'000, 0u, 1, false, free, false},
+        {"more gangs than may reserve capacity", 40u, 8'000, 0u, 12, false, free, false},
+        {"more members than workers of their own", 24u, 8'000, 1u, 1, false, free, false},
+        {"members larger than any worker", 1u, 65'000, 0u, 1, false, free, false},
+        {"fits only on all workers, and one does not answer", 24u, 8'000, 0u, 1, true, free, false},
+        {"fits only without long-running work", 24u, 8'000, 0u, 1, false, millis{600'000}, true},
+        {"waits for runs of ten minutes", 24u, 8'000, 0u, 1, false, millis{600'000}, false},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        scripted_fleet fleet{{.workers = 3u}};
+        fleet.workers[2].reachable = !item.is_worker_missing;
+        if(item.occupied > free) {
+            auto step = single_task_step();
+            step.count = 3u;
+            step.task_size = {8'000, 4'096, 0};
+            step.most_per_worker = 1u;
+            step.estimate = item.occupied;
+            step.long_running = item.is_long_running;
+            fleet.behaviour["occupied"] = {item.occupied, run_outcome::done};
+            fleet.submit(scripted_fleet::job("occupied", step));
+        }
+        fleet.run_for(millis{1'800});
+        for(auto pos = 0; pos < item.gangs; ++pos) {
+            auto step = single_task_step();
+            step.count = item.members;
+            step.task_size = {item.millicores, 512, 0};
+            step.most_per_worker = item.most_per_worker;
+            step.estimate = millis{120'000};
+            step.gang = true;
+            auto job = scripted_fleet::job("gang" + std::to_string(pos), step);
+            job.queue = "urgent";
+            job.accepted_at = fleet.now;
+            fleet.submit(job);
+        }
+        fleet.run_for(millis{1'000});
+        submit_jobs(fleet, "small", 5, {"patient", 1u, 2'000, millis{1'000}, false, false});
+        fleet.run_for(millis{1'000});
+        for(auto pos = 0; pos < 5; ++pos) {
+            CHECK(start_delay(fleet, "small" + std::to_string(pos)) <= millis{1'000});
+        }
+        CHECK(fleet.run_count("gang0") == 0u);
+    }
+}
+
+TEST_CASE("a gang that fits starts in time although other jobs keep the fleet full") {
+    // The other jobs cannot be preempted; the gang may wait 7 s, and 18 s until its value is lost.
+    struct row {
+        std::string_view name;
+        std::uint32_t members;
+        bool has_long_running;
+        millis others;
+    };
+    std::array<row, 4u> const rows{{
+        {"half of the fleet", 4u, false, millis{1'000}},
+        {"the whole fleet", 8u, false, millis{1'000}},
+        {"all that long-running work leaves", 6u, true, millis{1'000}},
+        {"half of the fleet, longer runs", 4u, false, millis{3'400}},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        scripted_fleet fleet{{.workers = 8u}};
+        for(auto pos = 0; pos < 2 && item.has_long_running; ++pos) {
+            auto step = single_task_step();
+            step.task_size = {60'000, 4'096, 0};
+            step.long_running = true;
+            auto const id = "long" + std::to_string(pos);
+            fleet.behaviour[id] = {std::chrono::hours{1}, run_outcome::done};
+            fleet.submit(scripted_fleet::job(id, step));
+        }
+        fleet.run_for(millis{300});
+        auto number = 0;
+        auto const keep_full = [&](millis const time) {
+            for(millis passed{}; passed < time; passed += millis{200}) {
+                submit_jobs(fleet, "other" + std::to_string(number++) + ".", 6,
+                    {"patient", 4u, 5'000, item.others, false, false});
+                fleet.run_for(millis{200});
+            }
+        };
+        keep_full(millis{4'000});
+        submit_job(fleet, "gang", {"queue", item.members, 60'000, millis{6'000}, true, false});
+        keep_full(millis{8'000});
+        CHECK(start_delay(fleet, "gang") <= millis{7'000});
+        CHECK(fleet.peak_utilization() <= 1.0);
+    }
+}
+
 TEST_CASE("an account at eight times its usual rate does not delay another account") {
     // Jobs beyond the usual rate of their account wait for the jobs of accounts within their rate.
     scripted_fleet fleet{{.workers = 2u}};
