--- a/src/kingcuplink/core/counters.hpp
+++ b/src/kingcuplink/core/counters.hpp
@@ -55,6 +55,7 @@
     start_relayed,
     start_relay_failed,
     relayed_start_sent,
+    log_end_read,
     count
 };
 
--- a/src/kingcuplink/core/decision_log.cpp
+++ b/src/kingcuplink/core/decision_log.cpp
@@ -11,7 +11,7 @@
 namespace internal {
 
 constexpr std::array<std::string_view, decision_count> decision_names{"process_started", "process_stopping",
-    "settings_reloaded", "dependency_lost", "dependency_regained", "ready_changed", "rules_applied",
+    "settings_reloaded", "dependency_lost", "dependency_regained", "log_read_slow", "ready_changed", "rules_applied",
     "leadership_claimed", "leadership_begun", "leadership_ended", "leader_load", "leader_seen", "job_accepted",
     "job_refused", "job_outcome_unknown", "job_cancelled", "job_ended", "advice_given", "run_started",
     "run_start_refused", "run_start_unanswered", "start_relay_declined", "run_stopped", "run_ended", "run_lost",
--- a/src/kingcuplink/core/decision_log.hpp
+++ b/src/kingcuplink/core/decision_log.hpp
@@ -19,6 +19,7 @@
     settings_reloaded,
     dependency_lost,
     dependency_regained,
+    log_read_slow,
     ready_changed,
     rules_applied,
     leadership_claimed,
--- a/src/kingcuplink/core/latencies.hpp
+++ b/src/kingcuplink/core/latencies.hpp
@@ -15,6 +15,8 @@
     acceptance,
     /*! Duration of a successful append to the log. */
     log_append,
+    /*! Duration of a read of the stream of jobs that returned records, including the wait for the first one. */
+    log_read,
     /*! Duration of an answered query to the adviser. */
     advice,
     /*! Duration of a command to start a run, answered or not. */
--- a/src/kingcuplink/site/keyed_reader.cpp
+++ b/src/kingcuplink/site/keyed_reader.cpp
@@ -20,8 +20,8 @@
         std::erase_if(answer.records, [this](auto const &record) { return is_excluded(record.offset); });
         offset_ = answer.next;
         advance();
-        behind_ = offset_ < answer.end;
-        if(!behind_) {
+        end_ = answer.end;
+        if(!is_behind()) {
             fresh_at_ = sent_at;
         }
         co_return keyed_batch{false, std::move(answer.records)};
@@ -76,6 +76,7 @@
             std::make_move_iterator(page.records.end()));
     }
     offset_ = *end;
+    end_ = *end;
     synced_ = true;
     fresh_at_ = sent_at;
     co_return batch;
--- a/src/kingcuplink/site/keyed_reader.hpp
+++ b/src/kingcuplink/site/keyed_reader.hpp
@@ -49,7 +49,12 @@
 
     /*! Returns whether the last read ended before the end of the stream. */
     [[nodiscard]] bool is_behind() const noexcept {
-        return behind_;
+        return offset_ < end_;
+    }
+
+    /*! Returns the number of records after the last read, as of that read. */
+    [[nodiscard]] std::uint64_t remaining() const noexcept {
+        return is_behind() ? end_ - offset_ : 0u;
     }
 
     /*! Returns whether a snapshot was delivered and no gap was found since. */
@@ -75,7 +80,8 @@
     std::map<std::uint64_t, std::uint64_t> excluded_;
     std::uint64_t skipped_{};
     bool synced_{};
-    bool behind_{};
+    /*! End of the stream as of the last read. */
+    std::uint64_t end_{};
     instant fresh_at_{};
 };
 
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -193,6 +193,7 @@
     if(!log_reachable_) {
         co_return false;
     }
+    parts_.stats.add(event::log_end_read);
     auto const answer = co_await parts_.log.read(log_stream::jobs, jobs_reader_.offset(), millis{});
     auto const give_up_at = current_time() + timing::catch_up_limit;
     while(answer.outcome == read_outcome::done && jobs_reader_.offset() < answer.end && current_time() < give_up_at) {
@@ -221,6 +222,7 @@
 boost::asio::awaitable<void> site_node::follow_jobs() {
     while(true) {
         auto const wait = read_wait();
+        auto const sent_at = current_time();
         auto batch = co_await jobs_reader_.next(wait);
         update_log_reachability(batch.has_value());
         if(!batch) {
@@ -228,6 +230,7 @@
             co_await pause(timing::log_retry);
             continue;
         }
+        record_read(*batch, current_time() - sent_at);
         apply_jobs(std::move(*batch));
         refresh_ready();
         if(!jobs_reader_.is_behind()) {
@@ -236,6 +239,22 @@
     }
 }
 
+void site_node::record_read(keyed_batch const &batch, millis const took) {
+    if(!batch.records.empty()) {
+        parts_.times.add(latency::log_read, took);
+    }
+    if(jobs_reader_.is_behind() || took > timing::slow_read) {
+        std::size_t bytes{};
+        for(auto const &record: batch.records) {
+            bytes += record.key.size() + (record.value ? record.value->size() : 0u);
+        }
+        parts_.decisions.write(decision::log_read_slow,
+            {{"ms", took.count()}, {"records", batch.records.size()}, {"bytes", bytes},
+                {"remaining", jobs_reader_.remaining()}, {"snapshot", batch.is_snapshot},
+                {"end_reads", parts_.stats.value(event::log_end_read)}});
+    }
+}
+
 millis site_node::read_wait() noexcept {
     // While the leader appends, a read that waits would return the leader's next append.
     auto const skipped = std::exchange(skipped_records_, jobs_reader_.skipped());
--- a/src/kingcuplink/site/site_node.hpp
+++ b/src/kingcuplink/site/site_node.hpp
@@ -101,6 +101,8 @@
     boost::asio::awaitable<void> follow_jobs();
     boost::asio::awaitable<void> follow_rules();
     void apply_jobs(keyed_batch batch);
+    /*! Records the duration of a read, and logs it if it was slow or the reader is behind. */
+    void record_read(keyed_batch const &batch, millis took);
     void apply(keyed_record const &record);
     /*! Applies records that the leader of this entry VM has appended, instead of reading them back. */
     void apply_own(std::uint64_t offset, std::span<keyed_record const> records);
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -80,6 +80,8 @@
  * least as long: a submission that is executed after their removal would run again.
  */
 inline constexpr millis late_append_limit{15'000};
+/*! Duration above which a read of the stream of jobs is logged; longer than any wait for the first record. */
+inline constexpr millis slow_read{700};
 /*! Longest time that the log waits for a record of rules or registrations; each read is billed. */
 inline constexpr millis log_wait{1'500};
 /*!
