Read only the end of the log for a question about an unknown job

An entry VM that is asked about a job it does not know reads the log once more, to learn whether it is behind.

--- a/src/kingcuplink/site/ports.hpp
+++ b/src/kingcuplink/site/ports.hpp
@@ -104,6 +104,13 @@
      */
     virtual boost::asio::awaitable<read_answer> read(log_stream stream, std::uint64_t from, millis wait) = 0;
 
+    /*!
+     * Reads the end of a stream, transferring hardly any records.
+     * @param from Offset that the log still retains.
+     * @return Nothing if the log did not answer, or no longer retains the offset.
+     */
+    virtual boost::asio::awaitable<std::optional<std::uint64_t>> end(log_stream stream, std::uint64_t from) = 0;
+
     /*!
      * Reads a page of the latest records of all keys.
      * @param after The page begins with the first key greater than this one.
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -100,7 +100,7 @@
     if(!internal::is_job_id(id)) {
         co_return internal::refused(refusal::job_malformed, "the identifier must be 16 hexadecimal digits");
     }
-    if(request.operation != caller_operation::submit && known_jobs_.find(id) == nullptr && !co_await catch_up()) {
+    if(request.operation != caller_operation::submit && !co_await catch_up(id)) {
         co_return internal::refused(refusal::log_unavailable, id);
     }
     auto owner = account == nullptr ? std::string{} : account->name;
@@ -166,7 +166,7 @@
         leader_->cancel_job(id);
     }
     // The definition may precede the cancellation in the log: only a reader that has passed both can deny the job.
-    auto const is_read = known_jobs_.find(id) != nullptr || co_await catch_up();
+    auto const is_read = co_await catch_up(id);
     auto const *known = known_jobs_.find(id);
     parts_.decisions.write(decision::job_cancelled, {{"job", id}, {"known", known != nullptr}});
     if(known == nullptr && is_read) {
@@ -188,18 +188,22 @@
     return jobs_reader_.fresh_at() + timing::max_pending_age > current_time();
 }
 
-boost::asio::awaitable<bool> site_node::catch_up() {
-    // Another entry VM may just have accepted the job, so the log is read up to its current end first.
+boost::asio::awaitable<bool> site_node::catch_up(std::string const &id) {
+    if(known_jobs_.find(id) != nullptr) {
+        co_return true;
+    }
     if(!log_reachable_) {
         co_return false;
     }
+    // Another entry VM may just have accepted the job. Only the end is read here: all entry VMs share the log's
+    // bandwidth, and reading the records twice would delay them further when it is short.
     parts_.stats.add(event::log_end_read);
-    auto const answer = co_await parts_.log.read(log_stream::jobs, jobs_reader_.offset(), millis{});
+    auto const end = co_await parts_.log.end(log_stream::jobs, jobs_reader_.offset());
     auto const give_up_at = current_time() + timing::catch_up_limit;
-    while(answer.outcome == read_outcome::done && jobs_reader_.offset() < answer.end && current_time() < give_up_at) {
+    while(end && jobs_reader_.offset() < *end && known_jobs_.find(id) == nullptr && current_time() < give_up_at) {
         co_await pause(timing::catch_up_check_interval);
     }
-    co_return answer.outcome == read_outcome::done &&jobs_reader_.offset() >= answer.end;
+    co_return end && (jobs_reader_.offset() >= *end || known_jobs_.find(id) != nullptr);
 }
 
 caller_answer site_node::job_answer(queue_rules const &queue, std::string const &id) const {
--- a/src/kingcuplink/site/site_node.hpp
+++ b/src/kingcuplink/site/site_node.hpp
@@ -90,8 +90,10 @@
     boost::asio::awaitable<caller_answer> cancel(caller_request const &request, std::string id);
     [[nodiscard]] caller_answer job_answer(queue_rules const &queue, std::string const &id) const;
     [[nodiscard]] caller_answer queue_answer(queue_rules const &queue) const;
-    /*! Waits until the log is read up to its current end; returns false if it cannot be read in time. */
-    boost::asio::awaitable<bool> catch_up();
+    /*!
+     * Waits until a job is known, or the log is read up to its current end. Returns false if it cannot be read in time.
+     */
+    boost::asio::awaitable<bool> catch_up(std::string const &id);
     /*! Appends a caller's record and waits for the outcome; `refused` at once if neither log nor leader is reachable.
      */
     boost::asio::awaitable<append_outcome> append_record(keyed_record record, millis timeout);
--- a/test/site/scripted_site.cpp
+++ b/test/site/scripted_site.cpp
@@ -83,6 +83,12 @@
     co_return page;
 }
 
+boost::asio::awaitable<std::optional<std::uint64_t>> memory_log::end(
+    log_stream const stream, std::uint64_t const from) {
+    auto const is_retained = is_up && from >= streams_[stream].first;
+    co_return is_retained ? std::optional{end_offset(stream)} : std::nullopt;
+}
+
 boost::asio::awaitable<append_answer> gated_log::append(
     log_stream const stream, std::vector<keyed_record> records, std::optional<log_writer> const writer) {
     ++appends;
@@ -97,7 +103,16 @@
     if(!is_open) {
         co_return read_answer{};
     }
-    co_return co_await log_.read(stream, from, wait);
+    auto answer = co_await log_.read(stream, from, wait);
+    records_read += stream == log_stream::jobs ? answer.records.size() : 0u;
+    co_return answer;
+}
+
+boost::asio::awaitable<std::optional<std::uint64_t>> gated_log::end(log_stream const stream, std::uint64_t const from) {
+    if(!is_open) {
+        co_return std::nullopt;
+    }
+    co_return co_await log_.end(stream, from);
 }
 
 boost::asio::awaitable<newest_page> gated_log::newest(log_stream const stream, std::string after) {
@@ -126,7 +141,7 @@
     }
 }
 
-std::uint64_t memory_log::end(log_stream const stream) {
+std::uint64_t memory_log::end_offset(log_stream const stream) {
     return streams_[stream].first + streams_[stream].records.size();
 }
 
@@ -283,6 +298,20 @@
     if(operation == caller_operation::submit) {
         request.draft = job(id);
     }
+    return serve(pos, std::move(request));
+}
+
+caller_answer scripted_site::submit(std::size_t const pos, job_definition job) {
+    caller_request request;
+    request.operation = caller_operation::submit;
+    request.host = "host";
+    request.path = "/p/" + job.id;
+    request.key = "key";
+    request.draft = std::move(job);
+    return serve(pos, std::move(request));
+}
+
+caller_answer scripted_site::serve(std::size_t const pos, caller_request request) {
     std::optional<caller_answer> result;
     boost::asio::co_spawn(vms[pos]->context, vms[pos]->node->serve(std::move(request)),
         [&result](std::exception_ptr const &error, caller_answer answer) {
--- a/test/site/scripted_site.hpp
+++ b/test/site/scripted_site.hpp
@@ -43,6 +43,7 @@
     boost::asio::awaitable<append_answer> append(
         log_stream stream, std::vector<keyed_record> records, std::optional<log_writer> writer) override;
     boost::asio::awaitable<read_answer> read(log_stream stream, std::uint64_t from, millis wait) override;
+    boost::asio::awaitable<std::optional<std::uint64_t>> end(log_stream stream, std::uint64_t from) override;
     boost::asio::awaitable<newest_page> newest(log_stream stream, std::string after) override;
 
     /*! Appends a record to a stream. */
@@ -51,7 +52,7 @@
     /*! Removes the records before an offset from the stream of jobs, but retains the latest record of each key. */
     void compact_before(std::uint64_t offset);
 
-    [[nodiscard]] std::uint64_t end(log_stream stream = log_stream::jobs);
+    [[nodiscard]] std::uint64_t end_offset(log_stream stream = log_stream::jobs);
 
     bool is_up{true};
     /*! Duration of each append. */
@@ -80,12 +81,15 @@
     boost::asio::awaitable<append_answer> append(
         log_stream stream, std::vector<keyed_record> records, std::optional<log_writer> writer) override;
     boost::asio::awaitable<read_answer> read(log_stream stream, std::uint64_t from, millis wait) override;
+    boost::asio::awaitable<std::optional<std::uint64_t>> end(log_stream stream, std::uint64_t from) override;
     boost::asio::awaitable<newest_page> newest(log_stream stream, std::string after) override;
 
     /*! False while the log rejects this entry VM's calls. */
     bool is_open{true};
     /*! Number of appends that this entry VM sent. */
     std::size_t appends{};
+    /*! Number of records that this entry VM received in reads of the stream of jobs. */
+    std::size_t records_read{};
 
 private:
     memory_log &log_;
@@ -161,6 +165,9 @@
     caller_answer ask(std::size_t vm, caller_operation operation, std::string const &id,
         std::string const &host = "host", std::string const &key = "key");
 
+    /*! Submits a job to an entry VM and returns its answer. */
+    caller_answer submit(std::size_t vm, job_definition job);
+
     /*! Returns the definition of a job as an entry VM accepts it. */
     [[nodiscard]] static job_definition job(std::string id);
 
@@ -198,6 +205,9 @@
     memory_log log{log_context};
     memory_workers workers;
     std::vector<std::unique_ptr<vm>> vms;
+
+private:
+    caller_answer serve(std::size_t vm, caller_request request);
 };
 
 } // namespace kingcuplink::test
--- a/test/site/site_test.cpp
+++ b/test/site/site_test.cpp
@@ -64,7 +64,7 @@
     CHECK_FALSE(second->is_snapshot);
     CHECK(second->records.size() == 1u);
     log.add({"c", "4"});
-    log.compact_before(log.end());
+    log.compact_before(log.end_offset());
     auto const third = run_to_end(context, reader.next(millis{0}));
     REQUIRE(third);
     CHECK(third->is_snapshot);
@@ -216,7 +216,7 @@
         if(item.between == change::leader) {
             site.kill_leader();
         } else if(item.between == change::all_processes) {
-            site.log.compact_before(site.log.end());
+            site.log.compact_before(site.log.end_offset());
             site.add_vm();
             site.vms[0]->is_alive = site.vms[1]->is_alive = false;
         }
@@ -267,6 +267,32 @@
     }
 }
 
+// Entry VMs share the log's bandwidth: a question about a job that was not known yet read all unread records once more.
+TEST_CASE("questions about unknown jobs read no record of the log twice") {
+    scripted_site site{2u};
+    site.run_until([&]() { return site.leader() != nullptr; });
+    REQUIRE(site.leader() != nullptr);
+    auto const other = site.follower();
+    site.run_for(millis{300});
+    auto const first = site.log.end_offset();
+    auto const read_before = site.vms[other]->log.records_read;
+    auto number = 0u;
+    for(auto round = 0u; round < 20u; ++round) {
+        for(auto pos = 0u; pos < 10u; ++pos) {
+            auto id = std::to_string(number++);
+            id.insert(0u, 16u - id.size(), '0');
+            site.log.add(encode_cancellation(id));
+        }
+        auto const operation = round % 2u == 0u ? caller_operation::ask : caller_operation::cancel;
+        auto const answer = site.ask(other, operation, "00000000000000aa");
+        REQUIRE(answer.refused);
+        CHECK(answer.refused->reason == refusal::job_unknown);
+    }
+    site.run_for(millis{300});
+    CHECK(site.vms[other]->stats.value(event::log_end_read) >= 20u);
+    CHECK(site.vms[other]->log.records_read - read_before <= site.log.end_offset() - first + 1u);
+}
+
 TEST_CASE("an ended job takes little space in the log, and an entry VM that starts later reports its end") {
     scripted_site site{1u};
     site.run_until([&]() { return site.leader() != nullptr; });
@@ -283,7 +309,7 @@
     site.workers.end_all();
     site.run_until([&]() { return stored_bytes() < payload_bytes / 4u; });
     CHECK(stored_bytes() < payload_bytes / 4u);
-    site.log.compact_before(site.log.end());
+    site.log.compact_before(site.log.end_offset());
     site.add_vm();
     site.run_until([&]() { return site.vms[1]->node->is_ready(); });
     CHECK(site.ask(1u, caller_operation::ask, "0123456789abcdef").phase == job_phase::done);
