Keep the progress of a job in parts of eight tasks

Cause: the progress of a job was one record with all of its tasks and their checkpoints, rewritten at each change of one of them. The leader repeated an append that the log refuses for good.

Change: records of eight tasks, written when something but the checkpoint of a run that goes on has changed; at most 128 KiB of checkpoints in one, dropped ones are logged; submissions over 250,000 bytes are refused. Whole records are still read.

--- a/src/kingcuplink/core/decision_log.hpp
+++ b/src/kingcuplink/core/decision_log.hpp
@@ -32,6 +32,7 @@
     job_outcome_unknown,
     job_cancelled,
     job_ended,
+    checkpoints_dropped,
     advice_given,
     run_started,
     run_start_refused,
--- a/src/kingcuplink/site/fleet_leader.cpp
+++ b/src/kingcuplink/site/fleet_leader.cpp
@@ -10,6 +10,7 @@
 #include <kingcuplink/site/leader_watch.hpp>
 #include <kingcuplink/site/record_codec.hpp>
 #include <kingcuplink/site/timing.hpp>
+#include <kingcuplink/workflow/progress_parts.hpp>
 #include <utility>
 
 namespace kingcuplink {
@@ -320,14 +321,21 @@
         if(ended_) {
             break;
         }
-        auto const batch = dispatcher_.next_batch();
+        auto batch = dispatcher_.next_batch();
         std::vector<keyed_record> records;
-        for(auto const &[id, progress]: batch.records) {
+        for(auto &[id, progress]: batch.records) {
+            if(auto const dropped = drop_excess_checkpoints(progress); dropped > 0u) {
+                parts_.decisions.write(decision::checkpoints_dropped,
+                    {{"job", id}, {"part", progress.part.value_or(0u)}, {"tasks", dropped}});
+            }
             records.push_back(encode(id, progress));
             if(is_final(progress.phase)) {
                 parts_.decisions.write(decision::job_ended, {{"job", id}, {"phase", name_of(progress.phase)}});
             }
         }
+        for(auto const &[id, part]: batch.obsolete_parts) {
+            records.push_back(encode_part_removal(id, part));
+        }
         records.insert(records.end(), removals_.begin(), removals_.end());
         removals_.clear();
         if(records.empty() && appended_at_ + timing::leader_record_interval <= current_time()) {
--- a/src/kingcuplink/site/record_codec.cpp
+++ b/src/kingcuplink/site/record_codec.cpp
@@ -1,4 +1,5 @@
 #include <array>
+#include <charconv>
 #include <kingcuplink/site/record_codec.hpp>
 #include <kingcuplink/wire/generated/messages.pb.h>
 #include <utility>
@@ -10,11 +11,32 @@
 constexpr std::string_view leader_key{"leader"};
 /*! Key prefixes, indexed by record_kind. */
 constexpr std::array<std::string_view, 3u> key_prefixes{"job/", "progress/", "cancel/"};
+/*! Separates the identifier of a job and the number of a part in a key. */
+constexpr char part_separator = '/';
 
 std::string key_of(record_kind const kind, std::string const &id) {
     return std::string{key_prefixes[static_cast<std::size_t>(kind)]} + id;
 }
 
+std::string part_key_of(std::string const &id, std::uint32_t const part) {
+    return key_of(record_kind::progress, id) + part_separator + std::to_string(part);
+}
+
+/*! Parses the identifier and the part in a key of progress; returns nothing if the part is malformed. */
+std::optional<parsed_record_key> parse_progress_name(std::string_view const name) {
+    auto const end = name.find(part_separator);
+    if(end == std::string_view::npos) {
+        return parsed_record_key{record_kind::progress, std::string{name}};
+    }
+    auto const digits = name.substr(end + 1u);
+    std::uint32_t part{};
+    auto const parsed = std::from_chars(digits.data(), digits.data() + digits.size(), part);
+    if(parsed.ec != std::errc{} || parsed.ptr != digits.data() + digits.size()) {
+        return std::nullopt;
+    }
+    return parsed_record_key{record_kind::progress, std::string{name.substr(0u, end)}, part};
+}
+
 template<typename Message>
 std::optional<Message> parse(std::string_view const bytes) {
     Message message;
@@ -68,8 +90,10 @@
     }
     for(std::size_t pos{}; pos < internal::key_prefixes.size(); ++pos) {
         if(key.starts_with(internal::key_prefixes[pos])) {
-            return parsed_record_key{
-                static_cast<record_kind>(pos), std::string{key.substr(internal::key_prefixes[pos].size())}};
+            auto const name = key.substr(internal::key_prefixes[pos].size());
+            auto const kind = static_cast<record_kind>(pos);
+            return kind == record_kind::progress ? internal::parse_progress_name(name)
+                                                 : std::optional{parsed_record_key{kind, std::string{name}}};
         }
     }
     return std::nullopt;
@@ -101,7 +125,8 @@
         row->set_worker(task.worker);
         row->set_checkpoint(task.checkpoint);
     }
-    return {internal::key_of(record_kind::progress, id), record.SerializeAsString()};
+    auto key = progress.part ? internal::part_key_of(id, *progress.part) : internal::key_of(record_kind::progress, id);
+    return {std::move(key), record.SerializeAsString()};
 }
 
 keyed_record encode(leader_claim const &claim) {
@@ -117,6 +142,10 @@
     return {internal::key_of(record_kind::cancellation, id), std::string{"1"}};
 }
 
+keyed_record encode_part_removal(std::string const &id, std::uint32_t const part) {
+    return {internal::part_key_of(id, part), std::nullopt};
+}
+
 std::vector<keyed_record> encode_removal(std::string const &id) {
     return {{internal::key_of(record_kind::job, id), std::nullopt},
         {internal::key_of(record_kind::progress, id), std::nullopt},
--- a/src/kingcuplink/site/record_codec.hpp
+++ b/src/kingcuplink/site/record_codec.hpp
@@ -25,6 +25,8 @@
     record_kind kind{record_kind::job};
     /*! Identifier of the job; empty for a record of the leader. */
     std::string id;
+    /*! Part of the job's tasks, for a record of the progress of one part. */
+    std::optional<std::uint32_t> part{};
 };
 
 /*! Parses a key; returns nothing if the key has none of the known prefixes. */
@@ -42,7 +44,10 @@
 /*! Encodes the request to cancel a job. */
 [[nodiscard]] keyed_record encode_cancellation(std::string const &id);
 
-/*! Encodes the records that remove all keys of a job. */
+/*! Encodes the record that removes the progress of a part of a job's tasks. */
+[[nodiscard]] keyed_record encode_part_removal(std::string const &id, std::uint32_t part);
+
+/*! Encodes the records that remove all keys of an ended job. */
 [[nodiscard]] std::vector<keyed_record> encode_removal(std::string const &id);
 
 /*! Decodes a job; returns nothing if the bytes are malformed. */
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -130,6 +130,11 @@
     job.account = std::move(account);
     job.accepted_at = current_time();
     auto record = encode(job);
+    if(record.value->size() > timing::max_record_bytes) {
+        co_return internal::refused(refusal::job_malformed,
+            "the job takes " + std::to_string(record.value->size()) + " bytes of at most " +
+                std::to_string(timing::max_record_bytes));
+    }
     auto const outcome = co_await append_record(std::move(record), request.timeout);
     switch(outcome) {
     case append_outcome::done:
@@ -325,6 +330,7 @@
     case record_kind::progress:
         watch_.record_leader_activity(now);
         if(auto progress = decode_progress(*record.value)) {
+            progress->part = name->part;
             known_jobs_.advance(name->id, std::move(*progress), now);
         }
         break;
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -162,6 +162,8 @@
 static_assert(max_clock_age * 2 / 100 + max_lease * 2 / 100 < max_lease * clock_error_percent / 100 + lapse_margin);
 /*! Time between writes of buffered log lines. */
 inline constexpr millis flush_interval{100};
+/*! Size of the largest record of a job in bytes; the platform accepts 256 KiB, including the key. */
+inline constexpr std::size_t max_record_bytes{250'000u};
 /*! Size of one append in bytes, above which records go into the next one; the platform accepts 2 MiB. */
 inline constexpr std::uint64_t append_bytes{1u << 20u};
 
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -136,6 +136,9 @@
     bool is_dirty{};
     /*! Number of runs that still exist or may exist. */
     std::uint32_t placements{};
+    /*! Progress of each part, and phase, as of the latest batch for the log. */
+    std::vector<std::vector<task_progress>> persisted_parts;
+    job_phase persisted_phase{job_phase::queued};
 };
 
 /*! A worker that is registered or may have runs. */
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -2,6 +2,7 @@
 #include <array>
 #include <kingcuplink/workflow/dispatch_planner.hpp>
 #include <kingcuplink/workflow/dispatcher.hpp>
+#include <kingcuplink/workflow/progress_parts.hpp>
 #include <utility>
 
 namespace kingcuplink {
@@ -33,12 +34,10 @@
     }
 }
 
-job_progress progress_of(live_job const &job, dispatch_state const &state) {
-    job_progress progress{job.phase, {}};
-    if(is_final(job.phase)) {
-        // Tasks of an ended job are never resumed, and workers list its remaining runs.
-        return progress;
-    }
+/*! Returns the progress of all started tasks, by part. */
+std::vector<std::vector<task_progress>> parts_of(live_job const &job, dispatch_state const &state) {
+    progress_parts const map{job.definition.steps};
+    std::vector<std::vector<task_progress>> parts{map.count()};
     for(std::uint32_t step{}; step < job.steps.size(); ++step) {
         auto const &tasks = job.steps[step].tasks;
         for(std::uint32_t index{}; index < tasks.size(); ++index) {
@@ -56,10 +55,38 @@
             if(run != nullptr && task.ended_run < task.run) {
                 row.worker = state.workers[run->worker].registration.name;
             }
-            progress.tasks.push_back(std::move(row));
+            parts[map.part_of(step, index)].push_back(std::move(row));
+        }
+    }
+    return parts;
+}
+
+/*! Adds the progress of a job to a batch, as far as it differs from what the log holds. */
+void add_progress(live_job &job, dispatch_state const &state, progress_batch &batch) {
+    auto const &id = job.definition.id;
+    if(is_final(job.phase)) {
+        // Tasks of an ended job are never resumed, and workers list its remaining runs.
+        batch.records.emplace_back(id, job_progress{job.phase, {}});
+        for(std::uint32_t part{}; part < job.persisted_parts.size(); ++part) {
+            if(!job.persisted_parts[part].empty()) {
+                batch.obsolete_parts.emplace_back(id, part);
+            }
         }
+        return;
+    }
+    auto parts = parts_of(job, state);
+    auto is_phase_persisted = job.phase == job.persisted_phase;
+    for(std::uint32_t part{}; part < parts.size(); ++part) {
+        if(needs_update(job.persisted_parts[part], parts[part])) {
+            batch.records.emplace_back(id, job_progress{job.phase, parts[part], part});
+            is_phase_persisted = true;
+        }
+    }
+    if(!is_phase_persisted) {
+        batch.records.emplace_back(id, job_progress{job.phase, parts.front(), 0u});
     }
-    return progress;
+    job.persisted_parts = std::move(parts);
+    job.persisted_phase = job.phase;
 }
 
 } // namespace internal
@@ -109,11 +136,16 @@
 }
 
 void dispatcher::adopt_runs(job_id const id, job_entry const &entry) {
+    progress_parts const parts{entry.definition.steps};
+    state_.jobs[id].persisted_parts.resize(parts.count());
+    state_.jobs[id].persisted_phase = entry.progress.phase;
     for(auto const &row: entry.progress.tasks) {
         auto &job = state_.jobs[id];
-        if(row.step >= job.steps.size() || row.index >= job.steps[row.step].tasks.size()) {
+        auto const part = parts.part_of(row.step, row.index);
+        if(part == parts.count()) {
             continue;
         }
+        job.persisted_parts[part].push_back(row);
         auto &step = job.steps[row.step];
         auto &task = step.tasks[row.index];
         task.run = row.run;
@@ -367,7 +399,7 @@
             continue;
         }
         job->is_dirty = false;
-        batch.records.emplace_back(job->definition.id, internal::progress_of(*job, state_));
+        internal::add_progress(*job, state_, batch);
         if(is_final(job->phase)) {
             auto const &ended = job->definition;
             batch.ended_jobs.push_back({ended.id, ended.queue, ended.account, {}, {}, ended.accepted_at});
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -106,6 +106,8 @@
 /*! Progress to append to the log. Dependent starts and acknowledgements wait until it is committed. */
 struct progress_batch {
     std::vector<std::pair<std::string, job_progress>> records;
+    /*! Parts of the progress of ended jobs, which are not needed any more: job and part. */
+    std::vector<std::pair<std::string, std::uint32_t>> obsolete_parts;
     /*! Definitions of ended jobs, without payload and steps. */
     std::vector<job_definition> ended_jobs;
     std::vector<placement_id> starts;
--- a/src/kingcuplink/workflow/job_table.cpp
+++ b/src/kingcuplink/workflow/job_table.cpp
@@ -1,4 +1,7 @@
+#include <algorithm>
+#include <iterator>
 #include <kingcuplink/workflow/job_table.hpp>
+#include <kingcuplink/workflow/progress_parts.hpp>
 #include <utility>
 
 namespace kingcuplink {
@@ -21,6 +24,11 @@
     }
     auto &entry = found->second;
     count(entry, -1);
+    if(progress.part) {
+        replace_part(entry, std::move(progress));
+        count(entry, 1);
+        return;
+    }
     if(is_final(progress.phase) && !is_final(entry.progress.phase)) {
         entry.ended_at = now;
         // The payload and the steps are only needed until the job ends.
@@ -31,6 +39,20 @@
     count(entry, 1);
 }
 
+void job_table::replace_part(job_entry &entry, job_progress progress) {
+    auto &current = entry.progress;
+    if(is_final(current.phase)) {
+        // A snapshot may contain parts of an ended job.
+        return;
+    }
+    // The newest records of several parts may have been written in different phases.
+    current.phase = std::max(current.phase, progress.phase);
+    progress_parts const parts{entry.definition.steps};
+    std::erase_if(
+        current.tasks, [&](auto const &task) { return parts.part_of(task.step, task.index) == *progress.part; });
+    std::move(progress.tasks.begin(), progress.tasks.end(), std::back_inserter(current.tasks));
+}
+
 bool job_table::cancel(std::string const &id, instant const now) {
     auto const found = jobs_.find(id);
     if(found == jobs_.end()) {
--- a/src/kingcuplink/workflow/job_table.hpp
+++ b/src/kingcuplink/workflow/job_table.hpp
@@ -31,7 +31,7 @@
     /*! Adds a job; it is cancelled if a cancellation preceded it. Returns false if the identifier is in use. */
     bool define(job_definition definition);
 
-    /*! Updates the progress of a job; ignored if the job is unknown. */
+    /*! Updates the progress of a job, or of a part of its tasks; ignored if the job is unknown. */
     void advance(std::string const &id, job_progress progress, instant now);
 
     /*!
@@ -68,6 +68,8 @@
 
 private:
     void count(job_entry const &entry, std::int64_t change);
+    /*! Replaces the progress of a part of the tasks. */
+    static void replace_part(job_entry &entry, job_progress progress);
 
     std::unordered_map<std::string, job_entry> jobs_;
     std::unordered_map<std::string, std::int64_t> pending_;
--- a/src/kingcuplink/workflow/types.hpp
+++ b/src/kingcuplink/workflow/types.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <kingcuplink/core/resources.hpp>
 #include <kingcuplink/core/time.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -72,10 +73,12 @@
     std::string checkpoint;
 };
 
-/*! State of a job as persisted in the log. */
+/*! State of a job, or of a part of its tasks, as persisted in the log. */
 struct job_progress {
     job_phase phase{job_phase::queued};
     std::vector<task_progress> tasks;
+    /*! Part whose tasks are listed; nothing if those of the whole job are. */
+    std::optional<std::uint32_t> part{};
 };
 
 /*! Outcome of a run as reported by its worker. */
--- a/test/site/site_test.cpp
+++ b/test/site/site_test.cpp
@@ -47,6 +47,36 @@
     CHECK_FALSE(parse_record_key("other/1"));
 }
 
+TEST_CASE("the key of a record names the job and the part of its progress") {
+    struct row {
+        std::string_view key;
+        bool is_valid;
+        std::optional<std::uint32_t> part;
+    };
+    std::array<row, 7u> const rows{{
+        {"progress/0123456789abcdef", true, std::nullopt},
+        {"progress/0123456789abcdef/0", true, 0u},
+        {"progress/0123456789abcdef/511", true, 511u},
+        {"progress/0123456789abcdef/", false, std::nullopt},
+        {"progress/0123456789abcdef/1x", false, std::nullopt},
+        {"progress/0123456789abcdef/-1", false, std::nullopt},
+        {"progress/0123456789abcdef/99999999999", false, std::nullopt},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(item.key);
+        auto const name = parse_record_key(item.key);
+        REQUIRE(name.has_value() == item.is_valid);
+        if(name) {
+            CHECK(name->kind == record_kind::progress);
+            CHECK(name->id == "0123456789abcdef");
+            CHECK(name->part == item.part);
+            CHECK(encode(name->id, {job_phase::running, {}, item.part}).key == item.key);
+        }
+    }
+    CHECK(encode_part_removal("0123456789abcdef", 3u).key == "progress/0123456789abcdef/3");
+    CHECK_FALSE(encode_part_removal("0123456789abcdef", 3u).value);
+}
+
 TEST_CASE("a reader starts over with a snapshot after a gap and misses no record") {
     boost::asio::io_context context{1};
     memory_log log{context};
@@ -293,6 +323,34 @@
     CHECK(site.vms[other]->log.records_read - read_before <= site.log.end_offset() - first + 1u);
 }
 
+// One record that the log never takes was appended again and again, and the records behind it never came.
+TEST_CASE("a job that is larger than a record of the log is refused, and others are accepted") {
+    scripted_site site{2u};
+    site.run_until([&]() { return site.leader() != nullptr; });
+    struct row {
+        std::string_view name;
+        std::size_t label_bytes;
+        bool is_accepted;
+    };
+    std::array<row, 3u> const rows{{
+        {"usual", 10u, true},
+        {"within the limit", 200'000u, true},
+        {"above the limit", 250'000u, false},
+    }};
+    for(auto vm = 0u; vm < 2u; ++vm) {
+        for(auto const &item: rows) {
+            CAPTURE(item.name);
+            auto job = scripted_site::job("00000000000000a" + std::to_string(vm * 3u + item.label_bytes % 7u));
+            job.steps.front().required_label = std::string(item.label_bytes, 'x');
+            auto const answer = site.submit(vm, std::move(job));
+            REQUIRE(answer.refused.has_value() != item.is_accepted);
+            if(answer.refused) {
+                CHECK(answer.refused->reason == refusal::job_malformed);
+            }
+        }
+    }
+}
+
 TEST_CASE("an ended job takes little space in the log, and an entry VM that starts later reports its end") {
     scripted_site site{1u};
     site.run_until([&]() { return site.leader() != nullptr; });
--- a/test/workflow/dispatcher_test.cpp
+++ b/test/workflow/dispatcher_test.cpp
@@ -1,6 +1,7 @@
 #include "fixture.hpp"
 
 #include <doctest/doctest.h>
+#include <kingcuplink/workflow/progress_parts.hpp>
 
 namespace kingcuplink::test {
 
@@ -121,6 +122,67 @@
     CHECK(batch.records.front().second.tasks.front().worker.empty());
 }
 
+// The record of a job held all of its tasks with their checkpoints: it outgrew what the log takes, and each end of a
+// task rewrote it, so that the readers of a large fleet fell seconds behind.
+TEST_CASE("a change of one task of a wide job rewrites a bounded part of its progress") {
+    constexpr std::uint32_t count{160u};
+    scripted_fleet fleet{{.workers = 4u}};
+    auto step = make_step(count, 500);
+    step.checkpointing = true;
+    fleet.behaviour["a"] = {millis{600'000}, run_outcome::done};
+    fleet.submit(scripted_fleet::job("a", step));
+    fleet.run_for(millis{300});
+    REQUIRE(fleet.run_count("a") == count);
+    // All workers list checkpoints of 2,000 bytes, and one of them an end.
+    run_key ended;
+    for(auto &host: fleet.workers) {
+        worker_inventory inventory;
+        inventory.boot = host.entry.boot;
+        for(auto const &run: host.runs) {
+            if(ended.job.empty()) {
+                ended = run.key;
+                inventory.ended.push_back({1u, run.key, run_outcome::done, {}});
+            } else {
+                inventory.running.push_back({run.key, std::string(2'000u, 'x')});
+            }
+        }
+        fleet.leader->apply_inventory(host.entry.name, inventory, fleet.now, fleet.now);
+    }
+    auto const batch = fleet.leader->next_batch();
+    REQUIRE(batch.records.size() == 1u);
+    auto const &progress = batch.records.front().second;
+    CHECK(progress.part == ended.index / tasks_per_part);
+    CHECK(progress.tasks.size() <= count / 10u);
+}
+
+TEST_CASE("a new leader continues a wide job from the parts of its progress, and removes them at its end") {
+    scripted_fleet fleet{{.workers = 4u}};
+    auto step = make_step(20u, 12'000);
+    fleet.submit(scripted_fleet::job("a", step));
+    // 20 of 20 tasks fit at once; their runs take 1 s.
+    fleet.run_for(millis{600});
+    REQUIRE(fleet.run_count("a") == 20u);
+    fleet.workers[0].reachable = false;
+    fleet.run_for(millis{1'000});
+    fleet.change_leader();
+    fleet.run_for(millis{200});
+    CHECK(fleet.starts == 20u);
+    CHECK(fleet.phase_of("a") == job_phase::running);
+    fleet.workers[0].reachable = true;
+    for(auto &host: fleet.workers) {
+        worker_inventory inventory;
+        inventory.boot = host.entry.boot;
+        inventory.ended = host.completions;
+        fleet.leader->apply_inventory(host.entry.name, inventory, fleet.now, fleet.now);
+    }
+    auto const batch = fleet.leader->next_batch();
+    REQUIRE(batch.records.size() == 1u);
+    CHECK(batch.records.front().second.phase == job_phase::done);
+    CHECK_FALSE(batch.records.front().second.part);
+    CHECK(batch.obsolete_parts.size() == 3u);
+    CHECK(fleet.starts == 20u);
+}
+
 TEST_CASE("no run is started before its intent is committed to the log") {
     scripted_fleet fleet;
     fleet.is_log_available = false;
--- a/test/workflow/job_table_test.cpp
+++ b/test/workflow/job_table_test.cpp
@@ -2,6 +2,7 @@
 #include <array>
 #include <doctest/doctest.h>
 #include <kingcuplink/workflow/job_table.hpp>
+#include <kingcuplink/workflow/progress_parts.hpp>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -102,4 +103,120 @@
     }
 }
 
+namespace {
+
+job_definition wide_job() {
+    auto job = make_job();
+    job.steps.resize(2u);
+    job.steps[0].count = tasks_per_part + 2u;
+    job.steps[1].count = tasks_per_part;
+    return job;
+}
+
+/*! Progress of a part in which the given tasks, of the first step unless stated otherwise, have a run. */
+job_progress part_progress(std::uint32_t const part, std::vector<std::uint32_t> const &tasks, std::uint32_t const run,
+    std::uint32_t const step = 0u) {
+    job_progress progress{job_phase::running, {}, part};
+    for(auto const index: tasks) {
+        progress.tasks.push_back({step, index, run, 0u, 0u, false, "w", {}});
+    }
+    return progress;
+}
+
+std::uint32_t run_of(job_table const &table, std::uint32_t const step, std::uint32_t const index) {
+    std::uint32_t run{};
+    for(auto const &task: table.find("job")->progress.tasks) {
+        run += task.step == step && task.index == index ? task.run : 0u;
+    }
+    return run;
+}
+
+} // namespace
+
+TEST_CASE("tasks are mapped to parts by their position in the job") {
+    struct row {
+        std::uint32_t step;
+        std::uint32_t index;
+        std::uint32_t part;
+    };
+    progress_parts const parts{wide_job().steps};
+    CHECK(parts.count() == 3u);
+    CHECK(progress_parts{{}}.count() == 0u);
+    std::array<row, 8u> const rows{{
+        {0u, 0u, 0u},
+        {0u, tasks_per_part - 1u, 0u},
+        {0u, tasks_per_part, 1u},
+        {1u, 0u, 1u},
+        {1u, tasks_per_part - 1u, 2u},
+        {0u, tasks_per_part + 2u, 3u},
+        {1u, tasks_per_part, 3u},
+        {2u, 0u, 3u},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(item.step);
+        CAPTURE(item.index);
+        CHECK(parts.part_of(item.step, item.index) == item.part);
+    }
+}
+
+TEST_CASE("a record of a part replaces the progress of its tasks only") {
+    job_table table;
+    table.define(wide_job());
+    table.advance("job", part_progress(0u, {0u, 1u}, 1u), {});
+    table.advance("job", part_progress(1u, {tasks_per_part}, 1u), {});
+    table.advance("job", part_progress(0u, {0u, 1u}, 2u), {});
+    CHECK(run_of(table, 0u, 0u) == 2u);
+    CHECK(run_of(table, 0u, 1u) == 2u);
+    CHECK(run_of(table, 0u, tasks_per_part) == 1u);
+    // A record of the whole job, as written by earlier versions, replaces all parts.
+    table.advance("job", {job_phase::running, {{0u, 3u, 5u, 0u, 0u, false, "w", {}}}}, {});
+    CHECK(run_of(table, 0u, 0u) == 0u);
+    CHECK(run_of(table, 0u, 3u) == 5u);
+    table.advance("job", part_progress(2u, {6u}, 1u, 1u), {});
+    CHECK(run_of(table, 0u, 3u) == 5u);
+    CHECK(run_of(table, 1u, 6u) == 1u);
+}
+
+TEST_CASE("parts in any order neither set back the phase of a job nor restore an ended one") {
+    job_table table;
+    table.define(wide_job());
+    table.advance("job", part_progress(1u, {tasks_per_part}, 1u), {});
+    auto older = part_progress(0u, {0u}, 1u);
+    older.phase = job_phase::queued;
+    table.advance("job", older, {});
+    CHECK(table.find("job")->progress.phase == job_phase::running);
+    CHECK(table.pending("queue") == 0u);
+    table.advance("job", {job_phase::done, {}}, {});
+    table.advance("job", part_progress(0u, {0u}, 1u), {});
+    CHECK(table.find("job")->progress.phase == job_phase::done);
+    CHECK(table.find("job")->progress.tasks.empty());
+}
+
+TEST_CASE("checkpoints for which a record has no space are dropped") {
+    struct row {
+        std::string_view name;
+        std::vector<std::size_t> bytes;
+        std::size_t dropped;
+    };
+    std::array<row, 4u> const rows{{
+        {"small ones", {2'000u, 2'000u, 16u}, 0u},
+        {"at the limit", {max_checkpoint_bytes}, 0u},
+        {"one above the limit among others", {16u, max_checkpoint_bytes + 1u, 16u}, 1u},
+        {"large ones", {max_checkpoint_bytes / 2u, max_checkpoint_bytes / 2u, max_checkpoint_bytes / 2u}, 1u},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        auto progress = part_progress(0u, {}, 1u);
+        for(auto const bytes: item.bytes) {
+            progress.tasks.push_back({0u, 0u, 1u, 0u, 0u, false, {}, std::string(bytes, 'x')});
+        }
+        CHECK(drop_excess_checkpoints(progress) == item.dropped);
+        std::size_t total{};
+        for(auto const &task: progress.tasks) {
+            total += task.checkpoint.size();
+        }
+        CHECK(total <= max_checkpoint_bytes);
+    }
+}
+
 } // namespace kingcuplink::test
--- a/test/workflow/simulated_nodes.cpp
+++ b/test/workflow/simulated_nodes.cpp
@@ -26,7 +26,8 @@
             return "job/" + job.id;
         }
         std::string operator()(progress_record const &item) const {
-            return "progress/" + item.job;
+            auto const key = "progress/" + item.job;
+            return item.progress.part ? key + "/" + std::to_string(*item.progress.part) : key;
         }
         std::string operator()(cancellation_record const &item) const {
             return "cancel/" + item.job;
