Report how long planning takes and why steps are held back

Callers saw accepted jobs wait for good with most of the workers' room free. Neither the logs nor the metrics of a leader tell whether a round of planning takes long, whether queries to the adviser reach their limits, or whether tickets lapse unused, so that three hypotheses could not be told apart.

leader_load now has the rounds, their duration, the steps examined, the answers of the adviser of which no ticket was used, the pending queries with their limits, and the number of steps that the latest round held back by reason.

--- a/src/kingcuplink/core/counters.hpp
+++ b/src/kingcuplink/core/counters.hpp
@@ -56,6 +56,9 @@
     start_relay_failed,
     relayed_start_sent,
     log_end_read,
+    plan_round,
+    plan_step_examined,
+    advice_answer_unused,
     count
 };
 
--- a/src/kingcuplink/core/latencies.hpp
+++ b/src/kingcuplink/core/latencies.hpp
@@ -23,6 +23,8 @@
     task_start,
     /*! From a job's acceptance until its completion is sent to the log. */
     job,
+    /*! Duration of a planning round of the leader. */
+    plan_round,
     count
 };
 
--- a/src/kingcuplink/site/fleet_leader.cpp
+++ b/src/kingcuplink/site/fleet_leader.cpp
@@ -290,20 +290,19 @@
 boost::asio::awaitable<void> fleet_leader::run_planner([[maybe_unused]] self_pointer self) {
     while(!ended_) {
         co_await plan_wakeup_.wait(timing::plan_interval);
-        auto const begun = std::chrono::steady_clock::now();
-        if(!ended_) {
-            plan();
-        }
-        auto const length = std::chrono::duration_cast<millis>(std::chrono::steady_clock::now() - begun);
+        auto const length = ended_ ? millis{} : plan();
         co_await pause(std::max(timing::plan_spacing, length * timing::plan_pause_factor));
     }
 }
 
-void fleet_leader::plan() {
+millis fleet_leader::plan() {
+    auto const begun = std::chrono::steady_clock::now();
     auto const now = current_time();
     remove_silent_peers(now);
     dispatch_plan decided;
     dispatcher_.plan(now, decided);
+    record_round(
+        decided, std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - begun));
     log_run_changes();
     for(auto &stop: decided.stops) {
         boost::asio::co_spawn(parts_.context, stop_run(shared_from_this(), std::move(stop)), fail_fast);
@@ -312,6 +311,15 @@
         queries_.ask(std::move(query), shared_from_this());
     }
     append_wakeup_.notify();
+    return std::chrono::duration_cast<millis>(std::chrono::steady_clock::now() - begun);
+}
+
+void fleet_leader::record_round(dispatch_plan const &plan, std::chrono::microseconds const duration) {
+    load_.record_round(plan, duration);
+    parts_.times.add(latency::plan_round, std::chrono::duration_cast<millis>(duration));
+    parts_.stats.add(event::plan_round);
+    parts_.stats.add(event::plan_step_examined, plan.steps_examined);
+    parts_.stats.add(event::advice_answer_unused, plan.unused_answers);
 }
 
 boost::asio::awaitable<void> fleet_leader::run_appender([[maybe_unused]] self_pointer self) {
@@ -579,6 +587,9 @@
     fields["runs"] = figures.runs;
     fields["append_age_ms"] = (now - appended_at_).count();
     fields["append_ms"] = append_time_.count();
+    fields["queries"] = boost::json::object{{"short", figures.short_queries},
+        {"short_limit", figures.short_query_limit}, {"long", figures.long_queries},
+        {"long_limit", figures.long_query_limit}};
     parts_.decisions.write(decision::leader_load, std::move(fields));
 }
 
--- a/src/kingcuplink/site/fleet_leader.hpp
+++ b/src/kingcuplink/site/fleet_leader.hpp
@@ -120,7 +120,10 @@
     boost::asio::awaitable<start_answer> send_start(run_start run, std::uint64_t token, std::int64_t expires_at);
     boost::asio::awaitable<void> stop_run(self_pointer self, run_stop stop);
     void settle_question(std::string const &asker, advice_query const &query, advice_queries::grants const &grants);
-    void plan();
+    /*! Executes a planning round and returns its duration. */
+    millis plan();
+    /*! Records a round for the metrics and the load report. */
+    void record_round(dispatch_plan const &plan, std::chrono::microseconds duration);
     void remove_silent_peers(instant now);
     /*! Ends the leadership because a higher term exists. */
     void fenced(std::string_view by);
--- a/src/kingcuplink/site/load_report.cpp
+++ b/src/kingcuplink/site/load_report.cpp
@@ -3,6 +3,7 @@
 #include <kingcuplink/site/load_report.hpp>
 #include <kingcuplink/site/timing.hpp>
 #include <string>
+#include <utility>
 
 namespace kingcuplink {
 
@@ -29,7 +30,31 @@
     }
     reported_ = current;
     reported_at_ = now;
-    return {{"sent", std::move(sent)}, {"received", std::move(received)}};
+    auto planned = describe(std::exchange(planning_, {}));
+    return {{"sent", std::move(sent)}, {"received", std::move(received)}, {"planning", std::move(planned)}};
+}
+
+void load_report::record_round(dispatch_plan const &plan, std::chrono::microseconds const duration) noexcept {
+    ++planning_.rounds;
+    planning_.steps_examined += plan.steps_examined;
+    planning_.queries += plan.queries.size();
+    planning_.unused_answers += plan.unused_answers;
+    planning_.total += duration;
+    planning_.longest = std::max(planning_.longest, duration);
+    planning_.held_steps = plan.held_steps;
+}
+
+boost::json::object load_report::describe(planning const &figures) {
+    boost::json::object held;
+    for(std::size_t pos{}; pos < hold_reason_count; ++pos) {
+        if(figures.held_steps[pos] > 0u) {
+            auto const name = name_of(static_cast<hold_reason>(pos));
+            held[boost::json::string_view{name.data(), name.size()}] = figures.held_steps[pos];
+        }
+    }
+    return {{"rounds", figures.rounds}, {"total_us", figures.total.count()}, {"longest_us", figures.longest.count()},
+        {"steps_examined", figures.steps_examined}, {"queries", figures.queries},
+        {"unused_answers", figures.unused_answers}, {"held_steps", std::move(held)}};
 }
 
 load_report::totals load_report::read(counters const &stats) {
--- a/src/kingcuplink/site/load_report.hpp
+++ b/src/kingcuplink/site/load_report.hpp
@@ -3,13 +3,15 @@
 
 #include <array>
 #include <boost/json/object.hpp>
+#include <chrono>
 #include <cstdint>
 #include <kingcuplink/core/counters.hpp>
 #include <kingcuplink/core/time.hpp>
+#include <kingcuplink/workflow/dispatcher.hpp>
 
 namespace kingcuplink {
 
-/*! Bytes per second of an entry VM by purpose, between two reports. Performs no I/O and reads no clock. */
+/*! Load of a leader between two reports: bytes per second by purpose, and planning. Uses no I/O and reads no clock. */
 class load_report {
 public:
     /*! Begins the first interval with the current values of the counters. */
@@ -18,7 +20,13 @@
     /*! Returns whether the next report is due. */
     [[nodiscard]] bool is_due(instant now) const noexcept;
 
-    /*! Returns the bytes per second since the latest report and begins the next interval. */
+    /*! Records a planning round of the given duration. */
+    void record_round(dispatch_plan const &plan, std::chrono::microseconds duration) noexcept;
+
+    /*!
+     * Returns the bytes per second and the planning rounds since the latest report, and begins the next interval. Held
+     * steps are those of the latest round.
+     */
     [[nodiscard]] boost::json::object next(counters const &stats, instant now);
 
 private:
@@ -31,8 +39,21 @@
 
     [[nodiscard]] static totals read(counters const &stats);
 
+    struct planning {
+        std::uint64_t rounds{};
+        std::uint64_t steps_examined{};
+        std::uint64_t queries{};
+        std::uint64_t unused_answers{};
+        std::chrono::microseconds total{};
+        std::chrono::microseconds longest{};
+        std::array<std::size_t, hold_reason_count> held_steps{};
+    };
+
+    [[nodiscard]] static boost::json::object describe(planning const &figures);
+
     totals reported_;
     instant reported_at_;
+    planning planning_;
 };
 
 } // namespace kingcuplink
--- a/src/kingcuplink/workflow/dispatch_planner.cpp
+++ b/src/kingcuplink/workflow/dispatch_planner.cpp
@@ -47,6 +47,10 @@
 
 } // namespace
 
+std::size_t short_query_limit(std::size_t const querying_vms) noexcept {
+    return short_queries_per_vm * querying_vms;
+}
+
 std::uint32_t fit_count(resources const &size, resources const &available) noexcept {
     auto most = std::int64_t{std::numeric_limits<std::uint32_t>::max()};
     auto const limit = [&most](std::int64_t const need, std::int64_t const left) {
@@ -66,7 +70,7 @@
 void dispatch_planner::run() {
     collect_candidates();
     for(auto const &current: sorted_waiting_steps()) {
-        place_step(current);
+        process_step(current);
     }
     plan_stops();
 }
@@ -157,8 +161,17 @@
     return !may_get_advice && !may_reserve;
 }
 
+void dispatch_planner::process_step(waiting_step const &current) {
+    held_by_ = hold_reason::not_due;
+    place_step(current);
+    if(state_.jobs[current.job].steps[current.step].waiting > 0u) {
+        ++out_.held_steps[static_cast<std::size_t>(held_by_)];
+    }
+}
+
 void dispatch_planner::place_step(waiting_step const &current) {
     if(can_be_skipped(current)) {
+        held_by_ = hold_reason::no_capacity;
         return;
     }
     ++out_.steps_examined;
@@ -168,6 +181,9 @@
     if(needs_advice && may_query_adviser(current)) {
         add_unqueried_options(current, options);
         request_advice(current, options, is_gang);
+    } else if(needs_advice && current.queue->advice) {
+        held_by_ = state_.jobs[current.job].steps[current.step].advice.in_flight ? hold_reason::query_pending
+                                                                                 : hold_reason::query_delayed;
     }
 }
 
@@ -265,6 +281,7 @@
     intent.stage_since = now_;
     intent.may_begin_in_other_boot = !current.queue->advice;
     reserve(*target.on, intent.charge);
+    job.steps[current.step].advice.is_answer_unused = false;
     state_.add_placement(std::move(intent));
     state_.mark_dirty(current.job);
 }
@@ -340,13 +357,16 @@
             continue;
         }
         if(!is_within_ceiling(job, size)) {
+            held_by_ = hold_reason::ceiling;
             return false;
         }
         auto const *target = best_fit(current, options, task);
         if(target == nullptr) {
             if(task.failed_on.empty()) {
+                held_by_ = hold_reason::no_approved_capacity;
                 return true;
             }
+            held_by_ = hold_reason::failed_on_workers;
             continue;
         }
         add_intent(current, index, task.run + 1u, *target);
@@ -366,12 +386,18 @@
         }
         members.push_back(index);
     }
-    if(!is_within_ceiling(job, definition.task_size * definition.count) || place_members(current, options, members)) {
+    if(!is_within_ceiling(job, definition.task_size * definition.count)) {
+        held_by_ = hold_reason::ceiling;
+        return false;
+    }
+    if(place_members(current, options, members)) {
         return false;
     }
     if(current.queue->advice && step.advice.asked.empty()) {
+        held_by_ = hold_reason::first_query_limit;
         return first_advice_gangs_++ < max_first_advice_gangs;
     }
+    held_by_ = hold_reason::gang_capacity;
     // Tickets are short-lived: they are renewed only if the gang could start with them.
     auto const slots = slots_in(options, definition);
     if(current.rank.tier < service_tier::too_late && reserving_gangs_ < max_reserving_gangs &&
@@ -588,6 +614,7 @@
         }
     }
     if(!is_gang && !has_capacity && steps_without_capacity_++ >= state_.querying_vms) {
+        held_by_ = hold_reason::no_capacity;
         return;
     }
     if(workers_to_query.empty()) {
@@ -601,12 +628,16 @@
     workers_to_query.resize(std::min(workers_to_query.size(), most));
     advice_query query{job.definition.id, current.step, {}, duration_of(workers_to_query.size())};
     auto &queries_in_flight = query_counter(state_, query.duration);
-    auto const limit = query.duration >= long_query_duration ? adviser_pool::long_call_limit(state_.querying_vms)
-                                                             : short_queries_per_vm * state_.querying_vms;
+    auto const is_long = query.duration >= long_query_duration;
+    auto const limit = is_long ? adviser_pool::long_call_limit(state_.querying_vms)
+                               : short_query_limit(state_.querying_vms);
     if(queries_in_flight >= limit) {
+        held_by_ = is_long ? hold_reason::long_query_limit : hold_reason::short_query_limit;
         return;
     }
     ++queries_in_flight;
+    held_by_ = hold_reason::query_pending;
+    out_.unused_answers += step.advice.is_answer_unused ? 1u : 0u;
     for(auto const *item: workers_to_query) {
         query.workers.push_back(item->on->worker->registration.name);
     }
--- a/src/kingcuplink/workflow/dispatch_planner.hpp
+++ b/src/kingcuplink/workflow/dispatch_planner.hpp
@@ -46,6 +46,8 @@
     void collect_candidates();
     [[nodiscard]] std::vector<waiting_step> sorted_waiting_steps() const;
 
+    /*! Places a step and records why it still has waiting tasks. */
+    void process_step(waiting_step const &current);
     void place_step(waiting_step const &current);
     /*!
      * Returns true if no candidate has capacity for one task, and neither advice nor a reservation can be requested
@@ -127,6 +129,8 @@
     /*! Cached; reserve() resets it. */
     std::optional<resources> max_available_;
     std::size_t reserving_gangs_{};
+    /*! Why the current step still has waiting tasks. */
+    hold_reason held_by_{hold_reason::not_due};
     /*! Results of is_mostly_idle(), by service. */
     std::map<std::string, bool> mostly_idle_;
     /*! Gangs without any advice that were processed in this round. */
@@ -135,6 +139,9 @@
     std::size_t steps_without_capacity_{};
 };
 
+/*! Returns the maximum number of short queries in flight, given the number of entry VMs. */
+[[nodiscard]] std::size_t short_query_limit(std::size_t querying_vms) noexcept;
+
 /*! Returns the number of tasks of a size that fit into the available resources. */
 [[nodiscard]] std::uint32_t fit_count(resources const &size, resources const &available) noexcept;
 
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -106,6 +106,8 @@
     /*! Workers included in answered queries. */
     std::set<worker_id> asked;
     bool in_flight{};
+    /*! True if no run was placed since the latest answer. */
+    bool is_answer_unused{};
     /*! Workers that restarted since the pending query was sent; its answer does not apply to them. */
     std::set<worker_id> restarted{};
     instant not_before{};
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <array>
+#include <kingcuplink/workflow/adviser_pool.hpp>
 #include <kingcuplink/workflow/dispatch_planner.hpp>
 #include <kingcuplink/workflow/dispatcher.hpp>
 #include <kingcuplink/workflow/progress_parts.hpp>
@@ -12,6 +13,10 @@
 constexpr std::array<std::string_view, 10u> answer_names{
     "started", "fenced", "outdated", "late", "no_room", "bad_ticket", "unwell", "other_boot", "not_sent", "unknown"};
 
+constexpr std::array<std::string_view, hold_reason_count> hold_reason_names{"not_due", "no_capacity",
+    "no_approved_capacity", "failed_on_workers", "ceiling", "gang_capacity", "query_pending", "query_delayed",
+    "first_query_limit", "short_query_limit", "long_query_limit"};
+
 /*! Delay before a task is placed again after a rejected start. */
 constexpr millis restart_delay{50};
 /*! Delay before a worker is used again after it could not accept a start. */
@@ -95,6 +100,10 @@
     return internal::answer_names[static_cast<std::size_t>(answer)];
 }
 
+std::string_view name_of(hold_reason const reason) noexcept {
+    return internal::hold_reason_names[static_cast<std::size_t>(reason)];
+}
+
 dispatcher::dispatcher(dispatch_limits const &limits, instant const now) {
     state_.limits = limits;
     state_.inherited_leases_end_at = now + limits.inherited_lease;
@@ -356,6 +365,7 @@
     auto &job = state_.jobs[found->second];
     auto &advice = job.steps[query.step].advice;
     advice.in_flight = false;
+    advice.is_answer_unused = true;
     auto const restarted = std::exchange(advice.restarted, {});
     auto const *queue = find_queue(*state_.rules, job.definition.queue);
     auto const valid = queue != nullptr && queue->advice ? queue->advice->valid : millis{};
@@ -498,6 +508,10 @@
     result.jobs = state_.jobs.size();
     result.runs = state_.placements.size();
     result.workers = state_.workers.size();
+    result.short_queries = state_.short_queries;
+    result.short_query_limit = internal::short_query_limit(state_.querying_vms);
+    result.long_queries = state_.long_queries;
+    result.long_query_limit = adviser_pool::long_call_limit(state_.querying_vms);
     for(auto const &job: state_.jobs.values()) {
         for(auto const &step: job.steps) {
             result.waiting_tasks += step.blocked_by == 0u && !is_final(job.phase) ? step.waiting : 0u;
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -1,6 +1,7 @@
 #ifndef KINGCUPLINK_WORKFLOW_DISPATCHER_HPP_INCLUDED
 #define KINGCUPLINK_WORKFLOW_DISPATCHER_HPP_INCLUDED
 
+#include <array>
 #include <cstdint>
 #include <kingcuplink/workflow/dispatch_state.hpp>
 #include <kingcuplink/workflow/job_table.hpp>
@@ -119,12 +120,49 @@
     }
 };
 
+/*! Reason for which a step still has waiting tasks after a planning round. */
+enum class hold_reason : std::uint8_t {
+    /*! All tasks wait for the end of an earlier run, or for a delay after a failure. */
+    not_due,
+    /*! No worker has capacity for one task, or enough steps without capacity have been examined. */
+    no_capacity,
+    /*! No worker with a valid ticket has capacity. */
+    no_approved_capacity,
+    /*! The remaining tasks have failed on the workers with capacity. */
+    failed_on_workers,
+    /*! The account of the job has reached its ceiling. */
+    ceiling,
+    /*! A gang does not fit on the workers that it may use. */
+    gang_capacity,
+    /*! A query to the adviser is pending. */
+    query_pending,
+    /*! A query to the adviser has failed and is repeated after a delay. */
+    query_delayed,
+    /*! Too many gangs without any advice precede this one. */
+    first_query_limit,
+    /*! Too many short queries are pending. */
+    short_query_limit,
+    /*! Too many long queries are pending. */
+    long_query_limit,
+    count
+};
+
+/*! Number of reasons. */
+inline constexpr std::size_t hold_reason_count = static_cast<std::size_t>(hold_reason::count);
+
+/*! Returns the name of a reason. */
+[[nodiscard]] std::string_view name_of(hold_reason reason) noexcept;
+
 /*! Result of one planning round, except for intents. */
 struct dispatch_plan {
     std::vector<run_stop> stops;
     std::vector<advice_query> queries;
     /*! Number of steps whose candidates were examined; the duration of a round is proportional to it. */
     std::size_t steps_examined{};
+    /*! Number of steps with waiting tasks after the round, by reason. */
+    std::array<std::size_t, hold_reason_count> held_steps{};
+    /*! Number of queries of this round that follow an answer to the same step of which no ticket was used. */
+    std::size_t unused_answers{};
 };
 
 /*! Statistics for status and metrics. */
@@ -134,6 +172,11 @@
     std::size_t runs{};
     std::size_t workers{};
     std::size_t usable_workers{};
+    /*! Pending queries to the adviser, by duration, and the limits on their number. */
+    std::size_t short_queries{};
+    std::size_t short_query_limit{};
+    std::size_t long_queries{};
+    std::size_t long_query_limit{};
 };
 
 /*!
