--- a/test/workflow/dispatch_load.hpp
+++ b/test/workflow/dispatch_load.hpp
@@ -138,6 +138,16 @@
     /*! Restarts a worker at once under a new boot: its runs are gone. */
     void restart_worker(std::size_t pos);
 
+    /*! Polls a worker at once. */
+    void poll_worker(std::size_t const pos) {
+        poll(workers_[pos]);
+    }
+
+    /*! Lets time pass without a round. */
+    void advance(millis const time) {
+        events_.run_until(now() + time);
+    }
+
     /*! Returns the number of tasks that wait for their first start, or for another one after an interruption. */
     [[nodiscard]] std::size_t waiting_tasks() const noexcept {
         return waiting_tasks_;
