--- a/bench/dispatch_main.cpp
+++ b/bench/dispatch_main.cpp
@@ -69,9 +69,7 @@
 
     /*! Runs the measurement and prints a line. */
     void run() {
-        // A saturated fleet needs a few rounds until all permitted queries are in flight.
-        run_rounds(
-            state_ == load_state::draining ? static_cast<std::size_t>(warm_up_time / load_round_interval) : min_rounds);
+        warm_up();
         load_.reset_figures();
         run_rounds(static_cast<std::size_t>(absl::GetFlag(FLAGS_rounds)));
         auto const figures = load_.figures();
@@ -79,6 +77,17 @@
     }
 
 private:
+    void warm_up() {
+        // A saturated fleet needs a few rounds until all permitted queries are in flight.
+        auto const rounds = state_ == load_state::draining
+            ? static_cast<std::size_t>(warm_up_time / load_round_interval)
+            : min_rounds;
+        for(std::size_t round{}; round < rounds; ++round) {
+            submit_jobs();
+            load_.run_round();
+        }
+    }
+
     /*! Runs rounds with a backlog that stays the same, for a limited time. */
     void run_rounds(std::size_t const rounds) {
         auto const begun = std::chrono::steady_clock::now();
