Ignore what is known about an earlier boot of a worker instead of searching for it

Callers saw jobs wait while many workers restarted.

Class: work in proportion to all that waits, for an event of one worker.

Advice, tickets and failures now carry the number of the worker's boot that they apply to, and count only for the present one. Ruled out: keeping an index of steps by worker, which every answer of the adviser would have to update a hundred times.

The tests of advice and failures across restarts ("advice requested before a worker restarted is not used for its new boot", "a task may run again on the worker where it failed after that worker has restarted") hold as before.

--- a/src/kingcuplink/workflow/dispatch_planner.cpp
+++ b/src/kingcuplink/workflow/dispatch_planner.cpp
@@ -215,7 +215,8 @@
             auto const pos = id.index < candidate_at_.size() ? candidate_at_[id.index] : no_candidate;
             // The index may have been reused for another worker.
             auto const is_same_worker = pos != no_candidate && candidates_[pos].id == id;
-            if(is_same_worker && may_run(candidates_[pos].worker->registration, *current.queue, definition)) {
+            if(is_same_worker && ticket.boot == candidates_[pos].worker->restarts &&
+                may_run(candidates_[pos].worker->registration, *current.queue, definition)) {
                 options.push_back({&candidates_[pos], ticket.until > now_ ? &ticket : nullptr});
             }
         }
@@ -232,9 +233,9 @@
 
 void dispatch_planner::add_unqueried_options(waiting_step const &current, std::vector<option> &options) {
     auto const &job = state_.jobs[current.job];
-    auto const &asked = job.steps[current.step].advice.asked;
+    auto const &advice = job.steps[current.step].advice;
     for(auto &item: candidates_) {
-        if(!asked.contains(item.id) &&
+        if(!advice.has_answer_for({item.id, item.worker->restarts}) &&
             may_run(item.worker->registration, *current.queue, job.definition.steps[current.step])) {
             options.push_back({&item, nullptr});
         }
@@ -297,7 +298,8 @@
     auto const &job = state_.jobs[current.job];
     auto const &definition = job.definition.steps[current.step];
     auto const &advice = job.steps[current.step].advice;
-    auto const is_refused = current.queue->advice && advice.asked.contains(id) && !advice.approved.contains(id);
+    auto const boot = state_.boot_of(id);
+    auto const is_refused = current.queue->advice && advice.has_answer_for(boot) && advice.ticket_for(boot) == nullptr;
     return worker.is_registered && !worker.registration.leaving &&
         !state_.rules->evacuated.contains(worker.registration.domain) && !is_refused &&
         may_run(worker.registration, *current.queue, definition) &&
@@ -310,8 +312,8 @@
         return true;
     }
     auto const &ids = state_.workers.ids();
-    return std::none_of(
-        ids.begin(), ids.end(), [&](auto const id) { return !has_failed_on(task, id) && may_ever_run(current, id); });
+    return std::none_of(ids.begin(), ids.end(),
+        [&](auto const id) { return !has_failed_on(task, state_.boot_of(id)) && may_ever_run(current, id); });
 }
 
 dispatch_planner::option const *dispatch_planner::best_fit(
@@ -324,7 +326,7 @@
         if(item.ticket == nullptr || !fits(definition.task_size, item.on->available)) {
             continue;
         }
-        auto const has_failed_here = has_failed_on(task, item.on->id);
+        auto const has_failed_here = has_failed_on(task, state_.boot_of(item.on->id));
         if(has_failed_here && !may_retry) {
             continue;
         }
@@ -640,6 +642,7 @@
     out_.unused_answers += step.advice.is_answer_unused ? 1u : 0u;
     for(auto const *item: workers_to_query) {
         query.workers.push_back(item->on->worker->registration.name);
+        step.advice.queried.push_back(state_.boot_of(item->on->id));
     }
     step.advice.in_flight = true;
     out_.queries.push_back(std::move(query));
--- a/src/kingcuplink/workflow/dispatch_state.cpp
+++ b/src/kingcuplink/workflow/dispatch_state.cpp
@@ -130,7 +130,7 @@
     }
 }
 
-bool has_failed_on(live_task const &task, worker_id const worker) {
+bool has_failed_on(live_task const &task, worker_boot const &worker) {
     return std::find(task.failed_on.begin(), task.failed_on.end(), worker) != task.failed_on.end();
 }
 
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -73,6 +73,18 @@
     return run.stage == placement_stage::running || run.stage == placement_stage::unresolved;
 }
 
+/*!
+ * Boot of a worker, by the number of restarts that this leader has observed. What is known about a boot does not apply
+ * to the next one; it is ignored where it is found, since a search for it at each restart would take time in proportion
+ * to all waiting tasks.
+ */
+struct worker_boot {
+    worker_id worker;
+    std::uint32_t number{};
+
+    friend auto operator<=>(worker_boot const &, worker_boot const &) noexcept = default;
+};
+
 /*! One task of a live job. */
 struct live_task {
     bool done{};
@@ -86,31 +98,45 @@
     std::string checkpoint{};
     placement_id placement{};
     instant not_before{};
-    /*! Workers on which the task failed. */
-    std::vector<worker_id> failed_on{};
+    /*! Boots of workers on which the task failed. */
+    std::vector<worker_boot> failed_on{};
 };
 
-/*! Returns true if a task failed on a worker. */
-[[nodiscard]] bool has_failed_on(live_task const &task, worker_id worker);
+/*! Returns true if a task failed on a boot of a worker. */
+[[nodiscard]] bool has_failed_on(live_task const &task, worker_boot const &worker);
 
 /*! Ticket that allows a step to start on a worker. */
 struct advice_ticket {
     std::string text;
     instant until{};
+    /*! Number of the worker's boot that the ticket is valid for. */
+    std::uint32_t boot{};
 };
 
 /*! Advice on the workers that a step may use. */
 struct advice_state {
     /*! Workers approved by the adviser, with their latest ticket. */
     std::map<worker_id, advice_ticket> approved;
-    /*! Workers included in answered queries. */
-    std::set<worker_id> asked;
+    /*! Workers included in answered queries, with the number of the boot that the latest answer applies to. */
+    std::map<worker_id, std::uint32_t> asked;
     bool in_flight{};
     /*! True if no run was placed since the latest answer. */
     bool is_answer_unused{};
-    /*! Workers that restarted since the pending query was sent; its answer does not apply to them. */
-    std::set<worker_id> restarted{};
+    /*! Workers of the pending query as of its sending; its answer does not apply to later boots. */
+    std::vector<worker_boot> queried{};
     instant not_before{};
+
+    /*! Returns true if an answer applies to a boot of a worker. */
+    [[nodiscard]] bool has_answer_for(worker_boot const &worker) const {
+        auto const found = asked.find(worker.worker);
+        return found != asked.end() && found->second == worker.number;
+    }
+
+    /*! Returns the ticket for a boot of a worker, valid or expired, or null. */
+    [[nodiscard]] advice_ticket const *ticket_for(worker_boot const &worker) const {
+        auto const found = approved.find(worker.worker);
+        return found != approved.end() && found->second.boot == worker.number ? &found->second : nullptr;
+    }
 };
 
 /*! One step of a live job. */
@@ -148,6 +174,8 @@
     worker_registration registration;
     /*! Boot in the last answer; zero before the first one. */
     std::uint64_t boot{};
+    /*! Number of restarts that this leader has observed. */
+    std::uint32_t restarts{};
     /*! Address that gave the last answer; empty before the first one. */
     std::string answered_address{};
     /*! Part of the fencing token that increases within a term. */
@@ -227,6 +255,17 @@
     /*! Changes the phase of a job from queued to running. */
     void mark_running(job_id job);
 
+    /*! Returns true if a boot of a worker is its present one. */
+    [[nodiscard]] bool is_present(worker_boot const &boot) const {
+        auto const *found = workers.find(boot.worker);
+        return found != nullptr && found->restarts == boot.number;
+    }
+
+    /*! Returns the present boot of a worker. */
+    [[nodiscard]] worker_boot boot_of(worker_id const worker) const {
+        return {worker, workers[worker].restarts};
+    }
+
     /*! Returns the worker with a name, or null. */
     [[nodiscard]] live_worker const *find_worker(std::string const &name) const;
 
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -366,22 +366,22 @@
     auto &advice = job.steps[query.step].advice;
     advice.in_flight = false;
     advice.is_answer_unused = true;
-    auto const restarted = std::exchange(advice.restarted, {});
+    auto const queried = std::exchange(advice.queried, {});
     auto const *queue = find_queue(*state_.rules, job.definition.queue);
     auto const valid = queue != nullptr && queue->advice ? queue->advice->valid : millis{};
-    auto const answered_for = [&](std::string const &name) -> std::optional<worker_id> {
-        auto const worker = state_.worker_ids.find(name);
-        auto const is_known = worker != state_.worker_ids.end() && !restarted.contains(worker->second);
-        return is_known ? std::optional{worker->second} : std::nullopt;
-    };
-    for(auto const &name: query.workers) {
-        if(auto const worker = answered_for(name)) {
-            advice.asked.insert(*worker);
+    for(auto const &worker: queried) {
+        if(state_.is_present(worker)) {
+            advice.asked[worker.worker] = worker.number;
         }
     }
     for(auto const &grant: grants) {
-        if(auto const worker = answered_for(grant.worker)) {
-            advice.approved[*worker] = {grant.ticket, now + valid - internal::ticket_margin};
+        auto const worker = state_.worker_ids.find(grant.worker);
+        if(worker == state_.worker_ids.end()) {
+            continue;
+        }
+        auto const boot = state_.boot_of(worker->second);
+        if(std::find(queried.begin(), queried.end(), boot) != queried.end()) {
+            advice.approved[boot.worker] = {grant.ticket, now + valid - internal::ticket_margin, boot.number};
         }
     }
 }
@@ -391,7 +391,7 @@
     if(auto const found = state_.job_ids.find(query.job); found != state_.job_ids.end()) {
         auto &advice = state_.jobs[found->second].steps[query.step].advice;
         advice.in_flight = false;
-        advice.restarted.clear();
+        advice.queried.clear();
         advice.not_before = now + internal::advice_retry_delay;
     }
 }
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -49,6 +49,7 @@
 void dispatcher::reset_for_boot(worker_id const id, std::uint64_t const boot, instant const now) {
     auto &worker = state_.workers[id];
     worker.boot = boot;
+    ++worker.restarts;
     ++worker.command_epoch;
     // Until a command of this epoch arrives, the boot executes late lease extensions that were sent to an earlier one.
     worker.leases_expire_at = std::max(
@@ -70,19 +71,6 @@
             run.ticket_until = {};
         }
     }
-    for(auto &job: state_.jobs.values()) {
-        for(auto &step: job.steps) {
-            step.advice.asked.erase(id);
-            step.advice.approved.erase(id);
-            if(step.advice.in_flight) {
-                step.advice.restarted.insert(id);
-            }
-            for(auto &task: step.tasks) {
-                // The new boot may differ in kind, or be healthy again.
-                std::erase(task.failed_on, id);
-            }
-        }
-    }
 }
 
 void dispatcher::remove_lost_run(placement_id const id, run_loss const reason, instant const now) {
@@ -276,9 +264,10 @@
     auto &job = state_.jobs[id];
     auto &step = job.steps[key.step];
     auto const &definition = job.definition.steps[key.step];
-    if(auto &task = step.tasks[key.index]; !internal::has_failed_on(task, worker)) {
-        task.failed_on.push_back(worker);
-    }
+    auto &failed_on = step.tasks[key.index].failed_on;
+    // A later boot of a worker may differ in kind, or be healthy again.
+    std::erase_if(failed_on, [worker](auto const &other) { return other.worker == worker; });
+    failed_on.push_back(state_.boot_of(worker));
     if(definition.gang && key.run <= step.failed_run) {
         return;
     }
