Bound the work of a planning round, whatever waits

Callers saw accepted jobs wait for good with most of the workers' room free (LOST), and too little of the urgent queue served (SHORT).

Class: work in proportion to all that waits, in every round.

Steps with waiting tasks are kept in order of rank; only those that changed, or whose rank changes with time, are moved. A step that can only query the adviser is passed over at once while no query can be sent for it. A round processes steps in order of rank up to a limit of work, and some of the others in turn, so that none waits for good. Runs to stop are kept in a list. The check whether a gang may reserve capacity is used for 250 ms. Whether other workers are left for a task that failed is asked only if nothing else fits.

--- a/src/kingcuplink/workflow/dispatch_planner.cpp
+++ b/src/kingcuplink/workflow/dispatch_planner.cpp
@@ -11,6 +11,14 @@
 constexpr std::size_t max_reserving_gangs = 4u;
 /*! Time for which capacity of a mostly idle fleet may be reserved for a gang. */
 constexpr millis idle_reservation_limit{3'000};
+/*! Time for which the result of a check whether capacity may be reserved for a gang is used. */
+constexpr millis reservation_check_interval{250};
+/*!
+ * Work of a round, in visits of waiting steps and candidates, after which no further step is processed in order of
+ * rank, and after which none is processed in turn. A visit takes about 10 ns.
+ */
+constexpr std::size_t max_ranked_work = 30'000u;
+constexpr std::size_t max_round_work = 40'000u;
 /*! Maximum number of waiting gangs, in order of rank, for which a first advice is requested in one round. */
 constexpr std::size_t max_first_advice_gangs = 8u;
 /*! Maximum number of workers in one query; a limit of the adviser. */
@@ -28,8 +36,6 @@
 constexpr millis renewal_margin{100};
 /*! Added to the score of a worker away from the data. Exceeds any unused fraction, which is 3 at most. */
 constexpr double distance_penalty = 1'000.0;
-/*! Added to the score of a worker on which the task has failed; exceeds the distance penalty. */
-constexpr double failure_penalty = 1'000'000.0;
 constexpr auto no_candidate = std::numeric_limits<std::size_t>::max();
 
 /*! Returns the unused fraction of a worker, summed over the dimensions of its capacity. */
@@ -68,18 +74,39 @@
     : state_{state}, now_{now}, out_{out} {}
 
 void dispatch_planner::run() {
+    state_.update_waiting_steps(now_);
     collect_candidates();
-    for(auto const &current: sorted_waiting_steps()) {
-        process_step(current);
-    }
+    process_waiting_steps();
     plan_stops();
 }
 
+void dispatch_planner::process_waiting_steps() {
+    auto const &steps = state_.waiting.by_rank();
+    std::size_t processed{};
+    auto next = steps.begin();
+    for(; next != steps.end() && work_ < max_ranked_work; ++next, ++processed) {
+        process_step(*next);
+    }
+    if(next == steps.end()) {
+        return;
+    }
+    // The rest is processed in turn over several rounds, so that no step waits for good behind others.
+    auto in_turn = std::max(*next, state_.last_in_turn) == *next ? next : steps.upper_bound(state_.last_in_turn);
+    for(; in_turn != steps.end() && work_ < max_round_work; ++in_turn, ++processed) {
+        process_step(*in_turn);
+        state_.last_in_turn = *in_turn;
+    }
+    if(in_turn == steps.end()) {
+        state_.last_in_turn = {};
+    }
+    out_.held_steps[static_cast<std::size_t>(hold_reason::round_limit)] += steps.size() - processed;
+}
+
 void dispatch_planner::plan_stops() {
-    auto const ids = std::vector<placement_id>{state_.placements.ids().begin(), state_.placements.ids().end()};
-    for(auto const id: ids) {
+    std::erase_if(state_.requested_stops, [this](auto const id) { return !state_.placements.contains(id); });
+    for(auto const id: state_.requested_stops) {
         auto *run = state_.placements.find(id);
-        if(run == nullptr || !run->stop_requested || run->stop_in_flight || run->next_stop_at > now_) {
+        if(run == nullptr || run->stop_in_flight || run->next_stop_at > now_) {
             continue;
         }
         if(run->stage == placement_stage::intended && !run->is_batched) {
@@ -109,28 +136,9 @@
     }
 }
 
-std::vector<dispatch_planner::waiting_step> dispatch_planner::sorted_waiting_steps() const {
-    std::vector<waiting_step> waiting_steps;
-    for(auto const id: state_.jobs.ids()) {
-        auto const &job = state_.jobs[id];
-        auto const *queue = find_queue(*state_.rules, job.definition.queue);
-        if(is_final(job.phase) || queue == nullptr) {
-            continue;
-        }
-        for(std::uint32_t step{}; step < job.steps.size(); ++step) {
-            if(job.steps[step].blocked_by == 0u && job.steps[step].waiting > 0u) {
-                waiting_steps.push_back({rank_of(job.objective, step, job.is_excess, now_), id, step, queue});
-            }
-        }
-    }
-    std::sort(waiting_steps.begin(), waiting_steps.end(), [](auto const &lhs, auto const &rhs) {
-        return std::tie(lhs.rank, lhs.job, lhs.step) < std::tie(rhs.rank, rhs.job, rhs.step);
-    });
-    return waiting_steps;
-}
-
 resources const &dispatch_planner::max_available() {
     if(!max_available_) {
+        work_ += candidates_.size();
         max_available_ = resources{};
         for(auto const &item: candidates_) {
             max_available_->millicores = std::max(max_available_->millicores, item.available.millicores);
@@ -142,49 +150,67 @@
 }
 
 void dispatch_planner::reserve(candidate &target, resources const &size) {
+    auto const is_largest = max_available_ &&
+        (target.available.millicores >= max_available_->millicores ||
+            target.available.memory_mib >= max_available_->memory_mib ||
+            target.available.accelerators >= max_available_->accelerators);
     target.available -= size;
-    max_available_.reset();
+    if(is_largest) {
+        max_available_.reset();
+    }
 }
 
-bool dispatch_planner::can_be_skipped(waiting_step const &current) {
+std::optional<hold_reason> dispatch_planner::reason_to_skip(waiting_step const &current) {
     auto const &job = state_.jobs[current.job];
     auto const &definition = job.definition.steps[current.step];
-    if(fits(definition.task_size, max_available())) {
-        return false;
+    auto const &advice = job.steps[current.step].advice;
+    auto const has_advice = !current.queue->advice || !advice.asked.empty();
+    auto const may_reserve = definition.gang && current.rank.tier < service_tier::too_late &&
+        reserving_gangs_ < max_reserving_gangs && has_advice;
+    if(!fits(definition.task_size, max_available())) {
+        auto const may_query = current.queue->advice &&
+            (definition.gang ? advice.asked.empty() && first_advice_gangs_ < max_first_advice_gangs
+                             : steps_without_capacity_ < state_.querying_vms);
+        if(!may_query && !may_reserve) {
+            return hold_reason::no_capacity;
+        }
     }
-    if(!definition.gang) {
-        return !current.queue->advice || steps_without_capacity_ >= state_.querying_vms;
+    if(!current.queue->advice || may_reserve || advice.valid_until > now_) {
+        return std::nullopt;
     }
-    auto const may_get_advice = current.queue->advice && job.steps[current.step].advice.asked.empty() &&
-        first_advice_gangs_ < max_first_advice_gangs;
-    auto const may_reserve = current.rank.tier < service_tier::too_late && reserving_gangs_ < max_reserving_gangs;
-    return !may_get_advice && !may_reserve;
+    // Without a valid ticket, the step can only query the adviser.
+    return reason_not_to_query(current);
 }
 
-void dispatch_planner::process_step(waiting_step const &current) {
+void dispatch_planner::process_step(ranked_step const &step) {
+    ++work_;
+    auto &job = state_.jobs[step.key.job];
+    waiting_step const current{step.rank, step.key.job, step.key.step, state_.rules_of(job)};
     held_by_ = hold_reason::not_due;
-    place_step(current);
-    if(state_.jobs[current.job].steps[current.step].waiting > 0u) {
+    if(auto const reason = reason_to_skip(current)) {
+        held_by_ = *reason;
+    } else {
+        place_step(current);
+    }
+    if(job.steps[current.step].waiting > 0u) {
         ++out_.held_steps[static_cast<std::size_t>(held_by_)];
     }
 }
 
 void dispatch_planner::place_step(waiting_step const &current) {
-    if(can_be_skipped(current)) {
-        held_by_ = hold_reason::no_capacity;
-        return;
-    }
     ++out_.steps_examined;
     auto options = options_for(current);
     auto const is_gang = state_.jobs[current.job].definition.steps[current.step].gang;
     auto const needs_advice = is_gang ? place_gang(current, options) : place_tasks(current, options);
-    if(needs_advice && may_query_adviser(current)) {
-        add_unqueried_options(current, options);
-        request_advice(current, options, is_gang);
-    } else if(needs_advice && current.queue->advice) {
-        held_by_ = state_.jobs[current.job].steps[current.step].advice.in_flight ? hold_reason::query_pending
-                                                                                 : hold_reason::query_delayed;
+    if(!needs_advice || !current.queue->advice) {
+        return;
+    }
+    if(auto const reason = reason_not_to_query(current)) {
+        held_by_ = *reason;
+        return;
     }
+    add_unqueried_options(current, options);
+    request_advice(current, options, is_gang);
 }
 
 bool dispatch_planner::may_run(
@@ -211,7 +237,9 @@
     std::vector<option> options;
     if(current.queue->advice) {
         // Only a few workers of a large fleet are approved; iterating over these is cheaper than over all candidates.
-        for(auto const &[id, ticket]: job.steps[current.step].advice.approved) {
+        auto const &approved = job.steps[current.step].advice.approved;
+        work_ += approved.size();
+        for(auto const &[id, ticket]: approved) {
             auto const pos = id.index < candidate_at_.size() ? candidate_at_[id.index] : no_candidate;
             // The index may have been reused for another worker.
             auto const is_same_worker = pos != no_candidate && candidates_[pos].id == id;
@@ -223,6 +251,7 @@
         return options;
     }
     static advice_ticket const not_needed{};
+    work_ += candidates_.size();
     for(auto &item: candidates_) {
         if(may_run(item.worker->registration, *current.queue, definition)) {
             options.push_back({&item, &not_needed});
@@ -234,6 +263,7 @@
 void dispatch_planner::add_unqueried_options(waiting_step const &current, std::vector<option> &options) {
     auto const &job = state_.jobs[current.job];
     auto const &advice = job.steps[current.step].advice;
+    work_ += candidates_.size();
     for(auto &item: candidates_) {
         if(!advice.has_answer_for({item.id, item.worker->restarts}) &&
             may_run(item.worker->registration, *current.queue, job.definition.steps[current.step])) {
@@ -242,9 +272,37 @@
     }
 }
 
-bool dispatch_planner::may_query_adviser(waiting_step const &current) const {
-    auto const &advice = state_.jobs[current.job].steps[current.step].advice;
-    return current.queue->advice && !advice.in_flight && advice.not_before <= now_;
+millis dispatch_planner::query_duration(advice_terms const &terms, std::size_t const workers) noexcept {
+    return terms.base + millis{terms.per_worker_us * static_cast<std::int64_t>(workers) / 1'000};
+}
+
+std::size_t dispatch_planner::max_workers_to_query(live_job const &job, std::uint32_t const step) noexcept {
+    return job.definition.steps[step].gang
+        ? max_query_workers
+        : std::min(max_query_workers, query_workers_per_task * job.steps[step].waiting + extra_query_workers);
+}
+
+std::optional<hold_reason> dispatch_planner::limit_on_query(millis const duration) const {
+    auto const is_long = duration >= long_query_duration;
+    auto const limit = is_long ? adviser_pool::long_call_limit(state_.querying_vms)
+                               : short_query_limit(state_.querying_vms);
+    if(query_counter(state_, duration) < limit) {
+        return std::nullopt;
+    }
+    return is_long ? hold_reason::long_query_limit : hold_reason::short_query_limit;
+}
+
+std::optional<hold_reason> dispatch_planner::reason_not_to_query(waiting_step const &current) const {
+    auto const &job = state_.jobs[current.job];
+    auto const &advice = job.steps[current.step].advice;
+    if(advice.in_flight) {
+        return hold_reason::query_pending;
+    }
+    if(advice.not_before > now_) {
+        return hold_reason::query_delayed;
+    }
+    auto const workers = std::min(candidates_.size(), max_workers_to_query(job, current.step));
+    return limit_on_query(query_duration(*current.queue->advice, workers));
 }
 
 bool dispatch_planner::is_within_ceiling(live_job const &job, resources const &charge) const {
@@ -306,30 +364,31 @@
         fits(definition.task_size, worker.registration.capacity);
 }
 
-bool dispatch_planner::may_retry_on_failed_workers(waiting_step const &current, live_task const &task) const {
+bool dispatch_planner::may_retry_on_failed_workers(waiting_step const &current, live_task const &task) {
     if(state_.jobs[current.job].definition.steps[current.step].long_running) {
         // A long-running task may fail on any worker and is restarted without limit.
         return true;
     }
     auto const &ids = state_.workers.ids();
+    work_ += ids.size();
     return std::none_of(ids.begin(), ids.end(),
         [&](auto const id) { return !has_failed_on(task, state_.boot_of(id)) && may_ever_run(current, id); });
 }
 
 dispatch_planner::option const *dispatch_planner::best_fit(
-    waiting_step const &current, std::vector<option> const &options, live_task const &task) const {
+    waiting_step const &current, std::vector<option> const &options, live_task const &task) {
     auto const &definition = state_.jobs[current.job].definition.steps[current.step];
-    auto const may_retry = !task.failed_on.empty() && may_retry_on_failed_workers(current, task);
-    option const *best{};
-    auto best_score = std::numeric_limits<double>::max();
+    work_ += options.size();
+    struct choice {
+        option const *target{};
+        double score{std::numeric_limits<double>::max()};
+    };
+    choice best;
+    choice best_where_failed;
     for(auto const &item: options) {
         if(item.ticket == nullptr || !fits(definition.task_size, item.on->available)) {
             continue;
         }
-        auto const has_failed_here = has_failed_on(task, state_.boot_of(item.on->id));
-        if(has_failed_here && !may_retry) {
-            continue;
-        }
         if(definition.most_per_worker > 0u &&
             tasks_on(*item.on->worker, current.job, current.step) >= definition.most_per_worker) {
             continue;
@@ -338,15 +397,15 @@
         if(!definition.data_rack.empty() && !has_label(item.on->worker->registration, definition.data_rack)) {
             score += distance_penalty;
         }
-        if(has_failed_here) {
-            score += failure_penalty;
-        }
-        if(score < best_score) {
-            best_score = score;
-            best = &item;
+        auto &chosen = has_failed_on(task, state_.boot_of(item.on->id)) ? best_where_failed : best;
+        if(score < chosen.score) {
+            chosen = {&item, score};
         }
     }
-    return best;
+    if(best.target == nullptr && best_where_failed.target != nullptr && may_retry_on_failed_workers(current, task)) {
+        return best_where_failed.target;
+    }
+    return best.target;
 }
 
 bool dispatch_planner::place_tasks(waiting_step const &current, std::vector<option> const &options) {
@@ -406,10 +465,15 @@
         may_reserve_for_gang(current, options) && reserve_for_gang(current, options)) {
         return true;
     }
-    std::vector<option> unqueried;
-    if(may_query_adviser(current)) {
-        add_unqueried_options(current, unqueried);
+    if(!current.queue->advice) {
+        return false;
     }
+    if(auto const reason = reason_not_to_query(current)) {
+        held_by_ = *reason;
+        return false;
+    }
+    std::vector<option> unqueried;
+    add_unqueried_options(current, unqueried);
     return slots + slots_in(unqueried, definition) >= definition.count;
 }
 
@@ -522,6 +586,15 @@
 }
 
 bool dispatch_planner::may_reserve_for_gang(waiting_step const &current, std::vector<option> const &options) {
+    auto &step = state_.jobs[current.job].steps[current.step];
+    if(step.reservation_checked_at + reservation_check_interval <= now_) {
+        step.reservation_checked_at = now_;
+        step.may_reserve = is_expected_to_start(current, options);
+    }
+    return step.may_reserve;
+}
+
+bool dispatch_planner::is_expected_to_start(waiting_step const &current, std::vector<option> const &options) {
     auto const &job = state_.jobs[current.job];
     auto const &definition = job.definition.steps[current.step];
     auto latest_start = job.objective.late - job.objective.remaining[current.step];
@@ -535,6 +608,7 @@
     }
     std::uint32_t slots{};
     for(auto const &item: possible) {
+        work_ += item.on->worker->placements.size() + 1u;
         slots += slots_on_worker(definition, expected_capacity(*item.on->worker, latest_start));
         if(slots >= definition.count) {
             return true;
@@ -575,6 +649,7 @@
                 break;
             }
             for(auto const id: chosen) {
+                // is_victim() does not choose a run twice.
                 state_.placements[id].stop_requested = true;
                 item.available_after_stops += state_.placements[id].charge;
             }
@@ -586,7 +661,10 @@
     }
     // Do not preempt any run if the capacity would still not suffice for the gang.
     for(auto const id: victims) {
-        state_.placements[id].stop_requested = missing == 0u;
+        state_.placements[id].stop_requested = false;
+        if(missing == 0u) {
+            state_.request_stop(id);
+        }
         if(auto *task = state_.task_of(id); task != nullptr && missing == 0u) {
             ++task->preemptions;
         }
@@ -599,12 +677,9 @@
     auto &job = state_.jobs[current.job];
     auto &step = job.steps[current.step];
     auto const &terms = *current.queue->advice;
-    auto const duration_of = [&terms](std::size_t const workers) {
-        return terms.base + millis{terms.per_worker_us * static_cast<std::int64_t>(workers) / 1'000};
-    };
     auto const is_first = step.advice.asked.empty();
     auto const &size = job.definition.steps[current.step].task_size;
-    auto const renewal_deadline = now_ + duration_of(options.size()) + renewal_margin;
+    auto const renewal_deadline = now_ + query_duration(terms, options.size()) + renewal_margin;
     std::vector<option const *> workers_to_query;
     auto has_capacity = false;
     for(auto const &item: options) {
@@ -624,20 +699,13 @@
     }
     std::sort(workers_to_query.begin(), workers_to_query.end(),
         [](auto const *lhs, auto const *rhs) { return lhs->on->available.millicores > rhs->on->available.millicores; });
-    auto const most = is_gang
-        ? max_query_workers
-        : std::min(max_query_workers, query_workers_per_task * step.waiting + extra_query_workers);
-    workers_to_query.resize(std::min(workers_to_query.size(), most));
-    advice_query query{job.definition.id, current.step, {}, duration_of(workers_to_query.size())};
-    auto &queries_in_flight = query_counter(state_, query.duration);
-    auto const is_long = query.duration >= long_query_duration;
-    auto const limit = is_long ? adviser_pool::long_call_limit(state_.querying_vms)
-                               : short_query_limit(state_.querying_vms);
-    if(queries_in_flight >= limit) {
-        held_by_ = is_long ? hold_reason::long_query_limit : hold_reason::short_query_limit;
+    workers_to_query.resize(std::min(workers_to_query.size(), max_workers_to_query(job, current.step)));
+    advice_query query{job.definition.id, current.step, {}, query_duration(terms, workers_to_query.size())};
+    if(auto const reason = limit_on_query(query.duration)) {
+        held_by_ = *reason;
         return;
     }
-    ++queries_in_flight;
+    ++query_counter(state_, query.duration);
     held_by_ = hold_reason::query_pending;
     out_.unused_answers += step.advice.is_answer_unused ? 1u : 0u;
     for(auto const *item: workers_to_query) {
--- a/src/kingcuplink/workflow/dispatch_planner.hpp
+++ b/src/kingcuplink/workflow/dispatch_planner.hpp
@@ -44,16 +44,15 @@
 
     void plan_stops();
     void collect_candidates();
-    [[nodiscard]] std::vector<waiting_step> sorted_waiting_steps() const;
+    /*! Processes waiting steps in order of rank, up to a limit on the work of a round, and some of the others in turn.
+     */
+    void process_waiting_steps();
 
     /*! Places a step and records why it still has waiting tasks. */
-    void process_step(waiting_step const &current);
+    void process_step(ranked_step const &step);
     void place_step(waiting_step const &current);
-    /*!
-     * Returns true if no candidate has capacity for one task, and neither advice nor a reservation can be requested
-     * for the step in this round.
-     */
-    [[nodiscard]] bool can_be_skipped(waiting_step const &current);
+    /*! Returns why nothing can be done for a step in this round, or nothing if its candidates have to be examined. */
+    [[nodiscard]] std::optional<hold_reason> reason_to_skip(waiting_step const &current);
     /*! Returns the maximum available capacity over all candidates, separately for each dimension. */
     [[nodiscard]] resources const &max_available();
     /*! Reserves capacity of a candidate for the rest of this round. */
@@ -68,10 +67,10 @@
      * Returns true if a task may be placed on workers on which it has failed: if it is long-running, or if no other
      * worker may ever run it.
      */
-    [[nodiscard]] bool may_retry_on_failed_workers(waiting_step const &current, live_task const &task) const;
+    [[nodiscard]] bool may_retry_on_failed_workers(waiting_step const &current, live_task const &task);
     /*! Returns the option with a ticket that leaves the least unused after penalties, or null if no option fits. */
     [[nodiscard]] option const *best_fit(
-        waiting_step const &current, std::vector<option> const &options, live_task const &task) const;
+        waiting_step const &current, std::vector<option> const &options, live_task const &task);
     /*! Places all members or none. Returns true if advice may allow a placement. */
     bool place_gang(waiting_step const &current, std::vector<option> &options);
     /*! Places the members on as few workers as possible. Returns false, placing none, if they do not all fit. */
@@ -82,6 +81,8 @@
      * loses its value, and shortly if the fleet is mostly idle.
      */
     [[nodiscard]] bool may_reserve_for_gang(waiting_step const &current, std::vector<option> const &options);
+    /*! Computes may_reserve_for_gang(), whose result is used for a while. */
+    [[nodiscard]] bool is_expected_to_start(waiting_step const &current, std::vector<option> const &options);
     /*! Returns true if less than half of the capacity of a service is in use, in every dimension. */
     [[nodiscard]] bool is_mostly_idle(std::string const &service);
     /*! Returns the capacity of a worker without the runs that are expected to continue at a time. */
@@ -112,8 +113,14 @@
     [[nodiscard]] static std::uint32_t slots_on_worker(step_definition const &step, resources const &capacity) noexcept;
     /*! Returns the number of tasks of a step that fit into the available capacity of the options. */
     [[nodiscard]] static std::uint32_t slots_in(std::vector<option> const &options, step_definition const &step);
-    /*! Returns true if the step needs advice and no query or retry delay is pending. */
-    [[nodiscard]] bool may_query_adviser(waiting_step const &current) const;
+    /*! Returns the expected duration of a query. */
+    [[nodiscard]] static millis query_duration(advice_terms const &terms, std::size_t workers) noexcept;
+    /*! Returns the maximum number of workers in a query for a step. */
+    [[nodiscard]] static std::size_t max_workers_to_query(live_job const &job, std::uint32_t step) noexcept;
+    /*! Returns the limit that a query of the given duration would exceed, if any. */
+    [[nodiscard]] std::optional<hold_reason> limit_on_query(millis duration) const;
+    /*! Returns why the adviser cannot be queried for a step, if so. Precondition: its queue uses advice. */
+    [[nodiscard]] std::optional<hold_reason> reason_not_to_query(waiting_step const &current) const;
     /*! Adds a query for the workers without a usable ticket, within the limits on queries in flight. */
     void request_advice(waiting_step const &current, std::vector<option> const &options, bool is_gang);
     [[nodiscard]] bool is_within_ceiling(live_job const &job, resources const &charge) const;
@@ -128,6 +135,8 @@
     std::vector<std::size_t> candidate_at_;
     /*! Cached; reserve() resets it. */
     std::optional<resources> max_available_;
+    /*! Work of this round so far, in visits of waiting steps and candidates. */
+    std::size_t work_{};
     std::size_t reserving_gangs_{};
     /*! Why the current step still has waiting tasks. */
     hold_reason held_by_{hold_reason::not_due};
--- a/src/kingcuplink/workflow/dispatch_state.cpp
+++ b/src/kingcuplink/workflow/dispatch_state.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <kingcuplink/workflow/dispatch_state.hpp>
+#include <utility>
 
 namespace kingcuplink::internal {
 
@@ -10,6 +11,44 @@
 
 } // namespace
 
+queue_rules const *dispatch_state::rules_of(live_job &job) const {
+    auto const &queues = rules->queues;
+    if(job.queue_position >= queues.size() || queues[job.queue_position].name != job.definition.queue) {
+        auto const *found = find_queue(*rules, job.definition.queue);
+        if(found == nullptr) {
+            return nullptr;
+        }
+        job.queue_position = static_cast<std::size_t>(found - queues.data());
+    }
+    return &queues[job.queue_position];
+}
+
+void dispatch_state::mark_steps_changed(job_id const job) {
+    for(std::uint32_t step{}; step < jobs[job].steps.size(); ++step) {
+        waiting.mark_changed({job, step});
+    }
+}
+
+void dispatch_state::update_waiting_steps(instant const now) {
+    for(auto const &key: waiting.take_changes(now)) {
+        auto *job = jobs.find(key.job);
+        auto const *step = job != nullptr ? &job->steps[key.step] : nullptr;
+        if(step == nullptr || is_final(job->phase) || step->blocked_by > 0u || step->waiting == 0u ||
+            rules_of(*job) == nullptr) {
+            waiting.erase(key);
+            continue;
+        }
+        waiting.insert(key, rank_of(job->objective, key.step, job->is_excess, now),
+            next_rank_change(job->objective, key.step, job->is_excess, now));
+    }
+}
+
+void dispatch_state::request_stop(placement_id const id) {
+    if(!std::exchange(placements[id].stop_requested, true)) {
+        requested_stops.push_back(id);
+    }
+}
+
 void dispatch_state::mark_dirty(job_id const job) {
     if(auto *found = jobs.find(job); found != nullptr && !found->is_dirty) {
         found->is_dirty = true;
@@ -76,6 +115,9 @@
     auto const id = placements.emplace(std::move(value));
     worker.placements.push_back(id);
     auto const &run = placements[id];
+    if(run.stop_requested) {
+        requested_stops.push_back(id);
+    }
     if(run.is_known) {
         auto &job = jobs[run.job];
         auto &step = job.steps[run.key.step];
@@ -83,6 +125,7 @@
         step.tasks[run.key.index].placement = id;
         ++job.placements;
         --step.waiting;
+        waiting.mark_changed({run.job, run.key.step});
     } else {
         ++unknown_run_counts[{run.key.job, run.key.step, run.key.index}];
     }
@@ -113,6 +156,7 @@
         auto &step = job->steps[run.key.step];
         if(!task->done) {
             ++step.waiting;
+            waiting.mark_changed({run.job, run.key.step});
             task->not_before = std::max(task->not_before, now);
         }
         if(!is_final(job->phase)) {
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -7,6 +7,7 @@
 #include <kingcuplink/workflow/objective.hpp>
 #include <kingcuplink/workflow/site_rules.hpp>
 #include <kingcuplink/workflow/types.hpp>
+#include <kingcuplink/workflow/waiting_steps.hpp>
 #include <map>
 #include <memory>
 #include <optional>
@@ -119,6 +120,8 @@
     std::map<worker_id, advice_ticket> approved;
     /*! Workers included in answered queries, with the number of the boot that the latest answer applies to. */
     std::map<worker_id, std::uint32_t> asked;
+    /*! Time until which tickets of the latest answer are valid. */
+    instant valid_until{};
     bool in_flight{};
     /*! True if no run was placed since the latest answer. */
     bool is_answer_unused{};
@@ -151,6 +154,9 @@
     std::uint32_t failed_run{};
     /*! For gangs: checkpoint shared by all members. */
     std::string checkpoint;
+    /*! For gangs: whether capacity may be reserved, and when that was last determined. */
+    bool may_reserve{};
+    instant reservation_checked_at{};
 };
 
 /*! A job that has not ended or still has runs. */
@@ -160,6 +166,8 @@
     std::vector<live_step> steps;
     job_objective objective;
     bool is_excess{};
+    /*! Position of the queue in the rules when it was last looked up. */
+    std::size_t queue_position{};
     /*! True while the progress waits for the next batch. */
     bool is_dirty{};
     /*! Number of runs that still exist or may exist. */
@@ -234,6 +242,11 @@
     std::unordered_map<std::string, former_worker> former_workers;
     std::map<std::string, live_account> accounts;
     std::vector<job_id> dirty_jobs;
+    waiting_steps waiting;
+    /*! Last step that was processed in turn, in a round that did not process all waiting steps. */
+    ranked_step last_in_turn;
+    /*! Runs that are to be stopped; may contain runs that are gone. */
+    std::vector<placement_id> requested_stops;
     /*! Number of entry VMs that query the adviser. */
     std::size_t querying_vms{1u};
     /*! Number of pending advice queries; long ones are counted separately. */
@@ -249,6 +262,18 @@
     /*! Number of unknown runs of a task, by job, step and index. */
     std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>, std::uint32_t> unknown_run_counts;
 
+    /*! Returns the rules of the queue of a job, or null if they do not contain it. */
+    [[nodiscard]] queue_rules const *rules_of(live_job &job) const;
+
+    /*! Schedules all steps of a job to be evaluated before the next planning round. */
+    void mark_steps_changed(job_id job);
+
+    /*! Applies the changes to the steps with waiting tasks since the last call, and those due by a time. */
+    void update_waiting_steps(instant now);
+
+    /*! Requests the stop of a run. */
+    void request_stop(placement_id id);
+
     /*! Schedules the progress of a job for the next batch. */
     void mark_dirty(job_id job);
 
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -15,7 +15,7 @@
 
 constexpr std::array<std::string_view, hold_reason_count> hold_reason_names{"not_due", "no_capacity",
     "no_approved_capacity", "failed_on_workers", "ceiling", "gang_capacity", "query_pending", "query_delayed",
-    "first_query_limit", "short_query_limit", "long_query_limit"};
+    "first_query_limit", "short_query_limit", "long_query_limit", "round_limit"};
 
 /*! Delay before a task is placed again after a rejected start. */
 constexpr millis restart_delay{50};
@@ -112,6 +112,10 @@
 
 void dispatcher::set_rules(std::shared_ptr<site_rules const> rules) {
     state_.rules = std::move(rules);
+    for(auto const id: state_.jobs.ids()) {
+        // The queue of a job may have been added or removed.
+        state_.mark_steps_changed(id);
+    }
 }
 
 void dispatcher::set_querying_vms(std::size_t const count) noexcept {
@@ -136,6 +140,7 @@
     auto const id = state_.jobs.emplace(std::move(job));
     state_.job_ids.emplace(definition.id, id);
     adopt_runs(id, entry);
+    state_.mark_steps_changed(id);
     if(entry.reported_phase) {
         // The end is committed to the log and was reported to callers, but this process has not read it yet.
         end_job(id, *entry.reported_phase);
@@ -216,6 +221,7 @@
 void dispatcher::end_job(job_id const id, job_phase const phase) {
     state_.jobs[id].phase = phase;
     state_.mark_dirty(id);
+    state_.mark_steps_changed(id);
     auto const steps = static_cast<std::uint32_t>(phase != job_phase::done ? state_.jobs[id].steps.size() : 0u);
     for(std::uint32_t step{}; step < steps; ++step) {
         stop_runs(id, step);
@@ -224,8 +230,8 @@
 
 void dispatcher::stop_runs(job_id const id, std::uint32_t const step) {
     for(auto const &task: state_.jobs[id].steps[step].tasks) {
-        if(auto *run = state_.placements.find(task.placement); run != nullptr) {
-            run->stop_requested = true;
+        if(state_.placements.contains(task.placement)) {
+            state_.request_stop(task.placement);
         }
     }
 }
@@ -367,8 +373,9 @@
     advice.in_flight = false;
     advice.is_answer_unused = true;
     auto const queried = std::exchange(advice.queried, {});
-    auto const *queue = find_queue(*state_.rules, job.definition.queue);
+    auto const *queue = state_.rules_of(job);
     auto const valid = queue != nullptr && queue->advice ? queue->advice->valid : millis{};
+    advice.valid_until = now + valid - internal::ticket_margin;
     for(auto const &worker: queried) {
         if(state_.is_present(worker)) {
             advice.asked[worker.worker] = worker.number;
@@ -381,7 +388,7 @@
         }
         auto const boot = state_.boot_of(worker->second);
         if(std::find(queried.begin(), queried.end(), boot) != queried.end()) {
-            advice.approved[boot.worker] = {grant.ticket, now + valid - internal::ticket_margin, boot.number};
+            advice.approved[boot.worker] = {grant.ticket, advice.valid_until, boot.number};
         }
     }
 }
@@ -437,9 +444,9 @@
     return batch;
 }
 
-bool dispatcher::may_still_start(internal::placement const &run, instant const now) const {
-    auto const &job = state_.jobs[run.job];
-    auto const *queue = find_queue(*state_.rules, job.definition.queue);
+bool dispatcher::may_still_start(internal::placement const &run, instant const now) {
+    auto &job = state_.jobs[run.job];
+    auto const *queue = state_.rules_of(job);
     auto const has_ticket = queue != nullptr && (!queue->advice || run.ticket_until > now);
     return !run.stop_requested && !is_final(job.phase) && has_ticket &&
         !state_.has_unknown_run(job, run.key.step, run.key.index) &&
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -144,6 +144,8 @@
     short_query_limit,
     /*! Too many long queries are pending. */
     long_query_limit,
+    /*! The step was not processed: the work of a round is limited, and its turn comes in a later one. */
+    round_limit,
     count
 };
 
@@ -354,7 +356,7 @@
     /*! Removes runs whose leases have expired, and unregistered workers without runs. */
     void expire_leases(instant now);
     /*! Returns true if the preconditions of an intended start still hold. */
-    [[nodiscard]] bool may_still_start(internal::placement const &run, instant now) const;
+    [[nodiscard]] bool may_still_start(internal::placement const &run, instant now);
     [[nodiscard]] placement_id find_run(worker_id worker, run_key const &key) const;
 
     internal::dispatch_state state_;
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -233,6 +233,7 @@
     } else {
         finish(step.tasks[key.index]);
     }
+    state_.waiting.mark_changed({id, key.step});
     if(step.unfinished == 0u) {
         finish_step(id, key.step);
     }
@@ -241,9 +242,9 @@
 void dispatcher::stop_later_runs(job_id const id, run_key const &key) {
     if(state_.jobs[id].definition.steps[key.step].gang) {
         stop_runs(id, key.step);
-    } else if(auto *run = state_.placements.find(state_.jobs[id].steps[key.step].tasks[key.index].placement);
-              run != nullptr) {
-        run->stop_requested = true;
+    } else if(auto const run = state_.jobs[id].steps[key.step].tasks[key.index].placement;
+              state_.placements.contains(run)) {
+        state_.request_stop(run);
     }
 }
 
@@ -252,6 +253,7 @@
     for(std::uint32_t pos{step + 1u}; pos < job.steps.size(); ++pos) {
         auto const &after = job.definition.steps[pos].after;
         job.steps[pos].blocked_by -= static_cast<std::uint32_t>(std::count(after.begin(), after.end(), step));
+        state_.waiting.mark_changed({id, pos});
     }
     auto const is_finished = std::all_of(
         job.steps.begin(), job.steps.end(), [](auto const &other) { return other.unfinished == 0u; });
@@ -275,7 +277,7 @@
     // The failures of a gang are counted at its first member.
     auto &counted = step.tasks[definition.gang ? 0u : key.index];
     ++counted.failures;
-    auto const *queue = find_queue(*state_.rules, job.definition.queue);
+    auto const *queue = state_.rules_of(job);
     if(queue != nullptr && counted.failures >= queue->max_attempts && !definition.long_running) {
         end_job(id, job_phase::failed);
     }
@@ -338,7 +340,7 @@
             remove_lost_run(pos, was_stopped ? run_loss::stopped : reason, now);
         } else if(is_unresolved) {
             // The start may still arrive: only an acknowledged stop rules it out.
-            run->stop_requested = true;
+            state_.request_stop(pos);
             if(is_gang) {
                 stop_runs(run->job, run->key.step);
             }
--- a/src/kingcuplink/workflow/objective.cpp
+++ b/src/kingcuplink/workflow/objective.cpp
@@ -63,6 +63,16 @@
     return {now <= late ? service_tier::late : service_tier::too_late, !objective.is_top_priority, late};
 }
 
+std::optional<instant> next_rank_change(
+    job_objective const &objective, std::uint32_t const step, bool const is_excess, instant const now) noexcept {
+    for(auto const deadline: {objective.in_time, objective.late}) {
+        if(auto const latest_start = deadline - objective.remaining[step]; !is_excess && now <= latest_start) {
+            return latest_start + millis{1};
+        }
+    }
+    return std::nullopt;
+}
+
 bool is_topologically_ordered(std::span<step_definition const> const steps) noexcept {
     for(std::size_t pos{}; pos < steps.size(); ++pos) {
         auto const &after = steps[pos].after;
--- a/src/kingcuplink/workflow/objective.hpp
+++ b/src/kingcuplink/workflow/objective.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <kingcuplink/workflow/site_rules.hpp>
 #include <kingcuplink/workflow/types.hpp>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -54,6 +55,10 @@
 [[nodiscard]] service_rank rank_of(
     job_objective const &objective, std::uint32_t step, bool is_excess, instant now) noexcept;
 
+/*! Returns the time at which the rank of a step changes next, or nothing if it does not change any more. */
+[[nodiscard]] std::optional<instant> next_rank_change(
+    job_objective const &objective, std::uint32_t step, bool is_excess, instant now) noexcept;
+
 /*! Returns true if every step depends on earlier steps only, which rules out cycles. */
 [[nodiscard]] bool is_topologically_ordered(std::span<step_definition const> steps) noexcept;
 
