Limit queries by what the adviser can take and what the fleet has room for

At most eight gangs without advice, in order of rank, were considered in a round, and those whose query was in flight, or for which none could be sent, counted among them: eight queries of 1.2 s are seven a second for the whole fleet, whatever its size.

Class: a limit that is unrelated to the resource that it protects.

A gang for which the fleet has capacity that is not promised to queries in flight is limited by the adviser alone. The eight are for gangs that the fleet has no capacity for now; other steps without capacity have a limit for each entry VM. Queries spread: workers count with their share in the demand of the queries in flight deducted.

--- a/src/kingcuplink/workflow/dispatch_planner.cpp
+++ b/src/kingcuplink/workflow/dispatch_planner.cpp
@@ -2,6 +2,7 @@
 #include <kingcuplink/workflow/adviser_pool.hpp>
 #include <kingcuplink/workflow/dispatch_planner.hpp>
 #include <limits>
+#include <utility>
 
 namespace kingcuplink::internal {
 
@@ -14,13 +15,17 @@
 /*! Time for which the result of a check whether capacity may be reserved for a gang is used. */
 constexpr millis reservation_check_interval{250};
 /*!
- * Work of a round, in visits of waiting steps and candidates, after which no further step is processed in order of
- * rank, and after which none is processed in turn. A visit takes about 10 ns.
+ * Work of a round, in visits of candidates of about 10 ns, after which no further step is processed in order of rank,
+ * and after which none is processed in turn.
  */
 constexpr std::size_t max_ranked_work = 30'000u;
 constexpr std::size_t max_round_work = 40'000u;
-/*! Maximum number of waiting gangs, in order of rank, for which a first advice is requested in one round. */
+/*! Work of a visit to a waiting step. */
+constexpr std::size_t step_visit_work = 10u;
+/*! Maximum number of gangs, in order of rank, that query the adviser although the fleet has no capacity for them. */
 constexpr std::size_t max_first_advice_gangs = 8u;
+/*! Number of other steps per entry VM, in order of rank, that may do so. */
+constexpr std::size_t steps_without_capacity_per_vm = 4u;
 /*! Maximum number of workers in one query; a limit of the adviser. */
 constexpr std::size_t max_query_workers = 100u;
 /*! A query names this many workers for each waiting task, plus extra_query_workers. */
@@ -53,6 +58,10 @@
 
 } // namespace
 
+std::int64_t demand_per_worker(advice_query const &query) noexcept {
+    return query.workers.empty() ? 0 : query.demand.millicores / static_cast<std::int64_t>(query.workers.size());
+}
+
 std::size_t short_query_limit(std::size_t const querying_vms) noexcept {
     return short_queries_per_vm * querying_vms;
 }
@@ -126,16 +135,41 @@
 }
 
 void dispatch_planner::collect_candidates() {
+    std::string const *service{};
+    resources *of_service{};
     for(auto const id: state_.workers.ids()) {
         auto &worker = state_.workers[id];
-        if(is_usable(worker, *state_.rules, now_)) {
-            candidate_at_.resize(std::max<std::size_t>(candidate_at_.size(), id.index + 1u), no_candidate);
-            candidate_at_[id.index] = candidates_.size();
-            candidates_.push_back({id, &worker, worker.registration.capacity - worker.used});
+        if(!is_usable(worker, *state_.rules, now_)) {
+            continue;
+        }
+        if(service == nullptr || *service != worker.registration.service) {
+            service = &worker.registration.service;
+            of_service = &available_[*service];
         }
+        candidate_at_.resize(std::max<std::size_t>(candidate_at_.size(), id.index + 1u), no_candidate);
+        candidate_at_[id.index] = candidates_.size();
+        candidates_.push_back({id, &worker, worker.registration.capacity - worker.used, of_service});
+        *of_service += candidates_.back().available;
     }
 }
 
+bool dispatch_planner::has_unpromised_capacity(std::string const &service, resources const &size) const {
+    auto const available = available_.find(service);
+    auto const promised = state_.promised.find(service);
+    return available != available_.end() &&
+        fits(size, promised == state_.promised.end() ? available->second : available->second - promised->second);
+}
+
+bool dispatch_planner::may_query_without_capacity(waiting_step const &current) {
+    auto const &job = state_.jobs[current.job];
+    if(job.definition.steps[current.step].gang) {
+        return (std::exchange(is_counted_, true) ? first_advice_gangs_ : ++first_advice_gangs_) <=
+            max_first_advice_gangs;
+    }
+    auto const limit = steps_without_capacity_per_vm * state_.querying_vms;
+    return (std::exchange(is_counted_, true) ? steps_without_capacity_ : ++steps_without_capacity_) <= limit;
+}
+
 resources const &dispatch_planner::max_available() {
     if(!max_available_) {
         work_ += candidates_.size();
@@ -155,6 +189,7 @@
             target.available.memory_mib >= max_available_->memory_mib ||
             target.available.accelerators >= max_available_->accelerators);
     target.available -= size;
+    *target.of_service -= size;
     if(is_largest) {
         max_available_.reset();
     }
@@ -167,10 +202,12 @@
     auto const has_advice = !current.queue->advice || !advice.asked.empty();
     auto const may_reserve = definition.gang && current.rank.tier < service_tier::too_late &&
         reserving_gangs_ < max_reserving_gangs && has_advice;
+    if(advice.in_flight && advice.is_speculative) {
+        static_cast<void>(may_query_without_capacity(current));
+    }
     if(!fits(definition.task_size, max_available())) {
-        auto const may_query = current.queue->advice &&
-            (definition.gang ? advice.asked.empty() && first_advice_gangs_ < max_first_advice_gangs
-                             : steps_without_capacity_ < state_.querying_vms);
+        auto const may_query = current.queue->advice && (!definition.gang || advice.asked.empty()) &&
+            may_query_without_capacity(current);
         if(!may_query && !may_reserve) {
             return hold_reason::no_capacity;
         }
@@ -183,10 +220,11 @@
 }
 
 void dispatch_planner::process_step(ranked_step const &step) {
-    ++work_;
+    work_ += step_visit_work;
     auto &job = state_.jobs[step.key.job];
     waiting_step const current{step.rank, step.key.job, step.key.step, state_.rules_of(job)};
     held_by_ = hold_reason::not_due;
+    is_counted_ = false;
     if(auto const reason = reason_to_skip(current)) {
         held_by_ = *reason;
     } else {
@@ -210,7 +248,7 @@
         return;
     }
     add_unqueried_options(current, options);
-    request_advice(current, options, is_gang);
+    request_advice(current, options);
 }
 
 bool dispatch_planner::may_run(
@@ -456,7 +494,8 @@
     }
     if(current.queue->advice && step.advice.asked.empty()) {
         held_by_ = hold_reason::first_query_limit;
-        return first_advice_gangs_++ < max_first_advice_gangs;
+        return has_unpromised_capacity(current.queue->service, definition.task_size * definition.count) ||
+            may_query_without_capacity(current);
     }
     held_by_ = hold_reason::gang_capacity;
     // Tickets are short-lived: they are renewed only if the gang could start with them.
@@ -672,47 +711,66 @@
     return missing == 0u;
 }
 
-void dispatch_planner::request_advice(
-    waiting_step const &current, std::vector<option> const &options, bool const is_gang) {
-    auto &job = state_.jobs[current.job];
-    auto &step = job.steps[current.step];
-    auto const &terms = *current.queue->advice;
-    auto const is_first = step.advice.asked.empty();
-    auto const &size = job.definition.steps[current.step].task_size;
-    auto const renewal_deadline = now_ + query_duration(terms, options.size()) + renewal_margin;
-    std::vector<option const *> workers_to_query;
-    auto has_capacity = false;
+std::vector<dispatch_planner::option const *> dispatch_planner::workers_to_query(
+    waiting_step const &current, std::vector<option> const &options) const {
+    auto const &job = state_.jobs[current.job];
+    auto const &definition = job.definition.steps[current.step];
+    auto const is_first = job.steps[current.step].advice.asked.empty();
+    auto const renewal_deadline = now_ + query_duration(*current.queue->advice, options.size()) + renewal_margin;
+    std::vector<option const *> result;
     for(auto const &item: options) {
-        auto const fits_now = fits(size, item.on->available);
-        has_capacity = has_capacity || fits_now;
-        auto const needs_renewal = item.ticket == nullptr || (is_gang && item.ticket->until < renewal_deadline);
-        if(is_first || (needs_renewal && (is_gang || fits_now))) {
-            workers_to_query.push_back(&item);
+        auto const needs_renewal = item.ticket == nullptr || (definition.gang && item.ticket->until < renewal_deadline);
+        if(is_first || (needs_renewal && (definition.gang || fits(definition.task_size, item.on->available)))) {
+            result.push_back(&item);
         }
     }
-    if(!is_gang && !has_capacity && steps_without_capacity_++ >= state_.querying_vms) {
+    auto const unqueried_millicores = [](auto const *item) {
+        return item->on->available.millicores - item->on->worker->queried_millicores;
+    };
+    auto const precedes = [&](auto const *lhs, auto const *rhs) {
+        return unqueried_millicores(lhs) > unqueried_millicores(rhs);
+    };
+    auto const count = std::min(result.size(), max_workers_to_query(job, current.step));
+    std::partial_sort(result.begin(), result.begin() + static_cast<std::ptrdiff_t>(count), result.end(), precedes);
+    result.resize(count);
+    return result;
+}
+
+void dispatch_planner::request_advice(waiting_step const &current, std::vector<option> const &options) {
+    auto &job = state_.jobs[current.job];
+    auto &step = job.steps[current.step];
+    auto const &definition = job.definition.steps[current.step];
+    auto const has_capacity = has_unpromised_capacity(current.queue->service,
+                                  definition.task_size * (definition.gang ? definition.count : 1u)) &&
+        std::any_of(options.begin(), options.end(),
+            [&](auto const &item) { return fits(definition.task_size, item.on->available); });
+    if(!definition.gang && !has_capacity && !may_query_without_capacity(current)) {
         held_by_ = hold_reason::no_capacity;
         return;
     }
-    if(workers_to_query.empty()) {
+    auto const workers = workers_to_query(current, options);
+    if(workers.empty()) {
         return;
     }
-    std::sort(workers_to_query.begin(), workers_to_query.end(),
-        [](auto const *lhs, auto const *rhs) { return lhs->on->available.millicores > rhs->on->available.millicores; });
-    workers_to_query.resize(std::min(workers_to_query.size(), max_workers_to_query(job, current.step)));
-    advice_query query{job.definition.id, current.step, {}, query_duration(terms, workers_to_query.size())};
+    advice_query query{job.definition.id, current.step, {}, query_duration(*current.queue->advice, workers.size()),
+        current.queue->service, definition.task_size * step.waiting};
     if(auto const reason = limit_on_query(query.duration)) {
         held_by_ = *reason;
         return;
     }
-    ++query_counter(state_, query.duration);
-    held_by_ = hold_reason::query_pending;
-    out_.unused_answers += step.advice.is_answer_unused ? 1u : 0u;
-    for(auto const *item: workers_to_query) {
+    for(auto const *item: workers) {
         query.workers.push_back(item->on->worker->registration.name);
         step.advice.queried.push_back(state_.boot_of(item->on->id));
     }
+    for(auto const *item: workers) {
+        item->on->worker->queried_millicores += demand_per_worker(query);
+    }
+    ++query_counter(state_, query.duration);
+    state_.promised[query.service] += query.demand;
+    held_by_ = hold_reason::query_pending;
+    out_.unused_answers += step.advice.is_answer_unused ? 1u : 0u;
     step.advice.in_flight = true;
+    step.advice.is_speculative = !has_capacity;
     out_.queries.push_back(std::move(query));
 }
 
--- a/src/kingcuplink/workflow/dispatch_planner.hpp
+++ b/src/kingcuplink/workflow/dispatch_planner.hpp
@@ -33,6 +33,8 @@
         live_worker *worker;
         /*! Capacity not used by runs and not reserved for preceding steps of this round. */
         resources available;
+        /*! Sum of the available capacity over all candidates of the service. */
+        resources *of_service;
     };
 
     /*! A candidate for one step. */
@@ -55,6 +57,8 @@
     [[nodiscard]] std::optional<hold_reason> reason_to_skip(waiting_step const &current);
     /*! Returns the maximum available capacity over all candidates, separately for each dimension. */
     [[nodiscard]] resources const &max_available();
+    /*! Returns true if a service has capacity that is not promised to steps with a query in flight. */
+    [[nodiscard]] bool has_unpromised_capacity(std::string const &service, resources const &size) const;
     /*! Reserves capacity of a candidate for the rest of this round. */
     void reserve(candidate &target, resources const &size);
     /*! Places as many tasks as possible. Returns true if advice may allow further placements. */
@@ -122,7 +126,12 @@
     /*! Returns why the adviser cannot be queried for a step, if so. Precondition: its queue uses advice. */
     [[nodiscard]] std::optional<hold_reason> reason_not_to_query(waiting_step const &current) const;
     /*! Adds a query for the workers without a usable ticket, within the limits on queries in flight. */
-    void request_advice(waiting_step const &current, std::vector<option> const &options, bool is_gang);
+    void request_advice(waiting_step const &current, std::vector<option> const &options);
+    /*! Returns the workers without a usable ticket, those with most capacity that no query in flight needs first. */
+    [[nodiscard]] std::vector<option const *> workers_to_query(
+        waiting_step const &current, std::vector<option> const &options) const;
+    /*! Returns true if a step without capacity may query the adviser, so that it has tickets once there is some. */
+    [[nodiscard]] bool may_query_without_capacity(waiting_step const &current);
     [[nodiscard]] bool is_within_ceiling(live_job const &job, resources const &charge) const;
     [[nodiscard]] std::uint32_t tasks_on(live_worker const &worker, job_id job, std::uint32_t step) const;
     void add_intent(waiting_step const &current, std::uint32_t index, std::uint32_t run, option const &target);
@@ -142,12 +151,19 @@
     hold_reason held_by_{hold_reason::not_due};
     /*! Results of is_mostly_idle(), by service. */
     std::map<std::string, bool> mostly_idle_;
-    /*! Gangs without any advice that were processed in this round. */
+    /*! Sum of the available capacity, by service. */
+    std::map<std::string, resources> available_;
+    /*! Gangs without any advice and without capacity that were processed in this round. */
     std::size_t first_advice_gangs_{};
     /*! Steps other than gangs that found no capacity in this round and could use advice. */
     std::size_t steps_without_capacity_{};
+    /*! True once the current step counts as one without capacity. */
+    bool is_counted_{};
 };
 
+/*! Returns the share of each worker in the demand of a query, in thousandths of a core. */
+[[nodiscard]] std::int64_t demand_per_worker(advice_query const &query) noexcept;
+
 /*! Returns the maximum number of short queries in flight, given the number of entry VMs. */
 [[nodiscard]] std::size_t short_query_limit(std::size_t querying_vms) noexcept;
 
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -123,6 +123,8 @@
     /*! Time until which tickets of the latest answer are valid. */
     instant valid_until{};
     bool in_flight{};
+    /*! True if the pending query was sent although the fleet had no capacity for the step. */
+    bool is_speculative{};
     /*! True if no run was placed since the latest answer. */
     bool is_answer_unused{};
     /*! Workers of the pending query as of its sending; its answer does not apply to later boots. */
@@ -189,6 +191,8 @@
     /*! Part of the fencing token that increases within a term. */
     std::uint64_t command_epoch{};
     resources used;
+    /*! Share of the worker, in thousandths of a core, in the demand of the queries in flight that name it. */
+    std::int64_t queried_millicores{};
     std::vector<placement_id> placements;
     /*! True while the registration exists. */
     bool is_registered{true};
@@ -252,6 +256,8 @@
     /*! Number of pending advice queries; long ones are counted separately. */
     std::size_t short_queries{};
     std::size_t long_queries{};
+    /*! Demand of the steps with a query in flight, by service. */
+    std::map<std::string, resources> promised;
     dispatch_limits limits;
     /*! Highest epoch of any worker that a command without an answer has begun. */
     std::uint64_t highest_command_epoch{};
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -362,8 +362,21 @@
     }
 }
 
-void dispatcher::take_advice(advice_query const &query, std::span<advice_grant const> const grants, instant const now) {
+void dispatcher::settle_query(advice_query const &query) {
     --internal::query_counter(state_, query.duration);
+    state_.promised[query.service] -= query.demand;
+    auto const share = internal::demand_per_worker(query);
+    for(auto const &name: query.workers) {
+        if(auto const found = state_.worker_ids.find(name); found != state_.worker_ids.end()) {
+            // A worker that was registered again begins with no demand.
+            auto &demand = state_.workers[found->second].queried_millicores;
+            demand = std::max<std::int64_t>(0, demand - share);
+        }
+    }
+}
+
+void dispatcher::take_advice(advice_query const &query, std::span<advice_grant const> const grants, instant const now) {
+    settle_query(query);
     auto const found = state_.job_ids.find(query.job);
     if(found == state_.job_ids.end()) {
         return;
@@ -394,7 +407,7 @@
 }
 
 void dispatcher::advice_failed(advice_query const &query, instant const now) {
-    --internal::query_counter(state_, query.duration);
+    settle_query(query);
     if(auto const found = state_.job_ids.find(query.job); found != state_.job_ids.end()) {
         auto &advice = state_.jobs[found->second].steps[query.step].advice;
         advice.in_flight = false;
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -42,6 +42,10 @@
     std::vector<std::string> workers;
     /*! Expected response time of the adviser. */
     millis duration{};
+    /*! Service of the workers. */
+    std::string service{};
+    /*! Capacity that the waiting tasks of the step need; it counts as promised until the query is settled. */
+    resources demand{};
 };
 
 /*! A worker approved for a step, with its ticket. */
@@ -323,6 +327,8 @@
 
 private:
     void adopt_runs(job_id id, job_entry const &entry);
+    /*! Ends the accounting for a query in flight. */
+    void settle_query(advice_query const &query);
     void end_job(job_id id, job_phase phase);
     void stop_runs(job_id id, std::uint32_t step);
     void finish_task(job_id id, run_key const &key);
