Start the tasks of a worker that has left once its lease there has expired

The members on that worker counted as running until a lease of the longest kind had expired by any clock, 10.45 s after the last extension, although 8 s were requested and the worker had announced that it leaves; only then was the adviser asked, which takes 1.2 s more.

Class: a bound for boots that the leader does not know was used for runs that the known boot had listed.

For a run that the present boot has listed, and whose start this boot answered, the lease counts as it was requested by that boot's clock. Workers that leave get leases of 3 s. A gang whose last members are being stopped, or whose lease expires soon, queries the adviser meanwhile. Runs whose start had no answer, inherited runs, and runs listed by another boot than the intended one keep the longer bound: a late start may have a lease as young as the list. A gang's ticket is renewed if it expires within the duration of the query that is sent, not of one about the whole fleet. The simulation of the leader uses the same bounds.

Weighed and left: taking a removed registration or a refused connection as proof that the worker is gone. A worker that is cut off shows the same.

"a gang that lost a worker is started again once the lease there has expired" fails with the lease of any boot in place of that of the known boot.

--- a/src/kingcuplink/site/fleet_leader.cpp
+++ b/src/kingcuplink/site/fleet_leader.cpp
@@ -134,6 +134,10 @@
     return command_token(term_, dispatcher_.command_epoch_of(worker));
 }
 
+millis fleet_leader::lease_for(std::string const &worker) const {
+    return dispatcher_.is_leaving(worker) ? timing::leaving_worker_lease : timing::max_lease;
+}
+
 bool fleet_leader::may_extend_leases(instant const now) const {
     return appended_at_ + timing::lease_renewal_limit > now;
 }
@@ -234,7 +238,8 @@
     poll_request request{command_token(term_, acknowledged.epoch), acknowledged.number, millis{}, std::nullopt};
     if(is_long) {
         request.wait = timing::poll_wait;
-        if(auto const lease = clocks_.request(name, boot, sent_at); lease && may_extend_leases(sent_at)) {
+        if(auto const lease = clocks_.request(name, boot, sent_at, lease_for(name));
+            lease && may_extend_leases(sent_at)) {
             request.expires_at = lease->expires_at;
             dispatcher_.record_lease_extension(name, lease->lapses_at);
         }
@@ -425,7 +430,7 @@
 
 boost::asio::awaitable<void> fleet_leader::start_run([[maybe_unused]] self_pointer self, run_start run) {
     auto const now = current_time();
-    auto const lease = clocks_.request(run.worker, run.boot, now);
+    auto const lease = clocks_.request(run.worker, run.boot, now, lease_for(run.worker));
     auto fields = internal::run_fields(run.key, run.worker, run.boot);
     auto const token = token_for(run.worker);
     auto answer = start_answer::not_sent;
--- a/src/kingcuplink/site/fleet_leader.hpp
+++ b/src/kingcuplink/site/fleet_leader.hpp
@@ -128,6 +128,7 @@
     /*! Ends the leadership because a higher term exists. */
     void fenced(std::string_view by);
     [[nodiscard]] std::uint64_t token_for(std::string const &worker) const;
+    [[nodiscard]] millis lease_for(std::string const &worker) const;
     [[nodiscard]] bool may_extend_leases(instant now) const;
 
     node_parts parts_;
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -9,6 +9,11 @@
 
 /*! Longest lease requested from workers; it outlasts a change of leaders, which takes about 4 s. */
 inline constexpr millis max_lease{8'000};
+/*!
+ * Lease requested from workers that leave. The tasks of a worker that has left start again once its lease has expired;
+ * a few polls may fail before.
+ */
+inline constexpr millis leaving_worker_lease{3'000};
 /*! Time between the leader's heartbeats to other entry VMs. */
 inline constexpr millis heartbeat_interval{200};
 /*! Number of entry VMs that receive a heartbeat in every interval, at most 1 KB/s each. */
--- a/src/kingcuplink/site/worker_clocks.cpp
+++ b/src/kingcuplink/site/worker_clocks.cpp
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <kingcuplink/site/timing.hpp>
 #include <kingcuplink/site/worker_clocks.hpp>
 
 namespace kingcuplink {
@@ -12,15 +11,16 @@
 }
 
 std::optional<lease_request> worker_clocks::request(
-    std::string const &worker, std::uint64_t const boot, instant const now) const {
+    std::string const &worker, std::uint64_t const boot, instant const now, millis const lease) const {
     auto const found = readings_.find(worker);
     if(found == readings_.end() || found->second.boot != boot ||
         found->second.received_at + timing::max_clock_age < now) {
         return std::nullopt;
     }
     auto const age = now - found->second.received_at;
-    auto const lease = std::min(lease_limit_, timing::max_lease);
-    return lease_request{found->second.clock + (age + lease).count(), timing::lapsed_at(now, lease_limit_)};
+    auto const granted = std::min(lease_limit_, lease);
+    return lease_request{found->second.clock + (age + granted).count(),
+        {timing::lapsed_at(now, lease_limit_), timing::lapsed_at(now, granted)}};
 }
 
 } // namespace kingcuplink
--- a/src/kingcuplink/site/worker_clocks.hpp
+++ b/src/kingcuplink/site/worker_clocks.hpp
@@ -3,6 +3,8 @@
 
 #include <cstdint>
 #include <kingcuplink/core/time.hpp>
+#include <kingcuplink/site/timing.hpp>
+#include <kingcuplink/workflow/types.hpp>
 #include <map>
 #include <optional>
 #include <string>
@@ -13,8 +15,7 @@
 struct lease_request {
     /*! Expiry by the clock of the worker, in ms. */
     std::int64_t expires_at{};
-    /*! Time by which the lease has expired by any clock. */
-    instant lapses_at{};
+    lease_expiry lapses_at{};
 };
 
 /*!
@@ -37,9 +38,10 @@
      * Returns the lease to request, or nothing if the latest reading is too old or of another boot. Both of its times
      * follow from one reading of the time: the process may be paused before any other one.
      * @param now Time up to which the request is not sent yet.
+     * @param lease Requested duration of the lease.
      */
     [[nodiscard]] std::optional<lease_request> request(
-        std::string const &worker, std::uint64_t boot, instant now) const;
+        std::string const &worker, std::uint64_t boot, instant now, millis lease = timing::max_lease) const;
 
 private:
     struct reading {
--- a/src/kingcuplink/workflow/dispatch_planner.cpp
+++ b/src/kingcuplink/workflow/dispatch_planner.cpp
@@ -389,6 +389,22 @@
     return task.placement.is_null() && task.not_before <= now_ && !state_.has_unknown_run(job, step, index);
 }
 
+bool dispatch_planner::is_startable_by(
+    live_job const &job, std::uint32_t const step, std::uint32_t const index, instant const at) const {
+    auto const &task = job.steps[step].tasks[index];
+    if(task.not_before > at || state_.has_unknown_run(job, step, index)) {
+        return false;
+    }
+    auto const *run = state_.placements.find(task.placement);
+    if(run == nullptr) {
+        return true;
+    }
+    auto const &worker = state_.workers[run->worker];
+    // The stop of a run takes less time than a query.
+    auto const is_stopping = run->stop_requested && worker.is_registered && is_responsive(worker, now_);
+    return is_stopping || state_.lapse_time(*run) < at;
+}
+
 bool dispatch_planner::may_ever_run(waiting_step const &current, worker_id const id) const {
     auto const &worker = state_.workers[id];
     auto const &job = state_.jobs[current.job];
@@ -478,18 +494,25 @@
     auto const &step = job.steps[current.step];
     auto const &definition = job.definition.steps[current.step];
     std::vector<std::uint32_t> members;
+    auto const next_answer_at = now_ +
+        (current.queue->advice ? query_duration(*current.queue->advice, max_query_workers) : millis{});
     for(std::uint32_t index{}; index < step.tasks.size(); ++index) {
-        if(!is_startable(job, current.step, index)) {
+        if(is_startable(job, current.step, index)) {
+            members.push_back(index);
+        } else if(!is_startable_by(job, current.step, index, next_answer_at)) {
             // Runs of an earlier attempt have to be removed first.
             return false;
         }
-        members.push_back(index);
     }
+    auto const is_startable_now = members.size() == step.tasks.size();
     if(!is_within_ceiling(job, definition.task_size * definition.count)) {
         held_by_ = hold_reason::ceiling;
         return false;
     }
-    if(place_members(current, options, members)) {
+    if(is_startable_now && place_members(current, options, members)) {
+        return false;
+    }
+    if(!is_startable_now && !current.queue->advice) {
         return false;
     }
     if(current.queue->advice && step.advice.asked.empty()) {
@@ -500,7 +523,7 @@
     held_by_ = hold_reason::gang_capacity;
     // Tickets are short-lived: they are renewed only if the gang could start with them.
     auto const slots = slots_in(options, definition);
-    if(current.rank.tier < service_tier::too_late && reserving_gangs_ < max_reserving_gangs &&
+    if(is_startable_now && current.rank.tier < service_tier::too_late && reserving_gangs_ < max_reserving_gangs &&
         may_reserve_for_gang(current, options) && reserve_for_gang(current, options)) {
         return true;
     }
@@ -716,7 +739,9 @@
     auto const &job = state_.jobs[current.job];
     auto const &definition = job.definition.steps[current.step];
     auto const is_first = job.steps[current.step].advice.asked.empty();
-    auto const renewal_deadline = now_ + query_duration(*current.queue->advice, options.size()) + renewal_margin;
+    auto const most = max_workers_to_query(job, current.step);
+    auto const renewal_deadline = now_ + query_duration(*current.queue->advice, std::min(options.size(), most)) +
+        renewal_margin;
     std::vector<option const *> result;
     for(auto const &item: options) {
         auto const needs_renewal = item.ticket == nullptr || (definition.gang && item.ticket->until < renewal_deadline);
@@ -730,7 +755,7 @@
     auto const precedes = [&](auto const *lhs, auto const *rhs) {
         return unqueried_millicores(lhs) > unqueried_millicores(rhs);
     };
-    auto const count = std::min(result.size(), max_workers_to_query(job, current.step));
+    auto const count = std::min(result.size(), most);
     std::partial_sort(result.begin(), result.begin() + static_cast<std::ptrdiff_t>(count), result.end(), precedes);
     result.resize(count);
     return result;
--- a/src/kingcuplink/workflow/dispatch_planner.hpp
+++ b/src/kingcuplink/workflow/dispatch_planner.hpp
@@ -65,6 +65,8 @@
     bool place_tasks(waiting_step const &current, std::vector<option> const &options);
     /*! Returns true if no run of a task exists or may exist, and the task is due. */
     [[nodiscard]] bool is_startable(live_job const &job, std::uint32_t step, std::uint32_t index) const;
+    /*! Returns true if a task is expected to be startable by a time. */
+    [[nodiscard]] bool is_startable_by(live_job const &job, std::uint32_t step, std::uint32_t index, instant at) const;
     /*! Returns true if a worker may run tasks of a step now or later, even if it currently accepts none. */
     [[nodiscard]] bool may_ever_run(waiting_step const &current, worker_id id) const;
     /*!
--- a/src/kingcuplink/workflow/dispatch_state.cpp
+++ b/src/kingcuplink/workflow/dispatch_state.cpp
@@ -98,7 +98,10 @@
 
 instant dispatch_state::lapse_time(placement const &run) const {
     auto const leases_expire_at = workers[run.worker].leases_expire_at;
-    if(!run.may_begin_in_other_boot || run.is_listed) {
+    if(run.is_listed) {
+        return workers[run.worker].listed_leases_expire_at;
+    }
+    if(!run.may_begin_in_other_boot) {
         return leases_expire_at;
     }
     // The start, or a lease extension, may be executed late by a boot that no leader has polled.
@@ -178,11 +181,14 @@
     return std::find(task.failed_on.begin(), task.failed_on.end(), worker) != task.failed_on.end();
 }
 
+bool is_responsive(live_worker const &worker, instant const now) noexcept {
+    return worker.answered_poll_sent_at > worker.unanswered_start_sent_at && worker.seen_at + max_poll_age > now;
+}
+
 bool is_usable(live_worker const &worker, site_rules const &rules, instant const now) noexcept {
-    auto const is_responsive = worker.answered_poll_sent_at > worker.unanswered_start_sent_at &&
-        worker.seen_at + max_poll_age > now;
     return worker.is_registered && worker.is_reconciled && !worker.registration.leaving &&
-        worker.quarantined_until <= now && is_responsive && !rules.evacuated.contains(worker.registration.domain);
+        worker.quarantined_until <= now && is_responsive(worker, now) &&
+        !rules.evacuated.contains(worker.registration.domain);
 }
 
 } // namespace kingcuplink::internal
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -1,6 +1,7 @@
 #ifndef KINGCUPLINK_WORKFLOW_DISPATCH_STATE_HPP_INCLUDED
 #define KINGCUPLINK_WORKFLOW_DISPATCH_STATE_HPP_INCLUDED
 
+#include <algorithm>
 #include <cstdint>
 #include <kingcuplink/core/dense_map.hpp>
 #include <kingcuplink/core/ids.hpp>
@@ -51,6 +52,8 @@
     instant stage_since{};
     /*! Time at which this leader sent the start. */
     instant sent_at{};
+    /*! Number of the worker's boot that this leader sent the start to, if it did. */
+    std::optional<std::uint32_t> sent_to{};
     /*!
      * True if the start carries no ticket. A ticket is valid in one boot of the worker only; without one, any later
      * boot may execute the start.
@@ -210,6 +213,8 @@
     instant registration_mismatch_at{};
     /*! Time at which all leases granted or extended so far have expired by any clock. */
     instant leases_expire_at{};
+    /*! Time at which those of the runs that the present boot has listed have expired. */
+    instant listed_leases_expire_at{};
     std::uint64_t last_recorded_completion{};
     std::uint64_t last_persisted_completion{};
     /*! Number up to which the current boot has confirmed acknowledgements. */
@@ -220,6 +225,12 @@
     std::set<job_id> failing_jobs;
     instant quarantined_until{};
     millis quarantine_duration{};
+
+    /*! Records that leases may last until a time in any boot. */
+    void raise_lease_expiry(instant const expiry) noexcept {
+        leases_expire_at = std::max(leases_expire_at, expiry);
+        listed_leases_expire_at = std::max(listed_leases_expire_at, expiry);
+    }
 };
 
 /*! Retained state of a removed worker, so that a later boot of it is recognized and counted as a restart. */
@@ -341,6 +352,9 @@
     return duration >= long_query_duration ? state.long_queries : state.short_queries;
 }
 
+/*! Returns true if a worker has answered lately, and since the latest start without an answer. */
+[[nodiscard]] bool is_responsive(live_worker const &worker, instant now) noexcept;
+
 /*! Returns true if a worker currently accepts new runs. */
 [[nodiscard]] bool is_usable(live_worker const &worker, site_rules const &rules, instant now) noexcept;
 
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -188,8 +188,7 @@
             continue;
         }
         auto const worker = state_.worker_ids.at(row.worker);
-        state_.workers[worker].leases_expire_at = std::max(
-            state_.workers[worker].leases_expire_at, state_.inherited_leases_end_at);
+        state_.workers[worker].raise_lease_expiry(state_.inherited_leases_end_at);
         internal::placement run;
         run.worker = worker;
         run.job = id;
@@ -236,13 +235,19 @@
     }
 }
 
-void dispatcher::record_lease_extension(std::string const &worker, instant const leases_expire_at) {
+void dispatcher::record_lease_extension(std::string const &worker, lease_expiry const expiry) {
     if(auto const found = state_.worker_ids.find(worker); found != state_.worker_ids.end()) {
         auto &entry = state_.workers[found->second];
-        entry.leases_expire_at = std::max(entry.leases_expire_at, leases_expire_at);
+        entry.leases_expire_at = std::max(entry.leases_expire_at, expiry.in_any_boot);
+        entry.listed_leases_expire_at = std::max(entry.listed_leases_expire_at, expiry.in_known_boot);
     }
 }
 
+bool dispatcher::is_leaving(std::string const &worker) const {
+    auto const *found = state_.find_worker(worker);
+    return found != nullptr && found->registration.leaving;
+}
+
 std::uint64_t dispatcher::boot_of(std::string const &worker) const {
     auto const *found = state_.find_worker(worker);
     return found == nullptr ? 0u : found->boot;
@@ -485,6 +490,7 @@
         run->stage = internal::placement_stage::awaiting_answer;
         run->stage_since = now;
         run->sent_at = now;
+        run->sent_to = state_.workers[run->worker].restarts;
     }
     // If a member of a gang was dropped, the other members are not started.
     for(auto const id: batch.starts) {
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -221,9 +221,12 @@
 
     /*!
      * Records a lease extension for the runs of a worker. Must be called before the extension is sent.
-     * @param leases_expire_at Time at which the extended leases have expired by any clock.
+     * @param expiry Time at which the extended leases have expired.
      */
-    void record_lease_extension(std::string const &worker, instant leases_expire_at);
+    void record_lease_extension(std::string const &worker, lease_expiry expiry);
+
+    /*! Returns true if a worker has announced that it leaves. */
+    [[nodiscard]] bool is_leaving(std::string const &worker) const;
 
     /*!
      * Reconciles the runs of a worker with the inventory in its answer to a poll. If another boot answers, listed runs
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -23,7 +23,7 @@
         if(auto const former = state_.former_workers.find(entry.name); former != state_.former_workers.end()) {
             worker.boot = former->second.boot;
             worker.command_epoch = former->second.command_epoch;
-            worker.leases_expire_at = former->second.leases_expire_at;
+            worker.raise_lease_expiry(former->second.leases_expire_at);
         }
         worker.registration = std::move(entry);
         found->second = state_.workers.emplace(std::move(worker));
@@ -52,8 +52,7 @@
     ++worker.restarts;
     ++worker.command_epoch;
     // Until a command of this epoch arrives, the boot executes late lease extensions that were sent to an earlier one.
-    worker.leases_expire_at = std::max(
-        worker.leases_expire_at, now + state_.limits.command_delay + state_.limits.longest_lease);
+    worker.raise_lease_expiry(now + state_.limits.command_delay + state_.limits.longest_lease);
     worker.last_recorded_completion = 0u;
     worker.last_persisted_completion = 0u;
     worker.last_acknowledged_completion = 0u;
@@ -351,17 +350,19 @@
 
 void dispatcher::confirm_run(placement_id const id, instant const now) {
     auto &run = state_.placements[id];
+    auto &worker = state_.workers[run.worker];
     report_late_confirmation(run, now);
+    auto const was_started_by_this_boot = run.stage == internal::placement_stage::running &&
+        run.sent_to == worker.restarts;
     if(run.stage != internal::placement_stage::running) {
         run.stage = internal::placement_stage::running;
         run.stage_since = now;
         state_.mark_running(run.job);
     }
     run.may_begin_until = {};
-    if(!std::exchange(run.is_listed, true)) {
+    if(!std::exchange(run.is_listed, true) && !was_started_by_this_boot) {
         // The run may have begun, with a lease of its own, long after its start was sent.
-        auto &worker = state_.workers[run.worker];
-        worker.leases_expire_at = std::max(worker.leases_expire_at, now + state_.limits.longest_lease);
+        worker.raise_lease_expiry(now + state_.limits.longest_lease);
     }
 }
 
@@ -407,8 +408,7 @@
     placed.stop_requested = true;
     auto &worker = state_.workers[id];
     // This leader or an earlier one started the run. If its start was late, its lease may be as young as the list.
-    worker.leases_expire_at = std::max(
-        {worker.leases_expire_at, state_.inherited_leases_end_at, now + state_.limits.longest_lease});
+    worker.raise_lease_expiry(std::max(state_.inherited_leases_end_at, now + state_.limits.longest_lease));
     placed.stage_since = now;
     // The size is unknown: the worker counts as full until the run is gone, whichever other runs end there.
     placed.charge = worker.registration.capacity;
@@ -425,7 +425,7 @@
     auto const ids = std::vector<worker_id>{state_.workers.ids().begin(), state_.workers.ids().end()};
     for(auto const id: ids) {
         auto &worker = state_.workers[id];
-        if(worker.leases_expire_at < now && !worker.placements.empty()) {
+        if(worker.listed_leases_expire_at < now && !worker.placements.empty()) {
             auto const runs = worker.placements;
             for(auto const pos: runs) {
                 auto const *run = state_.placements.find(pos);
--- a/src/kingcuplink/workflow/types.hpp
+++ b/src/kingcuplink/workflow/types.hpp
@@ -129,6 +129,19 @@
     millis longest_lease{};
 };
 
+/*! Time at which leases of a worker have expired. */
+struct lease_expiry {
+    /*! In whichever boot of the worker executes the request: it may take the expiry for a later time. */
+    instant in_any_boot{};
+    /*! In the boot whose clock the expiry was derived from. */
+    instant in_known_boot{};
+
+    /*! Returns an expiry that is the same in all boots. */
+    [[nodiscard]] static constexpr lease_expiry at(instant const time) noexcept {
+        return {time, time};
+    }
+};
+
 /*! Identifies one run of one task. */
 struct run_key {
     std::string job;
--- a/test/site/worker_clocks_test.cpp
+++ b/test/site/worker_clocks_test.cpp
@@ -20,14 +20,17 @@
         millis age;
         /*! Rate of the clock of the worker, in thousandths. */
         std::int64_t rate;
+        millis lease{timing::max_lease};
     };
-    std::array<row, 6u> const rows{{
+    std::array<row, 8u> const rows{{
         {millis{6'000}, millis{0}, 1'000},
         {millis{6'000}, millis{0}, 980},
         {millis{6'000}, timing::max_clock_age, 980},
         {millis{10'000}, timing::max_clock_age, 980},
         {millis{10'000}, timing::max_clock_age, 1'000},
         {millis{2'000}, millis{500}, 980},
+        {millis{10'000}, timing::max_clock_age, 980, timing::leaving_worker_lease},
+        {millis{10'000}, millis{0}, 1'000, timing::leaving_worker_lease},
     }};
     for(auto const &item: rows) {
         CAPTURE(item.lease_limit.count());
@@ -36,10 +39,12 @@
         constexpr std::int64_t reported = 50'000;
         clocks.report("w", 1u, reported, begin);
         auto const now = begin + item.age;
-        auto const lease = clocks.request("w", 1u, now);
+        auto const lease = clocks.request("w", 1u, now, item.lease);
         REQUIRE(lease);
         auto const expires_after = millis{(lease->expires_at - reported) * 1'000 / item.rate + 1};
-        CHECK(begin + expires_after < lease->lapses_at);
+        CHECK(begin + expires_after < lease->lapses_at.in_known_boot);
+        CHECK(lease->lapses_at.in_known_boot <= now + timing::longest_lease(item.lease));
+        CHECK(lease->lapses_at.in_any_boot >= now + timing::longest_lease(item.lease_limit));
         CHECK(lease->expires_at > reported + item.age.count());
     }
 }
--- a/test/workflow/dispatch_load.cpp
+++ b/test/workflow/dispatch_load.cpp
@@ -151,7 +151,7 @@
     std::erase_if(host.completions, [acknowledged](auto const &end) { return end.number <= acknowledged; });
     inventory.ended = host.completions;
     measure([&] {
-        leader_.record_lease_extension(host.entry.name, now() + lease_time);
+        leader_.record_lease_extension(host.entry.name, lease_expiry::at(now() + lease_time));
         leader_.apply_inventory(host.entry.name, inventory, now(), now());
     });
 }
--- a/test/workflow/dispatcher_test.cpp
+++ b/test/workflow/dispatcher_test.cpp
@@ -536,7 +536,7 @@
         worker_inventory inventory{item.boot, {}, {{1u, {"other", 0u, 0u, 1u}, run_outcome::done, {}}}};
         inventory.has_all_completions = item.has_all_completions;
         fleet.now += round_interval;
-        fleet.leader->record_lease_extension("w0", fleet.now + millis{9'000});
+        fleet.leader->record_lease_extension("w0", lease_expiry::at(fleet.now + millis{9'000}));
         fleet.leader->apply_inventory("w0", inventory, fleet.now, fleet.now);
         auto const started_again = plan_and_commit(fleet).size();
         CHECK(1u + started_again == item.starts);
@@ -678,6 +678,88 @@
     }
 }
 
+// A gang whose worker had left was started again 11 s later, on a mostly idle fleet.
+TEST_CASE("a gang that lost a worker is started again once the lease there has expired") {
+    struct row {
+        std::string_view name;
+        /*! Answer to the start of the lost member. */
+        start_answer answer;
+        /*! Bound on the lease by which the member there counts as gone, in ms after its last extension. */
+        millis expected;
+    };
+    constexpr millis known_boot{3'200};
+    constexpr millis any_boot{10'000};
+    std::array<row, 2u> const rows{{
+        {"the worker started it", start_answer::started, known_boot},
+        {"another boot may have started it", start_answer::unknown, any_boot},
+    }};
+    advice_terms const advice{millis{500}, 7'000, millis{2'000}};
+    dispatch_limits const limits{.inherited_lease = inherited_lease, .longest_lease = any_boot};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        scripted_fleet fleet{{.workers = 4u, .advice = advice, .limits = limits}};
+        auto const report = [&fleet](std::string const &worker, std::vector<listed_run> running) {
+            fleet.leader->apply_inventory(worker, {1u, std::move(running), {}}, fleet.now, fleet.now);
+        };
+        auto const plan = [&fleet]() {
+            dispatch_plan decided;
+            fleet.leader->plan(fleet.now, decided);
+            return decided;
+        };
+        auto const approve = [&fleet](dispatch_plan const &decided) {
+            REQUIRE(decided.queries.size() == 1u);
+            std::vector<advice_grant> grants;
+            for(auto const &name: decided.queries.front().workers) {
+                grants.push_back({name, "ticket"});
+            }
+            fleet.leader->take_advice(decided.queries.front(), grants, fleet.now);
+        };
+        for(auto const &host: fleet.workers) {
+            report(host.entry.name, {});
+        }
+        fleet.submit(scripted_fleet::job("a", make_step(2u, 60'000, true)));
+        approve(plan());
+        auto const starts = plan_and_commit(fleet);
+        REQUIRE(starts.size() == 2u);
+        auto const &lost = starts.front();
+        auto const &kept = starts.back();
+        fleet.leader->start_answered(kept.placement, start_answer::started, fleet.now);
+        fleet.leader->start_answered(lost.placement, item.answer, fleet.now);
+        fleet.now += round_interval;
+        report(kept.worker, {{kept.key, {}}});
+        report(lost.worker, {{lost.key, {}}});
+        fleet.leader->record_lease_extension(lost.worker, {fleet.now + any_boot, fleet.now + known_boot});
+        auto const extended_at = fleet.now;
+        // The worker leaves, and the other member breaks.
+        fleet.leader->unregister_worker(lost.worker);
+        fleet.leader->apply_inventory(
+            kept.worker, {1u, {}, {{1u, kept.key, run_outcome::broken, {}}}}, fleet.now, fleet.now);
+        auto restarted_at = instant::max();
+        std::size_t queries{};
+        while(fleet.now < extended_at + any_boot * 2 && restarted_at == instant::max()) {
+            fleet.now += round_interval;
+            for(auto const &host: fleet.workers) {
+                if(host.entry.name != lost.worker && host.entry.name != kept.worker) {
+                    report(host.entry.name, {});
+                }
+            }
+            fleet.leader->apply_inventory(kept.worker, {1u, {}, {}}, fleet.now, fleet.now);
+            auto const decided = plan();
+            if(!decided.queries.empty()) {
+                ++queries;
+                approve(decided);
+            }
+            std::vector<run_start> again;
+            fleet.leader->batch_committed(fleet.leader->next_batch(), fleet.now, again);
+            restarted_at = again.empty() ? restarted_at : fleet.now;
+        }
+        CHECK(restarted_at > extended_at + item.expected);
+        CHECK(restarted_at <= extended_at + item.expected + 2 * round_interval);
+        // The adviser was queried before: its answer is not waited for after the expiry.
+        CHECK(queries <= 2u);
+    }
+}
+
 TEST_CASE("a gang over the ceiling of its account does not keep another gang from advice") {
     advice_terms const advice{millis{500}, 7'000, millis{2'000}};
     scripted_fleet fleet{{.workers = 4u, .advice = advice}};
@@ -916,7 +998,7 @@
         scripted_fleet fleet{{.workers = 1u, .advice = terms}};
         auto const poll = [&fleet](std::uint64_t const boot) {
             fleet.now += round_interval;
-            fleet.leader->record_lease_extension("w0", fleet.now + millis{9'000});
+            fleet.leader->record_lease_extension("w0", lease_expiry::at(fleet.now + millis{9'000}));
             fleet.leader->apply_inventory("w0", {boot, {}, {}}, fleet.now, fleet.now);
         };
         auto const plan = [&fleet]() {
--- a/test/workflow/fixture.cpp
+++ b/test/workflow/fixture.cpp
@@ -120,7 +120,7 @@
         auto const acknowledged = leader->kept_end(item.entry.name);
         std::erase_if(item.completions, [acknowledged](auto const &end) { return end.number <= acknowledged; });
         inventory.ended = item.completions;
-        leader->record_lease_extension(item.entry.name, now + millis{9'000});
+        leader->record_lease_extension(item.entry.name, lease_expiry::at(now + millis{9'000}));
         leader->apply_inventory(item.entry.name, inventory, now - poll_duration, now);
     }
 }
--- a/test/workflow/outstanding_start_test.cpp
+++ b/test/workflow/outstanding_start_test.cpp
@@ -162,7 +162,8 @@
         while(!waited && fleet.now < begin + inherited_wait + millis{2'000}) {
             fleet.now += round_interval;
             for(auto const &worker: fleet.workers) {
-                fleet.leader->record_lease_extension(worker.entry.name, fleet.now + late_limits.longest_lease);
+                fleet.leader->record_lease_extension(
+                    worker.entry.name, lease_expiry::at(fleet.now + late_limits.longest_lease));
             }
             report_idle(fleet, item.boot);
             if(!plan(fleet).empty()) {
@@ -197,7 +198,8 @@
         for(auto round = 0; round < 3; ++round) {
             fleet.now += millis{3'000};
             for(auto const &worker: fleet.workers) {
-                fleet.leader->record_lease_extension(worker.entry.name, fleet.now + late_limits.longest_lease);
+                fleet.leader->record_lease_extension(
+                    worker.entry.name, lease_expiry::at(fleet.now + late_limits.longest_lease));
             }
             report_idle(fleet, item.boot);
             REQUIRE(plan(fleet).empty());
@@ -235,7 +237,8 @@
         scripted_fleet fleet{options};
         auto const starts = start_job(fleet, step_of(1u));
         REQUIRE(starts.size() == 1u);
-        fleet.leader->record_lease_extension(starts.front().worker, fleet.now + late_limits.longest_lease);
+        fleet.leader->record_lease_extension(
+            starts.front().worker, lease_expiry::at(fleet.now + late_limits.longest_lease));
         fleet.leader->start_answered(starts.front().placement, item.answer, fleet.now);
         if(item.is_listed) {
             report(fleet, starts.front().worker, 1u, {starts.front().key});
@@ -257,7 +260,8 @@
     scripted_fleet fleet{{.workers = 1u, .limits = late_limits}};
     auto const starts = start_job(fleet, step_of(1u));
     REQUIRE(starts.size() == 1u);
-    fleet.leader->record_lease_extension(starts.front().worker, fleet.now + late_limits.longest_lease);
+    fleet.leader->record_lease_extension(
+        starts.front().worker, lease_expiry::at(fleet.now + late_limits.longest_lease));
     lose_answers(fleet, starts);
     fleet.now += millis{11'000};
     report(fleet, starts.front().worker, 1u, {starts.front().key});
@@ -420,7 +424,7 @@
     scripted_fleet fleet{{.workers = 1u, .limits = late_limits}};
     auto const starts = start_job(fleet, step_of(1u));
     REQUIRE(starts.size() == 1u);
-    fleet.leader->record_lease_extension("w0", fleet.now + late_limits.longest_lease);
+    fleet.leader->record_lease_extension("w0", lease_expiry::at(fleet.now + late_limits.longest_lease));
     fleet.leader->start_answered(starts.front().placement, start_answer::started, fleet.now);
     fleet.now += round_interval;
     report(fleet, "w0", 2u, {starts.front().key});
--- a/test/workflow/replay.cpp
+++ b/test/workflow/replay.cpp
@@ -107,7 +107,7 @@
         for(auto const &command: commands) {
             auto const worker = index_of(command.worker);
             replay_start const start{simulation.index_of(command.key.job), command.key.index, command.key.run, worker};
-            leader_->record_lease_extension(command.worker, simulation.now + lease_expiry_bound);
+            leader_->record_lease_extension(command.worker, lease_expiry::at(simulation.now + lease_expiry_bound));
             if(simulation.workers[worker].is_up) {
                 simulation.start(start);
                 leader_->start_answered(command.placement, start_answer::started, simulation.now);
@@ -138,7 +138,7 @@
             auto const acknowledged = leader_->kept_end(item.entry.name);
             std::erase_if(item.completions, [acknowledged](auto const &end) { return end.number <= acknowledged; });
             inventory.ended = item.completions;
-            leader_->record_lease_extension(item.entry.name, simulation.now + lease_expiry_bound);
+            leader_->record_lease_extension(item.entry.name, lease_expiry::at(simulation.now + lease_expiry_bound));
             leader_->apply_inventory(item.entry.name, inventory, simulation.now, simulation.now);
         }
     }
--- a/test/workflow/simulated_leader.cpp
+++ b/test/workflow/simulated_leader.cpp
@@ -145,7 +145,8 @@
     target.boot = is_known_boot ? target.boot : 0u;
     if(is_long) {
         request.wait = timing::poll_wait;
-        if(auto const lease = clocks_.request(name, boot, sent_at); lease && may_extend_leases(sent_at)) {
+        if(auto const lease = clocks_.request(name, boot, sent_at, lease_for(name));
+            lease && may_extend_leases(sent_at)) {
             request.expires_at = lease->expires_at;
             dispatcher_.record_lease_extension(name, lease->lapses_at);
         }
@@ -337,9 +338,13 @@
     notify(plan_wakeup_);
 }
 
+millis simulated_leader::lease_for(std::string const &worker) const {
+    return dispatcher_.is_leaving(worker) ? timing::leaving_worker_lease : timing::max_lease;
+}
+
 void simulated_leader::start_run(run_start const &run) {
     auto const now = host_.now();
-    auto const lease = clocks_.request(run.worker, run.boot, now);
+    auto const lease = clocks_.request(run.worker, run.boot, now, lease_for(run.worker));
     if(!lease || is_stopped_ || !may_extend_leases(now)) {
         handle_start_answer(run, start_answer::not_sent);
         return;
--- a/test/workflow/stale_boot_test.cpp
+++ b/test/workflow/stale_boot_test.cpp
@@ -14,7 +14,7 @@
     for(auto const &key: runs) {
         inventory.running.push_back({key, {}});
     }
-    fleet.leader->record_lease_extension(worker, fleet.now + millis{9'000});
+    fleet.leader->record_lease_extension(worker, lease_expiry::at(fleet.now + millis{9'000}));
     fleet.leader->apply_inventory(worker, inventory, fleet.now, fleet.now);
 }
 
--- a/test/workflow/stale_start_test.cpp
+++ b/test/workflow/stale_start_test.cpp
@@ -37,7 +37,7 @@
         poll_without_lease(fleet);
         if(item.lease) {
             for(auto const &worker: fleet.workers) {
-                fleet.leader->record_lease_extension(worker.entry.name, fleet.now + *item.lease);
+                fleet.leader->record_lease_extension(worker.entry.name, lease_expiry::at(fleet.now + *item.lease));
             }
         }
         fleet.submit(scripted_fleet::job("a", single_task_step()));
--- a/test/workflow/unknown_run_test.cpp
+++ b/test/workflow/unknown_run_test.cpp
@@ -112,7 +112,7 @@
     scripted_fleet fleet{{.workers = 2u}};
     report_runs(fleet, 0u, {});
     auto const &entry = fleet.workers[0].entry;
-    fleet.leader->record_lease_extension(entry.name, fleet.now + millis{60'000});
+    fleet.leader->record_lease_extension(entry.name, lease_expiry::at(fleet.now + millis{60'000}));
     fleet.now += inherited_lease + round_interval;
     fleet.leader->unregister_worker(entry.name);
     dispatch_plan decided;
