Keep with a job what it needs of its queue, and answer for it when the queue is gone

After a version that gave the queue another name, a GET at the same path was answered 410 while the job ran on.

Removed queues were known to processes that had read the version before, and to nobody after a restart. A leader that began also turned away the workers of a service that the newest configuration did not name.

Attempts and objective are those accepted; service and advice those of the queue while it is in force, and otherwise those accepted. The service of an accepted job is admitted among the registrations. A state is told at the queue of the job's name, at its path, and at any queue once its own is not in force; waiting jobs are counted by name and by path. A path that is gone answers 404, as before.

--- a/src/kingcuplink/site/ports.hpp
+++ b/src/kingcuplink/site/ports.hpp
@@ -139,6 +139,12 @@
      * @return False if the record cannot be decoded; the rules are unchanged then.
      */
     [[nodiscard]] virtual bool apply(keyed_record const &record, site_rules &rules) = 0;
+
+    /*!
+     * Accepts registrations for a service from now on, also if the operators' rules do not name it: an accepted job
+     * needs its workers.
+     */
+    virtual void admit_service(std::string_view service) = 0;
 };
 
 /*! Recipient of a call. A different worker at the same address ignores the call. */
--- a/src/kingcuplink/site/record_codec.cpp
+++ b/src/kingcuplink/site/record_codec.cpp
@@ -13,6 +13,9 @@
 constexpr std::array<std::string_view, 3u> key_prefixes{"job/", "progress/", "cancel/"};
 /*! Separates the identifier of a job and the number of a part in a key. */
 constexpr char part_separator = '/';
+/*! Bounds on the terms in a record, so that objectives computed with them do not overflow; beyond any that are set. */
+constexpr double max_stretch{1e6};
+constexpr std::int64_t max_duration{1'000'000'000'000};
 
 std::string key_of(record_kind const kind, std::string const &id) {
     return std::string{key_prefixes[static_cast<std::size_t>(kind)]} + id;
@@ -82,6 +85,42 @@
     return step;
 }
 
+wire::terms_record to_wire(job_terms const &terms) {
+    wire::terms_record record;
+    record.set_service(terms.service);
+    record.set_priority(terms.priority);
+    record.set_max_attempts(terms.max_attempts);
+    record.set_stretch(terms.stretch);
+    record.set_target_ms(terms.target.count());
+    if(terms.advice) {
+        auto &advice = *record.mutable_advice();
+        advice.set_base_ms(terms.advice->base.count());
+        advice.set_per_worker_us(terms.advice->per_worker_us);
+        advice.set_valid_ms(terms.advice->valid.count());
+    }
+    return record;
+}
+
+/*! Returns nothing if a value is out of range. */
+std::optional<job_terms> from_wire(wire::terms_record const &record) {
+    auto const is_duration = [](std::int64_t const value) { return value >= 0 && value <= max_duration; };
+    auto const &advice = record.advice();
+    if(!(record.stretch() >= 0.0 && record.stretch() <= max_stretch) || !is_duration(record.target_ms()) ||
+        !is_duration(advice.base_ms()) || !is_duration(advice.per_worker_us()) || !is_duration(advice.valid_ms())) {
+        return std::nullopt;
+    }
+    job_terms terms;
+    terms.service = record.service();
+    terms.priority = record.priority();
+    terms.max_attempts = record.max_attempts();
+    terms.stretch = record.stretch();
+    terms.target = millis{record.target_ms()};
+    if(record.has_advice()) {
+        terms.advice = advice_terms{millis{advice.base_ms()}, advice.per_worker_us(), millis{advice.valid_ms()}};
+    }
+    return terms;
+}
+
 } // namespace internal
 
 std::optional<parsed_record_key> parse_record_key(std::string_view const key) {
@@ -108,6 +147,10 @@
     for(auto const &step: job.steps) {
         *record.add_steps() = internal::to_wire(step);
     }
+    if(job.terms) {
+        *record.mutable_terms() = internal::to_wire(*job.terms);
+    }
+    record.set_path_hash(job.path_hash);
     return {internal::key_of(record_kind::job, job.id), record.SerializeAsString()};
 }
 
@@ -166,6 +209,10 @@
     for(auto const &step: record->steps()) {
         job.steps.push_back(internal::from_wire(step));
     }
+    if(record->has_terms()) {
+        job.terms = internal::from_wire(record->terms());
+    }
+    job.path_hash = record->path_hash();
     return job;
 }
 
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -36,6 +36,14 @@
     return {problem{reason, std::move(detail)}, std::nullopt, std::nullopt};
 }
 
+/*!
+ * Returns whether callers of a queue are told about a job: if the queue or its path accepted the job, or if the queue
+ * that did is not in force any more, so that its callers ask elsewhere.
+ */
+bool is_answered_at(queue_rules const &queue, job_definition const &job, site_rules const &rules) {
+    return job.queue == queue.name || job.path_hash == path_hash_of(queue) || !is_in_force(rules, job.queue);
+}
+
 /*! Returns the reason why a draft is invalid, or an empty string. */
 std::string draft_fault(job_definition const &draft) {
     if(draft.steps.empty()) {
@@ -112,7 +120,7 @@
     case caller_operation::ask:
         break;
     }
-    co_return job_answer(*queue, id);
+    co_return job_answer(*rules, *queue, id);
 }
 
 boost::asio::awaitable<caller_answer> site_node::submit(
@@ -129,6 +137,8 @@
     job.queue = queue.name;
     job.account = std::move(account);
     job.accepted_at = current_time();
+    job.terms = static_cast<job_terms const &>(queue);
+    job.path_hash = path_hash_of(queue);
     auto record = encode(job);
     if(record.value->size() > timing::max_record_bytes) {
         co_return internal::refused(refusal::job_malformed,
@@ -211,9 +221,9 @@
     co_return end && (jobs_reader_.offset() >= *end || known_jobs_.find(id) != nullptr);
 }
 
-caller_answer site_node::job_answer(queue_rules const &queue, std::string const &id) const {
+caller_answer site_node::job_answer(site_rules const &rules, queue_rules const &queue, std::string const &id) const {
     auto const *known = known_jobs_.find(id);
-    if(known == nullptr || known->definition.queue != queue.name) {
+    if(known == nullptr || !internal::is_answered_at(queue, known->definition, rules)) {
         return internal::refused(refusal::job_unknown, id);
     }
     return {std::nullopt, job_table::visible_phase(*known), std::nullopt};
@@ -223,7 +233,7 @@
     if(!is_fresh()) {
         return internal::refused(refusal::log_unavailable, queue.name);
     }
-    return {std::nullopt, std::nullopt, known_jobs_.pending(queue.name)};
+    return {std::nullopt, std::nullopt, known_jobs_.pending(queue.name, path_hash_of(queue))};
 }
 
 // The log.
@@ -349,6 +359,9 @@
 
 void site_node::define(job_definition job) {
     auto const id = job.id;
+    if(job.terms) {
+        parts_.decoder.admit_service(job.terms->service);
+    }
     if(known_jobs_.define(std::move(job)) && leader_ != nullptr) {
         leader_->add_job(*known_jobs_.find(id));
     }
--- a/src/kingcuplink/site/site_node.hpp
+++ b/src/kingcuplink/site/site_node.hpp
@@ -88,7 +88,8 @@
     boost::asio::awaitable<caller_answer> submit(
         caller_request request, queue_rules const &queue, std::string account, std::string id);
     boost::asio::awaitable<caller_answer> cancel(caller_request const &request, std::string id);
-    [[nodiscard]] caller_answer job_answer(queue_rules const &queue, std::string const &id) const;
+    [[nodiscard]] caller_answer job_answer(
+        site_rules const &rules, queue_rules const &queue, std::string const &id) const;
     [[nodiscard]] caller_answer queue_answer(queue_rules const &queue) const;
     /*!
      * Waits until a job is known, or the log is read up to its current end. Returns false if it cannot be read in time.
--- a/src/kingcuplink/workflow/dispatch_planner.cpp
+++ b/src/kingcuplink/workflow/dispatch_planner.cpp
@@ -109,7 +109,7 @@
     std::vector<waiting_step> waiting_steps;
     for(auto const id: state_.jobs.ids()) {
         auto const &job = state_.jobs[id];
-        auto const *queue = find_queue(*state_.rules, job.definition.queue);
+        auto const *queue = state_.rules_of(job);
         if(is_final(job.phase) || queue == nullptr) {
             continue;
         }
@@ -171,8 +171,7 @@
     }
 }
 
-bool dispatch_planner::may_run(
-    worker_registration const &worker, queue_rules const &queue, step_definition const &step) {
+bool dispatch_planner::may_run(worker_registration const &worker, job_terms const &queue, step_definition const &step) {
     return worker.service == queue.service && has_label(worker, step.required_label);
 }
 
--- a/src/kingcuplink/workflow/dispatch_planner.hpp
+++ b/src/kingcuplink/workflow/dispatch_planner.hpp
@@ -24,7 +24,7 @@
         service_rank rank;
         job_id job;
         std::uint32_t step;
-        queue_rules const *queue;
+        job_terms const *queue;
     };
 
     /*! A worker that accepts new runs in this round. */
@@ -105,7 +105,7 @@
     /*! Adds the candidates about which the adviser has not been queried for this step. */
     void add_unqueried_options(waiting_step const &current, std::vector<option> &options);
     [[nodiscard]] static bool may_run(
-        worker_registration const &worker, queue_rules const &queue, step_definition const &step);
+        worker_registration const &worker, job_terms const &queue, step_definition const &step);
     /*! Returns the number of tasks of a step that fit into the given capacity of one worker. */
     [[nodiscard]] static std::uint32_t slots_on_worker(step_definition const &step, resources const &capacity) noexcept;
     /*! Returns the number of tasks of a step that fit into the available capacity of the options. */
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -128,6 +128,8 @@
 /*! A job that has not ended or still has runs. */
 struct live_job {
     job_definition definition;
+    /*! Terms under the rules in force; nothing if they are not known, and no task can be started. */
+    std::shared_ptr<job_terms const> terms;
     job_phase phase{job_phase::queued};
     std::vector<live_step> steps;
     job_objective objective;
@@ -225,6 +227,14 @@
     /*! Changes the phase of a job from queued to running. */
     void mark_running(job_id job);
 
+    /*!
+     * Returns the terms on which a job runs, or null if they are not known: its tasks wait then. The pointer is valid
+     * until the job is erased or the rules change.
+     */
+    [[nodiscard]] static job_terms const *rules_of(live_job const &job) noexcept {
+        return job.terms.get();
+    }
+
     /*! Returns the worker with a name, or null. */
     [[nodiscard]] live_worker const *find_worker(std::string const &name) const;
 
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -103,6 +103,10 @@
 
 void dispatcher::set_rules(std::shared_ptr<site_rules const> rules) {
     state_.rules = std::move(rules);
+    for(auto const id: state_.jobs.ids()) {
+        auto &job = state_.jobs[id];
+        job.terms = terms_of_job(*state_.rules, job.definition.queue, job.definition.terms);
+    }
 }
 
 void dispatcher::set_querying_vms(std::size_t const count) noexcept {
@@ -111,7 +115,6 @@
 
 void dispatcher::add_job(job_entry const &entry) {
     auto const &definition = entry.definition;
-    auto const *queue = find_queue(*state_.rules, definition.queue);
     // The definition of an ended job has no steps.
     if(is_final(entry.progress.phase) || definition.steps.empty() || state_.job_ids.contains(definition.id)) {
         return;
@@ -119,7 +122,8 @@
     internal::live_job job;
     job.definition = definition;
     job.phase = entry.progress.phase;
-    job.objective = objective_of(definition, queue != nullptr ? *queue : queue_rules{});
+    job.terms = terms_of_job(*state_.rules, definition.queue, definition.terms);
+    job.objective = objective_of(definition, job.terms != nullptr ? *job.terms : job_terms{});
     if(auto const *account = find_account(*state_.rules, definition.account); account != nullptr) {
         job.is_excess = state_.accounts[definition.account].meter.is_excess(account->weight, definition.accepted_at);
     }
@@ -182,7 +186,7 @@
         run.key = {entry.definition.id, row.step, row.index, row.run};
         run.charge = entry.definition.steps[row.step].task_size;
         run.stage = internal::placement_stage::inherited;
-        if(auto const *queue = find_queue(*state_.rules, entry.definition.queue); queue == nullptr || !queue->advice) {
+        if(auto const *terms = state_.rules_of(job); terms == nullptr || !terms->advice) {
             run.may_begin_in_other_boot = true;
             run.may_begin_until = state_.inherited_starts_end_at;
         }
@@ -357,8 +361,8 @@
     auto &advice = job.steps[query.step].advice;
     advice.in_flight = false;
     auto const restarted = std::exchange(advice.restarted, {});
-    auto const *queue = find_queue(*state_.rules, job.definition.queue);
-    auto const valid = queue != nullptr && queue->advice ? queue->advice->valid : millis{};
+    auto const *terms = state_.rules_of(job);
+    auto const valid = terms != nullptr && terms->advice ? terms->advice->valid : millis{};
     auto const answered_for = [&](std::string const &name) -> std::optional<worker_id> {
         auto const worker = state_.worker_ids.find(name);
         auto const is_known = worker != state_.worker_ids.end() && !restarted.contains(worker->second);
@@ -402,7 +406,8 @@
         internal::add_progress(*job, state_, batch);
         if(is_final(job->phase)) {
             auto const &ended = job->definition;
-            batch.ended_jobs.push_back({ended.id, ended.queue, ended.account, {}, {}, ended.accepted_at});
+            batch.ended_jobs.push_back(
+                {ended.id, ended.queue, ended.account, {}, {}, ended.accepted_at, {}, ended.path_hash});
         }
         for(auto const &step: job->steps) {
             for(auto const &task: step.tasks) {
@@ -429,8 +434,8 @@
 
 bool dispatcher::may_still_start(internal::placement const &run, instant const now) const {
     auto const &job = state_.jobs[run.job];
-    auto const *queue = find_queue(*state_.rules, job.definition.queue);
-    auto const has_ticket = queue != nullptr && (!queue->advice || run.ticket_until > now);
+    auto const *terms = state_.rules_of(job);
+    auto const has_ticket = terms != nullptr && (!terms->advice || run.ticket_until > now);
     return !run.stop_requested && !is_final(job.phase) && has_ticket &&
         !state_.has_unknown_run(job, run.key.step, run.key.index) &&
         internal::is_usable(state_.workers[run.worker], *state_.rules, now);
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -286,8 +286,8 @@
     // The failures of a gang are counted at its first member.
     auto &counted = step.tasks[definition.gang ? 0u : key.index];
     ++counted.failures;
-    auto const *queue = find_queue(*state_.rules, job.definition.queue);
-    if(queue != nullptr && counted.failures >= queue->max_attempts && !definition.long_running) {
+    auto const *terms = state_.rules_of(job);
+    if(terms != nullptr && counted.failures >= terms->max_attempts && !definition.long_running) {
         end_job(id, job_phase::failed);
     }
 }
--- a/src/kingcuplink/workflow/job_table.cpp
+++ b/src/kingcuplink/workflow/job_table.cpp
@@ -31,9 +31,10 @@
     }
     if(is_final(progress.phase) && !is_final(entry.progress.phase)) {
         entry.ended_at = now;
-        // The payload and the steps are only needed until the job ends.
+        // The payload, the steps and the terms are only needed until the job ends.
         entry.definition.payload = {};
         entry.definition.steps = {};
+        entry.definition.terms = {};
     }
     entry.progress = std::move(progress);
     count(entry, 1);
@@ -97,9 +98,13 @@
     return entry.cancel_requested && !is_final(phase) ? job_phase::cancelled : phase;
 }
 
-std::size_t job_table::pending(std::string const &queue) const {
-    auto const found = pending_.find(queue);
-    return found == pending_.end() ? 0u : static_cast<std::size_t>(found->second);
+std::size_t job_table::pending(std::string_view const queue, std::uint32_t const path_hash) const {
+    std::int64_t count{};
+    for(auto const &[origin, jobs]: pending_) {
+        auto const &[name, hash] = origin;
+        count += name == queue || (hash != 0u && hash == path_hash) ? jobs : 0;
+    }
+    return static_cast<std::size_t>(count);
 }
 
 std::vector<std::string> job_table::expired_before(instant const time) const {
@@ -119,7 +124,11 @@
 
 void job_table::count(job_entry const &entry, std::int64_t const change) {
     if(visible_phase(entry) == job_phase::queued) {
-        pending_[entry.definition.queue] += change;
+        auto const found = pending_.try_emplace({entry.definition.queue, entry.definition.path_hash}).first;
+        found->second += change;
+        if(found->second == 0) {
+            pending_.erase(found);
+        }
     }
 }
 
--- a/src/kingcuplink/workflow/job_table.hpp
+++ b/src/kingcuplink/workflow/job_table.hpp
@@ -3,9 +3,12 @@
 
 #include <cstdint>
 #include <kingcuplink/workflow/types.hpp>
+#include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace kingcuplink {
@@ -55,8 +58,11 @@
     /*! Returns the phase reported to callers. */
     [[nodiscard]] static job_phase visible_phase(job_entry const &entry) noexcept;
 
-    /*! Returns the number of jobs of a queue that are reported as queued. */
-    [[nodiscard]] std::size_t pending(std::string const &queue) const;
+    /*!
+     * Returns the number of jobs that are reported as queued and were accepted by a queue with this name, or by one
+     * with this path. The hash of the path is zero if it does not matter.
+     */
+    [[nodiscard]] std::size_t pending(std::string_view queue, std::uint32_t path_hash = 0u) const;
 
     /*! Returns the identifiers of jobs whose end, and of unknown jobs whose cancellation, was read before a time. */
     [[nodiscard]] std::vector<std::string> expired_before(instant time) const;
@@ -72,7 +78,8 @@
     static void replace_part(job_entry &entry, job_progress progress);
 
     std::unordered_map<std::string, job_entry> jobs_;
-    std::unordered_map<std::string, std::int64_t> pending_;
+    /*! Numbers of queued jobs, by the queue and the path that accepted them. */
+    std::map<std::pair<std::string, std::uint32_t>, std::int64_t> pending_;
     /*! Times at which cancellations of unknown jobs were read, by job. */
     std::unordered_map<std::string, instant> early_cancellations_;
 };
--- a/src/kingcuplink/workflow/objective.cpp
+++ b/src/kingcuplink/workflow/objective.cpp
@@ -16,24 +16,24 @@
 /*! Seconds of usual traffic that may arrive in one burst before it counts as excess. */
 constexpr double burst_seconds = 2.0;
 
-millis estimated_duration(step_definition const &step, queue_rules const &queue) {
+millis estimated_duration(step_definition const &step, job_terms const &terms) {
     auto part = step.estimate;
-    if(queue.advice) {
-        part += queue.advice->base + millis{queue.advice->per_worker_us * objective_query_workers / 1'000};
+    if(terms.advice) {
+        part += terms.advice->base + millis{terms.advice->per_worker_us * objective_query_workers / 1'000};
     }
     return part;
 }
 
 } // namespace internal
 
-job_objective objective_of(job_definition const &job, queue_rules const &queue) {
+job_objective objective_of(job_definition const &job, job_terms const &terms) {
     job_objective result;
-    result.is_top_priority = queue.priority == 0;
+    result.is_top_priority = terms.priority == 0;
     result.remaining.assign(job.steps.size(), millis{});
     millis longest{};
     for(auto pos = job.steps.size(); pos-- > 0u;) {
         // Dependent steps come later in the list and have been processed already.
-        result.remaining[pos] += internal::estimated_duration(job.steps[pos], queue);
+        result.remaining[pos] += internal::estimated_duration(job.steps[pos], terms);
         if(job.steps[pos].gang && job.steps[pos].count > internal::max_small_gang) {
             result.gang_lead_time = std::max(result.gang_lead_time, internal::gang_reservation_time);
         }
@@ -42,8 +42,8 @@
         }
         longest = std::max(longest, result.remaining[pos]);
     }
-    auto const scaled = static_cast<std::int64_t>(queue.stretch * static_cast<double>(longest.count()));
-    auto const allowed = millis{scaled} + queue.target;
+    auto const scaled = static_cast<std::int64_t>(terms.stretch * static_cast<double>(longest.count()));
+    auto const allowed = millis{scaled} + terms.target;
     result.in_time = job.accepted_at + allowed;
     result.late = job.accepted_at + allowed * internal::late_factor;
     return result;
--- a/src/kingcuplink/workflow/objective.hpp
+++ b/src/kingcuplink/workflow/objective.hpp
@@ -47,8 +47,8 @@
     friend auto operator<=>(service_rank const &, service_rank const &) noexcept = default;
 };
 
-/*! Computes the objective of a job. Precondition: every step depends on earlier steps only. */
-[[nodiscard]] job_objective objective_of(job_definition const &job, queue_rules const &queue);
+/*! Computes the objective of a job under its terms. Precondition: every step depends on earlier steps only. */
+[[nodiscard]] job_objective objective_of(job_definition const &job, job_terms const &terms);
 
 /*! Returns the rank of a step. */
 [[nodiscard]] service_rank rank_of(
--- a/src/kingcuplink/workflow/site_rules.cpp
+++ b/src/kingcuplink/workflow/site_rules.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <kingcuplink/core/hash.hpp>
 #include <kingcuplink/workflow/site_rules.hpp>
 
 namespace kingcuplink {
@@ -29,6 +30,30 @@
     return internal::find_if_or_null(rules.queues, [&](auto const &queue) { return queue.name == name; });
 }
 
+bool is_in_force(site_rules const &rules, std::string_view const queue) noexcept {
+    auto const *found = find_queue(rules, queue);
+    return found != nullptr && !found->retired;
+}
+
+std::uint32_t path_hash_of(queue_rules const &queue) noexcept {
+    auto const hash = static_cast<std::uint32_t>(stable_hash(queue.path_prefix, stable_hash(queue.host)));
+    return std::max<std::uint32_t>(1u, hash);
+}
+
+std::shared_ptr<job_terms const> terms_of_job(
+    site_rules const &rules, std::string_view const queue, std::optional<job_terms> const &accepted) {
+    auto const *found = find_queue(rules, queue);
+    if(!accepted) {
+        return found != nullptr ? std::make_shared<job_terms const>(*found) : nullptr;
+    }
+    auto terms = std::make_shared<job_terms>(*accepted);
+    if(found != nullptr && !found->retired) {
+        terms->service = found->service;
+        terms->advice = found->advice;
+    }
+    return terms;
+}
+
 account_rules const *find_account(site_rules const &rules, std::string_view const name) noexcept {
     return internal::find_if_or_null(rules.accounts, [&](auto const &account) { return account.name == name; });
 }
--- a/src/kingcuplink/workflow/site_rules.hpp
+++ b/src/kingcuplink/workflow/site_rules.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <kingcuplink/core/resources.hpp>
 #include <kingcuplink/core/time.hpp>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -22,16 +23,10 @@
     millis valid{};
 };
 
-/*! Rules of one job queue. */
-struct queue_rules {
-    std::string name;
-    /*! Host and path prefix of requests for this queue. */
-    std::string host;
-    std::string path_prefix;
-    /*! Service that provides the workers for the tasks of this queue. */
+/*! Terms of a queue that its jobs need until they end. */
+struct job_terms {
+    /*! Service that provides the workers for the tasks of the queue. */
     std::string service;
-    /*! True if requests need no key. */
-    bool open{};
     /*! Zero gives the queue precedence over all others. */
     std::int64_t priority{1};
     /*! Number of failed runs of a task, or of a gang, after which the job fails. */
@@ -41,6 +36,16 @@
     millis target{};
     /*! Set if an adviser has to approve the workers of each step. */
     std::optional<advice_terms> advice;
+};
+
+/*! Rules of one job queue. */
+struct queue_rules : job_terms {
+    std::string name;
+    /*! Host and path prefix of requests for this queue. */
+    std::string host;
+    std::string path_prefix;
+    /*! True if requests need no key. */
+    bool open{};
     /*! True if operators removed the queue: its jobs continue, and new jobs are not accepted. */
     bool retired{};
 };
@@ -71,6 +76,21 @@
 /*! Returns the queue with a name, retired or not, or null. */
 [[nodiscard]] queue_rules const *find_queue(site_rules const &rules, std::string_view name) noexcept;
 
+/*! Returns true if a queue exists and operators have not removed it. */
+[[nodiscard]] bool is_in_force(site_rules const &rules, std::string_view queue) noexcept;
+
+/*! Returns a hash of a queue's host and path prefix. It is the same in every process, and never zero. */
+[[nodiscard]] std::uint32_t path_hash_of(queue_rules const &queue) noexcept;
+
+/*!
+ * Returns the terms on which a job runs, or null if they are not known. Attempts and objective are those accepted.
+ * Service and advice are those of the queue while it is in force, since they depend on the workers and on the adviser
+ * of today, and otherwise those accepted.
+ * @param accepted Terms as of the job's acceptance; nothing for a job of an earlier version, to which the rules apply.
+ */
+[[nodiscard]] std::shared_ptr<job_terms const> terms_of_job(
+    site_rules const &rules, std::string_view queue, std::optional<job_terms> const &accepted);
+
 /*! Returns the account with a name, or null. */
 [[nodiscard]] account_rules const *find_account(site_rules const &rules, std::string_view name) noexcept;
 
--- a/src/kingcuplink/workflow/types.hpp
+++ b/src/kingcuplink/workflow/types.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <kingcuplink/core/resources.hpp>
 #include <kingcuplink/core/time.hpp>
+#include <kingcuplink/workflow/site_rules.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -45,6 +46,10 @@
     std::vector<step_definition> steps;
     /*! Time of acceptance by the clock of the entry VM that accepted the job. */
     instant accepted_at{};
+    /*! Terms of the queue as of acceptance; nothing for a job of an earlier version, and for one that has ended. */
+    std::optional<job_terms> terms{};
+    /*! Identifies host and path prefix of the queue as of acceptance; zero for a job of an earlier version. */
+    std::uint32_t path_hash{};
 };
 
 /*! State of a job as reported to callers. */
--- a/test/adapter/adapter_test.cpp
+++ b/test/adapter/adapter_test.cpp
@@ -373,6 +373,30 @@
     }
 }
 
+// After a restart, an entry VM knew only the newest configuration, and turned away the workers that accepted jobs need.
+TEST_CASE("a registration for a service that an accepted job needs is accepted, whatever the configuration names") {
+    struct row {
+        std::string_view admitted;
+        bool is_accepted;
+    };
+    for(auto const &item: std::array<row, 3u>{{{"s", true}, {"u", false}, {"", false}}}) {
+        CAPTURE(item.admitted);
+        for(auto const is_first: {true, false}) {
+            CAPTURE(is_first);
+            adapter::site_reader reader;
+            site_rules rules;
+            if(is_first) {
+                reader.admit_service(item.admitted);
+            }
+            REQUIRE(reader.apply({"config", R"({"version":1,"routes":[],"services":[{"name":"t"}]})"}, rules));
+            if(!is_first) {
+                reader.admit_service(item.admitted);
+            }
+            CHECK(reader.worker("i-1", registration).worker.has_value() == item.is_accepted);
+        }
+    }
+}
+
 TEST_CASE("operator records are applied to the rules") {
     adapter::site_reader reader;
     site_rules rules;
--- a/test/adapter/site_process_test.cpp
+++ b/test/adapter/site_process_test.cpp
@@ -122,6 +122,33 @@
     CHECK(site.breaches().empty());
 }
 
+// The terms of a queue were known only to processes that had read a configuration with it.
+TEST_CASE("an accepted job ends after its queue was removed and all entry VMs were killed") {
+    for(std::string const service: {"work", "other"}) {
+        CAPTURE(service);
+        site_fleet site;
+        auto const vm = site.entry_vms()[0];
+        std::vector<test_step> const steps{{.run_ms = 3'000}, {.count = 2u, .after = {0u}}};
+        CHECK(site.submit(vm, "batch", id_of(1u), steps) == submit_outcome::accepted);
+        CHECK(comes_true([&]() { return site.record().at("running").to_number<std::size_t>() == 1u; }));
+        site.change_platform({{"configure", true}, {"remove", "batch"}, {"only_service", service}});
+        for(auto const &other: site.entry_vms()) {
+            CHECK(comes_true(
+                [&]() { return site.metrics(other).find("kingcuplink_rules_version 2") != std::string::npos; }));
+        }
+        for(auto const &other: site.entry_vms()) {
+            site.processes().kill(other);
+        }
+        for(auto const &other: site.entry_vms()) {
+            site.start(other);
+        }
+        CHECK(comes_true([&]() { return site.state(vm, "urgent", id_of(1u)) == "done"; }, std::chrono::seconds{40}));
+        CHECK(site.state(vm, "batch", id_of(1u)).empty());
+        CHECK(site.submit(vm, "batch", id_of(2u), steps) != submit_outcome::accepted);
+        CHECK(site.breaches().empty());
+    }
+}
+
 TEST_CASE("submissions fail fast during a store outage, and the backlog completes after it") {
     site_fleet site;
     auto const vm = site.entry_vms()[0];
--- a/test/adapter/standin/site_main.cpp
+++ b/test/adapter/standin/site_main.cpp
@@ -68,9 +68,15 @@
         };
         boost::json::object const tenant{{"name", "team"}, {"api_keys", std::move(key_list)}, {"weight", 50},
             {"max_count", boost::json::object{{"cpu", 0}, {"mem_mb", 0}, {"gpus", 0}}}};
-        boost::json::object const value{{"version", ++version_},
-            {"routes", boost::json::array{route("urgent", 0, 1.5), route("batch", 1, 4.0)}},
-            {"tenants", boost::json::array{tenant}}};
+        boost::json::array routes{route("urgent", 0, 1.5)};
+        if(removed_ != "batch") {
+            routes.push_back(route("batch", 1, 4.0));
+        }
+        boost::json::object value{
+            {"version", ++version_}, {"routes", std::move(routes)}, {"tenants", boost::json::array{tenant}}};
+        if(!only_service_.empty()) {
+            value["services"] = boost::json::array{boost::json::object{{"name", only_service_}}};
+        }
         store_.put("keyed.op", "config", boost::json::serialize(value));
     }
 
@@ -119,6 +125,8 @@
             store_.compact();
         }
         if(body.contains("configure")) {
+            removed_ = text_in(body, "remove");
+            only_service_ = text_in(body, "only_service");
             configure({"key"});
         }
         if(auto const domain = text_in(body, "evacuate"); !domain.empty()) {
@@ -204,6 +212,10 @@
     std::shared_ptr<http_service> adviser_;
     std::shared_ptr<http_service> admin_;
     std::int64_t version_{};
+    /*! Queue that the latest configuration lacks. */
+    std::string removed_;
+    /*! The only service that the latest configuration names; empty if it names none. */
+    std::string only_service_;
 };
 
 } // namespace
--- a/test/site/scripted_site.cpp
+++ b/test/site/scripted_site.cpp
@@ -204,6 +204,9 @@
 }
 
 registration_reading plain_decoder::worker(std::string_view const key, std::string_view) {
+    if(!services_.contains("service") && !admitted_services_.contains("service")) {
+        return {std::nullopt, "service"};
+    }
     worker_registration entry;
     entry.name = key;
     entry.service = "service";
@@ -214,16 +217,11 @@
     return {std::move(entry), {}};
 }
 
-bool plain_decoder::apply(keyed_record const &, site_rules &rules) {
-    rules.version = 1u;
-    queue_rules queue;
-    queue.name = "queue";
-    queue.host = "host";
-    queue.path_prefix = "/p/";
-    queue.service = "service";
-    queue.max_attempts = 2u;
-    queue.advice = advice_terms{millis{10}, 100, millis{2'000}};
-    rules.queues = {queue};
+bool plain_decoder::apply(keyed_record const &record, site_rules &rules) {
+    auto const &version = versions_.at(record.value.value_or(std::string{}));
+    rules.version = version.number;
+    rules.queues = version.queues;
+    services_ = version.services;
     account_rules account;
     account.name = "account";
     account.keys = {"key"};
@@ -232,6 +230,10 @@
     return true;
 }
 
+void plain_decoder::admit_service(std::string_view const service) {
+    admitted_services_.emplace(service);
+}
+
 boost::asio::awaitable<std::optional<std::vector<advice_grant>>> approving_adviser::ask(
     advice_query const query, millis) {
     std::vector<advice_grant> grants;
@@ -242,7 +244,7 @@
 }
 
 scripted_site::vm::vm(scripted_site &site, std::string name, std::string address, std::uint32_t const millicores)
-    : decisions{::open("/dev/null", O_WRONLY | O_CLOEXEC), name}, log{site.log} {
+    : decisions{::open("/dev/null", O_WRONLY | O_CLOEXEC), name}, log{site.log}, decoder{site.versions} {
     settings.name = std::move(name);
     settings.failure_domain = "domain";
     settings.peer_address = std::move(address);
@@ -256,6 +258,7 @@
 scripted_site::scripted_site(std::size_t const count) : scripted_site{std::vector<std::uint32_t>(count, 0u)} {}
 
 scripted_site::scripted_site(std::span<std::uint32_t const> const millicores) {
+    versions.emplace("rules", scripted_version{1u, {queue()}});
     log.add({"config", "rules"}, log_stream::rules);
     for(std::size_t pos{}; pos < worker_count; ++pos) {
         log.add({"w" + std::to_string(pos), "entry"}, log_stream::workers);
@@ -289,11 +292,11 @@
 }
 
 caller_answer scripted_site::ask(std::size_t const pos, caller_operation const operation, std::string const &id,
-    std::string const &host, std::string const &key) {
+    std::string const &host, std::string const &key, std::string const &path_prefix) {
     caller_request request;
     request.operation = operation;
     request.host = host;
-    request.path = "/p/" + id;
+    request.path = path_prefix + id;
     request.key = key;
     if(operation == caller_operation::submit) {
         request.draft = job(id);
@@ -324,6 +327,37 @@
     return result.value_or(caller_answer{problem{refusal::outcome_unknown, "no answer"}, std::nullopt, std::nullopt});
 }
 
+void scripted_site::change_rules(scripted_version version) {
+    auto const line = "kingcuplink_rules_version " + std::to_string(version.number) + "\n";
+    auto const text = "rules " + std::to_string(version.number);
+    versions.insert_or_assign(text, std::move(version));
+    log.add({"config", text}, log_stream::rules);
+    run_until([&]() {
+        return std::all_of(vms.begin(), vms.end(),
+            [&](auto const &item) { return !item->is_alive || item->node->metrics().find(line) != std::string::npos; });
+    });
+}
+
+void scripted_site::replace_all_vms() {
+    log.compact_before(log.end_offset());
+    auto const count = vms.size();
+    for(std::size_t pos{}; pos < count; ++pos) {
+        vms[pos]->is_alive = false;
+        add_vm();
+    }
+}
+
+queue_rules scripted_site::queue() {
+    queue_rules queue;
+    queue.name = "queue";
+    queue.host = "host";
+    queue.path_prefix = "/p/";
+    queue.service = "service";
+    queue.max_attempts = 2u;
+    queue.advice = advice_terms{millis{10}, 100, millis{2'000}};
+    return queue;
+}
+
 job_definition scripted_site::job(std::string id) {
     job_definition result;
     result.id = std::move(id);
--- a/test/site/scripted_site.hpp
+++ b/test/site/scripted_site.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -130,11 +131,27 @@
     std::size_t polls_with_ended_runs_{};
 };
 
-/*! Decoder that returns a fixed registration for each worker and fixed rules. */
+/*! One version of the operators' rules. */
+struct scripted_version {
+    std::uint64_t number{1u};
+    std::vector<queue_rules> queues;
+    /*! Services that the version names; registrations for others are rejected, unless accepted jobs need them. */
+    std::set<std::string, std::less<>> services{"service"};
+};
+
+/*! Decoder that returns a fixed registration for each worker, and rules from a table by the value of their record. */
 class plain_decoder : public site_decoder {
 public:
+    explicit plain_decoder(std::map<std::string, scripted_version> const &versions) : versions_{versions} {}
+
     [[nodiscard]] registration_reading worker(std::string_view key, std::string_view value) override;
     [[nodiscard]] bool apply(keyed_record const &record, site_rules &rules) override;
+    void admit_service(std::string_view service) override;
+
+private:
+    std::map<std::string, scripted_version> const &versions_;
+    std::set<std::string, std::less<>> services_;
+    std::set<std::string, std::less<>> admitted_services_;
 };
 
 /*! Adviser that approves all workers. */
@@ -163,11 +180,20 @@
 
     /*! Sends a caller's request to an entry VM and returns its answer. */
     caller_answer ask(std::size_t vm, caller_operation operation, std::string const &id,
-        std::string const &host = "host", std::string const &key = "key");
+        std::string const &host = "host", std::string const &key = "key", std::string const &path_prefix = "/p/");
 
     /*! Submits a job to an entry VM and returns its answer. */
     caller_answer submit(std::size_t vm, job_definition job);
 
+    /*! Puts a version of the operators' rules in force, and runs all live entry VMs until they have applied it. */
+    void change_rules(scripted_version version);
+
+    /*! Starts as many entry VMs as there are, and kills those there were: the log alone tells them of jobs. */
+    void replace_all_vms();
+
+    /*! Returns the queue "queue" of the first version, at the path prefix "/p/". */
+    [[nodiscard]] static queue_rules queue();
+
     /*! Returns the definition of a job as an entry VM accepts it. */
     [[nodiscard]] static job_definition job(std::string id);
 
@@ -204,6 +230,8 @@
     boost::asio::io_context log_context{1};
     memory_log log{log_context};
     memory_workers workers;
+    /*! Versions of the rules, by the value of their record. */
+    std::map<std::string, scripted_version> versions;
     std::vector<std::unique_ptr<vm>> vms;
 
 private:
--- a/test/site/site_test.cpp
+++ b/test/site/site_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 #include <kingcuplink/site/record_codec.hpp>
 #include <kingcuplink/site/timing.hpp>
+#include <limits>
 #include <thread>
 
 namespace kingcuplink::test {
@@ -47,6 +48,86 @@
     CHECK_FALSE(parse_record_key("other/1"));
 }
 
+// A record of an earlier version has no terms; one that is out of range must not break the order of all jobs.
+TEST_CASE("the terms of a job are decoded to the same values, and ignored if they are out of range") {
+    job_terms const whole{"service", 0, 4u, 2.2, millis{1'000}, advice_terms{millis{500}, 7'100, millis{2'000}}};
+    auto const with = [&whole](auto const &change) {
+        auto terms = whole;
+        change(terms);
+        return terms;
+    };
+    struct row {
+        std::string_view name;
+        std::optional<job_terms> terms;
+        bool is_kept;
+    };
+    std::vector<row> const rows{
+        {"none", std::nullopt, false},
+        {"all", whole, true},
+        {"without advice", with([](auto &terms) { terms.advice.reset(); }), true},
+        {"defaults", job_terms{}, true},
+        {"negative priority", with([](auto &terms) { terms.priority = -3; }), true},
+        {"negative stretch", with([](auto &terms) { terms.stretch = -1.0; }), false},
+        {"huge stretch", with([](auto &terms) { terms.stretch = 1e300; }), false},
+        {"no number", with([](auto &terms) { terms.stretch = std::numeric_limits<double>::quiet_NaN(); }), false},
+        {"negative target", with([](auto &terms) { terms.target = millis{-1}; }), false},
+        {"huge target", with([](auto &terms) { terms.target = millis::max(); }), false},
+        {"negative validity", with([](auto &terms) { terms.advice->valid = millis{-1}; }), false},
+        {"huge question", with([](auto &terms) { terms.advice->per_worker_us = 1ll << 62u; }), false},
+    };
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        auto job = scripted_site::job("0123456789abcdef");
+        job.terms = item.terms;
+        job.path_hash = 0x89abcdefu;
+        auto const read = decode_job(job.id, *encode(job).value);
+        REQUIRE(read);
+        CHECK(read->path_hash == job.path_hash);
+        CHECK(read->steps.size() == job.steps.size());
+        REQUIRE(read->terms.has_value() == item.is_kept);
+        if(item.is_kept) {
+            CHECK(read->terms->service == item.terms->service);
+            CHECK(read->terms->priority == item.terms->priority);
+            CHECK(read->terms->max_attempts == item.terms->max_attempts);
+            CHECK(read->terms->stretch == item.terms->stretch);
+            CHECK(read->terms->target == item.terms->target);
+            REQUIRE(read->terms->advice.has_value() == item.terms->advice.has_value());
+            if(read->terms->advice) {
+                CHECK(read->terms->advice->base == item.terms->advice->base);
+                CHECK(read->terms->advice->per_worker_us == item.terms->advice->per_worker_us);
+                CHECK(read->terms->advice->valid == item.terms->advice->valid);
+            }
+        }
+    }
+}
+
+// An entry VM of an earlier version reads a record with terms in this way.
+TEST_CASE("fields that a later version adds to the record of a job are ignored") {
+    auto job = scripted_site::job("0123456789abcdef");
+    job.terms = static_cast<job_terms const &>(scripted_site::queue());
+    // Field 100, with a text of two bytes.
+    auto const read = decode_job(job.id, *encode(job).value + "\xa2\x06\x02xx");
+    REQUIRE(read);
+    CHECK(read->queue == job.queue);
+    CHECK(read->payload == job.payload);
+    REQUIRE(read->terms);
+    CHECK(read->terms->service == "service");
+}
+
+// All entry VMs read the records of all jobs; most of a record is the payload.
+TEST_CASE("the terms take little space in the record of a job, and none once it has ended") {
+    auto job = scripted_site::job("0123456789abcdef");
+    auto const plain = encode(job).value->size();
+    job.terms = job_terms{
+        "service-12345678", 1, 4u, 2.2, millis{30'000}, advice_terms{millis{500}, 7'100, millis{2'000}}};
+    job.path_hash = path_hash_of(scripted_site::queue());
+    auto const added = encode(job).value->size() - plain;
+    MESSAGE("terms and path take " << added << " bytes of " << plain + added);
+    CHECK(added <= 64u);
+    job.terms.reset();
+    CHECK(encode(job).value->size() - plain <= 5u);
+}
+
 TEST_CASE("the key of a record names the job and the part of its progress") {
     struct row {
         std::string_view key;
--- a/test/workflow/job_table_test.cpp
+++ b/test/workflow/job_table_test.cpp
@@ -75,6 +75,38 @@
     }
 }
 
+TEST_CASE("a waiting job is counted once for the queue or the path that accepted it") {
+    struct row {
+        std::string_view queue;
+        std::uint32_t path_hash;
+        std::size_t pending;
+    };
+    std::array<row, 6u> const rows{{
+        {"queue", 7u, 3u},
+        {"queue", 8u, 3u},
+        {"renamed", 7u, 1u},
+        {"renamed", 8u, 1u},
+        {"renamed", 9u, 0u},
+        {"renamed", 0u, 0u},
+    }};
+    job_table table;
+    for(auto const hash: {0u, 7u, 8u}) {
+        auto job = make_job();
+        job.id = std::to_string(hash);
+        job.path_hash = hash;
+        CHECK(table.define(job));
+    }
+    for(auto const &item: rows) {
+        CAPTURE(item.queue);
+        CAPTURE(item.path_hash);
+        CHECK(table.pending(item.queue, item.path_hash) == item.pending);
+    }
+    table.cancel("7", {});
+    table.forget("8");
+    CHECK(table.pending("queue", 7u) == 1u);
+    CHECK(table.pending("renamed", 8u) == 0u);
+}
+
 TEST_CASE("the cancellation of an unknown job defines no job and expires like an ended one") {
     using enum record;
     struct row {
