Give a change of leaders in the tests of removed queues more than one wait

The new test failed once in 14 runs, at a load of 22 on 8 cores: by the number of assertions it was the wait for another leader after a kill in the row "removed with its service", before anything was checked. No log was kept of that run, so that the reason for more than 5 s is not shown; 10 runs of the same build, 4 and 6 at a time, passed. What a row checks, and its waits, are as they were; how long a change of leaders takes is the subject of leader_watch_test.

--- a/test/site/removed_queue_test.cpp
+++ b/test/site/removed_queue_test.cpp
@@ -43,7 +43,10 @@
     } else if(who == successors::all_new) {
         site.replace_all_vms();
     }
-    site.run_until([&]() { return site.leader() != nullptr; });
+    // The time that a change of leaders takes is not the subject: a busy machine gets more than one wait.
+    for(auto wait = 0; wait < 3 && site.leader() == nullptr; ++wait) {
+        site.run_until([&]() { return site.leader() != nullptr; });
+    }
     REQUIRE(site.leader() != nullptr);
 }
 
