--- a/src/kingcuplink/workflow/dispatch_planner.cpp
+++ b/src/kingcuplink/workflow/dispatch_planner.cpp
@@ -251,8 +251,7 @@
     request_advice(current, options);
 }
 
-bool dispatch_planner::may_run(
-    worker_registration const &worker, queue_rules const &queue, step_definition const &step) {
+bool dispatch_planner::may_run(worker_registration const &worker, job_terms const &queue, step_definition const &step) {
     return worker.service == queue.service && has_label(worker, step.required_label);
 }
 
--- a/src/kingcuplink/workflow/dispatch_state.cpp
+++ b/src/kingcuplink/workflow/dispatch_state.cpp
@@ -11,18 +11,6 @@
 
 } // namespace
 
-queue_rules const *dispatch_state::rules_of(live_job &job) const {
-    auto const &queues = rules->queues;
-    if(job.queue_position >= queues.size() || queues[job.queue_position].name != job.definition.queue) {
-        auto const *found = find_queue(*rules, job.definition.queue);
-        if(found == nullptr) {
-            return nullptr;
-        }
-        job.queue_position = static_cast<std::size_t>(found - queues.data());
-    }
-    return &queues[job.queue_position];
-}
-
 void dispatch_state::mark_steps_changed(job_id const job) {
     for(std::uint32_t step{}; step < jobs[job].steps.size(); ++step) {
         waiting.mark_changed({job, step});
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -167,12 +167,12 @@
 /*! A job that has not ended or still has runs. */
 struct live_job {
     job_definition definition;
+    /*! Terms under the rules in force; nothing if they are not known, and no task can be started. */
+    std::shared_ptr<job_terms const> terms;
     job_phase phase{job_phase::queued};
     std::vector<live_step> steps;
     job_objective objective;
     bool is_excess{};
-    /*! Position of the queue in the rules when it was last looked up. */
-    std::size_t queue_position{};
     /*! True while the progress waits for the next batch. */
     bool is_dirty{};
     /*! Number of runs that still exist or may exist. */
@@ -279,9 +279,6 @@
     /*! Number of unknown runs of a task, by job, step and index. */
     std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>, std::uint32_t> unknown_run_counts;
 
-    /*! Returns the rules of the queue of a job, or null if they do not contain it. */
-    [[nodiscard]] queue_rules const *rules_of(live_job &job) const;
-
     /*! Schedules all steps of a job to be evaluated before the next planning round. */
     void mark_steps_changed(job_id job);
 
@@ -308,6 +305,14 @@
         return {worker, workers[worker].restarts};
     }
 
+    /*!
+     * Returns the terms on which a job runs, or null if they are not known: its tasks wait then. The pointer is valid
+     * until the job is erased or the rules change.
+     */
+    [[nodiscard]] static job_terms const *rules_of(live_job const &job) noexcept {
+        return job.terms.get();
+    }
+
     /*! Returns the worker with a name, or null. */
     [[nodiscard]] live_worker const *find_worker(std::string const &name) const;
 
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -365,7 +365,7 @@
     /*! Removes runs whose leases have expired, and unregistered workers without runs. */
     void expire_leases(instant now);
     /*! Returns true if the preconditions of an intended start still hold. */
-    [[nodiscard]] bool may_still_start(internal::placement const &run, instant now);
+    [[nodiscard]] bool may_still_start(internal::placement const &run, instant now) const;
     [[nodiscard]] placement_id find_run(worker_id worker, run_key const &key) const;
 
     internal::dispatch_state state_;
