Send a start with a ticket again for want of an answer

Wide gangs hardly ever started.

Cause: a start without an answer within 500 ms became unresolved. Its room was held until a stop was acknowledged, which is lost as often; then the task was placed anew under a higher run, with a new ticket, and lost its start again with the same probability. One such member broke its gang.

Now a start that carries a ticket is sent again every 250 ms (8 copies at most; the last one that the ticket allows waits 500 ms) while the leader may extend leases and knows the worker's clock, the ticket is valid, the run is wanted, and the worker is in the same boot at the same address (dispatcher::may_repeat_start). Each copy asks for its own lease, which is recorded before it is sent. After a copy without an answer only "started" and a fence are conclusive; any other answer counts as unknown. A start counts as sent with its latest copy, for lists and for whether its worker takes runs. A relay waits 250 ms for such a start, and the leader repeats through it; each copy has the checks of the first, so that a successor's bound holds. A worker takes runs again as soon as the latest start is answered. Starts without a ticket are sent once, as before.

Why it is safe: all copies have the same run and ticket. In the ticket's boot the run is there, has ended or was stopped; another boot rejects the ticket.

The simulated leader repeats starts in the same way, and counts copies without effect.

Ruled out: a longer time limit (a lost command stays lost), and several copies at once (cost where nothing is lost).

--- a/src/kingcuplink/core/counters.cpp
+++ b/src/kingcuplink/core/counters.cpp
@@ -6,8 +6,8 @@
 
 constexpr std::array<std::string_view, event_count> event_names{"requests_answered", "requests_may_have_run",
     "jobs_accepted", "task_starts_sent", "task_starts_confirmed", "task_starts_refused", "task_starts_unknown",
-    "task_stops_sent", "tasks_ended", "tasks_lost", "tasks_requeued", "tasks_preempted", "leases_granted",
-    "leases_refused", "leases_lost", "leadership_taken", "leadership_lost", "peer_messages_sent",
+    "task_starts_repeated", "task_stops_sent", "tasks_ended", "tasks_lost", "tasks_requeued", "tasks_preempted",
+    "leases_granted", "leases_refused", "leases_lost", "leadership_taken", "leadership_lost", "peer_messages_sent",
     "peer_messages_received", "peer_messages_dropped", "peer_messages_malformed", "peer_bytes_sent",
     "peer_bytes_received", "control_bytes_sent", "control_bytes_received", "document_records_applied",
     "document_edits_appended", "documents_from_peers", "log_reads_failed", "log_appends_failed", "journal_appends",
--- a/src/kingcuplink/core/counters.hpp
+++ b/src/kingcuplink/core/counters.hpp
@@ -19,6 +19,7 @@
     task_start_confirmed,
     task_start_refused,
     task_start_unknown,
+    task_start_repeated,
     task_stop_sent,
     task_ended,
     task_lost,
--- a/src/kingcuplink/site/fleet_leader.cpp
+++ b/src/kingcuplink/site/fleet_leader.cpp
@@ -416,16 +416,11 @@
 }
 
 boost::asio::awaitable<void> fleet_leader::start_run([[maybe_unused]] self_pointer self, run_start run) {
-    auto const now = current_time();
-    auto const lease = clocks_.request(run.worker, run.boot, now);
-    auto fields = internal::run_fields(run.key, run.worker, run.boot);
-    auto const token = token_for(run.worker);
-    auto answer = start_answer::not_sent;
-    if(lease && !ended_ && may_extend_leases(now)) {
-        dispatcher_.record_lease_extension(run.worker, lease->lapses_at);
-        parts_.stats.add(event::task_start_sent);
-        answer = co_await send_start(run, token, lease->expires_at);
-        parts_.times.add(latency::task_start, current_time() - now);
+    auto const begun_at = current_time();
+    auto const outcome = co_await send_start_repeatedly(run);
+    auto const answer = outcome.answer;
+    if(outcome.attempts > 0u) {
+        parts_.times.add(latency::task_start, current_time() - begun_at);
     }
     if(ended_) {
         co_return;
@@ -434,8 +429,10 @@
     if(answer == start_answer::unknown) {
         boost::asio::co_spawn(parts_.context, poll_immediately(shared_from_this(), run.worker), fail_fast);
     }
+    auto fields = internal::run_fields(run.key, run.worker, run.boot);
     fields["term"] = term_;
     fields["answer"] = name_of(answer);
+    fields["attempts"] = outcome.attempts;
     switch(answer) {
     case start_answer::started:
         parts_.stats.add(event::task_start_confirmed);
@@ -450,13 +447,56 @@
         parts_.decisions.write(decision::run_start_refused, std::move(fields));
         break;
     }
-    if(answer == start_answer::fenced && token == token_for(run.worker)) {
+    if(answer == start_answer::fenced && outcome.token == token_for(run.worker)) {
         fenced("worker " + run.worker);
     }
     plan_wakeup_.notify();
     append_wakeup_.notify();
 }
 
+boost::asio::awaitable<fleet_leader::start_outcome> fleet_leader::send_start_repeatedly(run_start run) {
+    start_outcome outcome;
+    auto is_wanted = true;
+    while(is_wanted) {
+        auto const sent_at = current_time();
+        auto const lease = clocks_.request(run.worker, run.boot, sent_at);
+        if(!lease || ended_ || !may_extend_leases(sent_at)) {
+            break;
+        }
+        auto const is_repetition = outcome.attempts > 0u;
+        if(is_repetition) {
+            dispatcher_.start_repeated(run.placement, sent_at);
+        }
+        parts_.stats.add(is_repetition ? event::task_start_repeated : event::task_start_sent);
+        ++outcome.attempts;
+        outcome.token = token_for(run.worker);
+        // A boot that the leader does not know may take the expiry for a later time, counted from this copy.
+        dispatcher_.record_lease_extension(run.worker, lease->lapses_at);
+        auto const answer = co_await send_start(run, outcome.token, lease->expires_at);
+        outcome.answer = is_repetition ? conclusion_after_repetition(answer) : answer;
+        is_wanted = answer == start_answer::unknown;
+        if(is_wanted) {
+            is_wanted = co_await await_repetition(run, outcome.attempts, sent_at);
+        }
+    }
+    co_return outcome;
+}
+
+boost::asio::awaitable<bool> fleet_leader::await_repetition(
+    run_start run, std::uint32_t const attempts, instant const sent_at) {
+    auto const repeat_at = std::max(current_time(), sent_at + timing::start_attempt_timeout);
+    if(ended_ || attempts >= timing::max_start_attempts || !dispatcher_.may_repeat_start(run, repeat_at)) {
+        co_return false;
+    }
+    if(attempts == 1u) {
+        boost::asio::co_spawn(parts_.context, poll_immediately(shared_from_this(), run.worker), fail_fast);
+    }
+    if(auto const now = current_time(); now < repeat_at) {
+        co_await pause(repeat_at - now);
+    }
+    co_return !ended_ && dispatcher_.may_repeat_start(run, current_time());
+}
+
 boost::asio::awaitable<start_answer> fleet_leader::send_start(
     run_start run, std::uint64_t const token, std::int64_t const expires_at) {
     auto const *worker = dispatcher_.find_worker(run.worker);
@@ -469,8 +509,9 @@
         co_return start_answer::not_sent;
     }
     worker_target target{run.worker, run.address};
-    co_return co_await parts_.workers.start(
-        std::move(target), std::move(run), token, expires_at, timing::command_timeout);
+    auto const is_repeatable = current_time() + timing::start_attempt_timeout < run.repeat_until;
+    auto const timeout = is_repeatable ? timing::start_attempt_timeout : timing::command_timeout;
+    co_return co_await parts_.workers.start(std::move(target), std::move(run), token, expires_at, timeout);
 }
 
 void fleet_leader::handle_start_reply(std::string const &peer, wire::start_reply const &reply) {
--- a/src/kingcuplink/site/fleet_leader.hpp
+++ b/src/kingcuplink/site/fleet_leader.hpp
@@ -116,8 +116,20 @@
     boost::asio::awaitable<bool> append_records(std::vector<keyed_record> records);
     [[nodiscard]] keyed_record own_claim() const;
     boost::asio::awaitable<void> start_run(self_pointer self, run_start run);
-    /*! Sends a start, through another entry VM while the load calls for it. */
+    /*! Outcome of a start, whose copies were sent one after another. */
+    struct start_outcome {
+        start_answer answer{start_answer::not_sent};
+        /*! Token of the latest copy. */
+        std::uint64_t token{};
+        std::uint32_t attempts{};
+    };
+
+    /*! Sends a start, and sends it again without an answer for as long as that may help. */
+    boost::asio::awaitable<start_outcome> send_start_repeatedly(run_start run);
+    /*! Sends a start once, through another entry VM while the load calls for it. */
     boost::asio::awaitable<start_answer> send_start(run_start run, std::uint64_t token, std::int64_t expires_at);
+    /*! Returns true if a start that had no answer is sent again; waits until it is time for that. */
+    boost::asio::awaitable<bool> await_repetition(run_start run, std::uint32_t attempts, instant sent_at);
     boost::asio::awaitable<void> stop_run(self_pointer self, run_stop stop);
     void settle_question(std::string const &asker, advice_query const &query, advice_queries::grants const &grants);
     void plan();
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -626,8 +626,9 @@
         auto run = start_of(request, known_jobs_.find(request.job())->definition);
         worker_target target{run.worker, run.address};
         parts_.stats.add(event::relayed_start_sent);
+        auto const timeout = timing::relayed_answer_timeout(!run.ticket.empty());
         auto const answer = co_await parts_.workers.start(
-            std::move(target), std::move(run), request.token(), request.expires_at_ms(), timing::command_timeout);
+            std::move(target), std::move(run), request.token(), request.expires_at_ms(), timeout);
         message.mutable_start_reply()->set_answer(static_cast<std::uint32_t>(answer));
     }
     peers_.send(peer, message);
--- a/src/kingcuplink/site/start_relay.cpp
+++ b/src/kingcuplink/site/start_relay.cpp
@@ -59,7 +59,7 @@
         co_return std::nullopt;
     }
     parts_.stats.add(event::start_relayed);
-    auto const give_up_at = now + timing::start_relay_timeout;
+    auto const give_up_at = now + timing::start_relay_timeout(!run.ticket.empty());
     while(!waiting->is_answered && current_time() < give_up_at) {
         co_await waiting->settled.wait(give_up_at - current_time());
     }
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -116,6 +116,14 @@
 inline constexpr millis worker_timeout{1'200};
 /*! Time limit for a worker's answer to a command, which takes about 5 ms. */
 inline constexpr millis command_timeout{500};
+/*!
+ * Time limit for the answer to a start that can be sent again afterwards; a leader with little processor time may take
+ * 100 ms to read an answer.
+ */
+inline constexpr millis start_attempt_timeout{250};
+static_assert(start_attempt_timeout <= command_timeout);
+/*! Most attempts to send a start, however long its ticket is valid. */
+inline constexpr std::uint32_t max_start_attempts{8u};
 /*! Delay before a worker that did not answer is polled again. */
 inline constexpr millis poll_retry_delay{300};
 /*! Time between introductions of an entry VM to the leader. */
@@ -132,11 +140,8 @@
 inline constexpr millis failed_relay_pause{2'000};
 /*! Time limit for an adviser's answer, in addition to its expected duration. */
 inline constexpr millis advice_slack{1'500};
-/*!
- * Time limit for the answer to a relayed start: once it has passed, the entry VM has surely sent the start, or will not
- * send it.
- */
-inline constexpr millis start_relay_timeout{start_relay_lifetime + command_timeout + millis{100}};
+/*! Time limit for the answer to a relayed start, in addition to the times that the entry VM has to send it. */
+inline constexpr millis start_relay_slack{100};
 static_assert(start_relay_lifetime + command_timeout <= worker_timeout,
     "a successor assumes that starts are sent for lease_renewal_limit and worker_timeout at most");
 /*! Time between lines about the leader's load in the decision log. */
@@ -167,6 +172,20 @@
 /*! Size of one append in bytes, above which records go into the next one; the platform accepts 2 MiB. */
 inline constexpr std::uint64_t append_bytes{1u << 20u};
 
+/*! Returns the time limit of an entry VM for a worker's answer to a start that it relays. */
+[[nodiscard]] constexpr millis relayed_answer_timeout(bool const has_ticket) noexcept {
+    // The leader sends a start with a ticket again.
+    return has_ticket ? start_attempt_timeout : command_timeout;
+}
+
+/*!
+ * Returns the time limit for the answer to a relayed start: once it has passed, the entry VM has surely sent the start,
+ * or will not send it.
+ */
+[[nodiscard]] constexpr millis start_relay_timeout(bool const has_ticket) noexcept {
+    return start_relay_lifetime + relayed_answer_timeout(has_ticket) + start_relay_slack;
+}
+
 /*! Returns the time for which a lease lasts at most by any worker's clock. */
 [[nodiscard]] constexpr millis longest_lease(millis const lease) noexcept {
     return lease + lease * clock_error_percent / 100 + lapse_margin;
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -46,9 +46,9 @@
     bool is_known{true};
     std::string ticket{};
     instant ticket_until{};
-    /*! Time at which the current stage began. */
+    /*! Time at which the current stage began; while an answer is pending, time at which the start was last sent. */
     instant stage_since{};
-    /*! Time at which this leader sent the start. */
+    /*! Time at which this leader first sent the start. */
     instant sent_at{};
     /*!
      * True if the start carries no ticket. A ticket is valid in one boot of the worker only; without one, any later
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -288,6 +288,31 @@
     return found == nullptr ? 0u : found->last_recorded_completion;
 }
 
+bool dispatcher::may_repeat_start(run_start const &sent, instant const now) const {
+    auto const *run = state_.placements.find(sent.placement);
+    // Without a ticket, a later boot may execute a copy after the success of the run.
+    if(run == nullptr || run->stage != internal::placement_stage::awaiting_answer || run->stop_requested ||
+        run->may_begin_in_other_boot || run->ticket.empty() || run->ticket_until <= now) {
+        return false;
+    }
+    auto const &worker = state_.workers[run->worker];
+    auto const &entry = worker.registration;
+    auto const accepts_runs = worker.is_registered && worker.is_reconciled && !entry.leaving &&
+        !state_.rules->evacuated.contains(entry.domain);
+    auto const *job = state_.jobs.find(run->job);
+    return accepts_runs && worker.boot == sent.boot && entry.address == sent.address && job != nullptr &&
+        !is_final(job->phase) && !state_.has_unknown_run(*job, run->key.step, run->key.index);
+}
+
+void dispatcher::start_repeated(placement_id const id, instant const now) {
+    auto *run = state_.placements.find(id);
+    if(run != nullptr && run->stage == internal::placement_stage::awaiting_answer) {
+        auto const sent_at = std::exchange(run->stage_since, now);
+        state_.workers[run->worker].unanswered_start_sent_at = std::max(
+            state_.workers[run->worker].unanswered_start_sent_at, sent_at);
+    }
+}
+
 void dispatcher::start_answered(placement_id const id, start_answer const answer, instant const now) {
     auto *run = state_.placements.find(id);
     if(run == nullptr || run->stage != internal::placement_stage::awaiting_answer) {
@@ -296,10 +321,16 @@
     auto const sent_at = std::exchange(run->stage_since, now);
     run->may_begin_until = {};
     switch(answer) {
-    case start_answer::started:
+    case start_answer::started: {
         run->stage = internal::placement_stage::running;
         state_.mark_running(run->job);
+        auto &worker = state_.workers[run->worker];
+        if(worker.unanswered_start_sent_at < sent_at) {
+            // The worker answers again.
+            worker.unanswered_start_sent_at = {};
+        }
         return;
+    }
     case start_answer::unknown:
         state_.workers[run->worker].unanswered_start_sent_at = std::max(
             state_.workers[run->worker].unanswered_start_sent_at, sent_at);
@@ -477,7 +508,8 @@
         auto const &task = step.tasks[run->key.index];
         auto const is_gang = job.definition.steps[run->key.step].gang;
         out.push_back({id, worker.name, worker.address, host.boot, run->key, job.definition.payload,
-            is_gang ? step.checkpoint : task.checkpoint, run->ticket});
+            is_gang ? step.checkpoint : task.checkpoint, run->ticket,
+            run->may_begin_in_other_boot ? instant{} : run->ticket_until});
     }
 }
 
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -23,6 +23,11 @@
     std::string payload;
     std::string checkpoint;
     std::string ticket;
+    /*!
+     * Time until which the start may be sent again if it has no answer, as may_repeat_start() says in detail; in the
+     * past if it may be sent once only.
+     */
+    instant repeat_until{};
 };
 
 /*! Command to stop a run. */
@@ -73,6 +78,14 @@
 /*! Returns the name of an answer. */
 [[nodiscard]] std::string_view name_of(start_answer answer) noexcept;
 
+/*!
+ * Returns what the answer to a start that was sent again says of all its copies: whatever the worker does not do for
+ * the latest copy, it may have done, or may still do, for an earlier one without an answer.
+ */
+[[nodiscard]] constexpr start_answer conclusion_after_repetition(start_answer const latest) noexcept {
+    return latest == start_answer::started || latest == start_answer::fenced ? latest : start_answer::unknown;
+}
+
 /*! Number of epochs of a worker within a term. */
 inline constexpr unsigned command_epoch_bits = 20u;
 inline constexpr std::uint64_t max_command_epoch = (std::uint64_t{1} << command_epoch_bits) - 1u;
@@ -234,6 +247,20 @@
         return seen_end(worker) > kept_end(worker);
     }
 
+    /*!
+     * Returns true if a start without an answer may be sent again: it carries a ticket that is still valid, its run is
+     * still wanted and awaits an answer, and its worker is still in the boot and at the address that the start was
+     * meant for. A late copy then has no effect: in the same boot the run is there, has ended or was stopped, and in
+     * another boot the ticket is not valid.
+     */
+    [[nodiscard]] bool may_repeat_start(run_start const &sent, instant now) const;
+
+    /*!
+     * Records that the latest copy of a start had no answer, and that the start is sent again now. Its run counts as
+     * sent now: lists that were requested earlier do not tell whether it exists.
+     */
+    void start_repeated(placement_id placement, instant now);
+
     /*! Handles the answer to a start. Ignored if no answer is pending for the run. */
     void start_answered(placement_id placement, start_answer answer, instant now);
 
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -174,7 +174,8 @@
 }
 
 void dispatcher::report_late_confirmation(internal::placement const &run, instant const now) {
-    if(run.stage == internal::placement_stage::unresolved) {
+    auto const is_repeated = run.stage == internal::placement_stage::awaiting_answer && run.sent_at < run.stage_since;
+    if(run.stage == internal::placement_stage::unresolved || is_repeated) {
         auto const &host = state_.workers[run.worker];
         late_confirmations_.push_back(
             {run.key, host.registration.name, host.boot, now - run.sent_at, !run.ticket.empty()});
--- a/test/site/scripted_site.cpp
+++ b/test/site/scripted_site.cpp
@@ -6,6 +6,7 @@
 #include <kingcuplink/platform/http_client.hpp>
 #include <kingcuplink/platform/pause.hpp>
 #include <thread>
+#include <utility>
 
 namespace kingcuplink::test {
 
@@ -163,24 +164,54 @@
 }
 
 boost::asio::awaitable<start_answer> memory_workers::start(
-    worker_target const target, run_start const run, std::uint64_t const token, std::int64_t, millis) {
-    auto &item = workers_[target.name];
+    worker_target const target, run_start const run, std::uint64_t const token, std::int64_t, millis const timeout) {
+    if(++commands_[run.key] > unanswered_commands) {
+        co_return execute_start(target.name, run.key, token);
+    }
+    if(lost == lost_command::answer_lost) {
+        execute_start(target.name, run.key, token);
+    } else if(lost == lost_command::late) {
+        late_.push_back({target.name, run.key, token});
+    }
+    co_await pause(timeout);
+    co_return start_answer::unknown;
+}
+
+start_answer memory_workers::execute_start(std::string const &name, run_key const &key, std::uint64_t const token) {
+    auto &item = workers_[name];
     if(token < item.token) {
-        co_return start_answer::fenced;
+        return start_answer::fenced;
+    }
+    item.token = token;
+    auto const is_running = std::any_of(
+        item.running.begin(), item.running.end(), [&key](auto const &listed) { return listed.key == key; });
+    if(is_running) {
+        return start_answer::started;
+    }
+    if(key.run <= item.closed[{key.job, key.step, key.index}]) {
+        return start_answer::outdated;
     }
     ++starts_;
-    item.running.push_back({run.key, {}});
-    co_return start_answer::started;
+    item.running.push_back({key, {}});
+    return start_answer::started;
+}
+
+void memory_workers::end(worker &item, run_key const &key, run_outcome const how) {
+    item.ended.push_back({item.next_end++, key, how, {}});
+    auto &closed = item.closed[{key.job, key.step, key.index}];
+    closed = std::max(closed, key.run);
 }
 
 boost::asio::awaitable<bool> memory_workers::stop(
     worker_target const target, run_key const run, std::uint64_t, millis) {
     auto &item = workers_[target.name];
+    auto &closed = item.closed[{run.job, run.step, run.index}];
+    closed = std::max(closed, run.run);
     std::erase_if(item.running, [&](auto const &listed) {
         if(listed.key != run) {
             return false;
         }
-        item.ended.push_back({item.next_end++, run, run_outcome::stopped, {}});
+        end(item, run, run_outcome::stopped);
         return true;
     });
     co_return true;
@@ -189,12 +220,30 @@
 void memory_workers::end_all() {
     for(auto &[name, item]: workers_) {
         for(auto const &run: item.running) {
-            item.ended.push_back({item.next_end++, run.key, run_outcome::done, {}});
+            end(item, run.key, run_outcome::done);
         }
         item.running.clear();
     }
 }
 
+void memory_workers::deliver_late_starts(std::size_t const most) {
+    auto const end = late_.begin() + static_cast<std::ptrdiff_t>(std::min(most, late_.size()));
+    for(auto command = late_.begin(); command != end; ++command) {
+        execute_start(command->worker, command->key, command->token);
+    }
+    late_.erase(late_.begin(), end);
+}
+
+std::vector<run_key> memory_workers::running() const {
+    std::vector<run_key> keys;
+    for(auto const &[name, item]: workers_) {
+        for(auto const &run: item.running) {
+            keys.push_back(run.key);
+        }
+    }
+    return keys;
+}
+
 std::size_t memory_workers::runs() const {
     std::size_t count{};
     for(auto const &[name, item]: workers_) {
@@ -214,15 +263,17 @@
     return {std::move(entry), {}};
 }
 
-bool plain_decoder::apply(keyed_record const &, site_rules &rules) {
-    rules.version = 1u;
+bool plain_decoder::apply(keyed_record const &record, site_rules &rules) {
+    ++rules.version;
     queue_rules queue;
     queue.name = "queue";
     queue.host = "host";
     queue.path_prefix = "/p/";
     queue.service = "service";
     queue.max_attempts = 2u;
-    queue.advice = advice_terms{millis{10}, 100, millis{2'000}};
+    if(record.value != rules_without_advice) {
+        queue.advice = advice_terms{millis{10}, 100, millis{2'000}};
+    }
     rules.queues = {queue};
     account_rules account;
     account.name = "account";
--- a/test/site/scripted_site.hpp
+++ b/test/site/scripted_site.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace kingcuplink::test {
@@ -95,6 +96,16 @@
     memory_log &log_;
 };
 
+/*! What a worker does with a command to start that gets no answer. */
+enum class lost_command : std::uint8_t {
+    /*! It never executes the command. */
+    dropped,
+    /*! It executes the command; only the answer is lost. */
+    answer_lost,
+    /*! It executes the command at the next call of deliver_late_starts(). */
+    late
+};
+
 /*! In-memory workers. */
 class memory_workers : public worker_port {
 public:
@@ -106,6 +117,21 @@
     /*! Completes all runs successfully. */
     void end_all();
 
+    /*! Executes the oldest commands to start that are late. */
+    void deliver_late_starts(std::size_t most);
+
+    /*! Returns the commands to start that were received, by run. */
+    [[nodiscard]] std::map<run_key, std::size_t> const &commands() const noexcept {
+        return commands_;
+    }
+
+    /*! Returns the runs that exist on all workers. */
+    [[nodiscard]] std::vector<run_key> running() const;
+
+    /*! Number of commands to start each run that get no answer; later ones are answered. */
+    std::size_t unanswered_commands{};
+    lost_command lost{lost_command::dropped};
+
     [[nodiscard]] std::size_t runs() const;
 
     [[nodiscard]] std::size_t starts() const noexcept {
@@ -123,13 +149,30 @@
         std::uint64_t next_end{1u};
         std::vector<listed_run> running;
         std::vector<listed_completion> ended;
+        /*! Highest run of each task, by job, step and index, that was stopped or has ended here. */
+        std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>, std::uint32_t> closed;
+    };
+
+    /*! Command to start a run that is executed late. */
+    struct late_start {
+        std::string worker;
+        run_key key;
+        std::uint64_t token{};
     };
 
+    start_answer execute_start(std::string const &name, run_key const &key, std::uint64_t token);
+    static void end(worker &item, run_key const &key, run_outcome how);
+
     std::map<std::string, worker> workers_;
+    std::map<run_key, std::size_t> commands_;
+    std::vector<late_start> late_;
     std::size_t starts_{};
     std::size_t polls_with_ended_runs_{};
 };
 
+/*! Value of the rules' record for which starts need no ticket. */
+inline constexpr std::string_view rules_without_advice{"rules without advice"};
+
 /*! Decoder that returns a fixed registration for each worker and fixed rules. */
 class plain_decoder : public site_decoder {
 public:
--- a/test/workflow/fleet_faults_test.cpp
+++ b/test/workflow/fleet_faults_test.cpp
@@ -48,9 +48,11 @@
         return std::string{name} + "=" + std::to_string(count) + " ";
     };
     auto const refused = counters.stale_starts_without_ticket + counters.starts_for_other_boot_without_ticket;
-    auto const tickets = refused == 0u ? std::string{}
-                                       : text_of("stale_ticket", counters.stale_starts_without_ticket) +
-            text_of("other_boot_ticket", counters.starts_for_other_boot_without_ticket);
+    auto const tickets = refused + counters.repeated_starts == 0u
+        ? std::string{}
+        : text_of("stale_ticket", counters.stale_starts_without_ticket) +
+            text_of("other_boot_ticket", counters.starts_for_other_boot_without_ticket) +
+            text_of("repeated", counters.repeated_starts) + text_of("copies", counters.copies_without_effect);
     return text_of("starts", starts) + text_of("restarts", counters.restarts) +
         text_of("under_live_lease", counters.restarts_under_live_lease) +
         text_of("after_lapse", counters.restarts_after_lapse) + text_of("stale_fenced", counters.stale_starts_fenced) +
@@ -207,16 +209,21 @@
 }
 
 // Starts carry tickets in the next three tests: a boot rejects a start that was delayed on its way to an earlier one.
-// Each test checks that some starts were rejected by another boot only because of their ticket.
+// Each test checks that some starts were rejected by another boot only because of their ticket, and that workers
+// received copies of starts that were sent again.
 TEST_CASE("concurrent faults, including late commands, violate no rule if tickets name the boot") {
     auto const near_misses = run_seeds_with_tickets({}, {millis{1'500}, true}, {60u});
     CHECK(near_misses.starts_for_other_boot_without_ticket > 0u);
+    CHECK(near_misses.repeated_starts > 0u);
+    CHECK(near_misses.copies_without_effect > 0u);
 }
 
 // Here only the age of its ticket gives such a start away.
 TEST_CASE("concurrent faults, including late commands, violate no rule if tickets expire before they arrive") {
     auto const near_misses = run_seeds_with_tickets({}, {millis{1'500}, false}, {60u, {803543u, 805513u}});
     CHECK(near_misses.starts_for_other_boot_without_ticket > 0u);
+    CHECK(near_misses.repeated_starts > 0u);
+    CHECK(near_misses.copies_without_effect > 0u);
 }
 
 // Guards against a late poll that was meant for an earlier boot. A boot that the leader has not polled yet executes a
@@ -230,6 +237,8 @@
     setup.max_faults = 30;
     auto const near_misses = run_seeds_with_tickets(setup, {millis{1'500}, true}, {40u, {800738u, 800952u}});
     CHECK(near_misses.starts_for_other_boot_without_ticket > 0u);
+    CHECK(near_misses.repeated_starts > 0u);
+    CHECK(near_misses.copies_without_effect > 0u);
 }
 
 // Guards against a planning round that drops a start which was committed and passed on, but not sent yet.
--- a/test/workflow/fleet_simulation.cpp
+++ b/test/workflow/fleet_simulation.cpp
@@ -163,7 +163,8 @@
             &near_miss_counters::restarts_after_lapse, &near_miss_counters::stale_starts_fenced,
             &near_miss_counters::stale_starts_expired, &near_miss_counters::stale_starts_outdated,
             &near_miss_counters::stale_starts_for_former_worker, &near_miss_counters::stale_starts_without_ticket,
-            &near_miss_counters::starts_for_other_boot_without_ticket, &near_miss_counters::unknown_runs}) {
+            &near_miss_counters::starts_for_other_boot_without_ticket, &near_miss_counters::unknown_runs,
+            &near_miss_counters::repeated_starts, &near_miss_counters::copies_without_effect}) {
         this->*counter += other.*counter;
     }
     shortest_time_after_lapse = std::min(shortest_time_after_lapse, other.shortest_time_after_lapse);
--- a/test/workflow/fleet_simulation.hpp
+++ b/test/workflow/fleet_simulation.hpp
@@ -128,6 +128,10 @@
     std::size_t starts_for_other_boot_without_ticket{};
     /*! Runs of unfinished tasks that a worker listed and the leader did not expect there. */
     std::size_t unknown_runs{};
+    /*! Starts without an answer that were sent again. */
+    std::size_t repeated_starts{};
+    /*! Copies of a start that a worker received although the run was there or had ended there. */
+    std::size_t copies_without_effect{};
 
     /*! Adds the counters of another simulation. */
     near_miss_counters &operator+=(near_miss_counters const &other) noexcept;
--- a/test/workflow/simulated_calls.cpp
+++ b/test/workflow/simulated_calls.cpp
@@ -144,15 +144,21 @@
     live.ends_at = queue_.now() + (step.gang ? gang_timeout : length);
     live.how = chance(0.12) ? run_outcome::failed : run_outcome::done;
     auto const boot_text = worker.name() + " boot " + std::to_string(worker.boot());
+    auto const is_running = worker.runs().contains(run.key);
     auto const answer = worker.start(run.key, live, token, expires_at, has_ticket(worker, run), queue_.now());
     trace(run.key.job,
         boot_text + " answers " + std::string{name_of(answer)} + " to a start of " + text_of(run.key) + " with token " +
             std::to_string(token) + " meant for boot " + std::to_string(run.boot));
+    if(answer == start_answer::outdated && checker_.has_ended(run.key, worker.name())) {
+        checker_.count_copy_without_effect();
+    }
     if(answer != start_answer::started) {
         checker_.reject_start(run.key, answer);
         if(answer == start_answer::bad_ticket && worker.boot() != run.boot) {
             checker_.count_start_for_other_boot_without_ticket();
         }
+    } else if(is_running) {
+        checker_.count_copy_without_effect();
     } else {
         ++starts_;
         if(step.gang) {
@@ -255,7 +261,8 @@
             }
         });
     };
-    fleet_.on_node(node_, timing::start_relay_timeout, [settle]() { settle(start_answer::unknown); });
+    fleet_.on_node(
+        node_, timing::start_relay_timeout(!run.ticket.empty()), [settle]() { settle(start_answer::unknown); });
     auto const send_before = fleet_.queue_.now() + *fleet_.setup_.start_relay_lifetime;
     auto const handle = [=, this]() {
         if(fleet_.queue_.now() > send_before) {
--- a/test/workflow/simulated_fleet.hpp
+++ b/test/workflow/simulated_fleet.hpp
@@ -123,6 +123,7 @@
     void send_heartbeat(std::uint64_t term, millis log_age, millis append_time) override;
     void trace(std::string const &job, std::string const &text) override;
     void report_unknown_run(unknown_run const &run) override;
+    void report_repeated_start() override;
     void fenced() override;
 
 private:
--- a/test/workflow/simulated_leader.cpp
+++ b/test/workflow/simulated_leader.cpp
@@ -337,27 +337,55 @@
     notify(plan_wakeup_);
 }
 
-void simulated_leader::start_run(run_start const &run) {
+void simulated_leader::start_run(run_start const &run, std::uint32_t const earlier) {
     auto const now = host_.now();
     auto const lease = clocks_.request(run.worker, run.boot, now);
     if(!lease || is_stopped_ || !may_extend_leases(now)) {
-        handle_start_answer(run, start_answer::not_sent);
+        handle_start_answer(run, earlier > 0u ? start_answer::unknown : start_answer::not_sent);
         return;
     }
+    if(earlier > 0u) {
+        dispatcher_.start_repeated(run.placement, now);
+        host_.report_repeated_start();
+    }
     dispatcher_.record_lease_extension(run.worker, lease->lapses_at);
     auto const token = token_for(run.worker);
     host_.trace(run.key.job,
         name_ + " sends a start of " + text_of(run.key) + " to " + run.worker + " boot " + std::to_string(run.boot) +
             " with token " + std::to_string(token));
-    host_.start(run, token, lease->expires_at, timing::command_timeout,
-        [self = shared_from_this(), run, token](start_answer const answer) {
-            self->handle_start_answer(run, answer);
+    auto const is_repeatable = now + timing::start_attempt_timeout < run.repeat_until;
+    auto const timeout = is_repeatable ? timing::start_attempt_timeout : timing::command_timeout;
+    host_.start(run, token, lease->expires_at, timeout,
+        [self = shared_from_this(), run, token, earlier, now](start_answer const answer) {
+            if(answer == start_answer::unknown) {
+                self->repeat_start(run, earlier + 1u, now);
+                return;
+            }
+            self->handle_start_answer(run, earlier > 0u ? conclusion_after_repetition(answer) : answer);
             if(answer == start_answer::fenced && token == self->token_for(run.worker)) {
                 self->fenced();
             }
         });
 }
 
+void simulated_leader::repeat_start(run_start const &run, std::uint32_t const attempts, instant const sent_at) {
+    auto const repeat_at = std::max(host_.now(), sent_at + timing::start_attempt_timeout);
+    if(is_stopped_ || attempts >= timing::max_start_attempts || !dispatcher_.may_repeat_start(run, repeat_at)) {
+        handle_start_answer(run, start_answer::unknown);
+        return;
+    }
+    if(attempts == 1u) {
+        poll_immediately(run.worker);
+    }
+    host_.after(repeat_at - host_.now(), [self = shared_from_this(), run, attempts]() {
+        if(!self->is_stopped_ && self->dispatcher_.may_repeat_start(run, self->host_.now())) {
+            self->start_run(run, attempts);
+        } else {
+            self->handle_start_answer(run, start_answer::unknown);
+        }
+    });
+}
+
 void simulated_leader::handle_start_answer(run_start const &run, start_answer const answer) {
     if(is_stopped_) {
         return;
--- a/test/workflow/simulated_leader.hpp
+++ b/test/workflow/simulated_leader.hpp
@@ -84,6 +84,9 @@
     /*! Reports a run that a worker listed and the leader did not expect there. */
     virtual void report_unknown_run(unknown_run const &run) = 0;
 
+    /*! Reports that a start without an answer is sent again. */
+    virtual void report_repeated_start() = 0;
+
     /*! Called once when the leader learns that it was superseded. */
     virtual void fenced() = 0;
 };
@@ -154,7 +157,10 @@
     void append_records(
         std::vector<log_record> records, std::optional<instant> possibly_committed_since, leader_host::action then);
     void handle_committed_batch(progress_batch const &batch);
-    void start_run(run_start const &run);
+    /*! @param earlier Number of copies of the start that were sent before and had no answer. */
+    void start_run(run_start const &run, std::uint32_t earlier = 0u);
+    /*! Sends a start again that had no answer, or concludes it. */
+    void repeat_start(run_start const &run, std::uint32_t attempts, instant sent_at);
     void handle_start_answer(run_start const &run, start_answer answer);
     void stop_run(run_stop const &stop);
     void run_heartbeats();
--- a/test/workflow/simulated_nodes.cpp
+++ b/test/workflow/simulated_nodes.cpp
@@ -388,6 +388,10 @@
     fleet_.checker_.count_unknown_run(run.latest_run > 0u);
 }
 
+void node_host::report_repeated_start() {
+    fleet_.checker_.count_repeated_start();
+}
+
 void node_host::fenced() {
     fleet_.trace({}, fleet_.nodes_[node_].name + " is no longer leader");
     fleet_.nodes_[node_].watch.record_leader_activity(now());
--- a/test/workflow/simulated_worker.hpp
+++ b/test/workflow/simulated_worker.hpp
@@ -44,6 +44,21 @@
     /*! Records that a worker rejected the start of a run. */
     void reject_start(run_key const &key, start_answer reason);
 
+    /*! Counts a start that a leader sends again. */
+    void count_repeated_start() noexcept {
+        ++near_misses_.repeated_starts;
+    }
+
+    /*! Counts a copy of a start that a worker executes although the run is there or has ended there. */
+    void count_copy_without_effect() noexcept {
+        ++near_misses_.copies_without_effect;
+    }
+
+    /*! Returns true if a run has ended on a worker. */
+    [[nodiscard]] bool has_ended(run_key const &key, std::string const &worker) const {
+        return ended_runs_.contains({key, worker});
+    }
+
     /*! Records that another boot than the intended one rejected a start only because of its ticket. */
     void count_start_for_other_boot_without_ticket() noexcept {
         ++near_misses_.starts_for_other_boot_without_ticket;
