Model repeated starts with a ticket

The model keeps the delay of commands as what settles an attempt, also with tickets, and has room for one late copy; what tickets shorten is left to the simulation.

--- a/model/start_attempt.pml
+++ b/model/start_attempt.pml
@@ -38,16 +38,27 @@
      MUTANT_LAPSE      a lapse of a run that is not listed does not count the delay
      MUTANT_RAISE      a first list does not raise the recorded end of the lease
      MUTANT_BOOT       a list that shows a new boot raises it by a whole lease alone
+     MUTANT_REPEAT     a start without a ticket is sent again
 
    Bounds other than two reigns, two runs and two boots:
 
      VARIANT_RUNS      one reign, three runs and three boots
+     VARIANT_REPEAT    the same, and starts carry tickets of the boot that is there when the
+                       log takes the intent; one without an answer is sent again, and the
+                       first copy may be carried out after that. What an attempt waits for
+                       is not shortened, as the tickets would allow.
 
    Left out: late commands to worker 1, late stops, more than one late start and one late
    poll at a time, answers that are late (but for MUTANT_SENT), several tasks, gangs, and
    leases that a late start of another task extends. */
 
-#if defined(MUTANT_FENCE) || defined(MUTANT_ACK) || defined(MUTANT_EPOCH) || defined(MUTANT_ANSWERED)
+#ifdef MUTANT_REPEAT
+#define VARIANT_REPEAT
+#define IS_TICKET_VALID(number) true
+#else
+#define IS_TICKET_VALID(number) ((number) == boot)
+#endif
+#if defined(VARIANT_REPEAT) || defined(MUTANT_FENCE) || defined(MUTANT_ACK) || defined(MUTANT_EPOCH) || defined(MUTANT_ANSWERED)
 #define VARIANT_RUNS
 #endif
 #ifdef VARIANT_RUNS
@@ -113,6 +124,9 @@
 #endif
 byte known_boot[LEADERS];   /* of worker 0 */
 byte rises[LEADERS];        /* of the token for worker 0 */
+#ifdef VARIANT_REPEAT
+byte ticket[LEADERS];       /* boot for which the start on worker 0 has one */
+#endif
 bit unanswered[LEADERS];    /* a poll of worker 0 that acknowledged, with the present token */
 byte ends_seen[LEADERS];
 byte ends_kept[LEADERS];
@@ -132,6 +146,12 @@
 #endif
 bit poll_late; byte poll_boot; byte poll_token; byte poll_ack; bit poll_extends;
 
+#if defined(VARIANT_REPEAT) && !defined(MUTANT_REPEAT)
+#define IS_UNTICKETED false
+#else
+#define IS_UNTICKETED true
+#endif
+
 #define TOKEN(l, w) (term[l] * 8 + rises[l] * (1 - (w)))
 #define IS_LEADER(l) (term[l] == log_term)
 #define IS_UNLISTED(l) (stage[l] > INTENDED && stage[l] != LISTED)
@@ -147,11 +167,15 @@
     :: else ->
         see_token(w, t);
         if
-        :: is_late && late_boot != boot -> wild = t / 8
+        :: is_late && late_boot != boot && IS_UNTICKETED -> wild = t / 8
         :: else
         fi;
         if
         :: is_late && r <= closed
+#ifdef VARIANT_REPEAT
+        :: is_late && run_on[w] == r
+        :: is_late && !IS_TICKET_VALID(late_boot)
+#endif
 #ifdef MUTANT_LAPSE
         :: is_late && late_expired && late_boot == boot
 #endif
@@ -215,6 +239,14 @@
 #endif
 }
 
+inline forget_ticket(l) {
+#ifdef VARIANT_REPEAT
+    ticket[l] = 0
+#else
+    skip
+#endif
+}
+
 inline resign(l) {
     term[l] = 0; fresh[l] = 0; stage[l] = NONE; latest[l] = 0; on[l] = 0; done[l] = 0;
     dirty[l] = 0; known_boot[l] = 0; rises[l] = 0; unanswered[l] = 0;
@@ -223,6 +255,7 @@
 #ifdef MUTANT_FENCE
     start_token[l] = 0;
 #endif
+    forget_ticket(l);
     forget_list(l)
 }
 
@@ -231,6 +264,7 @@
     on[l] = 0;
     not_stopped(l);
     forget_list(l);
+    forget_ticket(l);
     dirty[l] = 1
 }
 
@@ -293,10 +327,37 @@
         :: on[l] = 1
         fi;
         stage[l] = INTENDED;
+#ifdef VARIANT_REPEAT
+        ticket[l] = (on[l] == 0 -> boot : 0);
+#endif
         put(l)
     }
 }
 
+#ifdef VARIANT_REPEAT
+#define HAS_TICKET(l) (on[l] == 1 || IS_TICKET_VALID(ticket[l]))
+#else
+#define HAS_TICKET(l) true
+#endif
+
+#ifdef VARIANT_REPEAT
+/* The worker answers the copy. Only "started" is conclusive: it may have carried out the first. */
+inline repeat_start(l) {
+    atomic {
+        stage[l] == OUTSTANDING && on[l] == 0 && fresh[l] ->
+        raise_lease(l);
+        if
+        :: TOKEN(l, 0) < seen_token[0] -> resign(l)
+        :: TOKEN(l, 0) >= seen_token[0] && run_on[0] == latest[l] -> stage[l] = STARTED
+        :: TOKEN(l, 0) >= seen_token[0] && run_on[0] != latest[l] && latest[l] > closed && HAS_TICKET(l) ->
+            carry_start(0, latest[l], TOKEN(l, 0), 0);
+            stage[l] = STARTED
+        :: else -> see_token(0, TOKEN(l, 0))
+        fi
+    }
+}
+#endif
+
 inline send_start(l) {
     atomic {
         term[l] != 0 && stage[l] == INTENDED ->
@@ -320,14 +381,18 @@
             fi;
             if
             :: TOKEN(l, on[l]) < seen_token[on[l]] -> resign(l)
-            :: TOKEN(l, on[l]) >= seen_token[on[l]] ->
+            :: TOKEN(l, on[l]) >= seen_token[on[l]] && HAS_TICKET(l) ->
                 carry_start(on[l], latest[l], TOKEN(l, on[l]), 0);
                 stage[l] = STARTED
             :: lose(l)      /* surely not sent */
             :: on[l] == 0 && late_run == 0 ->
                 stage[l] = OUTSTANDING;
                 late_run = latest[l];
+#if defined(VARIANT_REPEAT) && !defined(MUTANT_REPEAT)
+                late_boot = ticket[l];
+#else
                 late_boot = known_boot[l];
+#endif
                 late_token = TOKEN(l, 0)
             fi
         fi
@@ -582,6 +647,9 @@
     :: append(_pid)
     :: intend(_pid)
     :: send_start(_pid)
+#ifdef VARIANT_REPEAT
+    :: repeat_start(_pid)
+#endif
     :: poll_restarting(_pid)
 #ifdef MUTANT_SENT
     :: list_arrives(_pid)
