--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -48,9 +48,9 @@
     bool is_known{true};
     std::string ticket{};
     instant ticket_until{};
-    /*! Time at which the current stage began. */
+    /*! Time at which the current stage began; while an answer is pending, time at which the start was last sent. */
     instant stage_since{};
-    /*! Time at which this leader sent the start. */
+    /*! Time at which this leader first sent the start. */
     instant sent_at{};
     /*! Number of the worker's boot that this leader sent the start to, if it did. */
     std::optional<std::uint32_t> sent_to{};
