Tell how the leader learned of a cancellation; apply what it appended too late to confirm

Callers saw tasks of a job start seconds after its cancel was acknowledged. A leader that appended a relayed record after the other entry VM, or a caller of its own, had stopped waiting did not apply it: it read it back from the log like any other record, late while reads are slow. Now each record is applied as its own append is done, whoever still waits.

Records of earlier versions ("1") have no age; earlier versions do not read the value.

Evidence: "a leader applies what it appended for another entry VM after this one has stopped waiting" fails without the change of append_pending (the cancellation then came on another way). Ruled out: applying it twice; a job table and a dispatcher ignore the second one, as they do for the log's own record.

--- a/src/kingcuplink/core/counters.hpp
+++ b/src/kingcuplink/core/counters.hpp
@@ -56,6 +56,9 @@
     start_relay_failed,
     relayed_start_sent,
     log_end_read,
+    cancellation_own_append,
+    cancellation_relayed,
+    cancellation_read,
     count
 };
 
--- a/src/kingcuplink/core/decision_log.hpp
+++ b/src/kingcuplink/core/decision_log.hpp
@@ -31,6 +31,7 @@
     job_refused,
     job_outcome_unknown,
     job_cancelled,
+    cancellation_applied,
     job_ended,
     checkpoints_dropped,
     advice_given,
--- a/src/kingcuplink/core/latencies.cpp
+++ b/src/kingcuplink/core/latencies.cpp
@@ -7,7 +7,7 @@
 namespace internal {
 
 constexpr std::array<std::string_view, latency_count> latency_names{
-    "acceptance", "log_append", "log_read", "advice", "task_start", "job"};
+    "acceptance", "log_append", "log_read", "advice", "task_start", "job", "cancellation"};
 
 /*! Formats milliseconds as seconds with three decimal places. */
 std::string seconds_text(std::uint64_t const ms) {
--- a/src/kingcuplink/core/latencies.hpp
+++ b/src/kingcuplink/core/latencies.hpp
@@ -23,6 +23,8 @@
     task_start,
     /*! From a job's acceptance until its completion is sent to the log. */
     job,
+    /*! From a caller's request to cancel a job until the leader applies the cancellation. */
+    cancellation,
     count
 };
 
--- a/src/kingcuplink/site/record_appender.cpp
+++ b/src/kingcuplink/site/record_appender.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <kingcuplink/platform/http_client.hpp>
 #include <kingcuplink/platform/pause.hpp>
@@ -16,8 +17,14 @@
 /*! Part of a caller's time limit that is reserved for the transmission of the answer. */
 constexpr millis answer_reserve{300};
 
+constexpr std::array<std::string_view, 3u> record_way_names{"own_append", "relay", "log"};
+
 } // namespace internal
 
+std::string_view name_of(record_way const way) noexcept {
+    return internal::record_way_names[static_cast<std::size_t>(way)];
+}
+
 record_appender::record_appender(
     node_parts const parts, leader_watch &watch, peer_link &peers, commit_listener on_commit)
     : parts_{parts},
@@ -144,6 +151,10 @@
         // A record that may be in the log is appended again, which is idempotent.
         auto const failure = may_be_done ? append_outcome::unknown : append_outcome::refused;
         auto const is_rejected = !may_be_done && refusals > 1;
+        if(is_done) {
+            // Also of callers that are no longer waiting.
+            std::for_each(items.begin(), items.end(), [this](auto const &item) { record_commit(*item); });
+        }
         auto const now = current_time();
         std::erase_if(items, [&](auto const &item) {
             if(!is_done && !is_rejected && item->give_up_at > now) {
@@ -162,11 +173,16 @@
     queue_wakeup_.notify();
 }
 
+void record_appender::record_commit(pending_record const &item) {
+    on_commit_(item.record, item.is_relayed ? record_way::relay : record_way::own_append);
+}
+
 boost::asio::awaitable<void> record_appender::answer_request(std::string peer, wire::append_request request) {
     std::vector<pending_record_pointer> items;
     auto const timeout = millis{static_cast<std::int64_t>(request.patience_ms())} + internal::answer_reserve;
     for(auto const &record: request.records()) {
         items.push_back(enqueue({record.key(), record.value()}, timeout));
+        items.back()->is_relayed = true;
     }
     auto is_done = true;
     auto is_refused = true;
@@ -179,7 +195,7 @@
     }
     if(is_done) {
         for(auto const &item: items) {
-            on_commit_(item->record);
+            on_commit_(item->record, record_way::relay);
         }
     }
     wire::envelope message;
--- a/src/kingcuplink/site/record_appender.hpp
+++ b/src/kingcuplink/site/record_appender.hpp
@@ -15,14 +15,27 @@
 
 namespace kingcuplink {
 
+/*! Way on which an entry VM learned of a committed record. */
+enum class record_way : std::uint8_t {
+    /*! It appended the record itself, for a caller of its own. */
+    own_append,
+    /*! It appended the record for another entry VM. */
+    relay,
+    /*! It read the record from the log. */
+    log
+};
+
+/*! Returns the name of a way. */
+[[nodiscard]] std::string_view name_of(record_way way) noexcept;
+
 /*!
  * Appends callers' records to the log in batches: through the leader while it accepts records, otherwise directly.
  * Must only be used on the control thread.
  */
 class record_appender {
 public:
-    /*! Called with each record that was appended for another entry VM. */
-    using commit_listener = std::function<void(keyed_record const &)>;
+    /*! Called with each record that is known to be committed; more than once if it is known on several ways. */
+    using commit_listener = std::function<void(keyed_record const &, record_way)>;
 
     /*! Constructs an appender; the references must outlive it. */
     record_appender(node_parts parts, leader_watch &watch, peer_link &peers, commit_listener on_commit);
@@ -55,6 +68,8 @@
         keyed_record record;
         instant give_up_at{};
         append_outcome outcome{append_outcome::unknown};
+        /*! True if another entry VM relayed the record. */
+        bool is_relayed{};
         bool is_settled{};
         wakeup settled;
     };
@@ -73,6 +88,8 @@
     pending_record_pointer enqueue(keyed_record record, millis timeout);
     boost::asio::awaitable<append_outcome> relay_to_leader(std::vector<pending_record_pointer> items, millis timeout);
     boost::asio::awaitable<void> append_pending(std::vector<pending_record_pointer> items);
+    /*! Passes on a record that this entry VM has appended. */
+    void record_commit(pending_record const &item);
     /*! Appends the records to the log once and counts the append. */
     boost::asio::awaitable<append_answer> append_directly(std::vector<keyed_record> records);
 
--- a/src/kingcuplink/site/record_codec.cpp
+++ b/src/kingcuplink/site/record_codec.cpp
@@ -11,6 +11,8 @@
 constexpr std::string_view leader_key{"leader"};
 /*! Key prefixes, indexed by record_kind. */
 constexpr std::array<std::string_view, 3u> key_prefixes{"job/", "progress/", "cancel/"};
+/*! Value of a cancellation that earlier versions wrote. */
+constexpr std::int64_t untimed_cancellation{1};
 /*! Separates the identifier of a job and the number of a part in a key. */
 constexpr char part_separator = '/';
 
@@ -138,8 +140,8 @@
     return {std::string{internal::leader_key}, record.SerializeAsString()};
 }
 
-keyed_record encode_cancellation(std::string const &id) {
-    return {internal::key_of(record_kind::cancellation, id), std::string{"1"}};
+keyed_record encode_cancellation(std::string const &id, instant const requested_at) {
+    return {internal::key_of(record_kind::cancellation, id), std::to_string(requested_at.time_since_epoch().count())};
 }
 
 keyed_record encode_part_removal(std::string const &id, std::uint32_t const part) {
@@ -182,6 +184,14 @@
     return progress;
 }
 
+std::optional<instant> decode_cancellation(std::string_view const bytes) noexcept {
+    std::int64_t ms{};
+    auto const parsed = std::from_chars(bytes.data(), bytes.data() + bytes.size(), ms);
+    auto const is_number = parsed.ec == std::errc{} && parsed.ptr == bytes.data() + bytes.size();
+    auto const is_time = is_number && ms > internal::untimed_cancellation;
+    return is_time ? std::optional{instant{millis{ms}}} : std::nullopt;
+}
+
 std::optional<leader_claim> decode_leader(std::string_view const bytes) {
     auto const record = internal::parse<wire::leader_record>(bytes);
     if(!record) {
--- a/src/kingcuplink/site/record_codec.hpp
+++ b/src/kingcuplink/site/record_codec.hpp
@@ -41,8 +41,8 @@
 /*! @copydoc encode */
 [[nodiscard]] keyed_record encode(leader_claim const &claim);
 
-/*! Encodes the request to cancel a job. */
-[[nodiscard]] keyed_record encode_cancellation(std::string const &id);
+/*! Encodes the request to cancel a job, which arrived at a time by the clock of the entry VM that received it. */
+[[nodiscard]] keyed_record encode_cancellation(std::string const &id, instant requested_at);
 
 /*! Encodes the record that removes the progress of a part of a job's tasks. */
 [[nodiscard]] keyed_record encode_part_removal(std::string const &id, std::uint32_t part);
@@ -56,6 +56,9 @@
 /*! Decodes the progress of a job; returns nothing if the bytes are malformed. */
 [[nodiscard]] std::optional<job_progress> decode_progress(std::string_view bytes);
 
+/*! Decodes the time of a cancellation; returns nothing if the record does not tell it, as that of earlier versions. */
+[[nodiscard]] std::optional<instant> decode_cancellation(std::string_view bytes) noexcept;
+
 /*! Decodes a leadership claim; returns nothing if the bytes are malformed. */
 [[nodiscard]] std::optional<leader_claim> decode_leader(std::string_view bytes);
 
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
 #include <cctype>
@@ -25,6 +26,9 @@
 constexpr millis job_check_interval{20};
 /*! Time between clearing the readiness and resigning leadership, for the load balancer to react. */
 constexpr millis resign_delay{300};
+/*! Counters of the cancellations that a leader applied, indexed by record_way. */
+constexpr std::array<event, 3u> cancellation_events{
+    event::cancellation_own_append, event::cancellation_relayed, event::cancellation_read};
 
 bool is_job_id(std::string_view const id) {
     return id.size() == job_id_length && std::all_of(id.begin(), id.end(), [](char const letter) {
@@ -68,7 +72,8 @@
           [this](wire::envelope message) {
               boost::asio::post(parts_.context, [this, message = std::move(message)]() { handle(message); });
           }},
-      appender_{parts, watch_, peers_, [this](keyed_record const &record) { apply(record); }} {}
+      appender_{
+          parts, watch_, peers_, [this](keyed_record const &record, record_way const way) { apply(record, way); }} {}
 
 void site_node::start() {
     for(auto const loop:
@@ -161,15 +166,14 @@
         co_return caller_answer{std::nullopt, job_table::visible_phase(*known), std::nullopt};
     }
     // Also for an unknown job: a submission that had no answer may reach the log after this record.
-    auto record = encode_cancellation(id);
+    auto const requested_at = current_time();
+    auto record = encode_cancellation(id, requested_at);
     auto const outcome = co_await append_record(std::move(record), request.timeout);
     if(outcome != append_outcome::done) {
         co_return internal::refused(
             outcome == append_outcome::unknown ? refusal::outcome_unknown : refusal::log_unavailable, id);
     }
-    if(known_jobs_.cancel(id, current_time()) && leader_ != nullptr) {
-        leader_->cancel_job(id);
-    }
+    apply_cancellation(id, requested_at, record_way::own_append);
     // The definition may precede the cancellation in the log: only a reader that has passed both can deny the job.
     auto const is_read = co_await catch_up(id);
     auto const *known = known_jobs_.find(id);
@@ -299,17 +303,18 @@
         watch_.record_leader_activity(current_time());
     }
     for(auto const &record: batch.records) {
-        apply(record);
+        apply(record, record_way::log);
     }
 }
 
 void site_node::apply_own(std::uint64_t const offset, std::span<keyed_record const> const records) {
     if(jobs_reader_.skip(offset, records.size())) {
-        std::for_each(records.begin(), records.end(), [this](auto const &record) { apply(record); });
+        std::for_each(
+            records.begin(), records.end(), [this](auto const &record) { apply(record, record_way::own_append); });
     }
 }
 
-void site_node::apply(keyed_record const &record) {
+void site_node::apply(keyed_record const &record, record_way const way) {
     auto name = parse_record_key(record.key);
     if(!name) {
         return;
@@ -335,9 +340,7 @@
         }
         break;
     case record_kind::cancellation:
-        if(known_jobs_.cancel(name->id, now) && leader_ != nullptr) {
-            leader_->cancel_job(name->id);
-        }
+        apply_cancellation(name->id, decode_cancellation(*record.value), way);
         break;
     case record_kind::leader:
         if(auto claim = decode_leader(*record.value)) {
@@ -347,6 +350,25 @@
     }
 }
 
+void site_node::apply_cancellation(
+    std::string const &id, std::optional<instant> const requested_at, record_way const way) {
+    auto const now = current_time();
+    auto const is_new = !known_jobs_.is_cancelled(id);
+    if(known_jobs_.cancel(id, now) && leader_ != nullptr) {
+        leader_->cancel_job(id);
+    }
+    if(!is_new || leader_ == nullptr) {
+        return;
+    }
+    parts_.stats.add(internal::cancellation_events[static_cast<std::size_t>(way)]);
+    if(requested_at) {
+        parts_.times.add(latency::cancellation, now - *requested_at);
+    }
+    parts_.decisions.write(decision::cancellation_applied,
+        {{"job", id}, {"way", name_of(way)}, {"age_ms", requested_at ? (now - *requested_at).count() : -1},
+            {"known", known_jobs_.find(id) != nullptr}});
+}
+
 void site_node::define(job_definition job) {
     auto const id = job.id;
     if(known_jobs_.define(std::move(job)) && leader_ != nullptr) {
--- a/src/kingcuplink/site/site_node.hpp
+++ b/src/kingcuplink/site/site_node.hpp
@@ -105,7 +105,9 @@
     void apply_jobs(keyed_batch batch);
     /*! Records the duration of a read, and logs it if it was slow or the reader is behind. */
     void record_read(keyed_batch const &batch, millis took);
-    void apply(keyed_record const &record);
+    void apply(keyed_record const &record, record_way way);
+    /*! Applies a cancellation; may be called again for the same one. */
+    void apply_cancellation(std::string const &id, std::optional<instant> requested_at, record_way way);
     /*! Applies records that the leader of this entry VM has appended, instead of reading them back. */
     void apply_own(std::uint64_t offset, std::span<keyed_record const> records);
     void define(job_definition job);
--- a/src/kingcuplink/workflow/job_table.cpp
+++ b/src/kingcuplink/workflow/job_table.cpp
@@ -68,6 +68,12 @@
     return true;
 }
 
+bool job_table::is_cancelled(std::string const &id) const {
+    auto const found = jobs_.find(id);
+    return found == jobs_.end() ? early_cancellations_.contains(id)
+                                : found->second.cancel_requested || is_final(found->second.progress.phase);
+}
+
 void job_table::set_reported_phase(std::string const &id, job_phase const phase) {
     if(auto const found = jobs_.find(id); found != jobs_.end() && is_final(phase)) {
         count(found->second, -1);
--- a/src/kingcuplink/workflow/job_table.hpp
+++ b/src/kingcuplink/workflow/job_table.hpp
@@ -40,6 +40,9 @@
      */
     bool cancel(std::string const &id, instant now);
 
+    /*! Returns whether a cancellation of a job, known or unknown, was recorded, or the job has ended. */
+    [[nodiscard]] bool is_cancelled(std::string const &id) const;
+
     /*!
      * Records the final phase of a job that the leader reported before the record was read from the log. Precondition:
      * the record is committed to the log.
--- a/test/site/scripted_site.cpp
+++ b/test/site/scripted_site.cpp
@@ -104,6 +104,12 @@
         co_return read_answer{};
     }
     auto answer = co_await log_.read(stream, from, wait);
+    if(stream == log_stream::jobs && jobs_read_limit && answer.next > *jobs_read_limit) {
+        auto const is_unread = [this](auto const &record) { return record.offset >= *jobs_read_limit; };
+        std::erase_if(answer.records, is_unread);
+        answer.next = std::max(from, *jobs_read_limit);
+        co_await pause(read_pause);
+    }
     records_read += stream == log_stream::jobs ? answer.records.size() : 0u;
     co_return answer;
 }
@@ -348,6 +354,15 @@
     return nullptr;
 }
 
+std::size_t scripted_site::leading() const {
+    auto const leads = [](auto const &item) { return item->is_alive && item->node->leads(); };
+    return static_cast<std::size_t>(std::find_if(vms.begin(), vms.end(), leads) - vms.begin());
+}
+
+void scripted_site::stop_reads_of(std::size_t const pos) {
+    vms[pos]->log.jobs_read_limit = log.end_offset();
+}
+
 std::size_t scripted_site::follower() const {
     return vms[0]->node->leads() ? 1u : 0u;
 }
--- a/test/site/scripted_site.hpp
+++ b/test/site/scripted_site.hpp
@@ -86,6 +86,11 @@
 
     /*! False while the log rejects this entry VM's calls. */
     bool is_open{true};
+    /*!
+     * Reads of the stream of jobs do not get beyond this offset, as if they were slow; reads of its end are not
+     * affected. Nothing if they reach the end.
+     */
+    std::optional<std::uint64_t> jobs_read_limit;
     /*! Number of appends that this entry VM sent. */
     std::size_t appends{};
     /*! Number of records that this entry VM received in reads of the stream of jobs. */
@@ -174,6 +179,12 @@
     /*! Returns the leader, or null if there is none. */
     [[nodiscard]] site_node *leader();
 
+    /*! Returns the index of the leader. Precondition: there is one. */
+    [[nodiscard]] std::size_t leading() const;
+
+    /*! Keeps the jobs' records that are appended from now on from the reads of an entry VM. */
+    void stop_reads_of(std::size_t vm);
+
     /*! Returns the index of the entry VM that does not lead, of two. */
     [[nodiscard]] std::size_t follower() const;
 
--- a/test/site/site_test.cpp
+++ b/test/site/site_test.cpp
@@ -1,6 +1,7 @@
 #include "scripted_site.hpp"
 
 #include <doctest/doctest.h>
+#include <kingcuplink/platform/http_client.hpp>
 #include <kingcuplink/site/record_codec.hpp>
 #include <kingcuplink/site/timing.hpp>
 #include <thread>
@@ -44,6 +45,13 @@
     CHECK(reported->tasks[0].run == 3u);
     CHECK(reported->tasks[0].checkpoint == "checkpoint");
     CHECK_FALSE(decode_progress("\xff\xff\xff"));
+    auto const cancellation = encode_cancellation(job.id, instant{millis{1'234'567}});
+    CHECK(parse_record_key(cancellation.key)->kind == record_kind::cancellation);
+    CHECK(decode_cancellation(*cancellation.value) == instant{millis{1'234'567}});
+    for(auto const *text: {"1", "", "12x", "-5", "99999999999999999999"}) {
+        CAPTURE(text);
+        CHECK_FALSE(decode_cancellation(text));
+    }
     CHECK_FALSE(parse_record_key("other/1"));
 }
 
@@ -265,6 +273,63 @@
     }
 }
 
+TEST_CASE("the leader counts by which way it learned of a cancellation") {
+    struct row {
+        std::string_view name;
+        std::optional<bool> is_at_leader;
+        event expected;
+    };
+    std::array<row, 3u> const rows{{
+        {"at the leader", true, event::cancellation_own_append},
+        {"at another entry VM", false, event::cancellation_relayed},
+        {"by a record in the log", std::nullopt, event::cancellation_read},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        scripted_site site{2u};
+        site.run_until([&]() { return site.leader() != nullptr; });
+        REQUIRE(site.leader() != nullptr);
+        // Gives the other entry VM time to receive the leader's heartbeats, so that it relays records.
+        site.run_for(millis{500});
+        auto const leading = site.leading();
+        auto const *id = "00000000000000aa";
+        REQUIRE_FALSE(site.ask(leading, caller_operation::submit, id).refused);
+        site.run_until([&]() { return site.workers.runs() == 2u; });
+        if(item.is_at_leader) {
+            auto const vm = *item.is_at_leader ? leading : 1u - leading;
+            CHECK(site.ask(vm, caller_operation::cancel, id).phase == job_phase::cancelled);
+        } else {
+            site.log.add(encode_cancellation(id, current_time()));
+        }
+        site.run_until([&]() { return site.workers.runs() == 0u; });
+        CHECK(site.workers.runs() == 0u);
+        // Each record is read from the log as well.
+        site.run_for(millis{700});
+        for(auto const way: {event::cancellation_own_append, event::cancellation_relayed, event::cancellation_read}) {
+            CHECK(site.vms[leading]->stats.value(way) == (way == item.expected ? 1u : 0u));
+        }
+    }
+}
+
+TEST_CASE("a leader applies what it appended for another entry VM after this one has stopped waiting") {
+    scripted_site site{2u};
+    site.run_until([&]() { return site.leader() != nullptr; });
+    REQUIRE(site.leader() != nullptr);
+    // Gives the other entry VM time to receive the leader's heartbeats, so that it relays records.
+    site.run_for(millis{500});
+    auto const leading = site.leading();
+    auto const *id = "00000000000000aa";
+    REQUIRE_FALSE(site.ask(leading, caller_operation::submit, id).refused);
+    site.run_until([&]() { return site.workers.runs() == 2u; });
+    site.stop_reads_of(leading);
+    site.log.append_time = timing::relay_timeout + millis{200};
+    site.ask(1u - leading, caller_operation::cancel, id);
+    auto const &counted = site.vms[leading]->stats;
+    site.run_until([&]() { return site.workers.runs() == 0u; });
+    CHECK(site.workers.runs() == 0u);
+    CHECK(counted.value(event::cancellation_relayed) == 1u);
+}
+
 TEST_CASE("a job that is submitted after its cancellation is accepted as cancelled") {
     scripted_site site{2u};
     site.run_until([&]() { return site.leader() != nullptr; });
@@ -311,7 +376,7 @@
         for(auto pos = 0u; pos < 10u; ++pos) {
             auto id = std::to_string(number++);
             id.insert(0u, 16u - id.size(), '0');
-            site.log.add(encode_cancellation(id));
+            site.log.add(encode_cancellation(id, current_time()));
         }
         auto const operation = round % 2u == 0u ? caller_operation::ask : caller_operation::cancel;
         auto const answer = site.ask(other, operation, "00000000000000aa");
--- a/test/workflow/job_table_test.cpp
+++ b/test/workflow/job_table_test.cpp
@@ -43,6 +43,32 @@
 
 } // namespace
 
+TEST_CASE("a cancellation, or the end of its job, is known whichever record came first") {
+    using enum record;
+    struct row {
+        std::string_view name;
+        std::vector<record> records;
+        bool is_cancelled;
+    };
+    std::array<row, 7u> const rows{{
+        {"nothing", {}, false},
+        {"live job", {definition, start}, false},
+        {"after the definition", {definition, cancellation}, true},
+        {"unknown job", {cancellation}, true},
+        {"before the definition", {cancellation, definition}, true},
+        {"ended job", {definition, end}, true},
+        {"removed", {definition, cancellation, removal}, false},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        job_table table;
+        for(auto const next: item.records) {
+            apply(table, next, {});
+        }
+        CHECK(table.is_cancelled("job") == item.is_cancelled);
+    }
+}
+
 // A job ran although its cancel was acknowledged: its submission, which had no answer, reached the log after the
 // cancel.
 TEST_CASE("a cancellation applies to a job whichever of the two records comes first") {
