Tell the leader of cancellations that another entry VM appended

An entry VM that hears no heartbeat of the present leader appends a cancellation itself; the leader learned of it from the log only, and its reads of the log are seconds late when all VMs catch up at once.

Now the VM sends what it committed to the leader that it knows, again after 0.5 s, doubling, until this leader confirms it, and to each later leader of which it reads, for 15 s. A former leader passes notices on. The leader applies a notice like the record itself; both orders are idempotent, and a definition that comes later meets the cancellation that the job table keeps. Only committed records are sent, so a leader that gets a notice and dies changes nothing. One receiver for each sender, at most 512 records of some 50 bytes; nothing is sent while VMs relay.

--- a/src/kingcuplink/core/counters.hpp
+++ b/src/kingcuplink/core/counters.hpp
@@ -56,8 +56,10 @@
     start_relay_failed,
     relayed_start_sent,
     log_end_read,
+    commit_notice_sent,
     cancellation_own_append,
     cancellation_relayed,
+    cancellation_noticed,
     cancellation_read,
     count
 };
--- a/src/kingcuplink/site/fwd.hpp
+++ b/src/kingcuplink/site/fwd.hpp
@@ -17,6 +17,8 @@
 
 class advice_queries;
 
+class commit_notices;
+
 class leader_peers;
 
 class load_report;
--- a/src/kingcuplink/site/record_appender.cpp
+++ b/src/kingcuplink/site/record_appender.cpp
@@ -4,6 +4,7 @@
 #include <kingcuplink/platform/http_client.hpp>
 #include <kingcuplink/platform/pause.hpp>
 #include <kingcuplink/site/record_appender.hpp>
+#include <kingcuplink/site/record_codec.hpp>
 #include <kingcuplink/site/timing.hpp>
 #include <random>
 #include <utility>
@@ -17,7 +18,17 @@
 /*! Part of a caller's time limit that is reserved for the transmission of the answer. */
 constexpr millis answer_reserve{300};
 
-constexpr std::array<std::string_view, 3u> record_way_names{"own_append", "relay", "log"};
+constexpr std::array<std::string_view, 4u> record_way_names{"own_append", "relay", "notice", "log"};
+
+bool is_cancellation(keyed_record const &record) {
+    auto const name = parse_record_key(record.key);
+    return name && name->kind == record_kind::cancellation && record.value;
+}
+
+/*! Returns whether a request holds records that its sender has appended already. */
+bool is_notice(wire::append_request const &request) {
+    return request.patience_ms() == 0u;
+}
 
 } // namespace internal
 
@@ -61,7 +72,8 @@
 
 boost::asio::awaitable<void> record_appender::run() {
     while(true) {
-        co_await queue_wakeup_.wait(timing::slow_append);
+        co_await queue_wakeup_.wait(notices_.size() == 0u ? timing::slow_append : timing::notice_check_interval);
+        send_notices();
         if(pending_records_.empty()) {
             continue;
         }
@@ -154,6 +166,7 @@
         if(is_done) {
             // Also of callers that are no longer waiting.
             std::for_each(items.begin(), items.end(), [this](auto const &item) { record_commit(*item); });
+            send_notices();
         }
         auto const now = current_time();
         std::erase_if(items, [&](auto const &item) {
@@ -175,9 +188,61 @@
 
 void record_appender::record_commit(pending_record const &item) {
     on_commit_(item.record, item.is_relayed ? record_way::relay : record_way::own_append);
+    // Also while leading: another entry VM may already have claimed a later term.
+    if(internal::is_cancellation(item.record)) {
+        notices_.add(item.record, current_time());
+    }
+}
+
+void record_appender::send_notices() {
+    auto const now = current_time();
+    notices_.remove_expired(now);
+    auto const claim = watch_.claim();
+    auto const has_leader = !is_leading_ && !claim.name.empty() && !claim.resigned &&
+        claim.name != parts_.settings.name;
+    while(has_leader && notices_.is_due(claim.term, now)) {
+        peers_.connect(claim.name, claim.peer_address);
+        auto const id = ++next_relay_id_;
+        wire::envelope message;
+        auto &request = *message.mutable_append_request();
+        request.set_id(id);
+        for(auto const &record: notices_.next(id, claim.term, now)) {
+            auto &row = *request.add_records();
+            row.set_key(record.key);
+            row.set_value(*record.value);
+        }
+        if(!peers_.send(claim.name, message)) {
+            notices_.withdraw(id);
+            break;
+        }
+        parts_.stats.add(event::commit_notice_sent);
+    }
+}
+
+void record_appender::take_notice(std::string const &peer, wire::append_request const &request) {
+    for(auto const &row: request.records()) {
+        keyed_record record{row.key(), row.value()};
+        if(internal::is_cancellation(record)) {
+            on_commit_(record, record_way::notice);
+            notices_.add(std::move(record), current_time());
+        }
+    }
+    if(!is_leading_) {
+        // The sender has not read of a later leader yet.
+        send_notices();
+        return;
+    }
+    wire::envelope message;
+    message.mutable_append_reply()->set_id(request.id());
+    message.mutable_append_reply()->set_done(true);
+    peers_.send(peer, message);
 }
 
 boost::asio::awaitable<void> record_appender::answer_request(std::string peer, wire::append_request request) {
+    if(internal::is_notice(request)) {
+        take_notice(peer, request);
+        co_return;
+    }
     std::vector<pending_record_pointer> items;
     auto const timeout = millis{static_cast<std::int64_t>(request.patience_ms())} + internal::answer_reserve;
     for(auto const &record: request.records()) {
@@ -212,6 +277,8 @@
                                               : append_outcome::unknown;
         found->second->is_answered = true;
         found->second->answered.notify();
+    } else if(reply.done()) {
+        notices_.confirm(reply.id());
     }
 }
 
--- a/src/kingcuplink/site/record_appender.hpp
+++ b/src/kingcuplink/site/record_appender.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
 #include <functional>
+#include <kingcuplink/site/commit_notices.hpp>
 #include <kingcuplink/site/leader_watch.hpp>
 #include <kingcuplink/site/node_parts.hpp>
 #include <kingcuplink/site/wakeup.hpp>
@@ -21,6 +22,8 @@
     own_append,
     /*! It appended the record for another entry VM. */
     relay,
+    /*! Another entry VM appended the record itself and sent a notice of it. */
+    notice,
     /*! It read the record from the log. */
     log
 };
@@ -30,7 +33,8 @@
 
 /*!
  * Appends callers' records to the log in batches: through the leader while it accepts records, otherwise directly.
- * Must only be used on the control thread.
+ * Notifies the leader of the cancellations that it appended directly: a leader whose reads of the log are slow would
+ * start tasks of cancelled jobs. Must only be used on the control thread.
  */
 class record_appender {
 public:
@@ -51,10 +55,10 @@
     /*! Appends a caller's record and waits for the outcome; `unknown` once the time limit has expired. */
     boost::asio::awaitable<append_outcome> append(keyed_record record, millis timeout);
 
-    /*! Appends the records that another entry VM relayed, and answers it. */
+    /*! Appends the records that another entry VM relayed, and answers it; or takes its notice of committed ones. */
     boost::asio::awaitable<void> answer_request(std::string peer, wire::append_request request);
 
-    /*! Handles the leader's answer to relayed records. */
+    /*! Handles the leader's answer to relayed records, or to a notice. */
     void handle_reply(wire::append_reply const &reply);
 
     /*! Returns whether records can be relayed to the leader. */
@@ -88,8 +92,12 @@
     pending_record_pointer enqueue(keyed_record record, millis timeout);
     boost::asio::awaitable<append_outcome> relay_to_leader(std::vector<pending_record_pointer> items, millis timeout);
     boost::asio::awaitable<void> append_pending(std::vector<pending_record_pointer> items);
-    /*! Passes on a record that this entry VM has appended. */
+    /*! Passes on a record that this entry VM has appended, and keeps it for notices if it is a cancellation. */
     void record_commit(pending_record const &item);
+    /*! Sends the notices that are due to the leader, as far as this entry VM knows one. */
+    void send_notices();
+    /*! Applies another entry VM's notice, and confirms it or passes it on to the leader. */
+    void take_notice(std::string const &peer, wire::append_request const &request);
     /*! Appends the records to the log once and counts the append. */
     boost::asio::awaitable<append_answer> append_directly(std::vector<keyed_record> records);
 
@@ -106,6 +114,7 @@
     /*! Unanswered requests to the leader, by identifier. */
     std::map<std::uint64_t, std::shared_ptr<relay>> pending_relays_;
     std::uint64_t next_relay_id_{};
+    commit_notices notices_;
 };
 
 } // namespace kingcuplink
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -27,8 +27,8 @@
 /*! Time between clearing the readiness and resigning leadership, for the load balancer to react. */
 constexpr millis resign_delay{300};
 /*! Counters of the cancellations that a leader applied, indexed by record_way. */
-constexpr std::array<event, 3u> cancellation_events{
-    event::cancellation_own_append, event::cancellation_relayed, event::cancellation_read};
+constexpr std::array<event, 4u> cancellation_events{
+    event::cancellation_own_append, event::cancellation_relayed, event::cancellation_noticed, event::cancellation_read};
 
 bool is_job_id(std::string_view const id) {
     return id.size() == job_id_length && std::all_of(id.begin(), id.end(), [](char const letter) {
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -80,6 +80,18 @@
  * least as long: a submission that is executed after their removal would run again.
  */
 inline constexpr millis late_append_limit{15'000};
+/*!
+ * Time for which an entry VM notifies leaders of cancellations that it appended itself: as long as the submission of
+ * such a job may reach the log. Later, leaders learn of them from the log only.
+ */
+inline constexpr millis notice_lifetime{late_append_limit};
+/*! Time after which a notice is repeated that the leader did not confirm; it doubles each time. */
+inline constexpr millis notice_repeat{500};
+/*! Time between checks for notices that are due, while there are any. */
+inline constexpr millis notice_check_interval{100};
+/*! Number of such cancellations that an entry VM keeps, and that one message holds; about 50 bytes each. */
+inline constexpr std::size_t max_notices = 512u;
+inline constexpr std::size_t max_notices_per_message = 128u;
 /*! Duration above which a read of the stream of jobs is logged; longer than any wait for the first record. */
 inline constexpr millis slow_read{700};
 /*! Longest time that the log waits for a record of rules or registrations; each read is billed. */
--- a/test/site/scripted_site.cpp
+++ b/test/site/scripted_site.cpp
@@ -359,6 +359,11 @@
     return static_cast<std::size_t>(std::find_if(vms.begin(), vms.end(), leads) - vms.begin());
 }
 
+void scripted_site::cut_messages_to(std::size_t const pos) {
+    // Its next introduction tells the leader an address at which nobody listens.
+    vms[pos]->settings.peer_address = ports.take_address();
+}
+
 void scripted_site::stop_reads_of(std::size_t const pos) {
     vms[pos]->log.jobs_read_limit = log.end_offset();
 }
--- a/test/site/scripted_site.hpp
+++ b/test/site/scripted_site.hpp
@@ -182,6 +182,9 @@
     /*! Returns the index of the leader. Precondition: there is one. */
     [[nodiscard]] std::size_t leading() const;
 
+    /*! Cuts the way of messages from a leader to an entry VM; the way back stays open. */
+    void cut_messages_to(std::size_t vm);
+
     /*! Keeps the jobs' records that are appended from now on from the reads of an entry VM. */
     void stop_reads_of(std::size_t vm);
 
--- a/test/site/site_test.cpp
+++ b/test/site/site_test.cpp
@@ -273,7 +273,123 @@
     }
 }
 
-TEST_CASE("the leader counts by which way it learned of a cancellation") {
+namespace {
+
+/*! Time for a leader to obey a cancellation: a fifth of what operators allow for a start after its acknowledgement. */
+constexpr millis cancel_bound{1'000};
+
+/*! How an entry VM that appended a cancellation itself finds the leader. */
+enum class way_to_leader : std::uint8_t { known, learned_later, through_former_leader };
+
+struct unread_cancellation {
+    std::string_view name;
+    way_to_leader way;
+    bool is_job_known;
+    bool is_replaced_afterwards;
+};
+
+/*!
+ * Brings the site into the state in which an entry VM appends callers' records itself, and the leader reads none of
+ * them. The entry VM reads nothing from now on, either.
+ */
+void separate(scripted_site &site, std::size_t const vm, way_to_leader const way) {
+    auto const first = site.leading();
+    site.stop_reads_of(vm);
+    // A record that it does not read keeps it from claiming leadership itself.
+    site.log.add(encode_cancellation("00000000000000ff", current_time()));
+    site.run_for(timing::jobs_wait + timing::claim_freshness);
+    if(way == way_to_leader::known) {
+        site.cut_messages_to(vm);
+        site.run_for(timing::introduction_interval + timing::relay_heartbeat_age + millis{300});
+    } else {
+        if(way == way_to_leader::learned_later) {
+            site.kill_leader();
+        } else {
+            site.vms[first]->node->drain();
+        }
+        site.run_until([&]() { return site.leader() != nullptr && site.leading() != first; });
+        // Its workers have answered the new leader, and the entry VM has no fresh heartbeat of the one before.
+        site.run_for(timing::relay_heartbeat_age + millis{300});
+    }
+    REQUIRE(site.leader() != nullptr);
+    REQUIRE(site.leading() != vm);
+    site.stop_reads_of(site.leading());
+}
+
+} // namespace
+
+// Tasks started, and ran on, more than 5 s after their job's cancel was acknowledged: an entry VM that received no
+// heartbeats of the present leader had appended it itself, and the leader's reads of the log were seconds behind.
+TEST_CASE("a leader obeys a cancellation that another entry VM appended, before it reads it from the log") {
+    std::array<unread_cancellation, 6u> const rows{{
+        {"the leader is known", way_to_leader::known, true, false},
+        {"the leader is known, the job is defined later", way_to_leader::known, false, false},
+        {"the leader is learned later", way_to_leader::learned_later, true, false},
+        {"the leader is learned later, the job is defined later", way_to_leader::learned_later, false, false},
+        {"only the former leader is known", way_to_leader::through_former_leader, true, false},
+        {"the leader is learned later, and replaced afterwards", way_to_leader::learned_later, true, true},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        scripted_site site{4u};
+        site.run_until([&]() { return site.leader() != nullptr; });
+        REQUIRE(site.leader() != nullptr);
+        auto const vm = site.leading() == 0u ? 1u : 0u;
+        auto const *id = "00000000000000aa";
+        auto const *control = "00000000000000ab";
+        auto const submit = [&](std::string const &job) {
+            REQUIRE_FALSE(site.ask(vm, caller_operation::submit, job).refused);
+        };
+        if(item.is_job_known) {
+            submit(id);
+            site.run_until([&]() { return site.workers.runs() == 2u; });
+            REQUIRE(site.workers.runs() == 2u);
+        }
+        separate(site, vm, item.way);
+        auto const leading = site.leading();
+        if(!item.is_job_known) {
+            submit(control);
+            submit(id);
+        }
+        auto const definitions_end = site.log.end_offset();
+        auto const appends = site.vms[vm]->log.appends;
+        REQUIRE(site.ask(vm, caller_operation::cancel, id).phase == job_phase::cancelled);
+        REQUIRE(site.vms[vm]->log.appends > appends);
+        if(item.way == way_to_leader::learned_later) {
+            site.run_for(millis{200});
+            site.vms[vm]->log.jobs_read_limit = std::nullopt;
+        }
+        if(item.is_job_known) {
+            auto const limit = current_time() + cancel_bound;
+            site.run_until([&]() { return site.workers.runs() == 0u || current_time() > limit; });
+            CHECK(site.workers.runs() == 0u);
+        } else {
+            site.run_for(cancel_bound / 2);
+            site.vms[leading]->log.jobs_read_limit = definitions_end;
+            site.run_for(cancel_bound / 2);
+            CHECK(site.workers.runs() == 2u);
+        }
+        if(item.is_replaced_afterwards) {
+            site.kill_leader();
+            site.run_until([&]() { return site.leader() != nullptr; });
+            CHECK(site.leader() != nullptr);
+        }
+        site.run_for(millis{300});
+        // Two tasks of one job: of the cancelled one before its cancellation, or of the other one.
+        CHECK(site.workers.starts() == 2u);
+        auto const is_cancelled = [&]() {
+            return site.ask(site.survivor(), caller_operation::ask, id).phase == job_phase::cancelled;
+        };
+        for(auto const &process: site.vms) {
+            process->log.jobs_read_limit = std::nullopt;
+        }
+        site.run_until(is_cancelled);
+        CHECK(is_cancelled());
+        CHECK(site.workers.starts() == 2u);
+    }
+}
+
+TEST_CASE("the leader counts by which way it learned of a cancellation; while all is well, no notice is sent") {
     struct row {
         std::string_view name;
         std::optional<bool> is_at_leader;
@@ -305,9 +421,13 @@
         CHECK(site.workers.runs() == 0u);
         // Each record is read from the log as well.
         site.run_for(millis{700});
-        for(auto const way: {event::cancellation_own_append, event::cancellation_relayed, event::cancellation_read}) {
+        for(auto const way: {event::cancellation_own_append, event::cancellation_relayed, event::cancellation_noticed,
+                event::cancellation_read}) {
             CHECK(site.vms[leading]->stats.value(way) == (way == item.expected ? 1u : 0u));
         }
+        for(auto const &process: site.vms) {
+            CHECK(process->stats.value(event::commit_notice_sent) == 0u);
+        }
     }
 }
 
@@ -328,6 +448,7 @@
     site.run_until([&]() { return site.workers.runs() == 0u; });
     CHECK(site.workers.runs() == 0u);
     CHECK(counted.value(event::cancellation_relayed) == 1u);
+    CHECK(counted.value(event::cancellation_noticed) == 0u);
 }
 
 TEST_CASE("a job that is submitted after its cancellation is accepted as cancelled") {
