--- a/src/kingcuplink/core/counters.hpp
+++ b/src/kingcuplink/core/counters.hpp
@@ -60,6 +60,11 @@
     plan_round,
     plan_step_examined,
     advice_answer_unused,
+    commit_notice_sent,
+    cancellation_own_append,
+    cancellation_relayed,
+    cancellation_noticed,
+    cancellation_read,
     count
 };
 
--- a/src/kingcuplink/core/latencies.hpp
+++ b/src/kingcuplink/core/latencies.hpp
@@ -25,6 +25,8 @@
     job,
     /*! Duration of a planning round of the leader. */
     plan_round,
+    /*! From a caller's request to cancel a job until the leader applies the cancellation. */
+    cancellation,
     count
 };
 
--- a/src/kingcuplink/workflow/waiting_steps.hpp
+++ b/src/kingcuplink/workflow/waiting_steps.hpp
@@ -33,8 +33,8 @@
 };
 
 /*!
- * Steps with waiting tasks in order of rank. Changes are collected and applied before a planning round, so that the cost
- * of a round depends on what has changed and not on what waits. Not thread safe.
+ * Steps with waiting tasks in order of rank. Changes are collected and applied before a planning round, so that the
+ * cost of a round depends on what has changed and not on what waits. Not thread safe.
  */
 class waiting_steps {
 public:
