Planning: keep work for the steps in turn, and do not scan for a service that is full

Found by review, by reading. One step could use up the work of a round, so that no step was processed in turn; steps of a service without capacity each scanned all workers while workers of another service were free; a step processed in turn could lose its tickets before its next turn; and steps that were added during a pass could extend it without end.

The steps in turn have work of their own, at least one a round; the largest free capacity is known by service; steps that have just got an answer are processed in the next round; a pass ends where it ended when it began. A start that is pending tells nothing about when its lease expires (overflow of a time that is not set).

The harness of the backlog tests excused all jobs while the dispatcher said that its limits on queries were reached.

--- a/src/kingcuplink/workflow/dispatch_planner.cpp
+++ b/src/kingcuplink/workflow/dispatch_planner.cpp
@@ -14,12 +14,10 @@
 constexpr millis idle_reservation_limit{3'000};
 /*! Time for which the result of a check whether capacity may be reserved for a gang is used. */
 constexpr millis reservation_check_interval{250};
-/*!
- * Work of a round, in visits of candidates of about 10 ns, after which no further step is processed in order of rank,
- * and after which none is processed in turn.
- */
+/*! Work of a round, in visits of candidates, after which no further step is processed in order of rank. */
 constexpr std::size_t max_ranked_work = 30'000u;
-constexpr std::size_t max_round_work = 40'000u;
+/*! Work on the steps that are processed in turn in a round. */
+constexpr std::size_t max_work_in_turn = 10'000u;
 /*! Work of a visit to a waiting step. */
 constexpr std::size_t step_visit_work = 10u;
 /*! Maximum number of gangs, in order of rank, that query the adviser although the fleet has no capacity for them. */
@@ -96,19 +94,40 @@
     for(; next != steps.end() && work_ < max_ranked_work; ++next, ++processed) {
         process_step(*next);
     }
+    auto const answered = std::exchange(state_.answered_steps, {});
     if(next == steps.end()) {
         return;
     }
-    // The rest is processed in turn over several rounds, so that no step waits for good behind others.
-    auto in_turn = std::max(*next, state_.last_in_turn) == *next ? next : steps.upper_bound(state_.last_in_turn);
-    for(; in_turn != steps.end() && work_ < max_round_work; ++in_turn, ++processed) {
-        process_step(*in_turn);
-        state_.last_in_turn = *in_turn;
+    // Tickets are valid for a short time: the steps that have just got some do not wait for their turn.
+    for(auto const &key: answered) {
+        if(auto const rank = state_.waiting.rank_of(key); rank && !(ranked_step{*rank, key} < *next)) {
+            process_step({*rank, key});
+            ++processed;
+        }
     }
-    if(in_turn == steps.end()) {
-        state_.last_in_turn = {};
+    processed += process_in_turn(*next);
+    out_.held_steps[static_cast<std::size_t>(hold_reason::round_limit)] += steps.size() -
+        std::min(steps.size(), processed);
+}
+
+std::size_t dispatch_planner::process_in_turn(ranked_step const &first) {
+    auto const &steps = state_.waiting.by_rank();
+    auto &turn = state_.turn;
+    if(turn.last < first || turn.end < turn.last) {
+        // Steps that are added during a pass wait for the next one.
+        turn = {first, *steps.rbegin()};
+    }
+    auto next = turn.last == first ? steps.find(first) : steps.upper_bound(turn.last);
+    std::size_t processed{};
+    auto const work_limit = work_ + max_work_in_turn;
+    for(; next != steps.end() && !(turn.end < *next) && work_ < work_limit; ++next, ++processed) {
+        process_step(*next);
+        turn.last = *next;
     }
-    out_.held_steps[static_cast<std::size_t>(hold_reason::round_limit)] += steps.size() - processed;
+    if(next == steps.end() || turn.end < *next) {
+        turn = {};
+    }
+    return processed;
 }
 
 void dispatch_planner::plan_stops() {
@@ -136,7 +155,7 @@
 
 void dispatch_planner::collect_candidates() {
     std::string const *service{};
-    resources *of_service{};
+    service_capacity *of_service{};
     for(auto const id: state_.workers.ids()) {
         auto &worker = state_.workers[id];
         if(!is_usable(worker, *state_.rules, now_)) {
@@ -144,20 +163,23 @@
         }
         if(service == nullptr || *service != worker.registration.service) {
             service = &worker.registration.service;
-            of_service = &available_[*service];
+            of_service = &services_[*service];
         }
         candidate_at_.resize(std::max<std::size_t>(candidate_at_.size(), id.index + 1u), no_candidate);
         candidate_at_[id.index] = candidates_.size();
         candidates_.push_back({id, &worker, worker.registration.capacity - worker.used, of_service});
-        *of_service += candidates_.back().available;
+        of_service->available += candidates_.back().available;
     }
 }
 
 bool dispatch_planner::has_unpromised_capacity(std::string const &service, resources const &size) const {
-    auto const available = available_.find(service);
+    auto const found = services_.find(service);
+    if(found == services_.end()) {
+        return false;
+    }
+    auto const &available = found->second.available;
     auto const promised = state_.promised.find(service);
-    return available != available_.end() &&
-        fits(size, promised == state_.promised.end() ? available->second : available->second - promised->second);
+    return fits(size, promised == state_.promised.end() ? available : available - promised->second);
 }
 
 bool dispatch_planner::may_query_without_capacity(waiting_step const &current) {
@@ -170,28 +192,32 @@
     return (std::exchange(is_counted_, true) ? steps_without_capacity_ : ++steps_without_capacity_) <= limit;
 }
 
-resources const &dispatch_planner::max_available() {
-    if(!max_available_) {
+resources const &dispatch_planner::max_available(std::string const &service) {
+    auto &capacity = services_[service];
+    if(!capacity.largest) {
         work_ += candidates_.size();
-        max_available_ = resources{};
+        auto &largest = capacity.largest.emplace();
         for(auto const &item: candidates_) {
-            max_available_->millicores = std::max(max_available_->millicores, item.available.millicores);
-            max_available_->memory_mib = std::max(max_available_->memory_mib, item.available.memory_mib);
-            max_available_->accelerators = std::max(max_available_->accelerators, item.available.accelerators);
+            if(item.of_service == &capacity) {
+                largest.millicores = std::max(largest.millicores, item.available.millicores);
+                largest.memory_mib = std::max(largest.memory_mib, item.available.memory_mib);
+                largest.accelerators = std::max(largest.accelerators, item.available.accelerators);
+            }
         }
     }
-    return *max_available_;
+    return *capacity.largest;
 }
 
 void dispatch_planner::reserve(candidate &target, resources const &size) {
-    auto const is_largest = max_available_ &&
-        (target.available.millicores >= max_available_->millicores ||
-            target.available.memory_mib >= max_available_->memory_mib ||
-            target.available.accelerators >= max_available_->accelerators);
+    auto &service = *target.of_service;
+    auto const is_largest = service.largest &&
+        (target.available.millicores >= service.largest->millicores ||
+            target.available.memory_mib >= service.largest->memory_mib ||
+            target.available.accelerators >= service.largest->accelerators);
     target.available -= size;
-    *target.of_service -= size;
+    service.available -= size;
     if(is_largest) {
-        max_available_.reset();
+        service.largest.reset();
     }
 }
 
@@ -205,7 +231,7 @@
     if(advice.in_flight && advice.is_speculative) {
         static_cast<void>(may_query_without_capacity(current));
     }
-    if(!fits(definition.task_size, max_available())) {
+    if(!fits(definition.task_size, max_available(current.queue->service))) {
         auto const may_query = current.queue->advice && (!definition.gang || advice.asked.empty()) &&
             may_query_without_capacity(current);
         if(!may_query && !may_reserve) {
@@ -398,6 +424,9 @@
     if(run == nullptr) {
         return true;
     }
+    if(run->stage == placement_stage::intended || run->stage == placement_stage::awaiting_answer) {
+        return false;
+    }
     auto const &worker = state_.workers[run->worker];
     // The stop of a run takes less time than a query.
     auto const is_stopping = run->stop_requested && worker.is_registered && is_responsive(worker, now_);
--- a/src/kingcuplink/workflow/dispatch_planner.hpp
+++ b/src/kingcuplink/workflow/dispatch_planner.hpp
@@ -27,14 +27,21 @@
         job_terms const *queue;
     };
 
+    /*! Capacity of the candidates of a service. */
+    struct service_capacity {
+        /*! Sum of the available capacity. */
+        resources available;
+        /*! Largest available capacity, separately for each dimension; computed when needed. */
+        std::optional<resources> largest;
+    };
+
     /*! A worker that accepts new runs in this round. */
     struct candidate {
         worker_id id;
         live_worker *worker;
         /*! Capacity not used by runs and not reserved for preceding steps of this round. */
         resources available;
-        /*! Sum of the available capacity over all candidates of the service. */
-        resources *of_service;
+        service_capacity *of_service;
     };
 
     /*! A candidate for one step. */
@@ -49,14 +56,19 @@
     /*! Processes waiting steps in order of rank, up to a limit on the work of a round, and some of the others in turn.
      */
     void process_waiting_steps();
+    /*!
+     * Processes steps from the given one on, in turn over several rounds, so that none waits for good behind others.
+     * Returns their number, which is at least one.
+     */
+    std::size_t process_in_turn(ranked_step const &first);
 
     /*! Places a step and records why it still has waiting tasks. */
     void process_step(ranked_step const &step);
     void place_step(waiting_step const &current);
     /*! Returns why nothing can be done for a step in this round, or nothing if its candidates have to be examined. */
     [[nodiscard]] std::optional<hold_reason> reason_to_skip(waiting_step const &current);
-    /*! Returns the maximum available capacity over all candidates, separately for each dimension. */
-    [[nodiscard]] resources const &max_available();
+    /*! Returns the maximum available capacity over all candidates of a service, separately for each dimension. */
+    [[nodiscard]] resources const &max_available(std::string const &service);
     /*! Returns true if a service has capacity that is not promised to steps with a query in flight. */
     [[nodiscard]] bool has_unpromised_capacity(std::string const &service, resources const &size) const;
     /*! Reserves capacity of a candidate for the rest of this round. */
@@ -144,8 +156,6 @@
     std::vector<candidate> candidates_;
     /*! Position in candidates_, by the index of the worker's identifier. */
     std::vector<std::size_t> candidate_at_;
-    /*! Cached; reserve() resets it. */
-    std::optional<resources> max_available_;
     /*! Work of this round so far, in visits of waiting steps and candidates. */
     std::size_t work_{};
     std::size_t reserving_gangs_{};
@@ -153,8 +163,7 @@
     hold_reason held_by_{hold_reason::not_due};
     /*! Results of is_mostly_idle(), by service. */
     std::map<std::string, bool> mostly_idle_;
-    /*! Sum of the available capacity, by service. */
-    std::map<std::string, resources> available_;
+    std::map<std::string, service_capacity> services_;
     /*! Gangs without any advice and without capacity that were processed in this round. */
     std::size_t first_advice_gangs_{};
     /*! Steps other than gangs that found no capacity in this round and could use advice. */
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -258,8 +258,13 @@
     std::map<std::string, live_account> accounts;
     std::vector<job_id> dirty_jobs;
     waiting_steps waiting;
-    /*! Last step that was processed in turn, in a round that did not process all waiting steps. */
-    ranked_step last_in_turn;
+    /*! Steps that got an answer of the adviser since the latest planning round. */
+    std::vector<step_key> answered_steps;
+    /*! Position in a pass over the steps that are processed in turn: the last one processed, and that of the pass. */
+    struct {
+        ranked_step last;
+        ranked_step end;
+    } turn;
     /*! Runs that are to be stopped; may contain runs that are gone. */
     std::vector<placement_id> requested_stops;
     /*! Number of entry VMs that query the adviser. */
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -423,6 +423,7 @@
     auto &advice = job.steps[query.step].advice;
     advice.in_flight = false;
     advice.is_answer_unused = true;
+    state_.answered_steps.push_back({found->second, query.step});
     auto const queried = std::exchange(advice.queried, {});
     auto const *terms = state_.rules_of(job);
     auto const valid = terms != nullptr && terms->advice ? terms->advice->valid : millis{};
--- a/src/kingcuplink/workflow/waiting_steps.hpp
+++ b/src/kingcuplink/workflow/waiting_steps.hpp
@@ -52,6 +52,12 @@
     /*! Removes a step; ignored if it does not wait. */
     void erase(step_key const &key);
 
+    /*! Returns the rank of a step, or nothing if it does not wait. */
+    [[nodiscard]] std::optional<service_rank> rank_of(step_key const &key) const {
+        auto const found = ranks_.find(key);
+        return found == ranks_.end() ? std::nullopt : std::optional{found->second};
+    }
+
     /*! Returns the steps in order of rank. */
     [[nodiscard]] std::set<ranked_step> const &by_rank() const noexcept {
         return by_rank_;
--- a/test/workflow/backlog_test.cpp
+++ b/test/workflow/backlog_test.cpp
@@ -155,6 +155,12 @@
         CHECK(load.stranded_jobs() == 0u);
         CHECK(load.start_delay(0u) <= load_longest_wait + room_time(preceding, load.total_millicores()));
         CHECK(load.figures().starts_without_room == 0u);
+        // Each answer of the adviser should let at least one task start.
+        std::size_t tasks{};
+        for(auto const &part: item.parts) {
+            tasks += part.tasks;
+        }
+        CHECK(load.figures().answers <= tasks);
     }
 }
 
--- a/test/workflow/dispatch_load.cpp
+++ b/test/workflow/dispatch_load.cpp
@@ -378,10 +378,12 @@
     if(!mostly_idle_since_) {
         mostly_idle_since_ = now();
     }
-    auto const figures = leader_.figures(now());
-    if(figures.long_queries >= figures.long_query_limit || figures.short_queries >= figures.short_query_limit) {
-        // The adviser is the slower one: jobs wait for its answers, not for the leader.
-        mostly_idle_since_ = now();
+    // While all entry VMs that may put a kind of query wait for answers, its jobs wait for the adviser.
+    if(long_queries_ >= adviser_pool::long_call_limit(vms_.size())) {
+        long_calls_busy_at_ = now();
+    }
+    if(std::none_of(vms_.begin(), vms_.end(), [](auto const &vm) { return vm.second.waiting_calls == 0u; })) {
+        all_vms_busy_at_ = now();
     }
     if(now() - *mostly_idle_since_ <= load_longest_wait) {
         return;
@@ -389,7 +391,9 @@
     std::erase_if(unfinished_jobs_, [&](auto const number) { return jobs_[number].unfinished == 0u; });
     for(auto const number: unfinished_jobs_) {
         auto &owner = jobs_[number];
-        auto const is_waiting = owner.running == 0u && now() - owner.idle_since > load_longest_wait;
+        auto const is_long = owner.kind->advice_time(load_call_workers) >= internal::long_query_duration;
+        auto const waits_since = std::max(owner.idle_since, is_long ? long_calls_busy_at_ : all_vms_busy_at_);
+        auto const is_waiting = owner.running == 0u && now() - waits_since > load_longest_wait;
         if(is_waiting && !owner.is_stranded) {
             owner.is_stranded = has_room_twice(*owner.kind, owner.started.size());
         }
--- a/test/workflow/dispatch_load.hpp
+++ b/test/workflow/dispatch_load.hpp
@@ -273,6 +273,9 @@
     std::map<std::pair<std::size_t, std::uint32_t>, gang_members> gangs_;
     dispatch_load_figures figures_;
     std::size_t waiting_tasks_{};
+    /*! Latest time at which no further long query, and no further query at all, could be answered at once. */
+    instant long_calls_busy_at_{};
+    instant all_vms_busy_at_{};
     std::size_t long_queries_{};
     std::size_t short_queries_{};
     std::int64_t used_millicores_{};
