Extend the leases of a worker that leaves in time although one poll fails

Found by review, by reading: with polls that wait for a second and time out after 2.2 s, a lease of 3 s lapses if one poll of a worker that leaves is lost. Such workers are polled with a wait of 250 ms; a static_assert checks the sum.

A boot that this leader is the first to poll may have executed a late extension that was meant for an earlier boot under the same id: its leases count as the longest until then.

--- a/src/kingcuplink/site/fleet_leader.cpp
+++ b/src/kingcuplink/site/fleet_leader.cpp
@@ -237,7 +237,7 @@
     auto const acknowledged = dispatcher_.begin_poll(name, is_long);
     poll_request request{command_token(term_, acknowledged.epoch), acknowledged.number, millis{}, std::nullopt};
     if(is_long) {
-        request.wait = timing::poll_wait;
+        request.wait = dispatcher_.is_leaving(name) ? timing::leaving_poll_wait : timing::poll_wait;
         if(auto const lease = clocks_.request(name, boot, sent_at, lease_for(name));
             lease && may_extend_leases(sent_at)) {
             request.expires_at = lease->expires_at;
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -9,10 +9,7 @@
 
 /*! Longest lease requested from workers; it outlasts a change of leaders, which takes about 4 s. */
 inline constexpr millis max_lease{8'000};
-/*!
- * Lease requested from workers that leave. The tasks of a worker that has left start again once its lease has expired;
- * a few polls may fail before.
- */
+/*! Lease requested from workers that leave: the tasks of one that has left start again once its lease has expired. */
 inline constexpr millis leaving_worker_lease{3'000};
 /*! Time between the leader's heartbeats to other entry VMs. */
 inline constexpr millis heartbeat_interval{200};
@@ -155,6 +152,10 @@
 inline constexpr millis start_relay_lifetime{300};
 /*! Time for which an entry VM that did not answer a relayed start, or declined it, relays no others. */
 inline constexpr millis failed_relay_pause{2'000};
+/*! Longest time that a worker that leaves may delay its answer to a poll. */
+inline constexpr millis leaving_poll_wait{250};
+static_assert(2 * (leaving_poll_wait + poll_spacing) + worker_timeout + poll_retry_delay < leaving_worker_lease,
+    "the leases of a worker that leaves are extended in time although one poll fails");
 /*! Time limit for an adviser's answer, in addition to its expected duration. */
 inline constexpr millis advice_slack{1'500};
 /*! Time limit for the answer to a relayed start, in addition to the times that the entry VM has to send it. */
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -112,6 +112,9 @@
     state_.workers[id].answered_poll_sent_at = sent_at;
     if(is_other_boot) {
         reset_for_boot(id, inventory.boot, now);
+    } else if(known_boot == 0u) {
+        // The boot may have executed a late extension that was meant for an earlier one.
+        state_.workers[id].raise_lease_expiry(now + state_.limits.longest_lease);
     }
     state_.workers[id].boot = inventory.boot;
     for(auto const &end: inventory.ended) {
--- a/test/workflow/dispatcher_test.cpp
+++ b/test/workflow/dispatcher_test.cpp
@@ -717,6 +717,11 @@
         for(auto const &host: fleet.workers) {
             report(host.entry.name, {});
         }
+        // The boots may have got leases from an earlier leader until now.
+        fleet.now += any_boot;
+        for(auto const &host: fleet.workers) {
+            report(host.entry.name, {});
+        }
         fleet.submit(scripted_fleet::job("a", make_step(2u, 60'000, true)));
         approve(plan());
         auto const starts = plan_and_commit(fleet);
--- a/test/workflow/simulated_leader.cpp
+++ b/test/workflow/simulated_leader.cpp
@@ -144,7 +144,7 @@
     poll_request request{command_token(term_, acknowledged.epoch), acknowledged.number, millis{}, std::nullopt};
     target.boot = is_known_boot ? target.boot : 0u;
     if(is_long) {
-        request.wait = timing::poll_wait;
+        request.wait = dispatcher_.is_leaving(name) ? timing::leaving_poll_wait : timing::poll_wait;
         if(auto const lease = clocks_.request(name, boot, sent_at, lease_for(name));
             lease && may_extend_leases(sent_at)) {
             request.expires_at = lease->expires_at;
--- a/test/workflow/simulated_leader.hpp
+++ b/test/workflow/simulated_leader.hpp
@@ -166,8 +166,8 @@
     void run_heartbeats();
     void fenced();
     [[nodiscard]] std::uint64_t token_for(std::string const &worker) const;
-    /*! Returns true if the last append is recent enough to grant and renew leases. */
     [[nodiscard]] millis lease_for(std::string const &worker) const;
+    /*! Returns true if the last append is recent enough to grant and renew leases. */
     [[nodiscard]] bool may_extend_leases(instant now) const;
 
     leader_host &host_;
