Report where the control thread's time goes, and tasks and capacity by tier

leader_load has control_thread: processor time by activity, other, and waiting add up to the interval; timer_delay is the delay of the planner's pauses. tiers has waiting and running tasks and their cores by tier and precedence; capacity the usable and available sums. No decision changes.

--- a/src/kingcuplink/core/counters.cpp
+++ b/src/kingcuplink/core/counters.cpp
@@ -20,6 +20,9 @@
 constexpr std::array<std::string_view, traffic_count> traffic_names{
     "other", "log_append", "log_read", "worker_poll", "worker_start", "worker_stop", "advice"};
 
+constexpr std::array<std::string_view, activity_count> activity_names{
+    "polls", "planning", "appends", "starts", "stops", "advice", "log_records", "registrations"};
+
 void append_line(
     std::string &text, std::string_view const name, std::string_view const label, std::uint64_t const value) {
     text.append("kingcuplink_").append(name).append("_total");
@@ -35,8 +38,19 @@
     text.append("\",direction=\"").append(direction).append("\"} ").append(std::to_string(value)).append("\n");
 }
 
+void append_processor_time(
+    std::string &text, std::string_view const activity, std::chrono::nanoseconds const time) {
+    auto const seconds = std::chrono::duration<double>(time).count();
+    text.append("kingcuplink_control_processor_seconds_total{activity=\"").append(activity);
+    text.append("\"} ").append(std::to_string(seconds)).append("\n");
+}
+
 } // namespace internal
 
+std::string_view name_of(activity const what) noexcept {
+    return internal::activity_names[static_cast<std::size_t>(what)];
+}
+
 std::string_view name_of(traffic const purpose) noexcept {
     return internal::traffic_names[static_cast<std::size_t>(purpose)];
 }
@@ -59,6 +73,10 @@
         internal::append_bytes(text, name_of(purpose), "sent", bytes_sent(purpose));
         internal::append_bytes(text, name_of(purpose), "received", bytes_received(purpose));
     }
+    for(std::size_t pos{}; pos < activity_count; ++pos) {
+        auto const what = static_cast<activity>(pos);
+        internal::append_processor_time(text, name_of(what), processor_time(what));
+    }
     return text;
 }
 
--- a/src/kingcuplink/core/counters.hpp
+++ b/src/kingcuplink/core/counters.hpp
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <kingcuplink/core/refusal.hpp>
 #include <string>
@@ -80,6 +81,29 @@
     count
 };
 
+/*! Activity of the control thread of a leader, by which its processor time is counted. */
+enum class activity : std::uint8_t {
+    /*! Applying the lists of workers. */
+    polls,
+    planning,
+    /*! Encoding records, and applying them once they are committed. */
+    appends,
+    starts,
+    stops,
+    /*! Applying answers of the adviser. */
+    advice,
+    /*! Applying records that were read from the stream of jobs. */
+    log_records,
+    registrations,
+    count
+};
+
+/*! Number of activities. */
+inline constexpr std::size_t activity_count = static_cast<std::size_t>(activity::count);
+
+/*! Returns the name of an activity. */
+[[nodiscard]] std::string_view name_of(activity what) noexcept;
+
 /*! Number of purposes. */
 inline constexpr std::size_t traffic_count = static_cast<std::size_t>(traffic::count);
 
@@ -113,6 +137,18 @@
         received_[static_cast<std::size_t>(purpose)].fetch_add(received, std::memory_order_relaxed);
     }
 
+    /*! Adds processor time to the counter of an activity. Precondition: the time is not negative. */
+    void add(activity const what, std::chrono::nanoseconds const time) noexcept {
+        processor_time_[static_cast<std::size_t>(what)].fetch_add(
+            static_cast<std::uint64_t>(time.count()), std::memory_order_relaxed);
+    }
+
+    /*! Returns the processor time of an activity. */
+    [[nodiscard]] std::chrono::nanoseconds processor_time(activity const what) const noexcept {
+        return std::chrono::nanoseconds{
+            processor_time_[static_cast<std::size_t>(what)].load(std::memory_order_relaxed)};
+    }
+
     /*! Returns the number of bytes sent for a purpose. */
     [[nodiscard]] std::uint64_t bytes_sent(traffic const purpose) const noexcept {
         return sent_[static_cast<std::size_t>(purpose)].load(std::memory_order_relaxed);
@@ -145,6 +181,8 @@
     cells<event_count> events_{};
     cells<traffic_count> sent_{};
     cells<traffic_count> received_{};
+    /*! In nanoseconds. */
+    cells<activity_count> processor_time_{};
 };
 
 } // namespace kingcuplink
--- a/src/kingcuplink/core/fwd.hpp
+++ b/src/kingcuplink/core/fwd.hpp
@@ -23,8 +23,12 @@
 
 struct problem;
 
+enum class activity : std::uint8_t;
+
 class counters;
 
+class work_timer;
+
 } // namespace kingcuplink
 
 #endif
--- a/src/kingcuplink/site/fleet_leader.cpp
+++ b/src/kingcuplink/site/fleet_leader.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <functional>
 #include <kingcuplink/core/json_fields.hpp>
+#include <kingcuplink/core/work_timer.hpp>
 #include <kingcuplink/platform/http_client.hpp>
 #include <kingcuplink/platform/pause.hpp>
 #include <kingcuplink/site/fleet_leader.hpp>
@@ -19,6 +20,7 @@
 
 /*! Number of keys whose rejected registrations are logged; further ones are only counted. */
 constexpr std::size_t max_rejected_registrations = 256u;
+constexpr std::int64_t millicores_per_core = 1'000;
 
 std::uint64_t size_of(keyed_record const &record) {
     return record.key.size() + (record.value ? record.value->size() : 0u);
@@ -32,6 +34,22 @@
     return {{"job", key.job}, {"task", task_name(key)}, {"run", key.run}, {"worker", worker}, {"boot", boot}};
 }
 
+boost::json::object tier_fields(dispatch_statistics const &figures) {
+    boost::json::object result;
+    for(std::size_t tier{}; tier < service_tier_count; ++tier) {
+        for(auto const is_ordinary: {false, true}) {
+            auto const &row = figures.tiers[tier][is_ordinary ? 1u : 0u];
+            if(row.waiting > 0u || row.running > 0u) {
+                auto const name = std::string{name_of(static_cast<service_tier>(tier))} +
+                    (is_ordinary ? "" : "_urgent");
+                result[name] = {{"waiting", row.waiting}, {"running", row.running},
+                    {"cores", row.used.millicores / millicores_per_core}};
+            }
+        }
+    }
+    return result;
+}
+
 } // namespace internal
 
 fleet_leader::fleet_leader(node_parts const parts, peer_link &peers, std::uint64_t const term,
@@ -49,7 +67,7 @@
               settle_question(asker, query, grants);
           }},
       relay_{parts, peers, known_peers_, term},
-      load_{parts.stats, current_time()},
+      load_{parts.stats, thread_processor_time(), current_time()},
       clocks_{parts.settings.lease_limit},
       plan_wakeup_{parts.context},
       append_wakeup_{parts.context},
@@ -157,6 +175,7 @@
 }
 
 void fleet_leader::apply_registrations(keyed_batch const &batch) {
+    work_timer const timer{parts_.stats, activity::registrations};
     std::set<std::string> present;
     auto const now = current_time();
     for(auto const &record: batch.records) {
@@ -262,6 +281,7 @@
     if(answer.outcome != poll_outcome::answered) {
         co_return false;
     }
+    work_timer const timer{parts_.stats, activity::polls};
     auto const now = current_time();
     auto const known_boot = dispatcher_.boot_of(name);
     if(known_boot != 0u && known_boot != answer.inventory.boot) {
@@ -296,11 +316,14 @@
     while(!ended_) {
         co_await plan_wakeup_.wait(timing::plan_interval);
         auto const length = ended_ ? millis{} : plan();
-        co_await pause(std::max(timing::plan_spacing, length * timing::plan_pause_factor));
+        auto const continue_at = current_time() + std::max(timing::plan_spacing, length * timing::plan_pause_factor);
+        co_await pause(continue_at - current_time());
+        load_.record_timer_delay(std::max(millis{}, current_time() - continue_at));
     }
 }
 
 millis fleet_leader::plan() {
+    work_timer const timer{parts_.stats, activity::planning};
     auto const begun = std::chrono::steady_clock::now();
     auto const now = current_time();
     remove_silent_peers(now);
@@ -334,31 +357,8 @@
         if(ended_) {
             break;
         }
-        auto batch = dispatcher_.next_batch();
-        std::vector<keyed_record> records;
-        for(auto &[id, progress]: batch.records) {
-            if(auto const dropped = drop_excess_checkpoints(progress); dropped > 0u) {
-                parts_.decisions.write(decision::checkpoints_dropped,
-                    {{"job", id}, {"part", progress.part.value_or(0u)}, {"tasks", dropped}});
-            }
-            records.push_back(encode(id, progress));
-            if(is_final(progress.phase)) {
-                parts_.decisions.write(decision::job_ended, {{"job", id}, {"phase", name_of(progress.phase)}});
-            }
-        }
-        for(auto const &[id, part]: batch.obsolete_parts) {
-            records.push_back(encode_part_removal(id, part));
-        }
-        records.insert(records.end(), removals_.begin(), removals_.end());
-        removals_.clear();
-        if(records.empty() && appended_at_ + timing::leader_record_interval <= current_time()) {
-            records.push_back(own_claim());
-        }
-        for(auto const &job: batch.ended_jobs) {
-            // Replaces the definition of an ended job by a reduced one, which makes snapshots smaller.
-            records.push_back(encode(job));
-            parts_.times.add(latency::job, current_time() - job.accepted_at);
-        }
+        auto batch = take_batch();
+        auto records = encode_batch(batch);
         if(!records.empty() && !co_await append_records(std::move(records))) {
             break;
         }
@@ -372,14 +372,53 @@
                 break;
             }
         }
-        notify_job_ends(batch);
-        std::vector<run_start> starts;
-        dispatcher_.batch_committed(batch, current_time(), starts);
-        for(auto &start: starts) {
-            boost::asio::co_spawn(parts_.context, start_run(shared_from_this(), std::move(start)), fail_fast);
+        apply_committed(batch);
+    }
+}
+
+progress_batch fleet_leader::take_batch() {
+    work_timer const timer{parts_.stats, activity::appends};
+    return dispatcher_.next_batch();
+}
+
+std::vector<keyed_record> fleet_leader::encode_batch(progress_batch &batch) {
+    work_timer const timer{parts_.stats, activity::appends};
+    std::vector<keyed_record> records;
+    for(auto &[id, progress]: batch.records) {
+        if(auto const dropped = drop_excess_checkpoints(progress); dropped > 0u) {
+            parts_.decisions.write(decision::checkpoints_dropped,
+                {{"job", id}, {"part", progress.part.value_or(0u)}, {"tasks", dropped}});
+        }
+        records.push_back(encode(id, progress));
+        if(is_final(progress.phase)) {
+            parts_.decisions.write(decision::job_ended, {{"job", id}, {"phase", name_of(progress.phase)}});
         }
-        plan_wakeup_.notify();
     }
+    for(auto const &[id, part]: batch.obsolete_parts) {
+        records.push_back(encode_part_removal(id, part));
+    }
+    records.insert(records.end(), removals_.begin(), removals_.end());
+    removals_.clear();
+    if(records.empty() && appended_at_ + timing::leader_record_interval <= current_time()) {
+        records.push_back(own_claim());
+    }
+    for(auto const &job: batch.ended_jobs) {
+        // Replaces the definition of an ended job by a reduced one, which makes snapshots smaller.
+        records.push_back(encode(job));
+        parts_.times.add(latency::job, current_time() - job.accepted_at);
+    }
+    return records;
+}
+
+void fleet_leader::apply_committed(progress_batch const &batch) {
+    work_timer const timer{parts_.stats, activity::appends};
+    notify_job_ends(batch);
+    std::vector<run_start> starts;
+    dispatcher_.batch_committed(batch, current_time(), starts);
+    for(auto &start: starts) {
+        boost::asio::co_spawn(parts_.context, start_run(shared_from_this(), std::move(start)), fail_fast);
+    }
+    plan_wakeup_.notify();
 }
 
 keyed_record fleet_leader::own_claim() const {
@@ -438,6 +477,17 @@
     if(ended_) {
         co_return;
     }
+    apply_start_answer(run, outcome);
+    if(answer == start_answer::fenced && outcome.token == token_for(run.worker)) {
+        fenced("worker " + run.worker);
+    }
+    plan_wakeup_.notify();
+    append_wakeup_.notify();
+}
+
+void fleet_leader::apply_start_answer(run_start const &run, start_outcome const &outcome) {
+    work_timer const timer{parts_.stats, activity::starts};
+    auto const answer = outcome.answer;
     dispatcher_.start_answered(run.placement, answer, current_time());
     if(answer == start_answer::unknown) {
         boost::asio::co_spawn(parts_.context, poll_immediately(shared_from_this(), run.worker), fail_fast);
@@ -460,11 +510,6 @@
         parts_.decisions.write(decision::run_start_refused, std::move(fields));
         break;
     }
-    if(answer == start_answer::fenced && outcome.token == token_for(run.worker)) {
-        fenced("worker " + run.worker);
-    }
-    plan_wakeup_.notify();
-    append_wakeup_.notify();
 }
 
 boost::asio::awaitable<fleet_leader::start_outcome> fleet_leader::send_start_repeatedly(run_start run) {
@@ -539,6 +584,7 @@
     if(ended_) {
         co_return;
     }
+    work_timer const timer{parts_.stats, activity::stops};
     dispatcher_.stop_answered(stop.placement, answered, current_time());
     if(answered) {
         boost::asio::co_spawn(parts_.context, poll_immediately(shared_from_this(), stop.worker), fail_fast);
@@ -626,7 +672,7 @@
         return;
     }
     auto const figures = dispatcher_.figures(now);
-    auto fields = load_.next(parts_.stats, now);
+    auto fields = load_.next(parts_.stats, thread_processor_time(), now);
     fields["term"] = term_;
     fields["jobs"] = figures.jobs;
     fields["waiting_tasks"] = figures.waiting_tasks;
@@ -636,6 +682,10 @@
     fields["queries"] = boost::json::object{{"short", figures.short_queries},
         {"short_limit", figures.short_query_limit}, {"long", figures.long_queries},
         {"long_limit", figures.long_query_limit}};
+    fields["tiers"] = internal::tier_fields(figures);
+    fields["capacity"] = boost::json::object{{"cores", figures.usable.millicores / internal::millicores_per_core},
+        {"cores_available", figures.available.millicores / internal::millicores_per_core},
+        {"memory_mib", figures.usable.memory_mib}, {"memory_available_mib", figures.available.memory_mib}};
     parts_.decisions.write(decision::leader_load, std::move(fields));
 }
 
@@ -666,6 +716,7 @@
     if(ended_) {
         return;
     }
+    work_timer const timer{parts_.stats, activity::advice};
     auto const now = current_time();
     if(grants) {
         dispatcher_.take_advice(query, *grants, now);
--- a/src/kingcuplink/site/fleet_leader.hpp
+++ b/src/kingcuplink/site/fleet_leader.hpp
@@ -112,6 +112,11 @@
     void log_run_changes();
     void log_unknown_run(unknown_run const &run);
     boost::asio::awaitable<void> run_appender(self_pointer self);
+    [[nodiscard]] progress_batch take_batch();
+    /*! Returns the records of a batch, and those that are due regardless of it. */
+    [[nodiscard]] std::vector<keyed_record> encode_batch(progress_batch &batch);
+    /*! Sends the starts of a batch that is committed, and tells the other entry VMs of ended jobs. */
+    void apply_committed(progress_batch const &batch);
     /*! Appends records to the log, retrying until they are committed; returns false if the leader has ended. */
     boost::asio::awaitable<bool> append_records(std::vector<keyed_record> records);
     [[nodiscard]] keyed_record own_claim() const;
@@ -124,6 +129,8 @@
         std::uint32_t attempts{};
     };
 
+    /*! Applies the answer to a start and logs it. */
+    void apply_start_answer(run_start const &run, start_outcome const &outcome);
     /*! Sends a start, and sends it again without an answer for as long as that may help. */
     boost::asio::awaitable<start_outcome> send_start_repeatedly(run_start run);
     /*! Sends a start once, through another entry VM while the load calls for it. */
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <cctype>
 #include <kingcuplink/core/config.hpp>
+#include <kingcuplink/core/work_timer.hpp>
 #include <kingcuplink/platform/http_client.hpp>
 #include <kingcuplink/platform/pause.hpp>
 #include <kingcuplink/site/site_node.hpp>
@@ -301,6 +302,7 @@
 }
 
 void site_node::apply_jobs(keyed_batch batch) {
+    work_timer const timer{parts_.stats, activity::log_records};
     if(batch.is_snapshot) {
         // Snapshots are ordered by key, but jobs must be defined before records that refer to them are applied.
         std::stable_sort(batch.records.begin(), batch.records.end(), [](auto const &lhs, auto const &rhs) {
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -39,6 +39,11 @@
     }
 }
 
+/*! Returns the statistics of the tasks of a rank. */
+tier_statistics &tier_of(dispatch_statistics &figures, service_rank const &rank) noexcept {
+    return figures.tiers[static_cast<std::size_t>(rank.tier)][rank.is_ordinary ? 1u : 0u];
+}
+
 /*! Returns the progress of all started tasks, by part. */
 std::vector<std::vector<task_progress>> parts_of(live_job const &job, dispatch_state const &state) {
     progress_parts const map{job.definition.steps};
@@ -575,12 +580,27 @@
     result.long_queries = state_.long_queries;
     result.long_query_limit = adviser_pool::long_call_limit(state_.querying_vms);
     for(auto const &job: state_.jobs.values()) {
-        for(auto const &step: job.steps) {
-            result.waiting_tasks += step.blocked_by == 0u && !is_final(job.phase) ? step.waiting : 0u;
+        for(std::uint32_t pos{}; pos < job.steps.size(); ++pos) {
+            auto const &step = job.steps[pos];
+            if(step.blocked_by == 0u && !is_final(job.phase)) {
+                result.waiting_tasks += step.waiting;
+                internal::tier_of(result, rank_of(job.objective, pos, job.is_excess, now)).waiting += step.waiting;
+            }
+        }
+    }
+    for(auto const &run: state_.placements.values()) {
+        if(auto const *job = run.is_known ? state_.jobs.find(run.job) : nullptr; job != nullptr) {
+            auto &tier = internal::tier_of(result, rank_of(job->objective, run.key.step, job->is_excess, now));
+            ++tier.running;
+            tier.used += run.charge;
         }
     }
     for(auto const &worker: state_.workers.values()) {
-        result.usable_workers += internal::is_usable(worker, *state_.rules, now) ? 1u : 0u;
+        if(internal::is_usable(worker, *state_.rules, now)) {
+            ++result.usable_workers;
+            result.usable += worker.registration.capacity;
+            result.available += worker.registration.capacity - worker.used;
+        }
     }
     return result;
 }
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -184,6 +184,14 @@
     std::size_t unused_answers{};
 };
 
+/*! Tasks of one tier, and of queues with or without precedence over all others. */
+struct tier_statistics {
+    std::size_t waiting{};
+    std::size_t running{};
+    /*! Capacity that the running tasks use. */
+    resources used{};
+};
+
 /*! Statistics for status and metrics. */
 struct dispatch_statistics {
     std::size_t jobs{};
@@ -196,6 +204,11 @@
     std::size_t short_query_limit{};
     std::size_t long_queries{};
     std::size_t long_query_limit{};
+    /*! Tasks by present tier of their steps; first those of queues with precedence, then the others. */
+    std::array<std::array<tier_statistics, 2u>, service_tier_count> tiers{};
+    /*! Capacity of the workers that accept new runs, and the part of it that is not used. */
+    resources usable{};
+    resources available{};
 };
 
 /*!
@@ -349,7 +362,7 @@
     /*! Returns the runs without an answer to their start that were listed since the last call, for the decision log. */
     [[nodiscard]] std::vector<late_confirmation> take_late_confirmations();
 
-    /*! Returns the current statistics. */
+    /*! Returns the current statistics. Takes time in proportion to the tasks of all jobs. */
     [[nodiscard]] dispatch_statistics figures(instant now) const;
 
     /*! Returns the registration of a worker that is registered or may have runs, or null. */
--- a/src/kingcuplink/workflow/objective.cpp
+++ b/src/kingcuplink/workflow/objective.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 #include <kingcuplink/workflow/objective.hpp>
 
 namespace kingcuplink {
@@ -16,6 +17,8 @@
 /*! Seconds of usual traffic that may arrive in one burst before it counts as excess. */
 constexpr double burst_seconds = 2.0;
 
+constexpr std::array<std::string_view, service_tier_count> tier_names{"in_time", "late", "too_late", "excess"};
+
 millis estimated_duration(step_definition const &step, job_terms const &terms) {
     auto part = step.estimate;
     if(terms.advice) {
@@ -26,6 +29,10 @@
 
 } // namespace internal
 
+std::string_view name_of(service_tier const tier) noexcept {
+    return internal::tier_names[static_cast<std::size_t>(tier)];
+}
+
 job_objective objective_of(job_definition const &job, job_terms const &terms) {
     job_objective result;
     result.is_top_priority = terms.priority == 0;
--- a/src/kingcuplink/workflow/objective.hpp
+++ b/src/kingcuplink/workflow/objective.hpp
@@ -2,11 +2,13 @@
 #define KINGCUPLINK_WORKFLOW_OBJECTIVE_HPP_INCLUDED
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <kingcuplink/workflow/site_rules.hpp>
 #include <kingcuplink/workflow/types.hpp>
 #include <optional>
 #include <span>
+#include <string_view>
 #include <vector>
 
 namespace kingcuplink {
@@ -20,9 +22,16 @@
     /*! The job cannot end within three times its objective. */
     too_late,
     /*! The job exceeds the usual rate of its client account. */
-    excess
+    excess,
+    count
 };
 
+/*! Number of tiers. */
+inline constexpr std::size_t service_tier_count = static_cast<std::size_t>(service_tier::count);
+
+/*! Returns the name of a tier. */
+[[nodiscard]] std::string_view name_of(service_tier tier) noexcept;
+
 /*! Deadlines of a job, and the estimates they are based on. */
 struct job_objective {
     /*! Latest end at which the job has its full value. */
