--- a/src/kingcuplink/core/counters.cpp
+++ b/src/kingcuplink/core/counters.cpp
@@ -38,8 +38,7 @@
     text.append("\",direction=\"").append(direction).append("\"} ").append(std::to_string(value)).append("\n");
 }
 
-void append_processor_time(
-    std::string &text, std::string_view const activity, std::chrono::nanoseconds const time) {
+void append_processor_time(std::string &text, std::string_view const activity, std::chrono::nanoseconds const time) {
     auto const seconds = std::chrono::duration<double>(time).count();
     text.append("kingcuplink_control_processor_seconds_total{activity=\"").append(activity);
     text.append("\"} ").append(std::to_string(seconds)).append("\n");
--- a/src/kingcuplink/site/fleet_leader.cpp
+++ b/src/kingcuplink/site/fleet_leader.cpp
@@ -386,8 +386,8 @@
     std::vector<keyed_record> records;
     for(auto &[id, progress]: batch.records) {
         if(auto const dropped = drop_excess_checkpoints(progress); dropped > 0u) {
-            parts_.decisions.write(decision::checkpoints_dropped,
-                {{"job", id}, {"part", progress.part.value_or(0u)}, {"tasks", dropped}});
+            parts_.decisions.write(
+                decision::checkpoints_dropped, {{"job", id}, {"part", progress.part.value_or(0u)}, {"tasks", dropped}});
         }
         records.push_back(encode(id, progress));
         if(is_final(progress.phase)) {
