Let entry VMs that are too small to lead read the jobs after the larger ones

The VM that led before had read 1.05 MB after 2030 ms and 1.57 MB after 3197 ms, and may claim only then. Once it leads, starts begin within 0.5 s: leaders, polls and the adviser are ruled out. Class: everybody is served equally slowly from a shared resource, where one has to be served first.

Change: the record of a claim has the leader's processor time.

The test failed before on 'all restart': the small VMs had begun to read before there was a leader.

--- a/src/kingcuplink/site/fleet_leader.cpp
+++ b/src/kingcuplink/site/fleet_leader.cpp
@@ -104,7 +104,7 @@
     auto const self = shared_from_this();
     end();
     std::vector<keyed_record> records;
-    records.push_back(encode(leader_claim{term_, parts_.settings.name, parts_.settings.peer_address, true}));
+    records.push_back(own_claim(true));
     // Not retried: if it fails, the other entry VMs claim leadership after their time-outs.
     co_await parts_.log.append(log_stream::jobs, std::move(records), log_writer{term_, ++sequence_});
     parts_.decisions.write(decision::leadership_ended, {{"term", term_}, {"reason", reason}});
@@ -367,7 +367,7 @@
         }
         if(!may_extend_leases(current_time())) {
             // The append took so long that another entry VM may have become the leader: another append detects it.
-            std::vector<keyed_record> proof{own_claim()};
+            std::vector<keyed_record> proof{own_claim(false)};
             if(!co_await append_records(std::move(proof))) {
                 break;
             }
@@ -400,7 +400,7 @@
     records.insert(records.end(), removals_.begin(), removals_.end());
     removals_.clear();
     if(records.empty() && appended_at_ + timing::leader_record_interval <= current_time()) {
-        records.push_back(own_claim());
+        records.push_back(own_claim(false));
     }
     for(auto const &job: batch.ended_jobs) {
         // Replaces the definition of an ended job by a reduced one, which makes snapshots smaller.
@@ -421,8 +421,9 @@
     plan_wakeup_.notify();
 }
 
-keyed_record fleet_leader::own_claim() const {
-    return encode(leader_claim{term_, parts_.settings.name, parts_.settings.peer_address, false});
+keyed_record fleet_leader::own_claim(bool const resigned) const {
+    auto const &own = parts_.settings;
+    return encode(leader_claim{term_, own.name, own.peer_address, resigned, own.processor_millicores});
 }
 
 boost::asio::awaitable<bool> fleet_leader::append_records(std::vector<keyed_record> records) {
--- a/src/kingcuplink/site/fleet_leader.hpp
+++ b/src/kingcuplink/site/fleet_leader.hpp
@@ -119,7 +119,7 @@
     void apply_committed(progress_batch const &batch);
     /*! Appends records to the log, retrying until they are committed; returns false if the leader has ended. */
     boost::asio::awaitable<bool> append_records(std::vector<keyed_record> records);
-    [[nodiscard]] keyed_record own_claim() const;
+    [[nodiscard]] keyed_record own_claim(bool resigned) const;
     boost::asio::awaitable<void> start_run(self_pointer self, run_start run);
     /*! Outcome of a start, whose copies were sent one after another. */
     struct start_outcome {
--- a/src/kingcuplink/site/record_codec.cpp
+++ b/src/kingcuplink/site/record_codec.cpp
@@ -9,6 +9,8 @@
 namespace internal {
 
 constexpr std::string_view leader_key{"leader"};
+/*! Precedes the key of claims, and no other key is between the two. */
+constexpr std::string_view key_before_leader{"leade"};
 /*! Key prefixes, indexed by record_kind. */
 constexpr std::array<std::string_view, 3u> key_prefixes{"job/", "progress/", "cancel/"};
 /*! Value of a cancellation that earlier versions wrote. */
@@ -180,9 +182,14 @@
     record.set_name(claim.name);
     record.set_peer_address(claim.peer_address);
     record.set_resigned(claim.resigned);
+    record.set_processor_millicores(claim.processor_millicores);
     return {std::string{internal::leader_key}, record.SerializeAsString()};
 }
 
+std::string key_before_claims() {
+    return std::string{internal::key_before_leader};
+}
+
 keyed_record encode_cancellation(std::string const &id, instant const requested_at) {
     return {internal::key_of(record_kind::cancellation, id), std::to_string(requested_at.time_since_epoch().count())};
 }
@@ -244,7 +251,8 @@
     if(!record) {
         return std::nullopt;
     }
-    return leader_claim{record->term(), record->name(), record->peer_address(), record->resigned()};
+    return leader_claim{
+        record->term(), record->name(), record->peer_address(), record->resigned(), record->processor_millicores()};
 }
 
 } // namespace kingcuplink
--- a/src/kingcuplink/site/record_codec.hpp
+++ b/src/kingcuplink/site/record_codec.hpp
@@ -18,6 +18,8 @@
     std::string name;
     std::string peer_address;
     bool resigned{};
+    /*! Processor time of the leader's entry VM, in thousandths of a core; zero if unknown. */
+    std::uint32_t processor_millicores{};
 };
 
 /*! Components of a record's key. */
@@ -41,6 +43,9 @@
 /*! @copydoc encode */
 [[nodiscard]] keyed_record encode(leader_claim const &claim);
 
+/*! Returns the key after which a page of newest records begins with the latest claim. */
+[[nodiscard]] std::string key_before_claims();
+
 /*! Encodes the request to cancel a job, which arrived at a time by the clock of the entry VM that received it. */
 [[nodiscard]] keyed_record encode_cancellation(std::string const &id, instant requested_at);
 
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -23,6 +23,8 @@
 constexpr millis removal_interval{5'000};
 /*! Time between checks of the leader. */
 constexpr millis leader_check_interval{50};
+/*! Time between checks for the first heartbeat. */
+constexpr millis heartbeat_check_interval{20};
 /*! Time between checks for the job of a relayed start. */
 constexpr millis job_check_interval{20};
 /*! Time between clearing the readiness and resigning leadership, for the load balancer to react. */
@@ -159,7 +161,7 @@
         parts_.decisions.write(decision::job_accepted,
             {{"job", id}, {"queue", job.queue}, {"account", job.account}, {"rules", rules_->version},
                 {"ms", (current_time() - job.accepted_at).count()},
-                {"log_age_ms", (current_time() - jobs_reader_.fresh_at()).count()}});
+                {"log_age_ms", jobs_reader_.is_synced() ? (current_time() - jobs_reader_.fresh_at()).count() : -1}});
         define(std::move(job));
         co_return caller_answer{std::nullopt, job_table::visible_phase(*known_jobs_.find(id)), std::nullopt};
     case append_outcome::unknown:
@@ -243,7 +245,29 @@
 
 // The log.
 
+boost::asio::awaitable<void> site_node::await_turn_to_read_jobs() {
+    auto const page = co_await parts_.log.newest(log_stream::jobs, key_before_claims());
+    std::optional<leader_claim> latest;
+    for(auto const &record: page.records) {
+        auto const name = parse_record_key(record.key);
+        if(name && name->kind == record_kind::leader && record.value) {
+            latest = decode_leader(*record.value);
+        }
+    }
+    if(!latest) {
+        co_return;
+    }
+    auto const is_small = has_twice_the_processor(latest->processor_millicores, parts_.settings.processor_millicores);
+    // From the claim, introduce() knows where to ask for a heartbeat.
+    handle_claim(std::move(*latest));
+    auto const read_at = current_time() + timing::small_vm_read_delay;
+    while(is_small && !watch_.has_heartbeats() && current_time() < read_at) {
+        co_await pause(internal::heartbeat_check_interval);
+    }
+}
+
 boost::asio::awaitable<void> site_node::follow_jobs() {
+    co_await await_turn_to_read_jobs();
     while(true) {
         auto const wait = read_wait();
         auto const sent_at = current_time();
@@ -494,7 +518,8 @@
     // sequence.
     auto const sequence = random_() >> 16u;
     std::vector<keyed_record> records;
-    records.push_back(encode(leader_claim{term, parts_.settings.name, parts_.settings.peer_address, false}));
+    auto const &own = parts_.settings;
+    records.push_back(encode(leader_claim{term, own.name, own.peer_address, false, own.processor_millicores}));
     parts_.decisions.write(decision::leadership_claimed,
         {{"term", term}, {"sequence", sequence}, {"earlier", watch_.claim().name}, {"reason", name_of(reason)},
             {"silent_ms", watch_.silence(current_time()).count()},
--- a/src/kingcuplink/site/site_node.hpp
+++ b/src/kingcuplink/site/site_node.hpp
@@ -102,6 +102,12 @@
 
     // The log.
     boost::asio::awaitable<void> follow_jobs();
+    /*!
+     * Waits until this entry VM should read the snapshot of all jobs. All entry VMs share the log's bandwidth: after a
+     * restart of many, the ones that are large enough to lead read first. The others wait for a heartbeat, for
+     * timing::small_vm_read_delay at most.
+     */
+    boost::asio::awaitable<void> await_turn_to_read_jobs();
     boost::asio::awaitable<void> follow_rules();
     void apply_jobs(keyed_batch batch);
     /*! Records the duration of a read, and logs it if it was slow or the reader is behind. */
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -51,6 +51,11 @@
 inline constexpr millis claim_spread{200};
 /*! Additional delay of claims by entry VMs with little processor time; two times claim_spread. */
 inline constexpr millis small_vm_claim_delay{400};
+/*!
+ * Longest time for which an entry VM with little processor time lets larger ones read the jobs first, after its start
+ * and while no leader sends it heartbeats. Larger ones take about half of it to read and to claim.
+ */
+inline constexpr millis small_vm_read_delay{1'000};
 /*! Time after which a leader may yield to an entry VM with at least twice the processor time. */
 inline constexpr millis min_leadership_time{1'000};
 /*! Longest time between the leader's records: if there is nothing else to append, it repeats its claim. */
--- a/test/site/scripted_site.cpp
+++ b/test/site/scripted_site.cpp
@@ -123,6 +123,11 @@
 }
 
 boost::asio::awaitable<newest_page> gated_log::newest(log_stream const stream, std::string after) {
+    auto const is_snapshot = stream == log_stream::jobs && after.empty();
+    has_begun_snapshot = has_begun_snapshot || is_snapshot;
+    while(is_snapshot && holds_snapshot) {
+        co_await pause(read_pause);
+    }
     if(!is_open) {
         co_return newest_page{};
     }
@@ -402,6 +407,13 @@
     }
 }
 
+void scripted_site::restart_vm(std::size_t const pos) {
+    auto const settings = vms[pos]->settings;
+    // The address can be bound again once the former process has released it.
+    vms[pos].reset();
+    vms[pos] = std::make_unique<vm>(*this, settings.name, settings.peer_address, settings.processor_millicores);
+}
+
 queue_rules scripted_site::queue() {
     queue_rules queue;
     queue.name = "queue";
--- a/test/site/scripted_site.hpp
+++ b/test/site/scripted_site.hpp
@@ -97,6 +97,10 @@
     std::size_t appends{};
     /*! Number of records that this entry VM received in reads of the stream of jobs. */
     std::size_t records_read{};
+    /*! True once this entry VM has begun to read the newest records of all jobs. */
+    bool has_begun_snapshot{};
+    /*! True while reads of the newest records of all jobs get no answer. */
+    bool holds_snapshot{};
 
 private:
     memory_log &log_;
@@ -236,6 +240,9 @@
     /*! Starts as many entry VMs as there are, and kills those there were: the log alone tells them of jobs. */
     void replace_all_vms();
 
+    /*! Kills an entry VM and starts it again under its name and address. */
+    void restart_vm(std::size_t vm);
+
     /*! Returns the queue "queue" of the first version, at the path prefix "/p/". */
     [[nodiscard]] static queue_rules queue();
 
--- a/test/site/site_test.cpp
+++ b/test/site/site_test.cpp
@@ -1,5 +1,6 @@
 #include "scripted_site.hpp"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <kingcuplink/platform/http_client.hpp>
 #include <kingcuplink/site/record_codec.hpp>
@@ -688,6 +689,62 @@
     CHECK(site.leader() == second);
 }
 
+// After all entry VMs had restarted, all of them read the whole snapshot at once, and the one that was to lead had
+// read it after seconds only: the log's bandwidth is shared.
+TEST_CASE("entry VMs that are too small to lead read the jobs after the larger ones") {
+    enum class restart : std::uint8_t { all, all_but_leader, small_one };
+    struct row {
+        std::string_view name;
+        restart which;
+        bool waits_for_leader;
+    };
+    std::array<row, 3u> const rows{{
+        {"all restart", restart::all, true},
+        {"the leader stays", restart::all_but_leader, false},
+        {"a small one restarts", restart::small_one, false},
+    }};
+    std::array<std::uint32_t, 3u> const millicores{500u, 120u, 120u};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        scripted_site site{millicores};
+        auto const is_led_by_largest = [&]() { return site.vms[0]->node->leads(); };
+        site.run_until(is_led_by_largest);
+        REQUIRE(is_led_by_largest());
+        REQUIRE_FALSE(site.ask(1u, caller_operation::submit, "00000000000000f1").refused);
+        for(std::size_t pos{}; pos < site.vms.size(); ++pos) {
+            if(item.which == restart::all || (item.which == restart::all_but_leader && pos > 0u) || pos == 2u) {
+                site.restart_vm(pos);
+            }
+        }
+        site.run_until([&]() { return site.vms[2]->log.has_begun_snapshot || is_led_by_largest(); });
+        if(item.waits_for_leader) {
+            CHECK(is_led_by_largest());
+            CHECK_FALSE(site.vms[1]->log.has_begun_snapshot);
+            CHECK_FALSE(site.vms[2]->log.has_begun_snapshot);
+        }
+        auto const restarted_at = current_time();
+        site.run_until([&]() { return site.vms[2]->node->is_ready(); });
+        CHECK(site.vms[2]->node->is_ready());
+        CHECK(current_time() - restarted_at < timing::small_vm_read_delay);
+        CHECK(is_led_by_largest());
+    }
+}
+
+TEST_CASE("entry VMs that are too small to lead read the jobs also if no larger one is left") {
+    std::array<std::uint32_t, 2u> const millicores{500u, 120u};
+    scripted_site site{millicores};
+    site.run_until([&]() { return site.vms[0]->node->leads(); });
+    REQUIRE(site.vms[0]->node->leads());
+    site.vms[0]->is_alive = false;
+    site.restart_vm(1u);
+    auto const restarted_at = current_time();
+    site.run_until([&]() { return site.vms[1]->node->is_ready(); });
+    CHECK(site.vms[1]->node->is_ready());
+    CHECK(current_time() - restarted_at >= timing::small_vm_read_delay);
+    site.run_until([&]() { return site.vms[1]->node->leads(); });
+    CHECK(site.vms[1]->node->leads());
+}
+
 TEST_CASE("an entry VM that is cut off from the log refuses submissions at once") {
     // Callers in a failure domain that is cut off reach its entry VMs until their readiness is cleared.
     scripted_site site{2u};
