Accept submissions before the jobs are read

Callers: VMs that had restarted refused every call with 503 until they had read all jobs, for 2 to 4 s on the large site, although a leader was there to run what they handed in.

Cause: one check for all calls. Questions and cancellations still need the jobs.

The test failed before: the submission was refused with no_configuration.

--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -98,7 +98,9 @@
 
 boost::asio::awaitable<caller_answer> site_node::serve(caller_request request) {
     auto const rules = rules_;
-    if(rules == nullptr || !jobs_reader_.is_synced()) {
+    // A submission needs no other job: if its job is known already, the log ignores its definition.
+    auto const needs_jobs = request.operation != caller_operation::submit;
+    if(rules == nullptr || (needs_jobs && !jobs_reader_.is_synced())) {
         co_return internal::refused(refusal::no_configuration);
     }
     auto const *queue = find_queue(*rules, request.host, request.path);
--- a/test/site/site_test.cpp
+++ b/test/site/site_test.cpp
@@ -745,6 +745,49 @@
     CHECK(site.vms[1]->node->leads());
 }
 
+// An entry VM that had restarted refused all submissions until it had read all jobs, which took it seconds.
+TEST_CASE("an entry VM accepts submissions before it has read the jobs, and nothing else") {
+    scripted_site site{2u};
+    site.run_until([&]() { return site.leader() != nullptr; });
+    auto const restarted = site.follower();
+    REQUIRE_FALSE(site.ask(restarted, caller_operation::submit, "00000000000000f2").refused);
+    site.run_until([&]() { return site.workers.runs() == 1u; });
+    site.restart_vm(restarted);
+    site.vms[restarted]->log.holds_snapshot = true;
+    site.run_for(millis{200});
+    REQUIRE_FALSE(site.vms[restarted]->node->is_ready());
+    auto const fresh = site.ask(restarted, caller_operation::submit, "00000000000000f3");
+    CHECK_FALSE(fresh.refused);
+    CHECK(fresh.phase == job_phase::queued);
+    // A repetition of a job that this process has not read results in no second one.
+    CHECK_FALSE(site.ask(restarted, caller_operation::submit, "00000000000000f2").refused);
+    for(auto const operation: {caller_operation::ask, caller_operation::cancel}) {
+        auto const answer = site.ask(restarted, operation, "00000000000000f2");
+        REQUIRE(answer.refused);
+        CHECK(answer.refused->reason == refusal::no_configuration);
+    }
+    site.run_until([&]() { return site.workers.runs() == 2u; });
+    CHECK(site.workers.runs() == 2u);
+    site.vms[restarted]->log.holds_snapshot = false;
+    site.run_until([&]() { return site.vms[restarted]->node->is_ready(); });
+    REQUIRE(site.vms[restarted]->node->is_ready());
+    std::array<std::string, 2u> const ids{"00000000000000f2", "00000000000000f3"};
+    site.run_until([&]() {
+        site.workers.end_all();
+        return std::all_of(ids.begin(), ids.end(),
+            [&](auto const &id) { return site.ask(restarted, caller_operation::ask, id).phase == job_phase::done; });
+    });
+    for(auto const &id: ids) {
+        CAPTURE(id);
+        CHECK(site.ask(restarted, caller_operation::ask, id).phase == job_phase::done);
+    }
+    for(auto const &[run, commands]: site.workers.commands()) {
+        CAPTURE(run.job);
+        CHECK(run.run == 1u);
+        CHECK(commands == 1u);
+    }
+}
+
 TEST_CASE("an entry VM that is cut off from the log refuses submissions at once") {
     // Callers in a failure domain that is cut off reach its entry VMs until their readiness is cleared.
     scripted_site site{2u};
