Start a failed task again on another worker without a delay

Cause: a delay of 100 ms after each failure, whatever the next worker. It is meant for a task that would fail again where it has failed.

Change: the delay holds for workers on which the task has failed, for gangs, and for long-running tasks, whose attempts are not limited. Elsewhere the task is placed in the next round.

The test 'a failed run is started again elsewhere at once' failed before (over 100 ms instead of at most two rounds of 20 ms). 'a failed run that is reported to two leaders counts once' let the second run fail too, since that run now starts in the round that commits the failure: its outcome is set once the first run has started; what it checks is the same.

--- a/src/kingcuplink/workflow/dispatch_planner.cpp
+++ b/src/kingcuplink/workflow/dispatch_planner.cpp
@@ -498,7 +498,8 @@
             chosen = {&item, score};
         }
     }
-    if(best.target == nullptr && best_where_failed.target != nullptr && may_retry_on_failed_workers(current, task)) {
+    if(best.target == nullptr && best_where_failed.target != nullptr && task.not_where_failed_before <= now_ &&
+        may_retry_on_failed_workers(current, task)) {
         return best_where_failed.target;
     }
     return best.target;
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -104,6 +104,8 @@
     instant not_before{};
     /*! Boots of workers on which the task failed. */
     std::vector<worker_boot> failed_on{};
+    /*! Time until which the task is not placed where it failed. */
+    instant not_where_failed_before{};
 };
 
 /*! Returns true if a task failed on a boot of a worker. */
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -5,8 +5,14 @@
 
 namespace internal {
 
-/*! Delay before a failed task is placed again. */
+/*! Delay before a failed task is placed again, unless it is placed on a worker where it has not failed. */
 constexpr millis failure_delay{100};
+
+/*! Returns true if a failed task of a step may be placed elsewhere without a delay. */
+bool is_retried_at_once(step_definition const &step) noexcept {
+    // A gang is placed as a whole, and the attempts of a long-running task are not limited.
+    return !step.gang && !step.long_running;
+}
 /*! Number of different jobs with failures on a worker, and no success in between, that causes a quarantine. */
 constexpr std::size_t failing_jobs_threshold = 2u;
 /*! Duration of the first quarantine; it doubles up to max_quarantine. */
@@ -174,6 +180,7 @@
 
 void dispatcher::apply_completion(worker_id const worker, listed_completion const &end, instant const now) {
     auto const placed = find_run(worker, end.key);
+    auto again_at = now;
     if(!placed.is_null()) {
         report_late_confirmation(state_.placements[placed], now);
     }
@@ -205,11 +212,14 @@
                 }
             } else if(end.how == run_outcome::failed) {
                 count_failure(id, end.key, worker);
+                task->not_where_failed_before = now + internal::failure_delay;
+                again_at = internal::is_retried_at_once(job.definition.steps[end.key.step])
+                    ? now
+                    : task->not_where_failed_before;
             }
             state_.mark_dirty(id);
         }
     }
-    auto const again_at = end.how == run_outcome::failed ? now + internal::failure_delay : now;
     if(end.how == run_outcome::done) {
         if(!placed.is_null()) {
             state_.remove_placement(placed, again_at);
--- a/test/workflow/dispatcher_test.cpp
+++ b/test/workflow/dispatcher_test.cpp
@@ -69,12 +69,16 @@
         auto const &tasks = fleet.table.find("a")->progress.tasks;
         return tasks.empty() ? 0u : tasks.front().failures;
     };
+    for(auto round = 0; round < 100 && fleet.starts == 0u; ++round) {
+        fleet.run_round();
+    }
+    REQUIRE(fleet.starts == 1u);
+    fleet.behaviour["a"] = {millis{400}, run_outcome::done};
     for(auto round = 0; round < 100 && failures() == 0u; ++round) {
         fleet.run_round();
     }
     REQUIRE(failures() == 1u);
     // The completion is committed to the log but not acknowledged to the worker when another leader begins.
-    fleet.behaviour["a"] = {millis{400}, run_outcome::done};
     fleet.change_leader();
     fleet.run_for(millis{1'000});
     CHECK(fleet.phase_of("a") == job_phase::done);
@@ -967,6 +971,43 @@
     CHECK(fleet.phase_of("a") == job_phase::done);
 }
 
+// Urgent jobs with a failed run were late: each failure cost 100 ms in addition to the append and the next round.
+TEST_CASE("a failed run is started again elsewhere at once, and after a delay where that may not help") {
+    struct row {
+        std::string_view name;
+        std::size_t workers;
+        std::uint32_t count;
+        bool is_gang;
+        bool is_long_running;
+        bool is_delayed;
+    };
+    std::array<row, 4u> const rows{{
+        {"another worker is free", 2u, 1u, false, false, false},
+        {"no other worker", 1u, 1u, false, false, true},
+        {"a gang", 2u, 2u, true, false, true},
+        {"a long-running task, whose attempts are not limited", 2u, 1u, false, true, true},
+    }};
+    constexpr millis duration{100};
+    constexpr millis delay{100};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        scripted_fleet fleet{{.workers = item.workers, .max_attempts = 4u}};
+        fleet.behaviour["a"] = {duration, run_outcome::failed};
+        auto step = make_step(item.count, 10'000, item.is_gang);
+        step.long_running = item.is_long_running;
+        fleet.submit(scripted_fleet::job("a", step));
+        while(fleet.starts < item.count) {
+            fleet.run_round();
+        }
+        auto const ends_at = fleet.now + duration;
+        while(fleet.starts == item.count) {
+            fleet.run_round();
+        }
+        CHECK((fleet.now - ends_at <= 2 * round_interval) == !item.is_delayed);
+        CHECK((fleet.now - ends_at >= delay) == item.is_delayed);
+    }
+}
+
 // A long-running task has no limit of attempts, and its users are without service while it does not run.
 TEST_CASE("only a long-running task is retried where it failed while other workers are full") {
     for(auto const is_long_running: {true, false}) {
