Do not repeat a claim of leadership once its reason has passed

Callers: an urgent job waits for about a second around each change of leaders.

Cause: the claim was repeated until it had an answer or a later term existed, whatever the watch said meanwhile. Class: a decision that is carried out after its premises have passed.

Change: before each repetition the reason is checked again. A claim that was executed after all is read back from the log, and its VM claims the next term as before (own_former_process).

The test failed before: the leader that was heard again had been replaced.

--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -533,7 +533,8 @@
         if(answer.outcome == append_outcome::unknown) {
             co_await pause(timing::log_retry);
         }
-    } while(answer.outcome == append_outcome::unknown && watch_.claim().term < term);
+        // An entry VM that was cut off may hear the leader again: repeating the claim would replace it without need.
+    } while(answer.outcome == append_outcome::unknown && watch_.claim().term < term && reason_to_claim(current_time()));
     if(answer.outcome != append_outcome::done) {
         // Another entry VM claimed the term first or the log is unavailable; the next records show which.
         watch_.record_failed_claim(current_time());
--- a/test/site/scripted_site.cpp
+++ b/test/site/scripted_site.cpp
@@ -93,6 +93,9 @@
 boost::asio::awaitable<append_answer> gated_log::append(
     log_stream const stream, std::vector<keyed_record> records, std::optional<log_writer> const writer) {
     ++appends;
+    if(loses_appends) {
+        co_return append_answer{append_outcome::unknown, 0u};
+    }
     if(!is_open) {
         co_return append_answer{append_outcome::refused, 0u};
     }
--- a/test/site/scripted_site.hpp
+++ b/test/site/scripted_site.hpp
@@ -99,6 +99,8 @@
     std::size_t records_read{};
     /*! True once this entry VM has begun to read the newest records of all jobs. */
     bool has_begun_snapshot{};
+    /*! True while appends of this entry VM are lost; their outcome is unknown to it. */
+    bool loses_appends{};
     /*! True while reads of the newest records of all jobs get no answer. */
     bool holds_snapshot{};
 
--- a/test/site/site_test.cpp
+++ b/test/site/site_test.cpp
@@ -689,6 +689,28 @@
     CHECK(site.leader() == second);
 }
 
+// An entry VM of a failure domain that was cut off repeated its claim until the cut had ended, and replaced a leader that
+// had been working all the time.
+TEST_CASE("a claim without an answer is not repeated once the leader is heard again") {
+    scripted_site site{2u};
+    site.run_until([&]() { return site.leader() != nullptr; });
+    auto const leading = site.leading();
+    auto const other = site.follower();
+    site.run_for(millis{300});
+    auto &log = site.vms[other]->log;
+    log.loses_appends = true;
+    auto const appends = log.appends;
+    site.vms[leading]->is_alive = false;
+    site.run_until([&]() { return log.appends > appends; });
+    REQUIRE(log.appends > appends);
+    site.vms[leading]->is_alive = true;
+    site.run_for(millis{500});
+    log.loses_appends = false;
+    site.run_for(millis{1'000});
+    CHECK(site.vms[leading]->node->leads());
+    CHECK_FALSE(site.vms[other]->node->leads());
+}
+
 // After all entry VMs had restarted, all of them read the whole snapshot at once, and the one that was to lead had
 // read it after seconds only: the log's bandwidth is shared.
 TEST_CASE("entry VMs that are too small to lead read the jobs after the larger ones") {
