Decline a relayed start at once while the jobs are being read

Cause: an unknown job was taken for one that was accepted a moment ago.

The rows 'jobs not read yet' and 'job accepted while the others are read' are new.

--- a/src/kingcuplink/site/start_relay.cpp
+++ b/src/kingcuplink/site/start_relay.cpp
@@ -9,8 +9,8 @@
 
 namespace internal {
 
-constexpr std::array<std::string_view, 6u> relay_refusal_names{
-    "draining", "outdated_term", "other_process", "expired", "job_unknown", "other_payload"};
+constexpr std::array<std::string_view, 7u> relay_refusal_names{
+    "draining", "outdated_term", "other_process", "expired", "job_unknown", "other_payload", "jobs_unread"};
 
 wire::envelope to_wire(
     run_start const &run, relay_grant const &grant, std::uint64_t const token, std::int64_t const expires_at) {
@@ -106,7 +106,7 @@
     }
     // The definition of an ended job has no steps.
     if(state.job == nullptr || request.step() >= state.job->definition.steps.size()) {
-        return relay_refusal::job_unknown;
+        return state.has_read_jobs ? relay_refusal::job_unknown : relay_refusal::jobs_unread;
     }
     if(stable_hash(state.job->definition.payload) != request.payload_hash()) {
         return relay_refusal::other_payload;
--- a/src/kingcuplink/site/start_relay.hpp
+++ b/src/kingcuplink/site/start_relay.hpp
@@ -71,6 +71,8 @@
     std::int64_t clock{};
     /*! The job as known here, or null. */
     job_entry const *job{};
+    /*! False until the process has read the jobs that were accepted before its start. */
+    bool has_read_jobs{true};
 };
 
 /*! Reason for which an entry VM does not send a start for the leader. */
@@ -85,7 +87,9 @@
     /*! The job is not known here, or has ended. */
     job_unknown,
     /*! The job has another payload here. */
-    other_payload
+    other_payload,
+    /*! The job is not known, and the process is still reading the jobs. */
+    jobs_unread
 };
 
 /*! Returns the name of a reason. */
--- a/test/site/start_relay_test.cpp
+++ b/test/site/start_relay_test.cpp
@@ -55,8 +55,9 @@
         bool has_ended{};
         std::string_view payload{"payload"};
         std::uint32_t step{1u};
+        bool has_read_jobs{true};
     };
-    std::array<row, 10u> const rows{{
+    std::array<row, 12u> const rows{{
         {.name = "sent in time", .expected = std::nullopt},
         {.name = "leader of a later term than known here", .expected = std::nullopt, .term = 4u},
         {.name = "time has passed", .expected = relay_refusal::expired, .clock = 1'001},
@@ -65,6 +66,12 @@
         {.name = "process restarted", .expected = relay_refusal::other_process, .process = 8u},
         {.name = "shutting down", .expected = relay_refusal::draining, .is_draining = true},
         {.name = "job not read yet", .expected = relay_refusal::job_unknown, .knows_job = false},
+        // The leader waited 0.3 s for each start that it had relayed to an entry VM that was reading the jobs.
+        {.name = "jobs not read yet",
+            .expected = relay_refusal::jobs_unread,
+            .knows_job = false,
+            .has_read_jobs = false},
+        {.name = "job accepted while the others are read", .expected = std::nullopt, .has_read_jobs = false},
         {.name = "job has ended", .expected = relay_refusal::job_unknown, .has_ended = true},
         {.name = "other definition of the job", .expected = relay_refusal::other_payload, .payload = "other"},
     }};
@@ -75,7 +82,8 @@
         if(item.has_ended) {
             job.definition.steps.clear();
         }
-        relay_state const state{item.is_draining, item.term, item.process, item.clock, item.knows_job ? &job : nullptr};
+        relay_state const state{
+            item.is_draining, item.term, item.process, item.clock, item.knows_job ? &job : nullptr, item.has_read_jobs};
         auto const refused = reason_to_decline(valid_request(), state);
         CHECK(refused == item.expected);
         if(refused) {
