Bound the reads of a VM that waits to read the jobs; accept submissions only once a claim is known

Found by reading the diff: a waiting VM read each new record of the leader as it was appended, and a VM that could not read the log at all tried to append a submission before it refused it. The waiting VM now reads ten times a second, and a submission before the jobs are read needs the page with the latest claim to have been answered.

--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -23,7 +23,7 @@
 constexpr millis removal_interval{5'000};
 /*! Time between checks of the leader. */
 constexpr millis leader_check_interval{50};
-/*! Longest time between checks for the first heartbeat; each is a read of the log, which is billed. */
+/*! Time between checks for the first heartbeat; each is a read of the log, which is billed. */
 constexpr millis heartbeat_check_interval{100};
 /*! Time between checks for the job of a relayed start. */
 constexpr millis job_check_interval{20};
@@ -99,8 +99,8 @@
 boost::asio::awaitable<caller_answer> site_node::serve(caller_request request) {
     auto const rules = rules_;
     // A submission needs no other job: if its job is known already, the log ignores its definition.
-    auto const needs_jobs = request.operation != caller_operation::submit;
-    if(rules == nullptr || (needs_jobs && !jobs_reader_.is_synced())) {
+    auto const may_submit = request.operation == caller_operation::submit && watch_.claim().term > 0u;
+    if(rules == nullptr || (!jobs_reader_.is_synced() && !may_submit)) {
         co_return internal::refused(refusal::no_configuration);
     }
     auto const *queue = find_queue(*rules, request.host, request.path);
@@ -253,17 +253,14 @@
     apply_claims(page.records);
     auto const own = parts_.settings.processor_millicores;
     auto const read_at = current_time() + timing::small_vm_read_delay;
-    for(auto next = page.end; has_twice_the_processor(watch_.claim().processor_millicores, own);) {
-        auto const wait = std::min(read_at - current_time(), internal::heartbeat_check_interval);
-        if(watch_.has_heartbeats() || wait <= millis{}) {
-            break;
-        }
-        auto const answer = co_await parts_.log.read(log_stream::jobs, next, wait);
+    auto next = page.end;
+    while(has_twice_the_processor(watch_.claim().processor_millicores, own) && !watch_.has_heartbeats() &&
+        current_time() < read_at) {
+        co_await pause(internal::heartbeat_check_interval);
+        auto const answer = co_await parts_.log.read(log_stream::jobs, next, millis{});
         if(answer.outcome == read_outcome::done) {
             apply_claims(answer.records);
             next = answer.next;
-        } else {
-            co_await pause(wait);
         }
     }
 }
