Ask the leader for jobs while an entry VM is behind on the log

Cause: the VMs that had restarted refused all questions until they had read the jobs (46.0 s), and were then up to 8,168 records behind until 51 s, since the next leader had begun 3 s sooner and appended meanwhile. A question for an unread job waited for the reads, 1.5 s at most. Ruled out by the log: acceptance, advice, starts and runs. Class: callers depend on a copy that is behind while another process has the state.

Change: an entry VM that is behind asks the leader for a job that it does not know, or does not know to have ended. The leader answers from committed records. 'Not known' from the leader is no answer: only a reader at the end of the log denies a job.

--- a/src/kingcuplink/core/counters.cpp
+++ b/src/kingcuplink/core/counters.cpp
@@ -15,7 +15,7 @@
     "registrations_rejected", "unknown_runs_listed", "concurrent_runs_listed", "starts_confirmed_late",
     "starts_relayed", "start_relays_failed", "relayed_starts_sent", "log_end_reads", "plan_rounds",
     "plan_steps_examined", "advice_answers_unused", "commit_notices_sent", "cancellations_own_append",
-    "cancellations_relayed", "cancellations_noticed", "cancellations_read_from_log"};
+    "cancellations_relayed", "cancellations_noticed", "cancellations_read_from_log", "job_questions_sent"};
 
 constexpr std::array<std::string_view, traffic_count> traffic_names{
     "other", "log_append", "log_read", "worker_poll", "worker_start", "worker_stop", "advice"};
--- a/src/kingcuplink/core/counters.hpp
+++ b/src/kingcuplink/core/counters.hpp
@@ -66,6 +66,7 @@
     cancellation_relayed,
     cancellation_noticed,
     cancellation_read,
+    job_question_sent,
     count
 };
 
--- a/src/kingcuplink/site/fwd.hpp
+++ b/src/kingcuplink/site/fwd.hpp
@@ -11,6 +11,8 @@
 
 class advice_port;
 
+class job_questions;
+
 class keyed_reader;
 
 class worker_clocks;
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -47,8 +47,9 @@
  * Returns whether callers of a queue are told about a job: if the queue or its path accepted the job, or if the queue
  * that did is not in force any more, so that its callers ask elsewhere.
  */
-bool is_answered_at(queue_rules const &queue, job_definition const &job, site_rules const &rules) {
-    return job.queue == queue.name || job.path_hash == path_hash_of(queue) || !is_in_force(rules, job.queue);
+bool is_answered_at(queue_rules const &queue, std::string const &accepting_queue, std::uint32_t const path_hash,
+    site_rules const &rules) {
+    return accepting_queue == queue.name || path_hash == path_hash_of(queue) || !is_in_force(rules, accepting_queue);
 }
 
 /*! Returns the reason why a draft is invalid, or an empty string. */
@@ -84,7 +85,8 @@
               boost::asio::post(parts_.context, [this, message = std::move(message)]() { handle(message); });
           }},
       appender_{
-          parts, watch_, peers_, [this](keyed_record const &record, record_way const way) { apply(record, way); }} {}
+          parts, watch_, peers_, [this](keyed_record const &record, record_way const way) { apply(record, way); }},
+      questions_{parts, peers_, watch_} {}
 
 void site_node::start() {
     for(auto const loop:
@@ -100,7 +102,8 @@
     auto const rules = rules_;
     // A submission needs no other job: if its job is known already, the log ignores its definition.
     auto const may_submit = request.operation == caller_operation::submit && watch_.claim().term > 0u;
-    if(rules == nullptr || (!jobs_reader_.is_synced() && !may_submit)) {
+    auto const may_ask = request.operation == caller_operation::ask;
+    if(rules == nullptr || (!jobs_reader_.is_synced() && !may_submit && !may_ask)) {
         co_return internal::refused(refusal::no_configuration);
     }
     auto const *queue = find_queue(*rules, request.host, request.path);
@@ -118,6 +121,14 @@
     if(!internal::is_job_id(id)) {
         co_return internal::refused(refusal::job_malformed, "the identifier must be 16 hexadecimal digits");
     }
+    if(request.operation == caller_operation::ask) {
+        if(auto answer = co_await ask_leader_for_job(*rules, *queue, id)) {
+            co_return std::move(*answer);
+        }
+        if(!jobs_reader_.is_synced() && known_jobs_.find(id) == nullptr) {
+            co_return internal::refused(refusal::no_configuration);
+        }
+    }
     if(request.operation != caller_operation::submit && !co_await catch_up(id)) {
         co_return internal::refused(refusal::log_unavailable, id);
     }
@@ -208,6 +219,38 @@
     co_return co_await appender_.append(std::move(record), timeout);
 }
 
+boost::asio::awaitable<std::optional<caller_answer>> site_node::ask_leader_for_job(
+    site_rules const &rules, queue_rules const &queue, std::string id) {
+    auto const *known = known_jobs_.find(id);
+    auto const is_settled = known != nullptr && is_final(job_table::visible_phase(*known));
+    if(leader_ != nullptr || is_settled || has_read_jobs()) {
+        co_return std::nullopt;
+    }
+    auto const reported = co_await questions_.ask(std::move(id));
+    if(!reported || !internal::is_answered_at(queue, reported->queue, reported->path_hash, rules)) {
+        co_return std::nullopt;
+    }
+    co_return caller_answer{std::nullopt, reported->phase, std::nullopt};
+}
+
+void site_node::answer_job_question(std::string const &peer, wire::job_question const &question) {
+    wire::envelope message;
+    auto &answer = *message.mutable_job_answer();
+    answer.set_id(question.id());
+    if(auto const *known = known_jobs_.find(question.job()); known != nullptr) {
+        answer.set_known(true);
+        answer.set_phase(static_cast<std::uint32_t>(job_table::visible_phase(*known)));
+        answer.set_queue(known->definition.queue);
+        answer.set_path_hash(known->definition.path_hash);
+    }
+    peers_.send(peer, message);
+}
+
+bool site_node::has_read_jobs() const {
+    return jobs_reader_.is_synced() && !jobs_reader_.is_behind() &&
+        jobs_reader_.fresh_at() + timing::jobs_wait + timing::claim_freshness > current_time();
+}
+
 bool site_node::is_fresh() const {
     return jobs_reader_.fresh_at() + timing::max_pending_age > current_time();
 }
@@ -232,7 +275,8 @@
 
 caller_answer site_node::job_answer(site_rules const &rules, queue_rules const &queue, std::string const &id) const {
     auto const *known = known_jobs_.find(id);
-    if(known == nullptr || !internal::is_answered_at(queue, known->definition, rules)) {
+    if(known == nullptr ||
+        !internal::is_answered_at(queue, known->definition.queue, known->definition.path_hash, rules)) {
         return internal::refused(refusal::job_unknown, id);
     }
     return {std::nullopt, job_table::visible_phase(*known), std::nullopt};
@@ -644,6 +688,10 @@
             parts_.context, answer_start_request(message.sender(), message.start_request()), fail_fast);
     } else if(message.has_start_reply() && leader_ != nullptr) {
         leader_->handle_start_reply(message.sender(), message.start_reply());
+    } else if(message.has_job_question() && leader_ != nullptr) {
+        answer_job_question(message.sender(), message.job_question());
+    } else if(message.has_job_answer()) {
+        questions_.handle_answer(message.sender(), message.job_answer());
     } else if(message.has_advice_question() && message.sender() == watch_.claim().name) {
         boost::asio::co_spawn(
             parts_.context, answer_advice_question(message.sender(), message.advice_question()), fail_fast);
--- a/src/kingcuplink/site/site_node.hpp
+++ b/src/kingcuplink/site/site_node.hpp
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <boost/asio/awaitable.hpp>
 #include <kingcuplink/site/fleet_leader.hpp>
+#include <kingcuplink/site/job_questions.hpp>
 #include <kingcuplink/site/keyed_reader.hpp>
 #include <kingcuplink/site/leader_watch.hpp>
 #include <kingcuplink/site/node_parts.hpp>
@@ -90,6 +91,12 @@
     boost::asio::awaitable<caller_answer> cancel(caller_request const &request, std::string id);
     [[nodiscard]] caller_answer job_answer(
         site_rules const &rules, queue_rules const &queue, std::string const &id) const;
+    /*!
+     * Asks the leader for a job that this entry VM may not know in its present state, because it is behind on the log.
+     * Returns nothing if there is no need to, or no answer.
+     */
+    boost::asio::awaitable<std::optional<caller_answer>> ask_leader_for_job(
+        site_rules const &rules, queue_rules const &queue, std::string id);
     [[nodiscard]] caller_answer queue_answer(queue_rules const &queue) const;
     /*!
      * Waits until a job is known, or the log is read up to its current end. Returns false if it cannot be read in time.
@@ -99,6 +106,8 @@
      */
     boost::asio::awaitable<append_outcome> append_record(keyed_record record, millis timeout);
     [[nodiscard]] bool is_fresh() const;
+    /*! Returns whether the jobs were read up to the end of the log of a moment ago. */
+    [[nodiscard]] bool has_read_jobs() const;
 
     // The log.
     boost::asio::awaitable<void> follow_jobs();
@@ -140,6 +149,8 @@
     void handle(wire::envelope const &message);
     void handle_heartbeat(wire::leader_beat const &heartbeat);
     void handle_job_ends(wire::job_ends const &ends);
+    /*! Answers another entry VM's question for a job, as the leader. */
+    void answer_job_question(std::string const &peer, wire::job_question const &question);
     [[nodiscard]] relay_state relay_state_for(std::string const &job) const;
     /*! Sends a start to a worker on the leader's behalf, or declines it. */
     boost::asio::awaitable<void> answer_start_request(std::string peer, wire::start_request request);
@@ -168,6 +179,7 @@
     std::uint64_t skipped_records_{};
     peer_link peers_;
     record_appender appender_;
+    job_questions questions_;
 };
 
 } // namespace kingcuplink
--- a/src/kingcuplink/site/start_relay.hpp
+++ b/src/kingcuplink/site/start_relay.hpp
@@ -71,7 +71,7 @@
     std::int64_t clock{};
     /*! The job as known here, or null. */
     job_entry const *job{};
-    /*! False until the process has read the jobs that were accepted before its start. */
+    /*! False while the process has not read the jobs up to the end of the log. */
     bool has_read_jobs{true};
 };
 
@@ -88,7 +88,7 @@
     job_unknown,
     /*! The job has another payload here. */
     other_payload,
-    /*! The job is not known, and the process is still reading the jobs. */
+    /*! The job is not known, and the process is behind on the log. */
     jobs_unread
 };
 
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -123,6 +123,8 @@
 inline constexpr millis max_pending_age{2'500};
 /*! Time limit for reading the log to its end before a job counts as unknown; callers wait about 3 s. */
 inline constexpr millis catch_up_limit{1'500};
+/*! Time limit for the leader's answer to the question for a job that this entry VM has not read yet. */
+inline constexpr millis job_question_timeout{400};
 /*! Time between checks that the end of the log was reached. */
 inline constexpr millis catch_up_check_interval{10};
 /*! Longest time that a worker may delay its answer to a poll until a run ends. */
