--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -720,7 +720,7 @@
 
 relay_state site_node::relay_state_for(std::string const &job) const {
     return {draining_, watch_.claim().term, process_, current_time().time_since_epoch().count(), known_jobs_.find(job),
-        jobs_reader_.is_synced()};
+        has_read_jobs()};
 }
 
 boost::asio::awaitable<void> site_node::answer_start_request(std::string peer, wire::start_request request) {
