--- a/src/kingcuplink/site/fleet_leader.cpp
+++ b/src/kingcuplink/site/fleet_leader.cpp
@@ -9,6 +9,7 @@
 #include <kingcuplink/site/fleet_leader.hpp>
 #include <kingcuplink/site/leader_limits.hpp>
 #include <kingcuplink/site/leader_watch.hpp>
+#include <kingcuplink/site/log_appends.hpp>
 #include <kingcuplink/site/record_codec.hpp>
 #include <kingcuplink/site/timing.hpp>
 #include <kingcuplink/workflow/progress_parts.hpp>
@@ -22,10 +23,6 @@
 constexpr std::size_t max_rejected_registrations = 256u;
 constexpr std::int64_t millicores_per_core = 1'000;
 
-std::uint64_t size_of(keyed_record const &record) {
-    return record.key.size() + (record.value ? record.value->size() : 0u);
-}
-
 std::string task_name(run_key const &key) {
     return std::to_string(key.step) + "." + std::to_string(key.index);
 }
@@ -106,7 +103,7 @@
     std::vector<keyed_record> records;
     records.push_back(own_claim(true));
     // Not retried: if it fails, the other entry VMs claim leadership after their time-outs.
-    co_await parts_.log.append(log_stream::jobs, std::move(records), log_writer{term_, ++sequence_});
+    co_await append_to_jobs(parts_, append_purpose::resignation, std::move(records), log_writer{term_, ++sequence_});
     parts_.decisions.write(decision::leadership_ended, {{"term", term_}, {"reason", reason}});
 }
 
@@ -431,7 +428,7 @@
     while(next != records.end()) {
         std::vector<keyed_record> chunk;
         for(std::uint64_t bytes{}; next != records.end() && (chunk.empty() || bytes < timing::append_bytes); ++next) {
-            bytes += internal::size_of(*next);
+            bytes += size_of(*next);
             chunk.push_back(std::move(*next));
         }
         ++sequence_;
@@ -441,7 +438,8 @@
         auto is_appended = false;
         while(!is_appended && !ended_) {
             auto const sent_at = current_time();
-            auto const answer = co_await parts_.log.append(log_stream::jobs, chunk, log_writer{term_, sequence_});
+            auto const answer = co_await append_to_jobs(
+                parts_, append_purpose::leader, chunk, log_writer{term_, sequence_});
             switch(answer.outcome) {
             case append_outcome::done:
                 is_appended = true;
--- a/src/kingcuplink/site/record_appender.cpp
+++ b/src/kingcuplink/site/record_appender.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <kingcuplink/platform/http_client.hpp>
 #include <kingcuplink/platform/pause.hpp>
+#include <kingcuplink/site/log_appends.hpp>
 #include <kingcuplink/site/record_appender.hpp>
 #include <kingcuplink/site/record_codec.hpp>
 #include <kingcuplink/site/timing.hpp>
@@ -117,7 +118,7 @@
 
 boost::asio::awaitable<append_answer> record_appender::append_directly(std::vector<keyed_record> records) {
     auto const sent_at = current_time();
-    auto const answer = co_await parts_.log.append(log_stream::jobs, std::move(records), std::nullopt);
+    auto const answer = co_await append_to_jobs(parts_, append_purpose::callers, std::move(records), std::nullopt);
     if(answer.outcome == append_outcome::done) {
         watch_.record_own_append(current_time() - sent_at, current_time());
         parts_.times.add(latency::log_append, current_time() - sent_at);
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -7,6 +7,7 @@
 #include <kingcuplink/core/work_timer.hpp>
 #include <kingcuplink/platform/http_client.hpp>
 #include <kingcuplink/platform/pause.hpp>
+#include <kingcuplink/site/log_appends.hpp>
 #include <kingcuplink/site/site_node.hpp>
 #include <kingcuplink/site/timing.hpp>
 #include <utility>
@@ -121,27 +122,44 @@
     if(!internal::is_job_id(id)) {
         co_return internal::refused(refusal::job_malformed, "the identifier must be 16 hexadecimal digits");
     }
-    if(request.operation == caller_operation::ask) {
-        if(auto answer = co_await ask_leader_for_job(*rules, *queue, id)) {
-            co_return std::move(*answer);
-        }
-        if(!jobs_reader_.is_synced() && known_jobs_.find(id) == nullptr) {
-            co_return internal::refused(refusal::no_configuration);
-        }
-    }
-    if(request.operation != caller_operation::submit && !co_await catch_up(id)) {
-        co_return internal::refused(refusal::log_unavailable, id);
-    }
-    auto owner = account == nullptr ? std::string{} : account->name;
     switch(request.operation) {
-    case caller_operation::submit:
+    case caller_operation::submit: {
+        auto owner = account == nullptr ? std::string{} : account->name;
         co_return co_await submit(std::move(request), *queue, std::move(owner), std::move(id));
+    }
     case caller_operation::cancel:
         co_return co_await cancel(request, std::move(id));
     case caller_operation::ask:
         break;
     }
-    co_return job_answer(*rules, *queue, id);
+    auto answer = co_await ask(*rules, *queue, id);
+    record_answer(id, answer);
+    co_return answer;
+}
+
+boost::asio::awaitable<caller_answer> site_node::ask(
+    site_rules const &rules, queue_rules const &queue, std::string id) {
+    if(auto answer = co_await ask_leader_for_job(rules, queue, id)) {
+        co_return std::move(*answer);
+    }
+    if(!jobs_reader_.is_synced() && known_jobs_.find(id) == nullptr) {
+        co_return internal::refused(refusal::no_configuration);
+    }
+    if(!co_await catch_up(id)) {
+        co_return internal::refused(refusal::log_unavailable, id);
+    }
+    co_return job_answer(rules, queue, id);
+}
+
+void site_node::record_answer(std::string const &id, caller_answer const &answer) {
+    auto const age = jobs_reader_.is_synced() ? (current_time() - jobs_reader_.fresh_at()).count() : -1;
+    if(answer.refused && answer.refused->reason != refusal::job_unknown) {
+        parts_.decisions.write(decision::question_refused,
+            {{"job", id}, {"reason", row_of(answer.refused->reason).kind}, {"log_age_ms", age}});
+    } else if(answer.phase && !is_final(*answer.phase) && leader_ == nullptr && !has_read_jobs()) {
+        parts_.decisions.write(
+            decision::job_answer_outdated, {{"job", id}, {"phase", name_of(*answer.phase)}, {"log_age_ms", age}});
+    }
 }
 
 boost::asio::awaitable<caller_answer> site_node::submit(
@@ -188,6 +206,9 @@
 }
 
 boost::asio::awaitable<caller_answer> site_node::cancel(caller_request const &request, std::string id) {
+    if(!co_await catch_up(id)) {
+        co_return internal::refused(refusal::log_unavailable, id);
+    }
     if(auto const *known = known_jobs_.find(id); known != nullptr && is_final(job_table::visible_phase(*known))) {
         co_return caller_answer{std::nullopt, job_table::visible_phase(*known), std::nullopt};
     }
@@ -346,7 +367,7 @@
     if(jobs_reader_.is_behind() || took > timing::slow_read) {
         std::size_t bytes{};
         for(auto const &record: batch.records) {
-            bytes += record.key.size() + (record.value ? record.value->size() : 0u);
+            bytes += size_of(record);
         }
         parts_.decisions.write(decision::log_read_slow,
             {{"ms", took.count()}, {"records", batch.records.size()}, {"bytes", bytes},
@@ -579,7 +600,7 @@
     append_answer answer;
     auto const claimed_at = current_time();
     do {
-        answer = co_await parts_.log.append(log_stream::jobs, records, log_writer{term, sequence});
+        answer = co_await append_to_jobs(parts_, append_purpose::claim, records, log_writer{term, sequence});
         if(answer.outcome == append_outcome::unknown) {
             co_await pause(timing::log_retry);
         }
--- a/src/kingcuplink/site/site_node.hpp
+++ b/src/kingcuplink/site/site_node.hpp
@@ -89,6 +89,10 @@
     boost::asio::awaitable<caller_answer> submit(
         caller_request request, queue_rules const &queue, std::string account, std::string id);
     boost::asio::awaitable<caller_answer> cancel(caller_request const &request, std::string id);
+    /*! Returns the state of a job as the leader knows it if this entry VM is behind on the log, otherwise as read. */
+    boost::asio::awaitable<caller_answer> ask(site_rules const &rules, queue_rules const &queue, std::string id);
+    /*! Writes refused questions, and answers from jobs that were read some time ago, to the decision log. */
+    void record_answer(std::string const &id, caller_answer const &answer);
     [[nodiscard]] caller_answer job_answer(
         site_rules const &rules, queue_rules const &queue, std::string const &id) const;
     /*!
