Send each entry VM its heartbeat in time while others come and go

What callers saw: during a rolling restart beside a slow log, jobs were accepted late, then refused, and nothing was started for 3 s. Cause: the turn of an entry VM that receives a heartbeat every second was its position in the list of peers. Each VM that came or went moved the others, so that they missed a turn, took the leader for unreachable after 1.3 s and appended callers' records themselves. Ruled out: relays without an answer (the first such VMs had none in flight). Change: of these VMs those that have waited longest receive the next heartbeats. The test failed before: longest gap 11 rounds instead of 5.

--- a/src/kingcuplink/site/fleet_leader.cpp
+++ b/src/kingcuplink/site/fleet_leader.cpp
@@ -594,8 +594,8 @@
 }
 
 boost::asio::awaitable<void> fleet_leader::run_heartbeats([[maybe_unused]] self_pointer self) {
-    for(std::uint64_t round{}; !ended_; ++round) {
-        for(auto const &receiver: known_peers_.heartbeat_receivers(round)) {
+    while(!ended_) {
+        for(auto const &receiver: known_peers_.next_heartbeat_receivers()) {
             send_heartbeat(receiver);
         }
         report_load(current_time());
--- a/src/kingcuplink/site/leader_peers.cpp
+++ b/src/kingcuplink/site/leader_peers.cpp
@@ -14,6 +14,9 @@
     }
     entry.introduction = std::move(introduction);
     entry.introduced_at = now;
+    if(is_new) {
+        entry.latest_heartbeat = ++heartbeats_;
+    }
     return is_new;
 }
 
@@ -37,20 +40,27 @@
     return most;
 }
 
-std::vector<heartbeat_receiver> leader_peers::heartbeat_receivers(std::uint64_t const round) const {
-    std::vector<std::pair<std::uint32_t, std::string_view>> largest;
-    for(auto const &[name, entry]: peers_) {
-        largest.emplace_back(entry.introduction.processor_millicores, name);
+std::vector<heartbeat_receiver> leader_peers::next_heartbeat_receivers() {
+    using position = std::map<std::string, peer>::iterator;
+    std::vector<position> order;
+    for(auto entry = peers_.begin(); entry != peers_.end(); ++entry) {
+        order.push_back(entry);
     }
-    std::stable_sort(
-        largest.begin(), largest.end(), [](auto const &lhs, auto const &rhs) { return lhs.first > rhs.first; });
+    std::stable_sort(order.begin(), order.end(), [](auto const lhs, auto const rhs) {
+        return lhs->second.introduction.processor_millicores > rhs->second.introduction.processor_millicores;
+    });
+    auto const frequent = std::min(order.size(), timing::max_frequent_heartbeats);
+    auto const others = order.begin() + static_cast<std::ptrdiff_t>(frequent);
+    // Those that have waited longest come first, so that nobody waits longer because others come and go.
+    std::stable_sort(others, order.end(),
+        [](auto const lhs, auto const rhs) { return lhs->second.latest_heartbeat < rhs->second.latest_heartbeat; });
+    auto const turns = (order.size() - frequent + timing::slow_heartbeat_rounds - 1u) / timing::slow_heartbeat_rounds;
+    order.resize(frequent + turns);
     std::vector<heartbeat_receiver> receivers;
-    for(std::size_t pos{}; pos < largest.size(); ++pos) {
-        if(pos < timing::max_frequent_heartbeats) {
-            receivers.push_back({largest[pos].second, timing::heartbeat_interval});
-        } else if(pos % timing::slow_heartbeat_rounds == round % timing::slow_heartbeat_rounds) {
-            receivers.push_back({largest[pos].second, timing::slow_heartbeat_interval});
-        }
+    for(std::size_t pos{}; pos < order.size(); ++pos) {
+        order[pos]->second.latest_heartbeat = ++heartbeats_;
+        receivers.push_back(
+            {order[pos]->first, pos < frequent ? timing::heartbeat_interval : timing::slow_heartbeat_interval});
     }
     return receivers;
 }
--- a/src/kingcuplink/site/leader_peers.hpp
+++ b/src/kingcuplink/site/leader_peers.hpp
@@ -40,7 +40,7 @@
 /*! Entry VMs that introduced themselves to the leader. Performs no I/O and reads no clock. Not thread safe. */
 class leader_peers {
 public:
-    /*! Adds or updates an entry VM; returns true if it was not known. */
+    /*! Adds or updates an entry VM; returns true if it was not known, and should receive a heartbeat at once. */
     bool introduce(std::string const &name, peer_introduction introduction, instant now);
 
     /*! Removes the entry VMs whose latest introduction is too old, and returns their names. */
@@ -50,10 +50,10 @@
     [[nodiscard]] std::uint32_t most_millicores() const noexcept;
 
     /*!
-     * Returns the entry VMs that receive a heartbeat in a round. The largest ones, which should lead next, receive one
-     * in every round; the others one in every timing::slow_heartbeat_rounds.
+     * Returns the entry VMs that receive a heartbeat in the next round. The largest ones, which should lead next,
+     * receive one in every round; the others one within timing::slow_heartbeat_rounds.
      */
-    [[nodiscard]] std::vector<heartbeat_receiver> heartbeat_receivers(std::uint64_t round) const;
+    [[nodiscard]] std::vector<heartbeat_receiver> next_heartbeat_receivers();
 
     /*!
      * Returns the entry VM that is to relay a start to a worker: one of the worker's failure domain, the same one for a
@@ -74,9 +74,12 @@
         instant introduced_at{};
         /*! Time until which it relays no starts. */
         instant relays_from{};
+        /*! Position of its latest heartbeat among all heartbeats. */
+        std::uint64_t latest_heartbeat{};
     };
 
     std::map<std::string, peer> peers_;
+    std::uint64_t heartbeats_{};
 };
 
 } // namespace kingcuplink
--- a/test/site/leader_peers_test.cpp
+++ b/test/site/leader_peers_test.cpp
@@ -32,7 +32,7 @@
     std::map<std::string, std::size_t> received;
     std::size_t most_per_round{};
     for(std::uint64_t round{}; round < timing::slow_heartbeat_rounds; ++round) {
-        auto const receivers = peers.heartbeat_receivers(round);
+        auto const receivers = peers.next_heartbeat_receivers();
         most_per_round = std::max(most_per_round, receivers.size());
         for(auto const &item: receivers) {
             auto const is_frequent = item.interval == timing::heartbeat_interval;
@@ -48,6 +48,37 @@
     CHECK(most_per_round <= timing::max_frequent_heartbeats + others);
 }
 
+// While entry VMs were restarted one after another, others missed heartbeats and appended callers' records themselves.
+TEST_CASE("an entry VM receives its heartbeats in time while others come and go") {
+    constexpr std::size_t vms = 147u;
+    constexpr std::uint64_t rounds = 300u;
+    constexpr std::uint64_t rounds_between_restarts = 2u;
+    // Long enough for the leader to notice.
+    constexpr std::uint64_t absence = timing::peer_silence / timing::heartbeat_interval + 5u;
+    leader_peers peers;
+    std::map<std::string, std::uint64_t, std::less<>> latest;
+    std::uint64_t longest_gap{};
+    for(std::uint64_t round{}; round < rounds; ++round) {
+        auto const now = start + round * timing::heartbeat_interval;
+        for(std::size_t pos{}; pos < vms; ++pos) {
+            auto const stopped_in = pos * rounds_between_restarts;
+            if(round < stopped_in || round >= stopped_in + absence) {
+                peers.introduce("vm" + std::to_string(pos), introduction_of("d"), now);
+            }
+        }
+        for(auto const &name: peers.remove_silent(now)) {
+            latest.erase(name);
+        }
+        for(auto const &item: peers.next_heartbeat_receivers()) {
+            if(auto const found = latest.find(item.name); found != latest.end()) {
+                longest_gap = std::max(longest_gap, round - found->second);
+            }
+            latest.insert_or_assign(std::string{item.name}, round);
+        }
+    }
+    CHECK(longest_gap <= timing::slow_heartbeat_rounds);
+}
+
 TEST_CASE("a start is relayed by an entry VM of the worker's failure domain that was introduced lately") {
     struct row {
         std::string_view name;
