Do not replace a leader for an outage of the log that the claimant had as well

What callers saw: as the log came back after 4 s, a leader that had been alive all the time was replaced, and accepted jobs waited another second. Change: the age counts from the time since which the log answers the claimant, and a leader has the time of two more appends as slow as its latest. A log that is away for the leader alone has it replaced as before (rows of the same test).

--- a/src/kingcuplink/site/leader_watch.cpp
+++ b/src/kingcuplink/site/leader_watch.cpp
@@ -66,6 +66,13 @@
     own_append_took_ = took;
 }
 
+void leader_watch::record_log_reachability(bool const is_reached, instant const now) noexcept {
+    if(is_reached && !is_log_reached_) {
+        log_answers_since_ = now;
+    }
+    is_log_reached_ = is_reached;
+}
+
 void leader_watch::record_failed_claim(instant const now) noexcept {
     claim_backoff_ = std::clamp(claim_backoff_ * 2, timing::claim_backoff, timing::max_claim_backoff);
     next_claim_at_ = now + claim_backoff_ + claim_delay();
@@ -118,14 +125,18 @@
     if(!has_heartbeats() || claim_applied_at_ + replacement_backoff_ > now) {
         return std::nullopt;
     }
+    // While the log did not answer this entry VM, the leader may not have been able to append for the same reason.
+    auto const failing_for = std::min(heartbeat_.log_age, std::chrono::duration_cast<millis>(now - log_answers_since_));
     // A log that is slow for this entry VM too does not justify replacing the leader.
     auto const can_append_instead = own_append_at_ + timing::own_append_age > heartbeat_received_at_ &&
-        heartbeat_.log_age > timing::replaceable_leader_timeout + own_append_took_ * timing::relay_appends;
+        failing_for > timing::replaceable_leader_timeout + own_append_took_ * timing::relay_appends;
     if(can_append_instead) {
         return claim_reason::appends_faster;
     }
-    auto const is_stalled = heartbeat_.log_age >
-        timing::stalled_leader_timeout + claim_delay() * timing::stalled_claim_spread_factor;
+    // One append may be in progress and one be done, both as slow as the latest.
+    auto const is_stalled = failing_for > timing::stalled_leader_timeout +
+            heartbeat_.append_time * timing::stalled_leader_appends +
+            claim_delay() * timing::stalled_claim_spread_factor;
     return is_stalled ? std::optional{claim_reason::leader_stalled} : std::nullopt;
 }
 
--- a/src/kingcuplink/site/leader_watch.hpp
+++ b/src/kingcuplink/site/leader_watch.hpp
@@ -76,6 +76,9 @@
     /*! Records a successful append of this entry VM and its duration. */
     void record_own_append(millis took, instant now) noexcept;
 
+    /*! Records whether the log has answered the latest read of this entry VM. */
+    void record_log_reachability(bool is_reached, instant now) noexcept;
+
     /*! Records that a claim of this entry VM failed: each failure doubles the time to the next claim. */
     void record_failed_claim(instant now) noexcept;
 
@@ -127,6 +130,9 @@
     instant heartbeat_received_at_{};
     instant own_append_at_{};
     millis own_append_took_{};
+    /*! Since when the log has answered all reads of this entry VM, if it has answered the latest. */
+    instant log_answers_since_{};
+    bool is_log_reached_{true};
     instant next_claim_at_{};
     millis claim_backoff_{};
     instant claim_applied_at_{};
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -390,6 +390,7 @@
 }
 
 void site_node::update_log_reachability(bool const reached) {
+    watch_.record_log_reachability(reached, current_time());
     if(reached != log_reachable_) {
         log_reachable_ = reached;
         log_reachability_changed_at_ = current_time();
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -27,6 +27,8 @@
 inline constexpr millis leader_record_timeout{3'000};
 /*! Time without an append after which a leader that sends heartbeats is replaced by a VM that can read the log. */
 inline constexpr millis stalled_leader_timeout{2'500};
+/*! Durations of the leader's latest append by which that time is extended. */
+inline constexpr int stalled_leader_appends = 2;
 /*! Factor of claim_spread for such claims: many entry VMs detect the condition at the same time. */
 inline constexpr int stalled_claim_spread_factor = 20;
 /*! Delay after a failed claim before the next one; each failure doubles it, up to max_claim_backoff. */
--- a/test/site/leader_watch_test.cpp
+++ b/test/site/leader_watch_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <array>
 #include <doctest/doctest.h>
 #include <kingcuplink/site/leader_watch.hpp>
@@ -22,9 +23,12 @@
     /*! Age of the latest heartbeat; nothing if none arrived. */
     std::optional<millis> heartbeat_age{};
     millis leader_log_age{};
+    millis leader_append_time{10};
     std::optional<millis> own_append_age{};
     millis own_append_took{10};
     millis read_age{100};
+    /*! Time since which the log answers this entry VM again; nothing if it always did. */
+    std::optional<millis> log_answers_age{};
     /*! Processor time of the largest entry VM that the leader knows; the watching one has 250 thousandths of a core. */
     std::uint32_t most_millicores{250};
     bool claims{};
@@ -38,7 +42,12 @@
         watch.apply_claim({7u, std::string{row.leader}, "address", row.resigned}, start - row.record_age);
     }
     if(row.heartbeat_age) {
-        watch.record_heartbeat({7u, row.leader_log_age, millis{10}, row.most_millicores}, start - *row.heartbeat_age);
+        watch.record_heartbeat(
+            {7u, row.leader_log_age, row.leader_append_time, row.most_millicores}, start - *row.heartbeat_age);
+    }
+    if(row.log_answers_age) {
+        watch.record_log_reachability(false, start - *row.log_answers_age - millis{1'500});
+        watch.record_log_reachability(true, start - *row.log_answers_age);
     }
     if(row.own_append_age) {
         watch.record_own_append(row.own_append_took, start - *row.own_append_age);
@@ -141,6 +150,57 @@
     }
 }
 
+// As an outage of the log for all VMs ended, four VMs replaced the leader within 0.1 s as stalled.
+TEST_CASE("a leader is not replaced for an outage of the log that the claiming entry VM had as well") {
+    std::array<watch_scenario, 7u> const rows{{
+        {.description = "the log has just come back for all",
+            .leader = "other",
+            .heartbeat_age = millis{100},
+            .leader_log_age = millis{7'000},
+            .log_answers_age = millis{50}},
+        {.description = "the log has just come back, and an append of this VM is done",
+            .leader = "other",
+            .heartbeat_age = millis{100},
+            .leader_log_age = millis{7'000},
+            .own_append_age = millis{20},
+            .log_answers_age = millis{50}},
+        {.description = "the log has answered this VM for a while, the leader's appends are not done",
+            .leader = "other",
+            .heartbeat_age = millis{100},
+            .leader_log_age = millis{7'000},
+            .log_answers_age = millis{6'600},
+            .claims = true},
+        {.description = "the same, and an append of this VM is done",
+            .leader = "other",
+            .heartbeat_age = millis{100},
+            .leader_log_age = millis{7'000},
+            .own_append_age = millis{300},
+            .log_answers_age = millis{1'500},
+            .claims = true},
+        {.description = "the log was away for the leader alone",
+            .leader = "other",
+            .heartbeat_age = millis{100},
+            .leader_log_age = millis{7'000},
+            .claims = true},
+        {.description = "the leader's appends take almost as long as the log lets them wait",
+            .leader = "other",
+            .heartbeat_age = millis{100},
+            .leader_log_age = millis{3'900},
+            .leader_append_time = millis{1'950}},
+        {.description = "the log was away for the leader alone, and an append of this VM is done",
+            .leader = "other",
+            .heartbeat_age = millis{100},
+            .leader_log_age = millis{1'500},
+            .own_append_age = millis{300},
+            .claims = true},
+    }};
+    for(auto row: rows) {
+        CAPTURE(row.description);
+        row.record_age = row.leader_log_age;
+        CHECK(watch_of(row).reason_to_claim(start - row.read_age, start).has_value() == row.claims);
+    }
+}
+
 TEST_CASE("records are relayed to a leader that sends heartbeats and appends successfully") {
     std::array<watch_scenario, 4u> const rows{{
         {.description = "heartbeats and appends", .leader = "other", .heartbeat_age = millis{100}, .claims = true},
