Let larger entry VMs replace a leader that cannot append

Cause: claims with the reason appends_faster had no delay, neither the spread nor that of small VMs; all VMs claimed within 0.12 s and the first write decided. Change: the delay of other claims. The test fails without it.

--- a/src/kingcuplink/site/leader_watch.cpp
+++ b/src/kingcuplink/site/leader_watch.cpp
@@ -129,7 +129,7 @@
     auto const failing_for = std::min(heartbeat_.log_age, std::chrono::duration_cast<millis>(now - log_answers_since_));
     // A log that is slow for this entry VM too does not justify replacing the leader.
     auto const can_append_instead = own_append_at_ + timing::own_append_age > heartbeat_received_at_ &&
-        failing_for > timing::replaceable_leader_timeout + own_append_took_ * timing::relay_appends;
+        failing_for > timing::replaceable_leader_timeout + own_append_took_ * timing::relay_appends + claim_delay();
     if(can_append_instead) {
         return claim_reason::appends_faster;
     }
--- a/test/site/leader_watch_test.cpp
+++ b/test/site/leader_watch_test.cpp
@@ -201,6 +201,37 @@
     }
 }
 
+// One of the smallest VMs replaced a leader that was cut off from the log, since all claimed at the same moment.
+TEST_CASE("entry VMs with less processor time let larger ones replace a leader that cannot append") {
+    auto const claims_after = [](std::string const &name, std::uint32_t const millicores) {
+        leader_watch watch{name, millicores};
+        watch.apply_claim({7u, "leader", "address", false}, start);
+        auto now = start;
+        std::optional<claim_reason> reason;
+        while(!reason && now < start + millis{5'000}) {
+            now += millis{10};
+            watch.record_heartbeat({7u, std::chrono::duration_cast<millis>(now - start), millis{10}, 500u}, now);
+            watch.record_own_append(millis{10}, now);
+            reason = watch.reason_to_claim(now, now);
+        }
+        CHECK(reason == claim_reason::appends_faster);
+        return std::chrono::duration_cast<millis>(now - start);
+    };
+    auto last_large = millis{};
+    auto first_small = millis::max();
+    auto first_large = millis::max();
+    for(auto vm = 0; vm < 32; ++vm) {
+        auto const large = claims_after("large-" + std::to_string(vm), 500u);
+        last_large = std::max(last_large, large);
+        first_large = std::min(first_large, large);
+        first_small = std::min(first_small, claims_after("small-" + std::to_string(vm), 120u));
+    }
+    CHECK(last_large < first_small);
+    // Claims of VMs of one size are spread: the first one that is appended decides.
+    CHECK(last_large - first_large > millis{100});
+    CHECK(last_large <= timing::replaceable_leader_timeout + timing::claim_spread + millis{100});
+}
+
 TEST_CASE("records are relayed to a leader that sends heartbeats and appends successfully") {
     std::array<watch_scenario, 4u> const rows{{
         {.description = "heartbeats and appends", .leader = "other", .heartbeat_age = millis{100}, .claims = true},
