Wait for the leader's appends as long as the log may take, and send copies meanwhile

Cause: the time limit of an append, 1.2 s, is shorter than the 2 s for which the log lets one wait. Change: 2.5 s for the leader's appends. A lost answer is made good by a copy every 0.5 s: the log executes the first and answers the others alike. So an outage also ends for the leader within 0.5 s of the log's return. The test fails with a limit of 1.2 s.

--- a/src/kingcuplink/site/fleet_leader.cpp
+++ b/src/kingcuplink/site/fleet_leader.cpp
@@ -472,16 +472,15 @@
             }
         }
         records.insert(records.end(), content.own.begin(), content.own.end());
-        auto const answer = co_await append_to_jobs(
-            parts_, append_purpose::leader, std::move(records), log_writer{term_, sequence_});
-        if(answer.outcome == append_outcome::unknown) {
+        auto const result = co_await append_with_copies(parts_, std::move(records), log_writer{term_, sequence_});
+        if(result.may_be_done) {
             unknown_since = unknown_since.value_or(sent_at);
         }
-        switch(answer.outcome) {
+        switch(result.answer.outcome) {
         case append_outcome::done:
             appended_at_ = unknown_since.value_or(sent_at);
             append_time_ = current_time() - sent_at;
-            commit(content, answer.offset);
+            commit(content, result.answer.offset);
             co_return !ended_;
         case append_outcome::fenced:
         case append_outcome::out_of_sequence:
--- a/src/kingcuplink/site/log_appends.hpp
+++ b/src/kingcuplink/site/log_appends.hpp
@@ -34,6 +34,21 @@
 [[nodiscard]] boost::asio::awaitable<append_answer> append_to_jobs(
     node_parts parts, append_purpose purpose, std::vector<keyed_record> records, std::optional<log_writer> writer);
 
+/*! Result of an append that was sent several times. */
+struct copied_append_answer {
+    append_answer answer;
+    /*! True if a copy without an answer may have appended the records, whatever the answer says. */
+    bool may_be_done{};
+};
+
+/*!
+ * Appends records of the leader to the stream of jobs. A copy of the append follows whenever no answer has arrived for
+ * timing::append_copy_interval: the log executes the first one that arrives and answers the others alike. Returns once
+ * an answer is conclusive, or all copies have failed. Must only be used on the control thread.
+ */
+[[nodiscard]] boost::asio::awaitable<copied_append_answer> append_with_copies(
+    node_parts parts, std::vector<keyed_record> records, log_writer writer);
+
 /*! Returns the number of bytes of the keys and values of a record. */
 [[nodiscard]] std::uint64_t size_of(keyed_record const &record) noexcept;
 
--- a/src/kingcuplink/site/ports.hpp
+++ b/src/kingcuplink/site/ports.hpp
@@ -94,9 +94,10 @@
     /*!
      * Appends records atomically.
      * @param writer Fences off earlier writers; nothing for an append without fencing.
+     * @param timeout Time without an answer after which the outcome is unknown.
      */
     virtual boost::asio::awaitable<append_answer> append(
-        log_stream stream, std::vector<keyed_record> records, std::optional<log_writer> writer) = 0;
+        log_stream stream, std::vector<keyed_record> records, std::optional<log_writer> writer, millis timeout) = 0;
 
     /*!
      * Reads records, starting at an offset.
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -83,6 +83,17 @@
 inline constexpr millis slow_append{400};
 /*! Longest time between checks for callers' records. */
 inline constexpr millis caller_check_interval{400};
+/*! Time limit of an append; its callers wait for 2 s at most. */
+inline constexpr millis append_timeout{1'200};
+/*!
+ * Time limit of an append of the leader. The log refuses an append that would wait for more than 2 s, so an answer that
+ * is late by more than that was lost.
+ */
+inline constexpr millis leader_append_timeout{2'500};
+/*! Time without an answer after which the leader sends a copy of its append, and the most copies in flight. */
+inline constexpr millis append_copy_interval{500};
+inline constexpr std::size_t max_append_copies{5u};
+static_assert(append_copy_interval * static_cast<int>(max_append_copies) >= leader_append_timeout);
 /*! Number of times that the log refuses an append before its callers are refused. */
 inline constexpr unsigned caller_append_attempts = 2u;
 /*! Delay before a failed append or read is retried; it doubles for appends of callers' records. */
--- a/test/site/scripted_site.cpp
+++ b/test/site/scripted_site.cpp
@@ -1,6 +1,7 @@
 #include "scripted_site.hpp"
 
 #include <algorithm>
+#include <boost/asio/detached.hpp>
 #include <chrono>
 #include <fcntl.h>
 #include <kingcuplink/platform/http_client.hpp>
@@ -23,8 +24,8 @@
 
 } // namespace
 
-boost::asio::awaitable<append_answer> memory_log::append(
-    log_stream const stream, std::vector<keyed_record> records, std::optional<log_writer> const writer) {
+boost::asio::awaitable<append_answer> memory_log::append(log_stream const stream, std::vector<keyed_record> records,
+    std::optional<log_writer> const writer, millis const timeout) {
     auto took = append_time;
     if(max_append_wait) {
         auto const now = current_time();
@@ -38,12 +39,24 @@
         free_at_ += append_time;
         took += wait;
     }
+    if(took > timeout) {
+        auto const executor = co_await boost::asio::this_coro::executor;
+        boost::asio::co_spawn(executor, execute_later(stream, std::move(records), writer, took), boost::asio::detached);
+        co_await pause(timeout);
+        co_return append_answer{append_outcome::unknown, 0u};
+    }
     if(took > millis{}) {
         co_await pause(took);
     }
     co_return execute(stream, std::move(records), writer);
 }
 
+boost::asio::awaitable<void> memory_log::execute_later(log_stream const stream, std::vector<keyed_record> records,
+    std::optional<log_writer> const writer, millis const delay) {
+    co_await pause(delay);
+    execute(stream, std::move(records), writer);
+}
+
 void memory_log::occupy(millis const time) {
     free_at_ = std::max(free_at_, current_time()) + time;
 }
@@ -122,16 +135,16 @@
     co_return is_retained ? std::optional{end_offset(stream)} : std::nullopt;
 }
 
-boost::asio::awaitable<append_answer> gated_log::append(
-    log_stream const stream, std::vector<keyed_record> records, std::optional<log_writer> const writer) {
+boost::asio::awaitable<append_answer> gated_log::append(log_stream const stream, std::vector<keyed_record> records,
+    std::optional<log_writer> const writer, millis const timeout) {
     ++appends;
     if(loses_appends) {
         co_return append_answer{append_outcome::unknown, 0u};
     }
-    if(!is_open) {
+    if(!is_open || refuses_appends) {
         co_return append_answer{append_outcome::refused, 0u};
     }
-    co_return co_await log_.append(stream, std::move(records), writer);
+    co_return co_await log_.append(stream, std::move(records), writer, timeout);
 }
 
 boost::asio::awaitable<read_answer> gated_log::read(
--- a/test/site/scripted_site.hpp
+++ b/test/site/scripted_site.hpp
@@ -42,8 +42,8 @@
 public:
     explicit memory_log(boost::asio::io_context &context) : context_{context} {}
 
-    boost::asio::awaitable<append_answer> append(
-        log_stream stream, std::vector<keyed_record> records, std::optional<log_writer> writer) override;
+    boost::asio::awaitable<append_answer> append(log_stream stream, std::vector<keyed_record> records,
+        std::optional<log_writer> writer, millis timeout) override;
     boost::asio::awaitable<read_answer> read(log_stream stream, std::uint64_t from, millis wait) override;
     boost::asio::awaitable<std::optional<std::uint64_t>> end(log_stream stream, std::uint64_t from) override;
     boost::asio::awaitable<newest_page> newest(log_stream stream, std::string after) override;
@@ -82,6 +82,8 @@
     };
 
     append_answer execute(log_stream stream, std::vector<keyed_record> records, std::optional<log_writer> writer);
+    boost::asio::awaitable<void> execute_later(
+        log_stream stream, std::vector<keyed_record> records, std::optional<log_writer> writer, millis delay);
 
     boost::asio::io_context &context_;
     std::map<log_stream, stream_state> streams_;
@@ -94,8 +96,8 @@
 public:
     explicit gated_log(memory_log &log) : log_{log} {}
 
-    boost::asio::awaitable<append_answer> append(
-        log_stream stream, std::vector<keyed_record> records, std::optional<log_writer> writer) override;
+    boost::asio::awaitable<append_answer> append(log_stream stream, std::vector<keyed_record> records,
+        std::optional<log_writer> writer, millis timeout) override;
     boost::asio::awaitable<read_answer> read(log_stream stream, std::uint64_t from, millis wait) override;
     boost::asio::awaitable<std::optional<std::uint64_t>> end(log_stream stream, std::uint64_t from) override;
     boost::asio::awaitable<newest_page> newest(log_stream stream, std::string after) override;
@@ -115,6 +117,8 @@
     bool has_begun_snapshot{};
     /*! True while appends of this entry VM are lost; their outcome is unknown to it. */
     bool loses_appends{};
+    /*! True while the log refuses appends of this entry VM; it reads as usual. */
+    bool refuses_appends{};
     /*! True while reads of the newest records of all jobs get no answer. */
     bool holds_snapshot{};
 
--- a/test/site/site_test.cpp
+++ b/test/site/site_test.cpp
@@ -927,6 +927,25 @@
     CHECK(site.workers.starts() > 0u);
 }
 
+// Appends that a log with a full queue answered after 1.2 s or later were repeated, never seen to be done, and kept the
+// queue full; then the leader was replaced.
+TEST_CASE("a leader whose appends take almost as long as the log lets them wait goes on") {
+    scripted_site site{2u};
+    site.run_until([&]() { return site.leader() != nullptr; });
+    REQUIRE(site.leader() != nullptr);
+    // The other entry VM receives heartbeats.
+    site.run_for(millis{500});
+    auto const leading = site.leading();
+    auto const &counted = site.vms[leading]->stats;
+    auto const done = counted.value(event::journal_appended);
+    site.log.append_time = millis{1'900};
+    site.run_for(millis{5'000});
+    CHECK(counted.value(event::journal_appended) >= done + 2u);
+    CHECK(counted.value(event::log_append_failed) == 0u);
+    CHECK(site.vms[leading]->node->leads());
+    CHECK_FALSE(site.vms[1u - leading]->node->leads());
+}
+
 TEST_CASE("a leader whose starts fill its link has them sent by other entry VMs, and each task runs once") {
     scripted_site site{2u};
     site.run_until([&]() { return site.leader() != nullptr; });
