Plan jobs while their definitions are being appended

Cause: a job was planned once its definition was committed, and its first intent then waited for the append in flight and for its own. Change: the leader plans a job from the moment its definition is queued, so that the intent is in the same append or the next one. The order in the log is that of before: definitions precede what refers to them, starts are sent after the append. A definition that the log refuses is withdrawn with all that was planned for the job. Weighed against starts without an intent: a new leader would have to withhold all jobs without a record until every worker has answered or its lease has lapsed.

--- a/src/kingcuplink/site/caller_records.cpp
+++ b/src/kingcuplink/site/caller_records.cpp
@@ -16,14 +16,17 @@
     return internal::record_way_names[static_cast<std::size_t>(way)];
 }
 
-boost::asio::awaitable<append_outcome> caller_records::add(std::vector<caller_record> records) {
-    auto const item = std::make_shared<group>(context_);
-    item->records = std::move(records);
-    queue_.push_back(item);
-    while(!item->is_settled) {
-        co_await item->settled.wait(timing::late_append_limit);
+caller_records::group_pointer caller_records::add(std::vector<caller_record> records) {
+    queue_.push_back(std::make_shared<group>(context_));
+    queue_.back()->records = std::move(records);
+    return queue_.back();
+}
+
+boost::asio::awaitable<append_outcome> caller_records::outcome_of(group_pointer const group) {
+    while(!group->is_settled) {
+        co_await group->settled.wait(timing::late_append_limit);
     }
-    co_return item->outcome;
+    co_return group->outcome;
 }
 
 std::vector<caller_records::group_pointer> caller_records::take(std::uint64_t const max_bytes) {
@@ -38,10 +41,10 @@
     return groups;
 }
 
-void caller_records::refuse_all() {
-    std::vector<group_pointer> const groups{queue_.begin(), queue_.end()};
+std::vector<caller_records::group_pointer> caller_records::take_all() {
+    std::vector<group_pointer> groups{queue_.begin(), queue_.end()};
     queue_.clear();
-    settle(groups, append_outcome::refused);
+    return groups;
 }
 
 void caller_records::settle(std::span<group_pointer const> const groups, append_outcome const outcome) {
--- a/src/kingcuplink/site/caller_records.hpp
+++ b/src/kingcuplink/site/caller_records.hpp
@@ -56,14 +56,17 @@
     /*! Constructs an empty queue; the context must outlive it. */
     explicit caller_records(boost::asio::io_context &context) : context_{context} {}
 
-    /*! Queues records and waits until their group is settled. */
-    boost::asio::awaitable<append_outcome> add(std::vector<caller_record> records);
+    /*! Queues records as one group. */
+    group_pointer add(std::vector<caller_record> records);
+
+    /*! Waits until a group is settled. */
+    static boost::asio::awaitable<append_outcome> outcome_of(group_pointer group);
 
     /*! Removes groups in the order of their arrival, up to a number of bytes; at least one if there are any. */
     [[nodiscard]] std::vector<group_pointer> take(std::uint64_t max_bytes);
 
-    /*! Settles all queued groups: none of their records was sent to the log. */
-    void refuse_all();
+    /*! Removes all groups; none of their records was sent to the log. */
+    [[nodiscard]] std::vector<group_pointer> take_all();
 
     /*! Sets the outcome of groups, and resumes who waits for it. */
     static void settle(std::span<group_pointer const> groups, append_outcome outcome);
--- a/src/kingcuplink/site/fleet_leader.cpp
+++ b/src/kingcuplink/site/fleet_leader.cpp
@@ -84,7 +84,7 @@
 
 void fleet_leader::end() noexcept {
     ended_ = true;
-    caller_records_.refuse_all();
+    caller_records::settle(caller_records_.take_all(), append_outcome::refused);
     plan_wakeup_.notify();
     append_wakeup_.notify();
 }
@@ -115,6 +115,7 @@
 }
 
 void fleet_leader::add_job(job_entry const &entry) {
+    uncommitted_jobs_.erase(entry.definition.id);
     dispatcher_.add_job(entry);
     plan_wakeup_.notify();
 }
@@ -125,13 +126,22 @@
     append_wakeup_.notify();
 }
 
-boost::asio::awaitable<append_outcome> fleet_leader::append(std::vector<caller_record> records) {
+boost::asio::awaitable<append_outcome> fleet_leader::append(
+    std::vector<caller_record> records, std::vector<job_definition> jobs) {
     auto const self = shared_from_this();
     if(ended_) {
         co_return append_outcome::refused;
     }
+    auto const group = caller_records_.add(std::move(records));
+    for(auto &job: jobs) {
+        uncommitted_jobs_.insert(job.id);
+        job_entry entry;
+        entry.definition = std::move(job);
+        dispatcher_.add_job(entry);
+    }
+    plan_wakeup_.notify();
     append_wakeup_.notify();
-    co_return co_await caller_records_.add(std::move(records));
+    co_return co_await caller_records::outcome_of(group);
 }
 
 void fleet_leader::remove_jobs(std::vector<std::string> const &ids) {
@@ -490,8 +500,7 @@
         case append_outcome::refused:
             ++refusals;
             if(!unknown_since && refusals >= timing::caller_append_attempts) {
-                caller_records::settle(std::exchange(content.callers, {}), append_outcome::refused);
-                caller_records_.refuse_all();
+                refuse(content);
             }
             [[fallthrough]];
         case append_outcome::unknown:
@@ -509,6 +518,27 @@
     co_return false;
 }
 
+void fleet_leader::refuse(append_content &content) {
+    auto refused = std::exchange(content.callers, {});
+    auto const queued = caller_records_.take_all();
+    refused.insert(refused.end(), queued.begin(), queued.end());
+    std::set<std::string, std::less<>> withdrawn;
+    for(auto const &group: refused) {
+        for(auto const &row: group->records) {
+            auto const name = parse_record_key(row.record.key);
+            if(name && name->kind == record_kind::job && uncommitted_jobs_.erase(name->id) > 0u) {
+                dispatcher_.withdraw_job(name->id, current_time());
+                withdrawn.insert(name->id);
+            }
+        }
+    }
+    std::erase_if(content.own, [&withdrawn](auto const &record) {
+        auto const name = parse_record_key(record.key);
+        return name && withdrawn.contains(name->id);
+    });
+    caller_records::settle(refused, append_outcome::refused);
+}
+
 void fleet_leader::commit(append_content const &content, std::uint64_t offset) {
     parts_.times.add(latency::log_append, append_time_);
     parts_.stats.add(event::journal_appended);
--- a/src/kingcuplink/site/fleet_leader.hpp
+++ b/src/kingcuplink/site/fleet_leader.hpp
@@ -77,8 +77,10 @@
     /*!
      * Appends callers' records with the leader's next append, before its own records. Returns `refused` if surely none
      * of them was appended: the log refused them repeatedly, or the leadership has ended.
+     * @param jobs Jobs among the records that are new to this entry VM. They are planned at once, so that their first
+     * starts need no further append; the starts are sent after the append, and never if it is refused.
      */
-    boost::asio::awaitable<append_outcome> append(std::vector<caller_record> records);
+    boost::asio::awaitable<append_outcome> append(std::vector<caller_record> records, std::vector<job_definition> jobs);
 
     /*! Schedules the removal of jobs from the log. */
     void remove_jobs(std::vector<std::string> const &ids);
@@ -138,6 +140,8 @@
     /*! Appends content in one append; callers' records that the log refuses repeatedly are withdrawn from it. */
     boost::asio::awaitable<bool> append_content_once(append_content content);
     void commit(append_content const &content, std::uint64_t offset);
+    /*! Refuses callers' records, and removes what was planned for jobs that they define. */
+    void refuse(append_content &content);
     [[nodiscard]] keyed_record own_claim(bool resigned) const;
     boost::asio::awaitable<void> start_run(self_pointer self, run_start run);
     /*! Outcome of a start, whose copies were sent one after another. */
@@ -187,6 +191,8 @@
     std::map<std::string, std::string> rejected_registrations_;
     std::vector<keyed_record> removals_;
     caller_records caller_records_;
+    /*! Jobs that are planned although their definitions are not committed yet. */
+    std::set<std::string, std::less<>> uncommitted_jobs_;
     wakeup plan_wakeup_;
     wakeup append_wakeup_;
     instant leader_since_;
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -629,8 +629,10 @@
         [this](std::uint64_t const offset, std::span<keyed_record const> const records, record_way const way) {
             apply_own(offset, records, way);
         });
-    appender_.set_leader(
-        [leader = leader_](std::vector<caller_record> records) { return leader->append(std::move(records)); });
+    appender_.set_leader([this, leader = leader_](std::vector<caller_record> records) {
+        auto jobs = new_jobs(records);
+        return leader->append(std::move(records), std::move(jobs));
+    });
     parts_.stats.add(event::leadership_taken);
     leader_->set_rules(rules_);
     std::vector<job_entry const *> entries;
@@ -645,6 +647,22 @@
     leader_->start();
 }
 
+std::vector<job_definition> site_node::new_jobs(std::span<caller_record const> const records) const {
+    std::vector<job_definition> jobs;
+    for(auto const &row: records) {
+        auto const name = parse_record_key(row.record.key);
+        auto const is_new = name && name->kind == record_kind::job && row.record.value &&
+            known_jobs_.find(name->id) == nullptr && !known_jobs_.is_cancelled(name->id);
+        if(!is_new) {
+            continue;
+        }
+        if(auto job = decode_job(name->id, *row.record.value)) {
+            jobs.push_back(std::move(*job));
+        }
+    }
+    return jobs;
+}
+
 void site_node::end_leadership() {
     parts_.stats.add(event::leadership_lost);
     watch_.record_leader_activity(current_time());
--- a/src/kingcuplink/site/site_node.hpp
+++ b/src/kingcuplink/site/site_node.hpp
@@ -146,6 +146,8 @@
     boost::asio::awaitable<void> claim(claim_reason reason);
     void begin_leadership(std::uint64_t term, std::uint64_t sequence, instant claimed_at);
     void end_leadership();
+    /*! Returns the jobs that records define and that this entry VM does not know. */
+    [[nodiscard]] std::vector<job_definition> new_jobs(std::span<caller_record const> records) const;
     boost::asio::awaitable<void> resign(std::string_view reason);
 
     // Peers.
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -224,6 +224,30 @@
     }
 }
 
+void dispatcher::withdraw_job(std::string const &id, instant const now) {
+    auto const found = state_.job_ids.find(id);
+    if(found == state_.job_ids.end()) {
+        return;
+    }
+    auto const job = found->second;
+    // Nothing of a job that ends this way is recorded.
+    state_.jobs[job].phase = job_phase::cancelled;
+    state_.jobs[job].is_dirty = false;
+    state_.mark_steps_changed(job);
+    std::vector<placement_id> intended;
+    for(auto const &step: state_.jobs[job].steps) {
+        for(auto const &task: step.tasks) {
+            if(state_.placements.contains(task.placement)) {
+                intended.push_back(task.placement);
+            }
+        }
+    }
+    for(auto const placement: intended) {
+        state_.remove_placement(placement, now);
+    }
+    state_.erase_if_finished(job);
+}
+
 void dispatcher::end_job(job_id const id, job_phase const phase) {
     state_.jobs[id].phase = phase;
     state_.mark_dirty(id);
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -242,6 +242,12 @@
     /*! Adds a job with its state from the log. Ignored if the job is known, has ended or has no steps. */
     void add_job(job_entry const &entry);
 
+    /*!
+     * Removes a job whose definition was not committed to the log, as if it had never been added. Precondition: none of
+     * its starts was sent. Ignored if the job is unknown.
+     */
+    void withdraw_job(std::string const &id, instant now);
+
     /*! Cancels a job and stops its runs. */
     void cancel_job(std::string const &id);
 
--- a/test/site/site_test.cpp
+++ b/test/site/site_test.cpp
@@ -946,6 +946,60 @@
     CHECK_FALSE(site.vms[1u - leading]->node->leads());
 }
 
+// While the log was slow, acceptance, the first start and the end of a job each waited for an append, one after
+// another.
+TEST_CASE("the first start of a job follows its acceptance within the time of one append") {
+    for(auto const is_at_leader: {true, false}) {
+        CAPTURE(is_at_leader);
+        scripted_site site{2u};
+        site.run_until([&]() { return site.leader() != nullptr; });
+        REQUIRE(site.leader() != nullptr);
+        // Gives the other entry VM time to receive the leader's heartbeats, so that it relays records.
+        site.run_for(millis{500});
+        site.log.append_time = millis{200};
+        site.run_for(millis{500});
+        std::optional<instant> accepted_at;
+        site.begin(is_at_leader ? site.leading() : site.follower(),
+            scripted_site::submission(scripted_site::job("00000000000000aa")), [&](caller_answer const &answer) {
+                CHECK_FALSE(answer.refused);
+                accepted_at = current_time();
+            });
+        site.run_until([&]() { return site.workers.starts() == 2u && accepted_at; });
+        REQUIRE(accepted_at);
+        CHECK(site.workers.starts() == 2u);
+        CHECK(current_time() - *accepted_at <= site.log.append_time);
+    }
+}
+
+// A job is planned before the log has its definition: without it, nothing of the job may be started or recorded.
+TEST_CASE("a job whose definition the log refuses is not started, and starts once when it is submitted again") {
+    scripted_site site{2u};
+    site.run_until([&]() { return site.leader() != nullptr; });
+    REQUIRE(site.leader() != nullptr);
+    auto const leading = site.leading();
+    auto const *id = "00000000000000aa";
+    auto &log = site.vms[leading]->log;
+    log.refuses_appends = true;
+    auto const answer = site.ask(leading, caller_operation::submit, id);
+    REQUIRE(answer.refused);
+    CHECK(answer.refused->reason == refusal::log_unavailable);
+    log.refuses_appends = false;
+    site.run_for(millis{700});
+    CHECK(site.vms[leading]->node->leads());
+    CHECK(site.workers.starts() == 0u);
+    auto const asked = site.ask(leading, caller_operation::ask, id);
+    REQUIRE(asked.refused);
+    CHECK(asked.refused->reason == refusal::job_unknown);
+    CHECK_FALSE(site.ask(leading, caller_operation::submit, id).refused);
+    site.run_until([&]() { return site.workers.runs() == 2u; });
+    site.run_for(millis{300});
+    CHECK(site.workers.starts() == 2u);
+    site.workers.end_all();
+    auto const is_done = [&]() { return site.ask(leading, caller_operation::ask, id).phase == job_phase::done; };
+    site.run_until(is_done);
+    CHECK(is_done());
+}
+
 TEST_CASE("a leader whose starts fill its link has them sent by other entry VMs, and each task runs once") {
     scripted_site site{2u};
     site.run_until([&]() { return site.leader() != nullptr; });
