--- a/test/site/leader_watch_test.cpp
+++ b/test/site/leader_watch_test.cpp
@@ -185,7 +185,7 @@
         {.description = "the leader's appends take almost as long as the log lets them wait",
             .leader = "other",
             .heartbeat_age = millis{100},
-            .leader_log_age = millis{3'900},
+            .leader_log_age = millis{6'600},
             .leader_append_time = millis{1'950}},
         {.description = "the log was away for the leader alone, and an append of this VM is done",
             .leader = "other",
