Tell entry VMs without the log who leads next

Cause: a VM learns of a leader from the log alone. These VMs knew the former leader only: they could neither relay records nor ask for jobs, and the leader ignored introductions that named an earlier term. Change: heartbeats carry the leader's address, and once a second the largest VMs. A VM without log and leader introduces itself to these; the one that leads answers with a heartbeat, from which the claim is known. A former leader without the log learns so that it leads no longer.

--- a/src/kingcuplink/site/fleet_leader.cpp
+++ b/src/kingcuplink/site/fleet_leader.cpp
@@ -681,9 +681,10 @@
 }
 
 boost::asio::awaitable<void> fleet_leader::run_heartbeats([[maybe_unused]] self_pointer self) {
-    while(!ended_) {
+    for(std::uint64_t round{}; !ended_; ++round) {
+        auto const is_slow_round = round % timing::slow_heartbeat_rounds == 0u;
         for(auto const &receiver: known_peers_.next_heartbeat_receivers()) {
-            send_heartbeat(receiver);
+            send_heartbeat(receiver, is_slow_round || receiver.interval > timing::heartbeat_interval);
         }
         report_load(current_time());
         co_await pause(timing::heartbeat_interval);
@@ -742,7 +743,7 @@
     return std::max(parts_.settings.processor_millicores, known_peers_.most_millicores());
 }
 
-void fleet_leader::send_heartbeat(heartbeat_receiver const &receiver) {
+void fleet_leader::send_heartbeat(heartbeat_receiver const &receiver, bool const names_candidates) {
     wire::envelope message;
     auto &heartbeat = *message.mutable_leader_beat();
     heartbeat.set_term(term_);
@@ -750,6 +751,15 @@
     heartbeat.set_most_millicores(most_millicores());
     heartbeat.set_append_ms(static_cast<std::uint64_t>(append_time_.count()));
     heartbeat.set_interval_ms(static_cast<std::uint32_t>(receiver.interval.count()));
+    heartbeat.set_peer_address(parts_.settings.peer_address);
+    heartbeat.set_processor_millicores(parts_.settings.processor_millicores);
+    if(names_candidates) {
+        for(auto &candidate: known_peers_.candidates()) {
+            auto &row = *heartbeat.add_candidates();
+            row.set_name(std::move(candidate.name));
+            row.set_peer_address(std::move(candidate.peer_address));
+        }
+    }
     peers_.send(std::string{receiver.name}, message);
 }
 
@@ -778,11 +788,11 @@
 void fleet_leader::add_peer(std::string const &peer, wire::introduction const &introduction) {
     peers_.connect(peer, introduction.peer_address());
     peer_introduction entry{introduction.failure_domain(), introduction.processor_millicores(), introduction.process(),
-        introduction.sent_at_ms()};
+        introduction.sent_at_ms(), introduction.peer_address()};
     if(known_peers_.introduce(peer, std::move(entry), current_time())) {
         queries_.add_vm(peer);
         dispatcher_.set_querying_vms(queries_.vms());
-        send_heartbeat({peer, timing::slow_heartbeat_interval});
+        send_heartbeat({peer, timing::slow_heartbeat_interval}, true);
     }
 }
 
--- a/src/kingcuplink/site/fleet_leader.hpp
+++ b/src/kingcuplink/site/fleet_leader.hpp
@@ -68,6 +68,11 @@
     /*! Registers or refreshes an entry VM that introduced itself: it queries the adviser and relays starts. */
     void add_peer(std::string const &peer, wire::introduction const &introduction);
 
+    /*! Returns the entry VMs that may lead next. */
+    [[nodiscard]] std::vector<leader_candidate> candidates() const {
+        return known_peers_.candidates();
+    }
+
     /*! Handles the adviser's answer that another entry VM forwarded. */
     void take_advice(std::string const &peer, wire::advice_answer const &answer);
 
@@ -114,7 +119,7 @@
     boost::asio::awaitable<void> poll_immediately(self_pointer self, std::string worker);
     boost::asio::awaitable<void> run_planner(self_pointer self);
     boost::asio::awaitable<void> run_heartbeats(self_pointer self);
-    void send_heartbeat(heartbeat_receiver const &receiver);
+    void send_heartbeat(heartbeat_receiver const &receiver, bool names_candidates);
     [[nodiscard]] std::uint32_t most_millicores() const noexcept;
     void report_load(instant now);
     void notify_job_ends(progress_batch const &batch);
--- a/src/kingcuplink/site/leader_peers.cpp
+++ b/src/kingcuplink/site/leader_peers.cpp
@@ -40,15 +40,31 @@
     return most;
 }
 
-std::vector<heartbeat_receiver> leader_peers::next_heartbeat_receivers() {
-    using position = std::map<std::string, peer>::iterator;
-    std::vector<position> order;
-    for(auto entry = peers_.begin(); entry != peers_.end(); ++entry) {
+template<typename Peers>
+auto leader_peers::by_size(Peers &peers) {
+    std::vector<decltype(peers.begin())> order;
+    for(auto entry = peers.begin(); entry != peers.end(); ++entry) {
         order.push_back(entry);
     }
     std::stable_sort(order.begin(), order.end(), [](auto const lhs, auto const rhs) {
         return lhs->second.introduction.processor_millicores > rhs->second.introduction.processor_millicores;
     });
+    return order;
+}
+
+std::vector<leader_candidate> leader_peers::candidates() const {
+    std::vector<leader_candidate> result;
+    for(auto const entry: by_size(peers_)) {
+        if(result.size() == timing::max_leader_candidates) {
+            break;
+        }
+        result.push_back({entry->first, entry->second.introduction.peer_address});
+    }
+    return result;
+}
+
+std::vector<heartbeat_receiver> leader_peers::next_heartbeat_receivers() {
+    auto order = by_size(peers_);
     auto const frequent = std::min(order.size(), timing::max_frequent_heartbeats);
     auto const others = order.begin() + static_cast<std::ptrdiff_t>(frequent);
     // Those that have waited longest come first, so that nobody waits longer because others come and go.
--- a/src/kingcuplink/site/leader_peers.hpp
+++ b/src/kingcuplink/site/leader_peers.hpp
@@ -20,6 +20,13 @@
     std::uint64_t process{};
     /*! Clock of the process when it sent the introduction, in ms. */
     std::int64_t clock{};
+    std::string peer_address{};
+};
+
+/*! Entry VM that may lead next. */
+struct leader_candidate {
+    std::string name;
+    std::string peer_address;
 };
 
 /*! Entry VM that is to receive a heartbeat. */
@@ -55,6 +62,9 @@
      */
     [[nodiscard]] std::vector<heartbeat_receiver> next_heartbeat_receivers();
 
+    /*! Returns the largest entry VMs, at most timing::max_leader_candidates. */
+    [[nodiscard]] std::vector<leader_candidate> candidates() const;
+
     /*!
      * Returns the entry VM that is to relay a start to a worker: one of the worker's failure domain, the same one for a
      * worker as long as it answers. Nothing if there is none.
@@ -69,6 +79,12 @@
     [[nodiscard]] std::vector<std::string> names() const;
 
 private:
+    struct peer;
+
+    /*! Returns the positions of all entry VMs, the largest first. */
+    template<typename Peers>
+    [[nodiscard]] static auto by_size(Peers &peers);
+
     struct peer {
         peer_introduction introduction;
         instant introduced_at{};
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -666,6 +666,8 @@
 void site_node::end_leadership() {
     parts_.stats.add(event::leadership_lost);
     watch_.record_leader_activity(current_time());
+    // If the log is lost, one of them tells who leads next.
+    candidates_ = leader_->candidates();
     leader_ = nullptr;
     appender_.set_leader(nullptr);
 }
@@ -694,31 +696,48 @@
 // Peers.
 
 boost::asio::awaitable<void> site_node::introduce() {
+    instant candidates_due{};
     while(true) {
         auto const is_introduced = watch_.has_heartbeats();
         co_await pause(is_introduced ? timing::introduction_interval : timing::first_introduction_interval);
         auto const leader = watch_.claim();
-        if(leader_ != nullptr || leader.name.empty() || leader.name == parts_.settings.name || draining_) {
+        auto const now = current_time();
+        if(draining_ || leader.name.empty()) {
             continue;
         }
-        peers_.connect(leader.name, leader.peer_address);
-        wire::envelope message;
-        auto &introduction = *message.mutable_introduction();
-        introduction.set_peer_address(parts_.settings.peer_address);
-        introduction.set_term(leader.term);
-        introduction.set_processor_millicores(parts_.settings.processor_millicores);
-        introduction.set_failure_domain(parts_.settings.failure_domain);
-        introduction.set_process(process_);
-        introduction.set_sent_at_ms(current_time().time_since_epoch().count());
-        peers_.send(leader.name, message);
+        if(leader_ == nullptr && leader.name != parts_.settings.name) {
+            introduce_to(leader.name, leader.peer_address);
+        }
+        // Without the log, this entry VM cannot read who leads, or that it leads no longer.
+        if(!log_reachable_ && !watch_.accepts_records(now) && candidates_due <= now) {
+            candidates_due = now + timing::candidate_introduction_interval;
+            for(auto const &[name, address]: leader_ != nullptr ? leader_->candidates() : candidates_) {
+                if(name != leader.name && name != parts_.settings.name) {
+                    introduce_to(name, address);
+                }
+            }
+        }
     }
 }
 
+void site_node::introduce_to(std::string const &peer, std::string const &address) {
+    peers_.connect(peer, address);
+    wire::envelope message;
+    auto &introduction = *message.mutable_introduction();
+    introduction.set_peer_address(parts_.settings.peer_address);
+    introduction.set_term(watch_.claim().term);
+    introduction.set_processor_millicores(parts_.settings.processor_millicores);
+    introduction.set_failure_domain(parts_.settings.failure_domain);
+    introduction.set_process(process_);
+    introduction.set_sent_at_ms(current_time().time_since_epoch().count());
+    peers_.send(peer, message);
+}
+
 void site_node::handle(wire::envelope const &message) {
-    if(message.has_introduction() && leader_ != nullptr && message.introduction().term() == leader_->term()) {
+    if(message.has_introduction() && leader_ != nullptr && message.introduction().term() <= leader_->term()) {
         leader_->add_peer(message.sender(), message.introduction());
     } else if(message.has_leader_beat()) {
-        handle_heartbeat(message.leader_beat());
+        handle_heartbeat(message.sender(), message.leader_beat());
     } else if(message.has_job_ends()) {
         handle_job_ends(message.job_ends());
     } else if(message.has_append_request()) {
@@ -743,7 +762,17 @@
     }
 }
 
-void site_node::handle_heartbeat(wire::leader_beat const &heartbeat) {
+void site_node::handle_heartbeat(std::string const &sender, wire::leader_beat const &heartbeat) {
+    if(heartbeat.term() > watch_.claim().term && !heartbeat.peer_address().empty()) {
+        // Only the holder of a committed claim sends heartbeats: this entry VM has not read the claim yet.
+        handle_claim({heartbeat.term(), sender, heartbeat.peer_address(), false, heartbeat.processor_millicores()});
+    }
+    if(heartbeat.term() == watch_.claim().term && !heartbeat.candidates().empty()) {
+        candidates_.clear();
+        for(auto const &row: heartbeat.candidates()) {
+            candidates_.push_back({row.name(), row.peer_address()});
+        }
+    }
     auto const time_of = [](std::uint64_t const ms) { return millis{static_cast<std::int64_t>(ms)}; };
     watch_.record_heartbeat({heartbeat.term(), time_of(heartbeat.log_age_ms()), time_of(heartbeat.append_ms()),
                                 heartbeat.most_millicores(), time_of(heartbeat.interval_ms())},
--- a/src/kingcuplink/site/site_node.hpp
+++ b/src/kingcuplink/site/site_node.hpp
@@ -152,8 +152,9 @@
 
     // Peers.
     boost::asio::awaitable<void> introduce();
+    void introduce_to(std::string const &peer, std::string const &address);
     void handle(wire::envelope const &message);
-    void handle_heartbeat(wire::leader_beat const &heartbeat);
+    void handle_heartbeat(std::string const &sender, wire::leader_beat const &heartbeat);
     void handle_job_ends(wire::job_ends const &ends);
     /*! Answers another entry VM's question for a job, as the leader. */
     void answer_job_question(std::string const &peer, wire::job_question const &question);
@@ -173,6 +174,8 @@
     /*! True after a claim of this entry VM was appended until it is read back from the log. */
     bool is_claiming_{};
     std::shared_ptr<fleet_leader> leader_;
+    /*! Entry VMs that may lead next, as the leader named them. */
+    std::vector<leader_candidate> candidates_;
     instant jobs_removed_at_{};
     bool log_reachable_{true};
     instant log_reachability_changed_at_{};
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -65,7 +65,7 @@
 /*! Time without a successful append after which a leader no longer extends leases. */
 inline constexpr millis lease_renewal_limit{6'000};
 /*! Delay of the leader's appends, during which further records join the batch. */
-inline constexpr millis append_batch_delay{20};
+inline constexpr millis append_batch_delay{10};
 /*! Delay of appends of callers' records, during which further records join the batch. */
 inline constexpr millis caller_batch_delay{10};
 /*! Shortest time limit for the leader to append records that another entry VM relayed. */
@@ -168,6 +168,10 @@
 inline constexpr millis introduction_interval{1'000};
 /*! Time between introductions until the leader's first heartbeat arrives. */
 inline constexpr millis first_introduction_interval{100};
+/*! Most entry VMs that the leader names as its possible successors; about 40 bytes each. */
+inline constexpr std::size_t max_leader_candidates = 16u;
+/*! Time between introductions of an entry VM without log and leader to the possible leaders. */
+inline constexpr millis candidate_introduction_interval{500};
 /*! Time without an introduction after which the leader sends an entry VM no more requests. */
 inline constexpr millis peer_silence{3'200};
 /*! Age of the latest introduction up to which an entry VM relays starts. */
--- a/test/site/site_test.cpp
+++ b/test/site/site_test.cpp
@@ -881,6 +881,42 @@
     CHECK(std::chrono::steady_clock::now() - began < millis{100});
 }
 
+// A third of the entry VMs lost the log together with the leader. They could not read who led next: they refused
+// callers or answered from old records until the log was back, while the jobs of these callers were done elsewhere.
+TEST_CASE("an entry VM without the log serves callers through the next leader") {
+    for(auto const is_leader_killed: {true, false}) {
+        CAPTURE(is_leader_killed);
+        std::array<std::uint32_t, 3u> const millicores{500u, 500u, 120u};
+        scripted_site site{millicores};
+        site.run_until([&]() { return site.leader() != nullptr && site.leading() != 2u; });
+        REQUIRE(site.leader() != nullptr);
+        site.run_for(timing::slow_heartbeat_interval + millis{500});
+        auto const first = site.leading();
+        auto const next = 1u - first;
+        constexpr auto cut = 2u;
+        site.vms[cut]->log.is_open = false;
+        site.vms[first]->is_alive = !is_leader_killed;
+        site.vms[first]->log.is_open = is_leader_killed;
+        for(auto number = 0; number < 100 && !site.vms[next]->node->leads(); ++number) {
+            auto id = std::to_string(number);
+            id.insert(0u, 16u - id.size(), '0');
+            site.ask(next, caller_operation::submit, id);
+            site.run_for(millis{50});
+        }
+        REQUIRE(site.vms[next]->node->leads());
+        auto const *id = "00000000000000aa";
+        REQUIRE_FALSE(site.ask(next, caller_operation::submit, id).refused);
+        // One introduction to the possible leaders is on its way, and heartbeats follow.
+        site.run_for(2 * timing::candidate_introduction_interval + timing::slow_heartbeat_interval);
+        CHECK_FALSE(site.ask(cut, caller_operation::ask, id).refused);
+        CHECK_FALSE(site.ask(cut, caller_operation::submit, "00000000000000ab").refused);
+        if(!is_leader_killed) {
+            CHECK_FALSE(site.vms[first]->node->leads());
+            CHECK_FALSE(site.ask(first, caller_operation::ask, id).refused);
+        }
+    }
+}
+
 TEST_CASE("only the leader appends records of callers to a slow log") {
     // Concurrent appends would queue behind the leader's in the single partition of the stream.
     scripted_site site{2u};
