--- a/src/kingcuplink/site/caller_records.cpp
+++ b/src/kingcuplink/site/caller_records.cpp
@@ -22,11 +22,12 @@
     return queue_.back();
 }
 
-boost::asio::awaitable<append_outcome> caller_records::outcome_of(group_pointer const group) {
-    while(!group->is_settled) {
-        co_await group->settled.wait(timing::late_append_limit);
+boost::asio::awaitable<append_outcome> caller_records::outcome_of(group_pointer group) {
+    auto const waiting = std::move(group);
+    while(!waiting->is_settled) {
+        co_await waiting->settled.wait(timing::late_append_limit);
     }
-    co_return group->outcome;
+    co_return waiting->outcome;
 }
 
 std::vector<caller_records::group_pointer> caller_records::take(std::uint64_t const max_bytes) {
--- a/src/kingcuplink/site/log_appends.cpp
+++ b/src/kingcuplink/site/log_appends.cpp
@@ -35,14 +35,15 @@
 }
 
 boost::asio::awaitable<void> send_copy(node_parts const parts, std::vector<keyed_record> records,
-    log_writer const writer, std::shared_ptr<append_copies> const copies) {
+    log_writer const writer, std::shared_ptr<append_copies> copies) {
+    auto const shared = std::move(copies);
     auto const answer = co_await append_to_jobs(parts, append_purpose::leader, std::move(records), writer);
-    --copies->pending;
-    if(is_conclusive(answer.outcome) && !copies->conclusion) {
-        copies->conclusion = answer;
+    --shared->pending;
+    if(is_conclusive(answer.outcome) && !shared->conclusion) {
+        shared->conclusion = answer;
     }
-    copies->has_unknown = copies->has_unknown || answer.outcome == append_outcome::unknown;
-    copies->changed.notify();
+    shared->has_unknown = shared->has_unknown || answer.outcome == append_outcome::unknown;
+    shared->changed.notify();
 }
 
 } // namespace internal
@@ -79,21 +80,21 @@
 }
 
 boost::asio::awaitable<copied_append_answer> append_with_copies(
-    node_parts const parts, std::vector<keyed_record> const records, log_writer const writer) {
+    node_parts const parts, std::vector<keyed_record> records, log_writer const writer) {
+    auto const content = std::move(records);
     auto const copies = std::make_shared<internal::append_copies>(parts.context);
     instant next_copy_at{};
     do {
         if(auto const now = current_time(); next_copy_at <= now && copies->pending < timing::max_append_copies) {
             ++copies->pending;
-            boost::asio::co_spawn(parts.context, internal::send_copy(parts, records, writer, copies), fail_fast);
+            boost::asio::co_spawn(parts.context, internal::send_copy(parts, content, writer, copies), fail_fast);
             next_copy_at = now + timing::append_copy_interval;
         }
         co_await copies->changed.wait(timing::append_copy_interval);
     } while(!copies->conclusion && copies->pending > 0u);
-    auto const is_conclusive = copies->conclusion.has_value();
     auto const failure = copies->has_unknown ? append_outcome::unknown : append_outcome::refused;
     copied_append_answer const result{
-        is_conclusive ? *copies->conclusion : append_answer{failure, 0u}, copies->has_unknown || copies->pending > 0u};
+        copies->conclusion.value_or(append_answer{failure, 0u}), copies->has_unknown || copies->pending > 0u};
     co_return result;
 }
 
