Refuse at once what a leader that cannot append has not sent, and what a VM without the log cannot append

Cause: the leader held relayed records that it could not append until the sender had waited a second; VMs without the log tried to append themselves, which cannot succeed and leaves the outcome unknown. Introductions to possible leaders that could not be sent are repeated soon.

--- a/src/kingcuplink/site/fleet_leader.cpp
+++ b/src/kingcuplink/site/fleet_leader.cpp
@@ -472,7 +472,7 @@
     // The log may answer a repeated append with the result of the first, even if another leader has claimed the log
     // since: the time of the first attempt with an unknown outcome counts.
     std::optional<instant> unknown_since;
-    auto refusals = 0u;
+    auto failures = 0u;
     while(!ended_) {
         auto const sent_at = current_time();
         std::vector<keyed_record> records;
@@ -498,13 +498,12 @@
             fenced("log");
             co_return false;
         case append_outcome::refused:
-            ++refusals;
-            if(!unknown_since && refusals >= timing::caller_append_attempts) {
-                refuse(content);
-            }
-            [[fallthrough]];
         case append_outcome::unknown:
             parts_.stats.add(event::log_append_failed);
+            ++failures;
+            if(failures >= timing::caller_append_attempts) {
+                refuse_callers(content, unknown_since.has_value());
+            }
             if(content.callers.empty() && content.own.empty()) {
                 // The log has executed no append with this number.
                 --sequence_;
@@ -518,10 +517,13 @@
     co_return false;
 }
 
-void fleet_leader::refuse(append_content &content) {
-    auto refused = std::exchange(content.callers, {});
-    auto const queued = caller_records_.take_all();
-    refused.insert(refused.end(), queued.begin(), queued.end());
+void fleet_leader::refuse_callers(append_content &content, bool const may_be_done) {
+    // What was never sent, or refused each time, is surely not in the log.
+    auto refused = caller_records_.take_all();
+    if(!may_be_done) {
+        refused.insert(refused.end(), content.callers.begin(), content.callers.end());
+        content.callers.clear();
+    }
     std::set<std::string, std::less<>> withdrawn;
     for(auto const &group: refused) {
         for(auto const &row: group->records) {
@@ -532,10 +534,13 @@
             }
         }
     }
-    std::erase_if(content.own, [&withdrawn](auto const &record) {
-        auto const name = parse_record_key(record.key);
-        return name && withdrawn.contains(name->id);
-    });
+    // Content that may be in the log has to be repeated as it was.
+    if(!may_be_done) {
+        std::erase_if(content.own, [&withdrawn](auto const &record) {
+            auto const name = parse_record_key(record.key);
+            return name && withdrawn.contains(name->id);
+        });
+    }
     caller_records::settle(refused, append_outcome::refused);
 }
 
--- a/src/kingcuplink/site/fleet_leader.hpp
+++ b/src/kingcuplink/site/fleet_leader.hpp
@@ -145,8 +145,12 @@
     /*! Appends content in one append; callers' records that the log refuses repeatedly are withdrawn from it. */
     boost::asio::awaitable<bool> append_content_once(append_content content);
     void commit(append_content const &content, std::uint64_t offset);
-    /*! Refuses callers' records, and removes what was planned for jobs that they define. */
-    void refuse(append_content &content);
+    /*!
+     * Refuses the callers whose records are surely not in the log, and removes what was planned for jobs that they
+     * define.
+     * @param may_be_done True if the content may be in the log already.
+     */
+    void refuse_callers(append_content &content, bool may_be_done);
     [[nodiscard]] keyed_record own_claim(bool resigned) const;
     boost::asio::awaitable<void> start_run(self_pointer self, run_start run);
     /*! Outcome of a start, whose copies were sent one after another. */
--- a/src/kingcuplink/site/record_appender.cpp
+++ b/src/kingcuplink/site/record_appender.cpp
@@ -81,6 +81,11 @@
                 direct_records_.insert(direct_records_.end(), items.begin(), items.end());
             }
         }
+        if(!is_log_reachable_) {
+            for(auto const &item: std::exchange(direct_records_, {})) {
+                settle(*item, item->may_be_done ? append_outcome::unknown : append_outcome::refused);
+            }
+        }
         // One append at a time: appends of many entry VMs would fill the queue of a slow log.
         if(!direct_records_.empty() && !is_appending_) {
             is_appending_ = true;
--- a/src/kingcuplink/site/record_appender.hpp
+++ b/src/kingcuplink/site/record_appender.hpp
@@ -41,6 +41,12 @@
         leader_append_ = std::move(append);
     }
 
+    /*! Sets whether this entry VM reaches the log: without it, records that the leader does not take are not appended.
+     */
+    void set_log_reachable(bool const is_reachable) noexcept {
+        is_log_reachable_ = is_reachable;
+    }
+
     /*! Appends a caller's record and waits for the outcome; `unknown` once the time limit has expired. */
     boost::asio::awaitable<append_outcome> append(keyed_record record, millis timeout);
 
@@ -112,6 +118,7 @@
     /*! Records for the next append of this entry VM itself. */
     std::vector<pending_record_pointer> direct_records_;
     bool is_appending_{};
+    bool is_log_reachable_{true};
     wakeup queue_wakeup_;
     /*! Unanswered requests to the leader, by identifier. */
     std::map<std::uint64_t, std::shared_ptr<relay>> pending_relays_;
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -391,6 +391,7 @@
 
 void site_node::update_log_reachability(bool const reached) {
     watch_.record_log_reachability(reached, current_time());
+    appender_.set_log_reachable(reached);
     if(reached != log_reachable_) {
         log_reachable_ = reached;
         log_reachability_changed_at_ = current_time();
@@ -698,29 +699,35 @@
 boost::asio::awaitable<void> site_node::introduce() {
     instant candidates_due{};
     while(true) {
-        auto const is_introduced = watch_.has_heartbeats();
+        // Without the log, this entry VM cannot read who leads, or that it leads no longer.
+        auto const has_no_leader = !log_reachable_ && !watch_.accepts_records(current_time());
+        auto const is_introduced = watch_.has_heartbeats() && !has_no_leader;
         co_await pause(is_introduced ? timing::introduction_interval : timing::first_introduction_interval);
         auto const leader = watch_.claim();
-        auto const now = current_time();
         if(draining_ || leader.name.empty()) {
             continue;
         }
         if(leader_ == nullptr && leader.name != parts_.settings.name) {
             introduce_to(leader.name, leader.peer_address);
         }
-        // Without the log, this entry VM cannot read who leads, or that it leads no longer.
-        if(!log_reachable_ && !watch_.accepts_records(now) && candidates_due <= now) {
-            candidates_due = now + timing::candidate_introduction_interval;
-            for(auto const &[name, address]: leader_ != nullptr ? leader_->candidates() : candidates_) {
-                if(name != leader.name && name != parts_.settings.name) {
-                    introduce_to(name, address);
-                }
-            }
+        if(has_no_leader && candidates_due <= current_time()) {
+            auto const is_sent = introduce_to_candidates();
+            candidates_due = current_time() + (is_sent ? timing::candidate_introduction_interval : millis{});
         }
     }
 }
 
-void site_node::introduce_to(std::string const &peer, std::string const &address) {
+bool site_node::introduce_to_candidates() {
+    auto is_sent = true;
+    for(auto const &[name, address]: leader_ != nullptr ? leader_->candidates() : candidates_) {
+        if(name != watch_.claim().name && name != parts_.settings.name) {
+            is_sent = introduce_to(name, address) && is_sent;
+        }
+    }
+    return is_sent;
+}
+
+bool site_node::introduce_to(std::string const &peer, std::string const &address) {
     peers_.connect(peer, address);
     wire::envelope message;
     auto &introduction = *message.mutable_introduction();
@@ -730,7 +737,7 @@
     introduction.set_failure_domain(parts_.settings.failure_domain);
     introduction.set_process(process_);
     introduction.set_sent_at_ms(current_time().time_since_epoch().count());
-    peers_.send(peer, message);
+    return peers_.send(peer, message);
 }
 
 void site_node::handle(wire::envelope const &message) {
--- a/src/kingcuplink/site/site_node.hpp
+++ b/src/kingcuplink/site/site_node.hpp
@@ -152,7 +152,10 @@
 
     // Peers.
     boost::asio::awaitable<void> introduce();
-    void introduce_to(std::string const &peer, std::string const &address);
+    /*! Sends an introduction; returns false if it was not sent, as while a connection is being made. */
+    bool introduce_to(std::string const &peer, std::string const &address);
+    /*! Introduces this entry VM to those that may lead; returns false if some introductions were not sent. */
+    bool introduce_to_candidates();
     void handle(wire::envelope const &message);
     void handle_heartbeat(std::string const &sender, wire::leader_beat const &heartbeat);
     void handle_job_ends(wire::job_ends const &ends);
--- a/test/site/site_test.cpp
+++ b/test/site/site_test.cpp
@@ -917,6 +917,21 @@
     }
 }
 
+// While the log turned away the leader, other entry VMs waited a second for each relay before they appended themselves.
+TEST_CASE("a leader whose appends get no answer refuses at once what it has not sent") {
+    scripted_site site{2u};
+    site.run_until([&]() { return site.leader() != nullptr; });
+    REQUIRE(site.leader() != nullptr);
+    auto const other = site.follower();
+    // Gives the other entry VM time to receive the leader's heartbeats, so that it relays records.
+    site.run_for(millis{500});
+    site.vms[1u - other]->log.loses_appends = true;
+    site.run_for(millis{400});
+    auto const begun_at = current_time();
+    CHECK_FALSE(site.ask(other, caller_operation::submit, "00000000000000aa").refused);
+    CHECK(current_time() - begun_at < timing::relay_timeout / 2);
+}
+
 TEST_CASE("only the leader appends records of callers to a slow log") {
     // Concurrent appends would queue behind the leader's in the single partition of the stream.
     scripted_site site{2u};
