--- a/src/kingcuplink/site/fleet_leader.cpp
+++ b/src/kingcuplink/site/fleet_leader.cpp
@@ -687,9 +687,11 @@
 
 boost::asio::awaitable<void> fleet_leader::run_heartbeats([[maybe_unused]] self_pointer self) {
     for(std::uint64_t round{}; !ended_; ++round) {
+        auto const candidates = known_peers_.candidates();
         auto const is_slow_round = round % timing::slow_heartbeat_rounds == 0u;
         for(auto const &receiver: known_peers_.next_heartbeat_receivers()) {
-            send_heartbeat(receiver, is_slow_round || receiver.interval > timing::heartbeat_interval);
+            auto const names_candidates = is_slow_round || receiver.interval > timing::heartbeat_interval;
+            send_heartbeat(receiver, names_candidates ? candidates : std::span<leader_candidate const>{});
         }
         report_load(current_time());
         co_await pause(timing::heartbeat_interval);
@@ -748,7 +750,8 @@
     return std::max(parts_.settings.processor_millicores, known_peers_.most_millicores());
 }
 
-void fleet_leader::send_heartbeat(heartbeat_receiver const &receiver, bool const names_candidates) {
+void fleet_leader::send_heartbeat(
+    heartbeat_receiver const &receiver, std::span<leader_candidate const> const candidates) {
     wire::envelope message;
     auto &heartbeat = *message.mutable_leader_beat();
     heartbeat.set_term(term_);
@@ -758,12 +761,10 @@
     heartbeat.set_interval_ms(static_cast<std::uint32_t>(receiver.interval.count()));
     heartbeat.set_peer_address(parts_.settings.peer_address);
     heartbeat.set_processor_millicores(parts_.settings.processor_millicores);
-    if(names_candidates) {
-        for(auto &candidate: known_peers_.candidates()) {
-            auto &row = *heartbeat.add_candidates();
-            row.set_name(std::move(candidate.name));
-            row.set_peer_address(std::move(candidate.peer_address));
-        }
+    for(auto const &candidate: candidates) {
+        auto &row = *heartbeat.add_candidates();
+        row.set_name(candidate.name);
+        row.set_peer_address(candidate.peer_address);
     }
     peers_.send(std::string{receiver.name}, message);
 }
@@ -797,7 +798,7 @@
     if(known_peers_.introduce(peer, std::move(entry), current_time())) {
         queries_.add_vm(peer);
         dispatcher_.set_querying_vms(queries_.vms());
-        send_heartbeat({peer, timing::slow_heartbeat_interval}, true);
+        send_heartbeat({peer, timing::slow_heartbeat_interval}, known_peers_.candidates());
     }
 }
 
--- a/src/kingcuplink/site/fleet_leader.hpp
+++ b/src/kingcuplink/site/fleet_leader.hpp
@@ -119,7 +119,7 @@
     boost::asio::awaitable<void> poll_immediately(self_pointer self, std::string worker);
     boost::asio::awaitable<void> run_planner(self_pointer self);
     boost::asio::awaitable<void> run_heartbeats(self_pointer self);
-    void send_heartbeat(heartbeat_receiver const &receiver, bool names_candidates);
+    void send_heartbeat(heartbeat_receiver const &receiver, std::span<leader_candidate const> candidates);
     [[nodiscard]] std::uint32_t most_millicores() const noexcept;
     void report_load(instant now);
     void notify_job_ends(progress_batch const &batch);
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -65,11 +65,14 @@
 /*! Time without a successful append after which a leader no longer extends leases. */
 inline constexpr millis lease_renewal_limit{6'000};
 /*! Delay of the leader's appends, during which further records join the batch. */
-inline constexpr millis append_batch_delay{10};
+inline constexpr millis append_batch_delay{20};
 /*! Delay of appends of callers' records, during which further records join the batch. */
 inline constexpr millis caller_batch_delay{10};
-/*! Shortest time limit for the leader to append records that another entry VM relayed. */
-inline constexpr millis relay_timeout{1'000};
+/*!
+ * Shortest time limit for the leader to append records that another entry VM relayed; an append of half that time may
+ * be in progress.
+ */
+inline constexpr millis relay_timeout{1'300};
 /*!
  * Time limit of a relayed record, in durations of the leader's latest append: one append may be in progress
  * and one is needed for the record.
