Begin the next append at once for records that waited for the one before

Cause: an intent that misses the append of its definition is in the next one, which waited for the batch delay of 20 ms although a whole append had passed to join it. Not load: load only decides which of the two appends has the intent. Change: no batch delay after an append that took longer than it.

--- a/src/kingcuplink/site/fleet_leader.cpp
+++ b/src/kingcuplink/site/fleet_leader.cpp
@@ -369,17 +369,24 @@
 }
 
 boost::asio::awaitable<void> fleet_leader::run_appender([[maybe_unused]] self_pointer self) {
+    millis latest_append{};
     while(!ended_) {
+        // What came during a slow append has waited long enough for others to join it.
+        auto const has_waited = append_wakeup_.is_set() && latest_append >= timing::append_batch_delay;
         co_await append_wakeup_.wait(timing::leader_record_interval);
-        co_await pause(timing::append_batch_delay);
+        if(!has_waited) {
+            co_await pause(timing::append_batch_delay);
+        }
         if(ended_) {
             break;
         }
+        auto const begun_at = current_time();
         auto batch = take_batch();
         auto records = encode_batch(batch);
         if(!co_await append_records(std::move(records))) {
             break;
         }
+        latest_append = current_time() - begun_at;
         if(batch.empty()) {
             continue;
         }
--- a/src/kingcuplink/site/wakeup.hpp
+++ b/src/kingcuplink/site/wakeup.hpp
@@ -30,6 +30,11 @@
         timer_.cancel();
     }
 
+    /*! Returns whether the next wait ends at once. */
+    [[nodiscard]] bool is_set() const noexcept {
+        return is_set_;
+    }
+
     /*! Waits until notify() is called, at most for the given time. Only one coroutine may wait. */
     boost::asio::awaitable<void> wait(millis const limit) {
         if(!is_set_) {
--- a/test/site/scripted_site.cpp
+++ b/test/site/scripted_site.cpp
@@ -82,6 +82,10 @@
         state.epoch = writer->epoch;
         state.sequence = writer->sequence;
         state.recent_appends.emplace(writer->sequence, offset);
+        ++fenced_appends_;
+        for(auto const &record: records) {
+            records_by_append_.emplace_back(fenced_appends_, record);
+        }
         if(state.recent_appends.size() > recent_append_count) {
             state.recent_appends.erase(state.recent_appends.begin());
         }
--- a/test/site/scripted_site.hpp
+++ b/test/site/scripted_site.hpp
@@ -56,6 +56,11 @@
 
     [[nodiscard]] std::uint64_t end_offset(log_stream stream = log_stream::jobs);
 
+    /*! Returns the records of fenced appends to the stream of jobs, each with the number of its append. */
+    [[nodiscard]] std::vector<std::pair<std::size_t, keyed_record>> const &records_by_append() const noexcept {
+        return records_by_append_;
+    }
+
     bool is_up{true};
     /*! Executes no append for a time, as if others were waiting; only while appends wait for one another. */
     void occupy(millis time);
@@ -87,6 +92,8 @@
 
     boost::asio::io_context &context_;
     std::map<log_stream, stream_state> streams_;
+    std::size_t fenced_appends_{};
+    std::vector<std::pair<std::size_t, keyed_record>> records_by_append_;
     /*! Time at which all appends that wait will have been executed. */
     instant free_at_{};
 };
