--- a/test/site/scripted_site.cpp
+++ b/test/site/scripted_site.cpp
@@ -26,6 +26,9 @@
 
 boost::asio::awaitable<append_answer> memory_log::append(log_stream const stream, std::vector<keyed_record> records,
     std::optional<log_writer> const writer, millis const timeout) {
+    if(writer) {
+        append_gaps.push_back(std::chrono::duration_cast<millis>(current_time() - executed_at_));
+    }
     auto took = append_time;
     if(max_append_wait) {
         auto const now = current_time();
@@ -66,6 +69,7 @@
     if(!is_up) {
         return {append_outcome::refused, 0u};
     }
+    executed_at_ = current_time();
     auto &state = streams_[stream];
     auto const offset = state.first + state.records.size();
     if(writer) {
--- a/test/site/scripted_site.hpp
+++ b/test/site/scripted_site.hpp
@@ -61,6 +61,8 @@
         return records_by_append_;
     }
 
+    /*! Times between the execution of an append and the arrival of the next fenced one. */
+    std::vector<millis> append_gaps;
     bool is_up{true};
     /*! Executes no append for a time, as if others were waiting; only while appends wait for one another. */
     void occupy(millis time);
@@ -92,6 +94,7 @@
 
     boost::asio::io_context &context_;
     std::map<log_stream, stream_state> streams_;
+    instant executed_at_{};
     std::size_t fenced_appends_{};
     std::vector<std::pair<std::size_t, keyed_record>> records_by_append_;
     /*! Time at which all appends that wait will have been executed. */
--- a/test/site/site_test.cpp
+++ b/test/site/site_test.cpp
@@ -1033,6 +1033,7 @@
     // Gives the other entry VM time to receive the leader's heartbeats, so that it relays records.
     site.run_for(millis{500});
     site.log.append_time = millis{100};
+    site.log.append_gaps.clear();
     for(auto number = 0; number < jobs; ++number) {
         auto id = std::to_string(number);
         id.insert(0u, 16u - id.size(), '0');
@@ -1040,6 +1041,11 @@
             [](caller_answer const &answer) { CHECK_FALSE(answer.refused); });
         site.run_for(millis{30});
     }
+    // Records wait all the time: the append of one batch follows that of another without the delay for batches.
+    auto &gaps = site.log.append_gaps;
+    REQUIRE(gaps.size() > 2u);
+    std::nth_element(gaps.begin(), gaps.begin() + static_cast<std::ptrdiff_t>(gaps.size() / 2u), gaps.end());
+    CHECK(gaps[gaps.size() / 2u] < timing::append_batch_delay);
     site.run_until([&]() { return site.workers.starts() == 2u * jobs; });
     CHECK(site.workers.starts() == 2u * jobs);
     std::map<std::string, std::size_t> defined_by;
