Survive malformed addresses that peers name

Found on reading the diff: peers name addresses in introductions, claims and, since, heartbeats. One that libzmq cannot parse threw zmq::error_t in a coroutine, which ends the process; a leader whose list of possible leaders holds one would take down all that get its heartbeat. Change: such an address is counted (peer_addresses_malformed) and logged, the peer stays unconnected, and messages to it are dropped. The test threw before. Elsewhere: binding the own address still throws, at start, which is meant.

--- a/src/kingcuplink/core/counters.cpp
+++ b/src/kingcuplink/core/counters.cpp
@@ -8,13 +8,13 @@
     "jobs_accepted", "task_starts_sent", "task_starts_confirmed", "task_starts_refused", "task_starts_unknown",
     "task_starts_repeated", "task_stops_sent", "tasks_ended", "tasks_lost", "tasks_requeued", "tasks_preempted",
     "leases_granted", "leases_refused", "leases_lost", "leadership_taken", "leadership_lost", "peer_messages_sent",
-    "peer_messages_received", "peer_messages_dropped", "peer_messages_malformed", "peer_bytes_sent",
-    "peer_bytes_received", "control_bytes_sent", "control_bytes_received", "document_records_applied",
-    "document_edits_appended", "documents_from_peers", "log_reads_failed", "log_appends_failed", "journal_appends",
-    "connections_accepted", "connections_discarded", "handovers_sent", "handovers_received", "jobs_adopted",
-    "registrations_rejected", "unknown_runs_listed", "concurrent_runs_listed", "starts_confirmed_late",
-    "starts_relayed", "start_relays_failed", "relayed_starts_sent", "log_end_reads", "plan_rounds",
-    "plan_steps_examined", "advice_answers_unused", "commit_notices_sent", "cancellations_own_append",
+    "peer_messages_received", "peer_messages_dropped", "peer_messages_malformed", "peer_addresses_malformed",
+    "peer_bytes_sent", "peer_bytes_received", "control_bytes_sent", "control_bytes_received",
+    "document_records_applied", "document_edits_appended", "documents_from_peers", "log_reads_failed",
+    "log_appends_failed", "journal_appends", "connections_accepted", "connections_discarded", "handovers_sent",
+    "handovers_received", "jobs_adopted", "registrations_rejected", "unknown_runs_listed", "concurrent_runs_listed",
+    "starts_confirmed_late", "starts_relayed", "start_relays_failed", "relayed_starts_sent", "log_end_reads",
+    "plan_rounds", "plan_steps_examined", "advice_answers_unused", "commit_notices_sent", "cancellations_own_append",
     "cancellations_relayed", "cancellations_noticed", "cancellations_read_from_log", "job_questions_sent"};
 
 constexpr std::array<std::string_view, traffic_count> traffic_names{
--- a/src/kingcuplink/core/counters.hpp
+++ b/src/kingcuplink/core/counters.hpp
@@ -35,6 +35,7 @@
     peer_message_received,
     peer_message_dropped,
     peer_message_malformed,
+    peer_address_malformed,
     peer_bytes_sent,
     peer_bytes_received,
     control_bytes_sent,
--- a/src/kingcuplink/wire/peer_link.cpp
+++ b/src/kingcuplink/wire/peer_link.cpp
@@ -1,4 +1,6 @@
+#include <glog/logging.h>
 #include <kingcuplink/core/config.hpp>
+#include <kingcuplink/core/json_fields.hpp>
 #include <kingcuplink/wire/peer_link.hpp>
 
 namespace kingcuplink {
@@ -10,6 +12,8 @@
 constexpr int reconnect_ms = 200;
 constexpr int max_reconnect_ms = 2'000;
 constexpr int no_linger = 0;
+/*! Time between warnings about malformed addresses, in seconds. */
+constexpr int warning_interval_s = 10;
 
 void set_common_options(zmq::socket_t &socket) {
     socket.set(zmq::sockopt::linger, no_linger);
@@ -52,7 +56,16 @@
     socket.set(zmq::sockopt::immediate, true);
     socket.set(zmq::sockopt::reconnect_ivl, internal::reconnect_ms);
     socket.set(zmq::sockopt::reconnect_ivl_max, internal::max_reconnect_ms);
-    socket.connect("tcp://" + address);
+    try {
+        socket.connect("tcp://" + address);
+    } catch(zmq::error_t const &error) {
+        // Peers name addresses in messages: one that cannot be parsed must not end this process.
+        stats_.add(event::peer_address_malformed);
+        LOG_EVERY_T(WARNING, internal::warning_interval_s)
+            << "peers: cannot connect to " << printable(peer) << " at '" << printable(address) << "': " << error.what()
+            << "; its messages are dropped until it names another address";
+        return;
+    }
     peers_.emplace(peer, connection{address, std::move(socket)});
 }
 
--- a/src/kingcuplink/wire/peer_link.hpp
+++ b/src/kingcuplink/wire/peer_link.hpp
@@ -41,7 +41,10 @@
     peer_link(peer_link const &) = delete;
     peer_link &operator=(peer_link const &) = delete;
 
-    /*! Connects to a peer. Does nothing if the peer is already connected to this address. */
+    /*!
+     * Connects to a peer. Does nothing if the peer is already connected to this address; a malformed address is counted
+     * and closes the connection to an earlier one.
+     */
     void connect(std::string const &peer, std::string const &address);
 
     /*! Closes the connection to a peer. */
--- a/test/wire/peer_link_test.cpp
+++ b/test/wire/peer_link_test.cpp
@@ -1,10 +1,12 @@
 #include "address_pool.hpp"
 
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <doctest/doctest.h>
 #include <kingcuplink/core/config.hpp>
 #include <kingcuplink/wire/peer_link.hpp>
+#include <string>
 #include <thread>
 
 using namespace kingcuplink;
@@ -63,3 +65,27 @@
     raw.send(zmq::buffer(empty.SerializeAsString()), zmq::send_flags::none);
     CHECK(eventually([&]() { return stats.value(event::peer_message_malformed) == 3u; }));
 }
+
+// An address that cannot be parsed ended the process: peers name each other's addresses in messages.
+TEST_CASE("a peer at a malformed address is not connected, and sending to it fails") {
+    struct row {
+        std::string address;
+        /*! False if the library accepts the address and takes a part of it. */
+        bool is_malformed;
+    };
+    std::array<row, 6u> const rows{{{"", true}, {"no port", true}, {"10.0.0.1", true}, {"10.0.0.1:port", true},
+        {"10.0.0.1:99999999", false}, {":::", true}}};
+    for(auto const &item: rows) {
+        CAPTURE(item.address);
+        address_pool addresses;
+        counters stats;
+        peer_link link{"a", addresses.take_address(), stats, [](wire::envelope const &) {}};
+        // The earlier connection to the peer does not stay.
+        link.connect("b", addresses.take_address());
+        link.connect("b", item.address);
+        CHECK(stats.value(event::peer_address_malformed) == (item.is_malformed ? 1u : 0u));
+        wire::envelope message;
+        message.mutable_heartbeat();
+        CHECK_FALSE(link.send("b", message));
+    }
+}
