Introduce entry VMs without the log to the known leader once a second

While the log was away for all, every VM introduced itself to the leader ten times a second, which no longer needs it.

--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -697,22 +697,24 @@
 // Peers.
 
 boost::asio::awaitable<void> site_node::introduce() {
+    instant leader_due{};
     instant candidates_due{};
     while(true) {
-        // Without the log, this entry VM cannot read who leads, or that it leads no longer.
-        auto const has_no_leader = !log_reachable_ && !watch_.accepts_records(current_time());
-        auto const is_introduced = watch_.has_heartbeats() && !has_no_leader;
-        co_await pause(is_introduced ? timing::introduction_interval : timing::first_introduction_interval);
+        co_await pause(timing::first_introduction_interval);
         auto const leader = watch_.claim();
+        auto const now = current_time();
         if(draining_ || leader.name.empty()) {
             continue;
         }
-        if(leader_ == nullptr && leader.name != parts_.settings.name) {
+        auto const has_other_leader = leader_ == nullptr && leader.name != parts_.settings.name;
+        if(has_other_leader && (leader_due <= now || !watch_.has_heartbeats())) {
+            leader_due = now + timing::introduction_interval;
             introduce_to(leader.name, leader.peer_address);
         }
-        if(has_no_leader && candidates_due <= current_time()) {
+        // Without the log, this entry VM cannot read who leads, or that it leads no longer.
+        if(!log_reachable_ && !watch_.accepts_records(now) && candidates_due <= now) {
             auto const is_sent = introduce_to_candidates();
-            candidates_due = current_time() + (is_sent ? timing::candidate_introduction_interval : millis{});
+            candidates_due = now + (is_sent ? timing::candidate_introduction_interval : millis{});
         }
     }
 }
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -97,7 +97,7 @@
 inline constexpr millis append_copy_interval{500};
 inline constexpr std::size_t max_append_copies{5u};
 static_assert(append_copy_interval * static_cast<int>(max_append_copies) >= leader_append_timeout);
-/*! Number of times that the log refuses an append before its callers are refused. */
+/*! Number of attempts to append after which callers are refused whose records are surely not in the log. */
 inline constexpr unsigned caller_append_attempts = 2u;
 /*! Delay before a failed append or read is retried; it doubles for appends of callers' records. */
 inline constexpr millis log_retry{150};
