--- a/src/kingcuplink/core/counters.hpp
+++ b/src/kingcuplink/core/counters.hpp
@@ -62,11 +62,13 @@
     plan_round,
     plan_step_examined,
     advice_answer_unused,
+    task_retried_where_failed,
     commit_notice_sent,
     cancellation_own_append,
     cancellation_relayed,
     cancellation_noticed,
     cancellation_read,
+    cancellation_before_definition,
     job_question_sent,
     count
 };
--- a/src/kingcuplink/core/decision_log.hpp
+++ b/src/kingcuplink/core/decision_log.hpp
@@ -35,6 +35,7 @@
     question_refused,
     job_answer_outdated,
     cancellation_applied,
+    job_defined_cancelled,
     job_ended,
     checkpoints_dropped,
     advice_given,
--- a/src/kingcuplink/site/fleet_leader.cpp
+++ b/src/kingcuplink/site/fleet_leader.cpp
@@ -366,6 +366,7 @@
     parts_.stats.add(event::plan_round);
     parts_.stats.add(event::plan_step_examined, plan.steps_examined);
     parts_.stats.add(event::advice_answer_unused, plan.unused_answers);
+    parts_.stats.add(event::task_retried_where_failed, plan.retries_where_failed);
 }
 
 boost::asio::awaitable<void> fleet_leader::run_appender([[maybe_unused]] self_pointer self) {
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -486,8 +486,14 @@
     if(job.terms) {
         parts_.decoder.admit_service(job.terms->service);
     }
-    if(known_jobs_.define(std::move(job)) && leader_ != nullptr) {
-        leader_->add_job(*known_jobs_.find(id));
+    if(!known_jobs_.define(std::move(job)) || leader_ == nullptr) {
+        return;
+    }
+    auto const &entry = *known_jobs_.find(id);
+    leader_->add_job(entry);
+    if(entry.cancel_requested) {
+        parts_.stats.add(event::cancellation_before_definition);
+        parts_.decisions.write(decision::job_defined_cancelled, {{"job", id}});
     }
 }
 
--- a/src/kingcuplink/workflow/dispatch_planner.cpp
+++ b/src/kingcuplink/workflow/dispatch_planner.cpp
@@ -500,6 +500,7 @@
     }
     if(best.target == nullptr && best_where_failed.target != nullptr && task.not_where_failed_before <= now_ &&
         may_retry_on_failed_workers(current, task)) {
+        ++out_.retries_where_failed;
         return best_where_failed.target;
     }
     return best.target;
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -182,6 +182,8 @@
     std::array<std::size_t, hold_reason_count> held_steps{};
     /*! Number of queries of this round that follow an answer to the same step of which no ticket was used. */
     std::size_t unused_answers{};
+    /*! Number of intents on workers on which their task has failed. */
+    std::size_t retries_where_failed{};
 };
 
 /*! Tasks of one tier, and of queues with or without precedence over all others. */
