Limit the time that a failed task waits for another worker

Cause: a task went back to a worker where it had failed only if no other worker "may ever run" it, which asks neither whether that worker has capacity nor whether it answers. A preference had become a wait without an end.

Change: the preference lasts 2 s after the failure, 10 s while half of the service's capacity or more is in use, and up to 8 s for a worker that has just fallen silent. Long-running tasks never wait, as before.

Related paths: silent, quarantined and unadvised workers are rows of the test.

Test: "a failed task waits for another worker for a limited time, a long-running one not at all"; five of its seven rows fail on the former code (no retry within 13 s). It replaces "only a long-running task is retried where it failed while other workers are full", which held the fault for right: it demanded no retry of a batch task in the first second. The new test demands that for two seconds, and a retry within half a second after them. "... while another worker is briefly unavailable" is unchanged.

--- a/src/kingcuplink/workflow/dispatch_planner.cpp
+++ b/src/kingcuplink/workflow/dispatch_planner.cpp
@@ -41,6 +41,12 @@
 constexpr millis renewal_margin{100};
 /*! Added to the score of a worker away from the data. Exceeds any unused fraction, which is 3 at most. */
 constexpr double distance_penalty = 1'000.0;
+/*! Time after a failure for which a task waits for a worker where it has not failed. */
+constexpr millis other_worker_wait{2'000};
+/*! The same while half of the capacity or more is in use: other workers become free, and attempts are limited. */
+constexpr millis busy_other_worker_wait{10'000};
+/*! A worker that has been silent for less than this time is expected to answer again, and is waited for as long. */
+constexpr millis short_silence{8'000};
 constexpr auto no_candidate = std::numeric_limits<std::size_t>::max();
 
 /*! Returns the unused fraction of a worker, summed over the dimensions of its capacity. */
@@ -460,15 +466,29 @@
         fits(definition.task_size, worker.registration.capacity);
 }
 
+bool dispatch_planner::is_silent_for_short(live_worker const &worker) const {
+    return !is_responsive(worker, now_) && std::max(worker.known_since, worker.seen_at) + short_silence > now_;
+}
+
 bool dispatch_planner::may_retry_on_failed_workers(waiting_step const &current, live_task const &task) {
+    if(task.failed_at + failure_delay > now_) {
+        return false;
+    }
     if(state_.jobs[current.job].definition.steps[current.step].long_running) {
         // A long-running task may fail on any worker and is restarted without limit.
         return true;
     }
+    auto const wait = is_mostly_idle(current.queue->service) ? other_worker_wait : busy_other_worker_wait;
+    auto const has_waited = task.failed_at + wait <= now_;
+    if(has_waited && task.failed_at + short_silence <= now_) {
+        return true;
+    }
     auto const &ids = state_.workers.ids();
     work_ += ids.size();
-    return std::none_of(ids.begin(), ids.end(),
-        [&](auto const id) { return !has_failed_on(task, state_.boot_of(id)) && may_ever_run(current, id); });
+    return std::none_of(ids.begin(), ids.end(), [&](auto const id) {
+        return (!has_waited || is_silent_for_short(state_.workers[id])) && !has_failed_on(task, state_.boot_of(id)) &&
+            may_ever_run(current, id);
+    });
 }
 
 dispatch_planner::option const *dispatch_planner::best_fit(
@@ -498,8 +518,7 @@
             chosen = {&item, score};
         }
     }
-    if(best.target == nullptr && best_where_failed.target != nullptr && task.not_where_failed_before <= now_ &&
-        may_retry_on_failed_workers(current, task)) {
+    if(best.target == nullptr && best_where_failed.target != nullptr && may_retry_on_failed_workers(current, task)) {
         ++out_.retries_where_failed;
         return best_where_failed.target;
     }
--- a/src/kingcuplink/workflow/dispatch_planner.hpp
+++ b/src/kingcuplink/workflow/dispatch_planner.hpp
@@ -87,9 +87,11 @@
     [[nodiscard]] bool is_startable_by(live_job const &job, std::uint32_t step, std::uint32_t index, instant at) const;
     /*! Returns true if a worker may run tasks of a step now or later, even if it currently accepts none. */
     [[nodiscard]] bool may_ever_run(waiting_step const &current, worker_id id) const;
+    /*! Returns true if a worker does not answer, but did so until recently. */
+    [[nodiscard]] bool is_silent_for_short(live_worker const &worker) const;
     /*!
-     * Returns true if a task may be placed on workers on which it has failed: if it is long-running, or if no other
-     * worker may ever run it.
+     * Returns true if a task may be placed on workers on which it has failed: if it is long-running, if no other worker
+     * may ever run it, or if it has waited for another one for long enough.
      */
     [[nodiscard]] bool may_retry_on_failed_workers(waiting_step const &current, live_task const &task);
     /*! Returns the option with a ticket that leaves the least unused after penalties, or null if no option fits. */
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -104,10 +104,13 @@
     instant not_before{};
     /*! Boots of workers on which the task failed. */
     std::vector<worker_boot> failed_on{};
-    /*! Time until which the task is not placed where it failed. */
-    instant not_where_failed_before{};
+    /*! Time of the latest failure. */
+    instant failed_at{};
 };
 
+/*! Delay before a failed task is placed again, unless it is placed on a worker where it has not failed. */
+inline constexpr millis failure_delay{100};
+
 /*! Returns true if a task failed on a boot of a worker. */
 [[nodiscard]] bool has_failed_on(live_task const &task, worker_boot const &worker);
 
@@ -203,6 +206,8 @@
     bool is_registered{true};
     /*! True once the current boot has listed its runs to this leader and the registration agrees with the answer. */
     bool is_reconciled{};
+    /*! Time at which this leader first knew the worker. */
+    instant known_since{};
     /*! Time of the last answer. */
     instant seen_at{};
     /*! Time at which the latest unanswered start was sent. */
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -5,9 +5,6 @@
 
 namespace internal {
 
-/*! Delay before a failed task is placed again, unless it is placed on a worker where it has not failed. */
-constexpr millis failure_delay{100};
-
 /*! Returns true if a failed task of a step may be placed elsewhere without a delay. */
 bool is_retried_at_once(step_definition const &step) noexcept {
     // A gang is placed as a whole, and the attempts of a long-running task are not limited.
@@ -32,6 +29,7 @@
             worker.raise_lease_expiry(former->second.leases_expire_at);
         }
         worker.registration = std::move(entry);
+        worker.known_since = now;
         found->second = state_.workers.emplace(std::move(worker));
         return;
     }
@@ -212,10 +210,10 @@
                 }
             } else if(end.how == run_outcome::failed) {
                 count_failure(id, end.key, worker);
-                task->not_where_failed_before = now + internal::failure_delay;
+                task->failed_at = now;
                 again_at = internal::is_retried_at_once(job.definition.steps[end.key.step])
                     ? now
-                    : task->not_where_failed_before;
+                    : now + internal::failure_delay;
             }
             state_.mark_dirty(id);
         }
--- a/test/workflow/dispatcher_test.cpp
+++ b/test/workflow/dispatcher_test.cpp
@@ -1008,24 +1008,92 @@
     }
 }
 
-// A long-running task has no limit of attempts, and its users are without service while it does not run.
-TEST_CASE("only a long-running task is retried where it failed while other workers are full") {
-    for(auto const is_long_running: {true, false}) {
-        CAPTURE(is_long_running);
-        scripted_fleet fleet{{.workers = 2u, .max_attempts = 4u}};
-        fleet.workers[1].reachable = false;
+// A task that had failed on all workers with capacity was not tried again for as long as another one was unavailable. A
+// long-running task has no limit of attempts, and its users are without service while it does not run.
+TEST_CASE("a failed task waits for another worker for a limited time, a long-running one not at all") {
+    enum class obstacle : std::uint8_t { full, silent, quarantined, no_advice };
+    struct row {
+        std::string_view name;
+        obstacle other;
+        bool is_long_running;
+        /*! Capacity of the failing worker that other jobs use. */
+        std::int64_t used_millicores;
+        /*! Time for which the other worker is waited for. */
+        millis wait;
+    };
+    advice_terms const terms{millis{20}, 1'000, millis{6'000}};
+    constexpr millis task_duration{100};
+    // Without runs for three seconds beside idle capacity, a job counts as lost.
+    constexpr millis lost_after{3'000};
+    constexpr millis busy_wait{10'000};
+    std::array<row, 7u> const rows{{
+        {"full", obstacle::full, false, 0, millis{2'000}},
+        {"silent for a long time", obstacle::silent, false, 0, millis{2'000}},
+        {"quarantined", obstacle::quarantined, false, 0, millis{2'000}},
+        {"queries about it fail", obstacle::no_advice, false, 0, millis{2'000}},
+        {"full, and half of the capacity is in use", obstacle::full, false, 30'000, busy_wait},
+        {"full, a long-running task", obstacle::full, true, 0, millis{}},
+        {"silent, a long-running task", obstacle::silent, true, 0, millis{}},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        auto const needs_advice = item.other == obstacle::no_advice;
+        scripted_fleet fleet{
+            {.workers = 2u, .advice = needs_advice ? std::optional{terms} : std::nullopt, .max_attempts = 4u}};
+        auto &other = fleet.workers[1];
+        fleet.workers[0].reachable = false;
+        if(item.other == obstacle::full) {
+            fleet.behaviour["filling"] = {millis{600'000}, run_outcome::done};
+            fleet.submit(scripted_fleet::job("filling", make_step(1u, 60'000)));
+            fleet.run_for(millis{200});
+            REQUIRE(fleet.run_count("filling") == 1u);
+        } else if(item.other == obstacle::silent) {
+            fleet.run_for(millis{200});
+            other.reachable = false;
+            fleet.run_for(millis{12'000});
+        } else if(item.other == obstacle::quarantined) {
+            auto const failing = {"first", "second"};
+            for(auto const *id: failing) {
+                fleet.behaviour[id] = {task_duration, run_outcome::failed};
+                fleet.submit(scripted_fleet::job(id, make_step(1u, 10'000)));
+            }
+            fleet.run_for(millis{300});
+            for(auto const *id: failing) {
+                fleet.behaviour[id] = {task_duration, run_outcome::done};
+            }
+            fleet.workers[0].reachable = true;
+            fleet.run_for(millis{300});
+            REQUIRE(fleet.starts == 4u);
+        } else {
+            fleet.unadvised = other.entry.name;
+            other.reachable = false;
+        }
+        fleet.workers[0].reachable = true;
+        if(item.used_millicores > 0) {
+            fleet.behaviour["beside"] = {millis{600'000}, run_outcome::done};
+            fleet.submit(scripted_fleet::job("beside", make_step(1u, item.used_millicores)));
+            fleet.run_for(millis{200});
+            REQUIRE(fleet.run_count("beside") == 1u);
+        }
         auto step = make_step(1u, 10'000);
-        step.long_running = is_long_running;
-        fleet.behaviour["a"] = {millis{100}, run_outcome::failed};
+        step.long_running = item.is_long_running;
+        fleet.behaviour["a"] = {task_duration, run_outcome::failed};
         fleet.submit(scripted_fleet::job("a", step));
-        fleet.run_for(millis{80});
-        REQUIRE(fleet.starts == 1u);
-        fleet.behaviour["b"] = {millis{600'000}, run_outcome::done};
-        fleet.workers[1].reachable = true;
-        fleet.submit(scripted_fleet::job("b", make_step(1u, 60'000)));
-        fleet.run_for(millis{1'000});
-        REQUIRE(fleet.run_count("b") == 1u);
-        CHECK((fleet.starts > 2u) == is_long_running);
+        while(fleet.run_count("a") == 0u) {
+            fleet.run_round();
+        }
+        auto const starts = fleet.starts;
+        auto const failed_at = fleet.now + task_duration;
+        other.reachable = item.other != obstacle::silent;
+        while(fleet.starts == starts && fleet.now < failed_at + busy_wait + lost_after) {
+            fleet.run_round();
+        }
+        auto const waited = fleet.now - failed_at;
+        CHECK(fleet.starts == starts + 1u);
+        CHECK(fleet.workers[0].runs.size() == (item.used_millicores > 0 ? 2u : 1u));
+        CHECK(waited >= item.wait);
+        CHECK(waited < item.wait + millis{500});
+        CHECK((waited < lost_after || item.used_millicores > 0));
     }
 }
 
--- a/test/workflow/fixture.cpp
+++ b/test/workflow/fixture.cpp
@@ -190,6 +190,10 @@
     }
     for(auto const &query: decided.queries) {
         ++queries;
+        if(std::find(query.workers.begin(), query.workers.end(), unadvised) != query.workers.end()) {
+            leader->advice_failed(query, now);
+            continue;
+        }
         std::vector<advice_grant> grants;
         for(auto const &name: query.workers) {
             grants.push_back({name, "ticket"});
--- a/test/workflow/fixture.hpp
+++ b/test/workflow/fixture.hpp
@@ -103,6 +103,8 @@
     /*! Number of times that a run of each task was stopped, by job, step and index. */
     std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>, std::uint32_t> stops;
     std::size_t queries{};
+    /*! Worker for which queries to the adviser fail. */
+    std::string unadvised{};
     /*! Largest number of steps examined in one round. */
     std::size_t max_steps_examined{};
 
