Apply a cancellation to a job that was planned before its definition

Cause: the leader plans a job once its definition is queued. A cancellation committed before that is kept in the job table, which passes the job on as cancelled when the definition is committed; the dispatcher ignored a job that it had already.

Evidence: 23.783 s cancellation answered, 23.787 s three starts, 23.788 s the hand-in answered with the state cancelled.

Ruled out: a lagging leader, the job table, the repetition.

Change: dispatcher::add_job applies a cancellation or reported end to a job that it has. The leader applies the definition before the intents of the same append, so no start is sent.

New leaders and later definitions held before.

--- a/model/uncommitted_job.pml
+++ b/model/uncommitted_job.pml
@@ -7,10 +7,12 @@
    which the log executes the first one alone. A definition that the log has refused twice,
    every attempt being answered, is withdrawn with what was planned for it, and the caller is
    told that the job will not run. A second leader claims the log at any time, knows what it
-   holds, and fences the first.
+   holds, and fences the first. The job is cancelled at any time; a leader learns of it from
+   the log, before or after it learns that the definition is committed.
 
    Properties: a start is sent only once the log has definition and intent; what the caller
-   was refused is never in the log; what the caller was told is accepted is in the log.
+   was refused is never in the log; what the caller was told is accepted is in the log; a
+   leader that knows of the cancellation sends no start.
 
    Mutants remove one guard each:
      MUTANT_WITHDRAW   the intent of a definition that is withdrawn stays
@@ -19,6 +21,7 @@
      MUTANT_SENT       the start is sent before the append is done
      MUTANT_FENCED     a caller is refused by a leader that was fenced after an attempt
                        without an answer
+     MUTANT_CANCELLED  a cancellation that precedes the definition is not applied to it
 
    Left out: failures of workers and runs after the first; more than one late append. */
 
@@ -33,6 +36,7 @@
 byte log_number;        /* of the latest append of that term */
 byte log_definition;    /* the submission that defined the job, or zero */
 bit log_intent;
+bit log_cancelled;
 
 /* An append that is executed late. */
 bit is_late;
@@ -67,6 +71,8 @@
     bit is_planned;         /* the intent is to be appended */
     bit knows_definition;
     bit knows_intent;
+    bit knows_cancellation;
+    bit is_cancelled;       /* the job that is planned has ended by the cancellation */
     byte definition;        /* content of the append in progress */
     bit intent;
     bit is_appending;
@@ -79,9 +85,14 @@
         log_term = term;
         log_number = 0;
         knows_definition = log_definition > 0;
-        knows_intent = log_intent
+        knows_intent = log_intent;
+        knows_cancellation = log_cancelled;
+        is_cancelled = log_cancelled && log_definition > 0
     }
     do
+    :: atomic { log_cancelled && !knows_cancellation ->
+        knows_cancellation = true;
+        is_cancelled = knows_definition }
     :: atomic { queued == 0 && definition == 0 && !knows_definition && tries < TRIES ->
         tries++;
         queued = tries }
@@ -112,9 +123,13 @@
         :: result == DONE ->
             is_appending = false;
             knows_definition = knows_definition || definition > 0;
+#ifndef MUTANT_CANCELLED
+            is_cancelled = is_cancelled || (definition > 0 && knows_cancellation);
+#endif
             knows_intent = knows_intent || intent;
             assert(definition == 0 || log_definition > 0);
             assert(!intent || (log_definition > 0 && log_intent && !refused[log_definition]));
+            assert(!intent || is_cancelled || !knows_cancellation);
             definition = 0;
             intent = false
         :: result == FENCED -> break
@@ -180,6 +195,7 @@
         is_late = false;
         result = 0 }
     :: atomic { is_late -> is_late = false }
+    :: atomic { !log_cancelled -> log_cancelled = true }
     od
 }
 
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -131,8 +131,16 @@
 
 void dispatcher::add_job(job_entry const &entry) {
     auto const &definition = entry.definition;
+    if(is_final(entry.progress.phase)) {
+        return;
+    }
+    if(auto const known = state_.job_ids.find(definition.id); known != state_.job_ids.end()) {
+        // A job may be added before its definition is committed, and its cancellation may precede that in the log.
+        adopt_end(known->second, entry);
+        return;
+    }
     // The definition of an ended job has no steps.
-    if(is_final(entry.progress.phase) || definition.steps.empty() || state_.job_ids.contains(definition.id)) {
+    if(definition.steps.empty()) {
         return;
     }
     internal::live_job job;
@@ -148,11 +156,18 @@
     state_.job_ids.emplace(definition.id, id);
     adopt_runs(id, entry);
     state_.mark_steps_changed(id);
+    adopt_end(id, entry);
+}
+
+void dispatcher::adopt_end(job_id const id, job_entry const &entry) {
+    if(is_final(state_.jobs[id].phase)) {
+        return;
+    }
     if(entry.reported_phase) {
         // The end is committed to the log and was reported to callers, but this process has not read it yet.
         end_job(id, *entry.reported_phase);
     } else if(entry.cancel_requested) {
-        cancel_job(definition.id);
+        end_job(id, job_phase::cancelled);
     }
 }
 
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -241,7 +241,10 @@
     /*! Records that the registration of a worker was removed. */
     void unregister_worker(std::string const &name);
 
-    /*! Adds a job with its state from the log. Ignored if the job is known, has ended or has no steps. */
+    /*!
+     * Adds a job with its state from the log. Ignored if the job has ended or has no steps; of a known one, only a
+     * cancellation or reported end applies.
+     */
     void add_job(job_entry const &entry);
 
     /*!
@@ -378,6 +381,8 @@
 
 private:
     void adopt_runs(job_id id, job_entry const &entry);
+    /*! Ends a job if its entry says that it is cancelled or was reported to have ended. */
+    void adopt_end(job_id id, job_entry const &entry);
     /*! Ends the accounting for a query in flight. */
     void settle_query(advice_query const &query);
     void end_job(job_id id, job_phase phase);
--- a/test/site/site_test.cpp
+++ b/test/site/site_test.cpp
@@ -1063,6 +1063,57 @@
     CHECK(intended.size() == static_cast<std::size_t>(jobs));
 }
 
+// A cancelled job ran to its end: its cancellation was committed while the leader appended the definition, and the leader
+// had planned the job by then.
+TEST_CASE("a job is not started if its cancellation is committed while its definition is being appended") {
+    struct row {
+        std::string_view name;
+        bool is_at_leader;
+        bool is_snapshot_read;
+    };
+    std::array<row, 4u> const rows{{
+        {"submitted at the leader", true, false},
+        {"relayed to the leader", false, false},
+        {"submitted at the leader, which then reads a snapshot", true, true},
+        {"relayed to the leader, which then reads a snapshot", false, true},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        scripted_site site{2u};
+        site.run_until([&]() { return site.leader() != nullptr; });
+        REQUIRE(site.leader() != nullptr);
+        // Gives the other entry VM time to receive the leader's heartbeats, so that it relays records.
+        site.run_for(millis{500});
+        auto const leading = site.leading();
+        site.log.append_time = millis{300};
+        auto const *id = "00000000000000aa";
+        std::optional<caller_answer> accepted;
+        site.begin(item.is_at_leader ? leading : site.follower(), scripted_site::submission(scripted_site::job(id)),
+            [&](caller_answer const &answer) { accepted = answer; });
+        site.run_for(millis{100});
+        REQUIRE_FALSE(accepted);
+        site.log.add(encode_cancellation(id, current_time()));
+        if(item.is_snapshot_read) {
+            site.log.compact_before(site.log.end_offset());
+        }
+        site.run_until([&]() { return accepted.has_value(); });
+        REQUIRE(accepted);
+        CHECK(accepted->phase == job_phase::cancelled);
+        site.log.append_time = {};
+        // The control is not cancelled.
+        auto const *control = "00000000000000ab";
+        REQUIRE_FALSE(site.ask(leading, caller_operation::submit, control).refused);
+        site.run_until([&]() { return site.workers.runs() == 2u; });
+        site.run_for(millis{300});
+        CHECK(site.workers.starts() == 2u);
+        site.workers.end_all();
+        site.run_until([&]() { return site.ask(leading, caller_operation::ask, control).phase == job_phase::done; });
+        CHECK(site.ask(leading, caller_operation::ask, control).phase == job_phase::done);
+        CHECK(site.ask(leading, caller_operation::ask, id).phase == job_phase::cancelled);
+        CHECK(site.vms[leading]->stats.value(event::cancellation_before_definition) == 1u);
+    }
+}
+
 // A job is planned before the log has its definition: without it, nothing of the job may be started or recorded.
 TEST_CASE("a job whose definition the log refuses is not started, and starts once when it is submitted again") {
     scripted_site site{2u};
--- a/test/workflow/dispatcher_test.cpp
+++ b/test/workflow/dispatcher_test.cpp
@@ -1097,6 +1097,45 @@
     }
 }
 
+// A cancelled job ran to its end: it had been planned before its definition was committed, and the cancellation
+// preceded that definition in the log.
+TEST_CASE("a job that is known already ends if the log says so when its definition is committed") {
+    struct row {
+        std::string_view name;
+        bool is_cancelled;
+        std::optional<job_phase> reported;
+        bool is_started;
+        job_phase phase;
+    };
+    std::array<row, 6u> const rows{{
+        {"cancelled while its tasks wait", true, std::nullopt, false, job_phase::cancelled},
+        {"cancelled while its tasks run", true, std::nullopt, true, job_phase::cancelled},
+        {"reported as done", false, job_phase::done, false, job_phase::done},
+        {"reported as done and cancelled", true, job_phase::done, false, job_phase::done},
+        {"reported as failed", false, job_phase::failed, true, job_phase::failed},
+        {"neither", false, std::nullopt, true, job_phase::running},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        scripted_fleet fleet{{.workers = 1u}};
+        fleet.is_log_available = item.is_started;
+        fleet.behaviour["a"] = {millis{10'000}, run_outcome::done};
+        fleet.submit(scripted_fleet::job("a", make_step(2u, 10'000)));
+        fleet.run_for(millis{200});
+        REQUIRE(fleet.run_count("a") == (item.is_started ? 2u : 0u));
+        job_entry entry = *fleet.table.find("a");
+        entry.progress = {};
+        entry.cancel_requested = item.is_cancelled;
+        entry.reported_phase = item.reported;
+        fleet.leader->add_job(entry);
+        fleet.is_log_available = true;
+        fleet.run_for(millis{1'000});
+        CHECK(fleet.phase_of("a") == item.phase);
+        CHECK(fleet.run_count("a") == (item.phase == job_phase::running ? 2u : 0u));
+        CHECK(fleet.starts == (item.is_started ? 2u : 0u));
+    }
+}
+
 // A ticket is valid for one boot of its worker. A ticket for an earlier boot was used for the next one, which refused
 // the start.
 TEST_CASE("advice requested before a worker restarted is not used for its new boot") {
