--- a/test/site/site_test.cpp
+++ b/test/site/site_test.cpp
@@ -1063,8 +1063,8 @@
     CHECK(intended.size() == static_cast<std::size_t>(jobs));
 }
 
-// A cancelled job ran to its end: its cancellation was committed while the leader appended the definition, and the leader
-// had planned the job by then.
+// A cancelled job ran to its end: its cancellation was committed while the leader appended the definition, and the
+// leader had planned the job by then.
 TEST_CASE("a job is not started if its cancellation is committed while its definition is being appended") {
     struct row {
         std::string_view name;
