--- a/review/kit3/standin.py
+++ b/review/kit3/standin.py
@@ -282,6 +282,10 @@
         self.starts = []
         self.ends = []
         self.needs_ticket = False
+        self.stop_ms = 50
+        self.kind = "a"
+        self.is_gone = self.is_down = False
+        self.listed = {}
         self.http = HttpServer(port, self.handle)
 
     def clock(self):
@@ -290,17 +294,58 @@
     async def run(self):
         await self.http.start()
         beat = 0.0
-        while True:
+        while not self.is_gone:
+            if self.is_down:
+                await asyncio.sleep(0.01)
+                continue
             if time.monotonic() >= beat:
                 beat = time.monotonic() + 1.5
                 self.sequence += 1
-                await self.store.put("keyed.servers", self.name, {
-                    "service": self.service, "address": f"{HOST}:{self.port}", "zone": self.zone, "version": "v1",
-                    "slots": 8, "state": self.state, "cold_left_ms": 0, "capacity": self.capacity,
-                    "labels": ["a", "r1"], "clock_ms": self.clock(), "seq_no": self.sequence, "born": self.born})
+                await self.register()
             self.advance()
             await asyncio.sleep(0.01)
 
+    async def crash(self, down_s, kind):
+        """Ends without a word, and starts again under its id as a runner of another kind."""
+        self.record.write(f"worker {self.name}: crashes with {len(self.runs)} runs")
+        self.is_down = True
+        self.http.server.close()
+        for writer in list(self.http.writers):
+            writer.transport.abort()
+        await asyncio.sleep(down_s)
+        self.born = int(time.time() * 1000)
+        self.begun = time.monotonic()
+        self.token = self.lease_until = self.last_end = self.acknowledged = self.sequence = 0
+        self.runs, self.highest, self.ended = {}, {}, []
+        self.kind = kind
+        self.http = HttpServer(self.port, self.handle)
+        await self.http.start()
+        self.is_down = False
+        self.record.write(f"worker {self.name}: is up again, kind {self.kind}, born {self.born}")
+        await self.register()
+
+    async def register(self):
+        await self.store.put("keyed.servers", self.name, {
+            "service": self.service, "address": f"{HOST}:{self.port}", "zone": self.zone, "version": "v1", "slots": 8,
+            "state": self.state, "cold_left_ms": 0, "capacity": self.capacity, "labels": [self.kind, "r1"],
+            "clock_ms": self.clock(), "seq_no": self.sequence, "born": self.born})
+
+    async def leave(self, after_s):
+        """Says that it leaves, goes on for a while, and ends; answers that it has given are delivered."""
+        self.state = "draining"
+        self.sequence += 1
+        await self.register()
+        self.record.write(f"worker {self.name}: draining")
+        await asyncio.sleep(after_s)
+        self.advance()
+        self.is_gone = True
+        self.record.write(f"worker {self.name}: leaves with {len(self.runs)} runs")
+        self.runs.clear()
+        await self.store.put("keyed.servers", self.name, None)
+        self.http.server.close()
+        for writer in list(self.http.writers):
+            writer.close()
+
     def advance(self):
         now = self.clock()
         for key in list(self.runs):
@@ -330,6 +375,8 @@
         self.lease_until = max(self.lease_until, min(expires, self.clock() + self.max_hold_ms))
 
     async def handle(self, method, target, headers, body):
+        if self.is_gone or self.is_down:
+            raise Drop()
         self.advance()
         if headers.get("x-target-instance", self.name) != self.name:
             return 421, {}
@@ -344,7 +391,7 @@
             key = (value["task"], value["run_id"])
             self.highest[key[0]] = max(self.highest.get(key[0], 0), key[1])
             if key in self.runs:
-                self.runs[key]["stop_at"] = min(self.runs[key]["stop_at"], self.clock() + 50)
+                self.runs[key]["stop_at"] = min(self.runs[key]["stop_at"], self.clock() + self.stop_ms)
             self.record.write(f"worker {self.name}: stop of run {key[1]} of {key[0]}")
             return 200, {"clock_ms": self.clock()}
         if target == "/-/hold":
@@ -375,7 +422,7 @@
         self.runs[key] = {"until": now + length, "how": spec.get("how", "done"), "stop_at": 1 << 60,
                           "begun": now}
         self.starts.append({"at": seconds(), "task": key[0], "run": key[1], "token": value["fencing_token"],
-                            "worker": self.name})
+                            "worker": self.name, "kind": self.kind})
         self.record.write(f"worker {self.name}: run {key[1]} of {key[0]} starts, token {value['fencing_token']}")
         return 200, {"clock_ms": self.clock()}
 
@@ -394,6 +441,10 @@
                 await asyncio.wait_for(self.changed.wait(), until - time.monotonic())
             except asyncio.TimeoutError:
                 pass
+        if self.is_gone:
+            raise Drop()
+        for row in self.ended[:500]:
+            self.listed.setdefault((row[1], row[2]), seconds())
         now = self.clock()
         running = [[task, number, "", 100, 0] for task, number in self.runs]
         return 200, {"clock_ms": now, "born": self.born, "running": running, "ended_runs": self.ended[:500]}
