--- a/review/14/run.py
+++ b/review/14/run.py
@@ -1,76 +1,61 @@
-"""Case 14: a larger entry VM that the store turns away makes every leader resign after a second; no gang is started."""
+"""Case 14: tasks start on a runner that came back as another kind, without the label that they require."""
 
 import asyncio
 import os
+import random
 import sys
 
 sys.dont_write_bytecode = True
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "kit3"))
 import standin  # noqa: E402
 
-CUT_S = float(os.environ.get("CUT", "9"))
-FINISH_S = 14.0
-JOBS = ["00000000000014a1", "00000000000014a2"]
+WORKERS = 12
+PLAY_S = 60.0
+random.seed(14)
 
 
 async def scenario(site, trouble):
     record = site.record
-    proxy = standin.Proxy(standin.free_ports(1)[0], site.store.http.port)
-    await proxy.start()
-    # One of 0.5 cores and four of 0.12, as in the mix of the grown sites.
-    large = site.entry("entry-large", "zone-a", store_port=proxy.port, share="0.5")
-    small = [site.entry(f"entry-small-{pos}", site.zones[pos % 3], share="0.12") for pos in range(4)]
-    for entry in [large] + small:
+    for pos, worker in enumerate(site.workers):
+        worker.kind = "ab"[pos % 2]
+    entries = [site.entry(f"entry-{letter}", zone) for letter, zone in zip("abc", site.zones)]
+    for entry in entries:
         await entry.start()
-    for entry in [large] + small:
+    for entry in entries:
         await site.until_ready(entry)
-    await asyncio.sleep(6.0)
-    for job in JOBS:
-        status, _ = await site.ask(small[0], "POST", f"/batch/{job}", {
-            "spec": '{"ms":500,"first_ms":15000}', "steps": [
-                {"count": 1, "cpu": 18000, "mem_mb": 38000, "est_runtime_ms": 15000},
-                {"count": 4, "cpu": 18000, "mem_mb": 38000, "est_runtime_ms": 500, "gang": True, "after": [0]}]})
-        if status != 200:
-            return 2
-    ended_at = standin.seconds()
-    record.write("the traffic has ended")
-    await asyncio.sleep(FINISH_S)
-    if trouble:
-        record.write(f"the store turns entry-large away for {CUT_S:.0f} s")
-        proxy.cut()
-    healed = False
-    idle_since = {}
-    longest = dict.fromkeys(JOBS, 0.0)
-    cut_at = standin.seconds()
-    until = cut_at + CUT_S + 8.0
-    while standin.seconds() < until:
+    await asyncio.sleep(2.5)
+    begun = standin.seconds()
+    number = 0
+    crashes = 0
+    pending = []
+    next_crash = begun + 4.0
+    next_job = begun
+    while standin.seconds() < begun + PLAY_S:
         await asyncio.sleep(0.05)
         now = standin.seconds()
-        if trouble and not healed and now - cut_at >= CUT_S:
-            record.write("the store serves entry-large again")
-            proxy.heal()
-            healed = True
-        for job in JOBS:
-            first_done = any(row["how"] == "done" and row["task"] == f"{job}.0.0.0" for row in site.ends(job))
-            running = any(task.startswith(job) for worker in site.workers for task, _ in worker.runs)
-            gang_done = any(row["how"] == "done" and row["task"].startswith(f"{job}.0.1.") for row in site.ends(job))
-            if first_done and not running and not gang_done:
-                begun = idle_since.setdefault(job, now)
-                longest[job] = max(longest[job], now - begun)
-            else:
-                idle_since.pop(job, None)
-    broken = False
-    for job in JOBS:
-        record.write(f"job {job}: its gang's turn had come and nothing ran for up to {longest[job]:.2f} s; the fleet of "
-                     f"{len(site.workers)} workers had nothing else to do")
-        broken = broken or longest[job] >= 3.0
-        await site.ask(small[0], "GET", f"/batch/{job}")
-    record.write(f"checked from {cut_at - ended_at:.1f} s after the end of the traffic on")
-    leaders = sum(open(os.path.join(site.temporary, f"{entry.name}.log"), encoding="utf-8").read().count(
-        '"leadership_begun"') for entry in site.entries)
-    record.write(f"leaderships that began: {leaders}")
-    record.write("LOST is broken" if broken else "LOST held")
-    return 1 if broken else 0
+        if now >= next_job:
+            # More work for kind b than its six workers hold, so that some always waits.
+            next_job = now + 2.0
+            number += 1
+            pending.append(asyncio.create_task(site.ask(
+                random.choice(entries), "POST", f"/batch/{0x14a0000000000000 + number:016x}",
+                {"spec": '{"ms":1500,"spread":0.3}', "steps": [
+                    {"count": 32, "cpu": 16000, "mem_mb": 8192, "est_runtime_ms": 1500, "requires": "b"}]})))
+        if trouble and now >= next_crash:
+            # Two of twelve at a time: one of each kind comes back as the other.
+            next_crash = now + 6.0
+            crashes += 2
+            for kind, other in (("a", "b"), ("b", "a")):
+                worker = random.choice([item for item in site.workers if item.kind == kind and not item.is_down])
+                pending.append(asyncio.create_task(worker.crash(1.0, other)))
+    await asyncio.sleep(3.0)
+    wrong = [start for worker in site.workers for start in worker.starts if start["kind"] != "b"]
+    for start in wrong:
+        record.write(f"ROUTE: run {start['run']} of {start['task']}, which requires b, began at {start['at']:.3f} s on "
+                     f"{start['worker']}, which was of kind {start['kind']}")
+    record.write(f"{crashes} crashes, {sum(len(worker.starts) for worker in site.workers)} starts")
+    record.write("ROUTE is broken" if wrong else "ROUTE held")
+    return 1 if wrong else 0
 
 
-standin.main(os.path.dirname(os.path.abspath(__file__)), scenario, workers=100, advice=(500.0, 7.1, 2000))
+standin.main(os.path.dirname(os.path.abspath(__file__)), scenario, workers=WORKERS, advice=(10.0, 0.15, 2000))
