Review: choose ports that scripts side by side do not share

Cause: case 14 seeds the random generator before the stand-ins choose their ports, so that two runs of it begun together took the same ones.

Done: ports come from the system's generator.

--- a/review/kit3/standin.py
+++ b/review/kit3/standin.py
@@ -20,6 +20,8 @@
 HOST = "127.0.0.1"
 BEGUN = time.monotonic()
 TAKEN = set()
+# Not the seeded generator of a case: scripts that run side by side would choose the same ports.
+PORTS = random.SystemRandom()
 
 
 def seconds():
@@ -30,7 +32,7 @@
     """Returns free ports below those that the system gives to outgoing connections."""
     ports = []
     while len(ports) < count:
-        port = random.randrange(10_000, 32_000)
+        port = PORTS.randrange(10_000, 32_000)
         with socket.socket() as item:
             item.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
