Review: each script holds blocks of ports of its own

Cause: scripts that run side by side could choose a port between the check and its use by another; 3 of 10 runs of case 14 could not run for that.

Done: a script holds the first port of each block that it uses.

--- a/review/kit3/standin.py
+++ b/review/kit3/standin.py
@@ -19,8 +19,11 @@
 DAEMON = os.path.join(ROOT, "target", "src", "kingcuplink", "kingcuplinkd")
 HOST = "127.0.0.1"
 BEGUN = time.monotonic()
-TAKEN = set()
-# Not the seeded generator of a case: scripts that run side by side would choose the same ports.
+# Blocks of ports of this script, each held by a socket on its first port, so that scripts side by side share none.
+BLOCK = 100
+HELD = []
+UNUSED = []
+# Not the seeded generator of a case.
 PORTS = random.SystemRandom()
 
 
@@ -28,20 +31,35 @@
     return time.monotonic() - BEGUN
 
 
+def take_block():
+    while True:
+        first = PORTS.randrange(10_000, 32_000, BLOCK)
+        guard = socket.socket()
+        try:
+            guard.bind((HOST, first))
+            guard.listen(1)
+        except OSError:
+            guard.close()
+            continue
+        HELD.append(guard)
+        UNUSED.extend(range(first + 1, first + BLOCK))
+        return
+
+
 def free_ports(count):
     """Returns free ports below those that the system gives to outgoing connections."""
     ports = []
     while len(ports) < count:
-        port = PORTS.randrange(10_000, 32_000)
+        if not UNUSED:
+            take_block()
+        port = UNUSED.pop()
         with socket.socket() as item:
             item.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
                 item.bind((HOST, port))
             except OSError:
                 continue
-        if port not in TAKEN:
-            TAKEN.add(port)
-            ports.append(port)
+        ports.append(port)
     return ports
 
 
