Log boots that answer before they are registered, and what registrations say

Cause: when a task starts on a worker that may not run it, the logs did not tell whether the leader went by the registration of another boot, by an old ticket, or placed it wrongly: worker_changed named neither service nor labels nor capacity, and no line told that a boot answered polls before its registration was read.

Change: worker_changed has service, labels and capacity; worker_boot_unregistered names the boot that answers and the one that is registered, and is counted. No decision is changed.

--- a/src/kingcuplink/core/counters.hpp
+++ b/src/kingcuplink/core/counters.hpp
@@ -52,6 +52,7 @@
     handover_received,
     job_adopted,
     registration_rejected,
+    worker_boot_unregistered,
     unknown_run_listed,
     concurrent_run_listed,
     start_confirmed_late,
--- a/src/kingcuplink/core/decision_log.hpp
+++ b/src/kingcuplink/core/decision_log.hpp
@@ -51,6 +51,7 @@
     worker_seen,
     worker_silent,
     worker_restarted,
+    worker_boot_unregistered,
     worker_replaced,
     worker_changed,
     registration_rejected,
--- a/src/kingcuplink/site/fleet_leader.cpp
+++ b/src/kingcuplink/site/fleet_leader.cpp
@@ -211,7 +211,9 @@
         if(known == nullptr || known->leaving != entry->leaving || known->boot != entry->boot) {
             parts_.decisions.write(decision::worker_changed,
                 {{"worker", name}, {"address", entry->address}, {"domain", entry->domain}, {"boot", entry->boot},
-                    {"leaving", entry->leaving}});
+                    {"leaving", entry->leaving}, {"service", entry->service},
+                    {"millicores", entry->capacity.millicores}, {"memory_mib", entry->capacity.memory_mib},
+                    {"labels", boost::json::array(entry->labels.begin(), entry->labels.end())}});
         }
         dispatcher_.register_worker(std::move(*entry), now);
         if(watched_.insert(name).second) {
@@ -301,11 +303,7 @@
     }
     work_timer const timer{parts_.stats, activity::polls};
     auto const now = current_time();
-    auto const known_boot = dispatcher_.boot_of(name);
-    if(known_boot != 0u && known_boot != answer.inventory.boot) {
-        parts_.decisions.write(
-            decision::worker_restarted, {{"worker", name}, {"boot", answer.inventory.boot}, {"earlier", known_boot}});
-    }
+    log_boot(name, answer.inventory.boot);
     clocks_.report(name, answer.inventory.boot, answer.clock, now);
     for(auto const &end: answer.inventory.ended) {
         if(end.number > dispatcher_.seen_end(name)) {
@@ -324,6 +322,22 @@
     co_return true;
 }
 
+void fleet_leader::log_boot(std::string const &worker, std::uint64_t const boot) {
+    auto const earlier = dispatcher_.boot_of(worker);
+    auto const *registration = dispatcher_.find_worker(worker);
+    if(earlier == boot || registration == nullptr) {
+        return;
+    }
+    if(earlier != 0u) {
+        parts_.decisions.write(decision::worker_restarted, {{"worker", worker}, {"boot", boot}, {"earlier", earlier}});
+    }
+    if(registration->boot != boot) {
+        parts_.stats.add(event::worker_boot_unregistered);
+        parts_.decisions.write(decision::worker_boot_unregistered,
+            {{"worker", worker}, {"boot", boot}, {"registered", registration->boot}});
+    }
+}
+
 boost::asio::awaitable<void> fleet_leader::poll_immediately([[maybe_unused]] self_pointer self, std::string worker) {
     if(dispatcher_.find_worker(worker) != nullptr) {
         co_await poll_worker(std::move(worker), poll_mode::immediate);
--- a/src/kingcuplink/site/fleet_leader.hpp
+++ b/src/kingcuplink/site/fleet_leader.hpp
@@ -115,6 +115,8 @@
     boost::asio::awaitable<void> watch_worker(self_pointer self, std::string name);
     /*! Polls a worker and applies its answer; returns false if it did not answer or the leader has ended. */
     boost::asio::awaitable<bool> poll_worker(std::string name, poll_mode mode);
+    /*! Logs that a poll was answered by a boot for the first time, and whether the registration names that boot. */
+    void log_boot(std::string const &worker, std::uint64_t boot);
     /*! Polls a worker in addition to the regular polls, to learn of an expected end or an unconfirmed start. */
     boost::asio::awaitable<void> poll_immediately(self_pointer self, std::string worker);
     boost::asio::awaitable<void> run_planner(self_pointer self);
