A boot of a worker gets no tasks by the registration of another one

Cause: a poll shows the new boot at once, its registration is read up to 0.3 s later. In between the leader placed tasks on the boot that answers by the labels, capacity, service and failure domain of the one before.

Ruled out: old tickets (dropped with their boot), late commands.

Change: a worker is usable only while the registered boot is the one that answers; an intent is dropped when another boot than the one that it was planned for answers, also without advice; a run of unknown size fills its worker whatever capacity is registered later.

Eight tests had workers restart without a registration of the new boot and expected runs there. In the fixture each boot now registers after its first answer, and two tests register it themselves: what they check is unchanged. "a worker whose registration names another boot or address gets no run until it has answered" expected a run on a boot that is not registered; it now demands that the registered one answers.

--- a/src/kingcuplink/workflow/dispatch_planner.cpp
+++ b/src/kingcuplink/workflow/dispatch_planner.cpp
@@ -417,6 +417,7 @@
     intent.worker = target.on->id;
     intent.job = current.job;
     intent.key = {job.definition.id, current.step, index, run};
+    intent.planned_for = target.on->worker->restarts;
     intent.charge = job.definition.steps[current.step].task_size;
     intent.ticket = target.ticket->text;
     intent.ticket_until = target.ticket->until;
--- a/src/kingcuplink/workflow/dispatch_state.cpp
+++ b/src/kingcuplink/workflow/dispatch_state.cpp
@@ -174,7 +174,7 @@
 }
 
 bool is_usable(live_worker const &worker, site_rules const &rules, instant const now) noexcept {
-    return worker.is_registered && worker.is_reconciled && !worker.registration.leaving &&
+    return worker.is_described() && worker.is_reconciled && !worker.registration.leaving &&
         worker.quarantined_until <= now && is_responsive(worker, now) &&
         !rules.evacuated.contains(worker.registration.domain);
 }
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -44,8 +44,12 @@
     run_key key;
     resources charge;
     placement_stage stage{placement_stage::intended};
+    /*! Number of the worker's boot that the run was planned for. */
+    std::uint32_t planned_for{};
     /*! False for an unknown run: a worker listed it, but it does not match any known placement. */
     bool is_known{true};
+    /*! True for an unknown run of unknown size, which is charged the whole capacity of its worker. */
+    bool fills_worker{};
     std::string ticket{};
     instant ticket_until{};
     /*! Time at which the current stage began; while an answer is pending, time at which the start was last sent. */
@@ -204,7 +208,7 @@
     std::vector<placement_id> placements;
     /*! True while the registration exists. */
     bool is_registered{true};
-    /*! True once the current boot has listed its runs to this leader and the registration agrees with the answer. */
+    /*! True once the current boot has listed its runs to this leader. */
     bool is_reconciled{};
     /*! Time at which this leader first knew the worker. */
     instant known_since{};
@@ -233,6 +237,14 @@
     instant quarantined_until{};
     millis quarantine_duration{};
 
+    /*!
+     * Returns true if the registration is that of the boot that answers. That of another boot says nothing about the
+     * labels, capacity, service and failure domain of this one.
+     */
+    [[nodiscard]] bool is_described() const noexcept {
+        return is_registered && registration.boot == boot;
+    }
+
     /*! Records that all leases, also those of listed runs, may last until a time. */
     void raise_lease_expiry(instant const expiry) noexcept {
         leases_expire_at = std::max(leases_expire_at, expiry);
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -363,7 +363,7 @@
     }
     auto const &worker = state_.workers[run->worker];
     auto const &entry = worker.registration;
-    auto const accepts_runs = worker.is_registered && worker.is_reconciled && !entry.leaving &&
+    auto const accepts_runs = worker.is_described() && worker.is_reconciled && !entry.leaving &&
         !state_.rules->evacuated.contains(entry.domain);
     auto const *job = state_.jobs.find(run->job);
     return accepts_runs && worker.boot == sent.boot && entry.address == sent.address && job != nullptr &&
@@ -545,9 +545,10 @@
     auto const &job = state_.jobs[run.job];
     auto const *terms = state_.rules_of(job);
     auto const has_ticket = terms != nullptr && (!terms->advice || run.ticket_until > now);
-    return !run.stop_requested && !is_final(job.phase) && has_ticket &&
-        !state_.has_unknown_run(job, run.key.step, run.key.index) &&
-        internal::is_usable(state_.workers[run.worker], *state_.rules, now);
+    auto const &worker = state_.workers[run.worker];
+    // Another boot may be of another kind, and a ticket is not valid there.
+    return !run.stop_requested && !is_final(job.phase) && has_ticket && run.planned_for == worker.restarts &&
+        !state_.has_unknown_run(job, run.key.step, run.key.index) && internal::is_usable(worker, *state_.rules, now);
 }
 
 void dispatcher::batch_committed(progress_batch const &batch, instant const now, std::vector<run_start> &out) {
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -234,7 +234,8 @@
 
     /*!
      * Adds a worker or updates its registration. Its runs are kept. If the registration names another boot or address,
-     * the worker gets no new runs until apply_inventory() has received an answer from it.
+     * the worker gets no new runs until apply_inventory() has received an answer from it. It gets none either while a
+     * boot answers that is not the registered one.
      */
     void register_worker(worker_registration entry, instant now);
 
@@ -287,7 +288,7 @@
     /*! Returns the boot of a worker that last answered, or zero. */
     [[nodiscard]] std::uint64_t boot_of(std::string const &worker) const;
 
-    /*! Returns true if the runs of a worker are known and its registration agrees with its last answer. */
+    /*! Returns true if the runs of a worker are known. */
     [[nodiscard]] bool is_reconciled(std::string const &worker) const;
 
     /*! Returns the epoch of a worker for command_token(), or zero. */
@@ -326,8 +327,8 @@
     /*!
      * Returns true if a start without an answer may be sent again: it carries a ticket that is still valid, its run is
      * still wanted and awaits an answer, and its worker is still in the boot and at the address that the start was
-     * meant for. A late copy then has no effect: in the same boot the run is there, has ended or was stopped, and in
-     * another boot the ticket is not valid.
+     * meant for, which is the registered one. A late copy then has no effect: in the same boot the run is there, has
+     * ended or was stopped, and in another boot the ticket is not valid.
      */
     [[nodiscard]] bool may_repeat_start(run_start const &sent, instant now) const;
 
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -42,6 +42,13 @@
     }
     worker.registration = std::move(entry);
     worker.is_registered = true;
+    for(auto const pos: worker.placements) {
+        if(auto &run = state_.placements[pos]; run.fills_worker) {
+            worker.used -= run.charge;
+            run.charge = worker.registration.capacity;
+            worker.used += run.charge;
+        }
+    }
 }
 
 void dispatcher::unregister_worker(std::string const &name) {
@@ -70,9 +77,6 @@
         run.first_stop_answer_at.reset();
         run.next_stop_at = {};
         run.is_listed = false;
-        if(run.stage == internal::placement_stage::intended) {
-            run.ticket_until = {};
-        }
     }
 }
 
@@ -424,10 +428,12 @@
     placed.stage_since = now;
     // The size is unknown: the worker counts as full until the run is gone, whichever other runs end there.
     placed.charge = worker.registration.capacity;
+    placed.fills_worker = true;
     if(auto const found = state_.job_ids.find(run.key.job); found != state_.job_ids.end()) {
         auto const &job = state_.jobs[found->second];
         if(run.key.step < job.definition.steps.size()) {
             placed.charge = job.definition.steps[run.key.step].task_size;
+            placed.fills_worker = false;
         }
     }
     state_.add_placement(std::move(placed));
--- a/test/workflow/dispatcher_test.cpp
+++ b/test/workflow/dispatcher_test.cpp
@@ -331,7 +331,7 @@
     }
 }
 
-TEST_CASE("a worker whose registration names another boot or address gets no run until it has answered") {
+TEST_CASE("a worker whose registration names another boot or address gets no run until that has answered") {
     for(auto const *what: {"boot", "address"}) {
         CAPTURE(what);
         scripted_fleet fleet{{.workers = 1u}};
@@ -348,6 +348,7 @@
         fleet.run_for(millis{200});
         CHECK(fleet.leader->figures(fleet.now).usable_workers == 0u);
         CHECK(fleet.starts == 0u);
+        fleet.workers[0].entry = changed;
         fleet.workers[0].reachable = true;
         fleet.run_for(millis{200});
         CHECK(fleet.run_count("a") == 1u);
@@ -356,8 +357,8 @@
 
 // Guards against a worker that is ignored forever because its clock went back between two boots.
 TEST_CASE("a worker that restarted with a lower boot number is used and its earlier tasks are restarted") {
-    for(auto const is_registered: {false, true}) {
-        CAPTURE(is_registered);
+    for(auto const is_registered_first: {false, true}) {
+        CAPTURE(is_registered_first);
         scripted_fleet fleet{{.workers = 1u, .first_boot = 5u}};
         fleet.submit(scripted_fleet::job("a", make_step(1u, 60'000)));
         fleet.run_for(millis{300});
@@ -366,7 +367,7 @@
         worker.runs.clear();
         worker.next_completion = 1u;
         worker.entry.boot = 3u;
-        if(is_registered) {
+        if(is_registered_first) {
             fleet.leader->register_worker(worker.entry, fleet.now);
         }
         fleet.run_for(millis{1'500});
@@ -542,6 +543,8 @@
         fleet.now += round_interval;
         fleet.leader->record_lease_extension("w0", lease_expiry::at(fleet.now + millis{9'000}));
         fleet.leader->apply_inventory("w0", inventory, fleet.now, fleet.now);
+        worker.entry.boot = item.boot;
+        fleet.leader->register_worker(worker.entry, fleet.now);
         auto const started_again = plan_and_commit(fleet).size();
         CHECK(1u + started_again == item.starts);
         if(!item.has_all_completions) {
@@ -1185,6 +1188,9 @@
             fleet.now += round_interval;
             fleet.leader->record_lease_extension("w0", lease_expiry::at(fleet.now + millis{9'000}));
             fleet.leader->apply_inventory("w0", {boot, {}, {}}, fleet.now, fleet.now);
+            auto entry = fleet.workers.front().entry;
+            entry.boot = boot;
+            fleet.leader->register_worker(entry, fleet.now);
         };
         auto const plan = [&fleet]() {
             dispatch_plan decided;
--- a/test/workflow/fixture.cpp
+++ b/test/workflow/fixture.cpp
@@ -3,6 +3,7 @@
 #include "registration.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace kingcuplink::test {
 
@@ -44,8 +45,9 @@
     for(auto const &[id, entry]: table.jobs()) {
         leader->add_job(entry);
     }
-    for(auto const &item: workers) {
+    for(auto &item: workers) {
         leader->register_worker(item.entry, now);
+        item.registered_boot = item.entry.boot;
     }
 }
 
@@ -122,6 +124,9 @@
         inventory.ended = item.completions;
         leader->record_lease_extension(item.entry.name, lease_expiry::at(now + millis{9'000}));
         leader->apply_inventory(item.entry.name, inventory, now - poll_duration, now);
+        if(std::exchange(item.registered_boot, item.entry.boot) != item.entry.boot) {
+            leader->register_worker(item.entry, now);
+        }
     }
 }
 
--- a/test/workflow/fixture.hpp
+++ b/test/workflow/fixture.hpp
@@ -77,6 +77,8 @@
         std::vector<scripted_run> runs{};
         std::vector<listed_completion> completions{};
         std::uint64_t next_completion{1u};
+        /*! Boot that the worker registered; each boot registers itself once it has answered a poll. */
+        std::uint64_t registered_boot{};
     };
 
     instant now{instant{} + std::chrono::hours{1}};
--- a/test/workflow/outstanding_start_test.cpp
+++ b/test/workflow/outstanding_start_test.cpp
@@ -24,10 +24,13 @@
     fleet.leader->apply_inventory(worker, inventory, fleet.now, fleet.now);
 }
 
-/*! Reports that no worker has a run. */
+/*! Reports that no worker has a run, and registers the boots that report it. */
 void report_idle(scripted_fleet &fleet, std::uint64_t const boot) {
     for(auto const &item: fleet.workers) {
         report(fleet, item.entry.name, boot);
+        auto entry = item.entry;
+        entry.boot = boot;
+        fleet.leader->register_worker(entry, fleet.now);
     }
 }
 
