A worker gets no tasks after a poll without an answer

Ruled out: starts in flight during the crash (sent 1.2 s after it).

Change: a poll without an answer makes a worker unusable until it has answered a poll that was sent later; until then polls do not wait for the end of a run.

Test: "a worker gets no tasks after a poll without an answer until it has answered a later one"; 3 of 5 rows fail on the former code.

--- a/src/kingcuplink/site/fleet_leader.cpp
+++ b/src/kingcuplink/site/fleet_leader.cpp
@@ -251,7 +251,8 @@
 boost::asio::awaitable<void> fleet_leader::watch_worker([[maybe_unused]] self_pointer self, std::string name) {
     auto was_answered = false;
     while(!ended_ && dispatcher_.find_worker(name) != nullptr) {
-        auto const mode = was_answered ? poll_mode::long_poll : poll_mode::immediate;
+        auto const mode = was_answered && !dispatcher_.has_failed_poll(name) ? poll_mode::long_poll
+                                                                             : poll_mode::immediate;
         auto const seen_before = dispatcher_.seen_end(name);
         auto const answered = co_await poll_worker(name, mode);
         if(answered != was_answered && !ended_) {
@@ -299,6 +300,7 @@
         plan_wakeup_.notify();
     }
     if(answer.outcome != poll_outcome::answered) {
+        dispatcher_.poll_failed(name, sent_at);
         co_return false;
     }
     work_timer const timer{parts_.stats, activity::polls};
--- a/src/kingcuplink/workflow/dispatch_state.cpp
+++ b/src/kingcuplink/workflow/dispatch_state.cpp
@@ -170,7 +170,8 @@
 }
 
 bool is_responsive(live_worker const &worker, instant const now) noexcept {
-    return worker.answered_poll_sent_at > worker.unanswered_start_sent_at && worker.seen_at + max_poll_age > now;
+    return worker.answered_poll_sent_at > std::max(worker.unanswered_start_sent_at, worker.failed_poll_sent_at) &&
+        worker.seen_at + max_poll_age > now;
 }
 
 bool is_usable(live_worker const &worker, site_rules const &rules, instant const now) noexcept {
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -218,6 +218,8 @@
     instant unanswered_start_sent_at{};
     /*! Time at which the latest answered poll was sent; answers may arrive out of order. */
     instant answered_poll_sent_at{};
+    /*! Time at which the latest poll without an answer was sent: since then, another boot may have taken over. */
+    instant failed_poll_sent_at{};
     /*! Time of the latest applied lists by the clock of the current boot, in ms; lists may be applied out of order. */
     std::int64_t listed_at_ms{};
     /*! Time at which the registration last changed to an address or boot that differs from the last answer. */
@@ -381,7 +383,7 @@
     return duration >= long_query_duration ? state.long_queries : state.short_queries;
 }
 
-/*! Returns true if a worker has answered lately, and since the latest start without an answer. */
+/*! Returns true if a worker has answered lately, and since the latest start or poll without an answer. */
 [[nodiscard]] bool is_responsive(live_worker const &worker, instant now) noexcept;
 
 /*! Returns true if a worker currently accepts new runs. */
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -343,6 +343,18 @@
     }
 }
 
+void dispatcher::poll_failed(std::string const &worker, instant const sent_at) {
+    if(auto const found = state_.worker_ids.find(worker); found != state_.worker_ids.end()) {
+        auto &failed_at = state_.workers[found->second].failed_poll_sent_at;
+        failed_at = std::max(failed_at, sent_at);
+    }
+}
+
+bool dispatcher::has_failed_poll(std::string const &worker) const {
+    auto const *found = state_.find_worker(worker);
+    return found != nullptr && found->failed_poll_sent_at >= found->answered_poll_sent_at;
+}
+
 bool dispatcher::withholds_acknowledgement(std::string const &worker) const {
     auto const *found = state_.find_worker(worker);
     return found != nullptr && found->last_persisted_completion > found->last_acknowledged_completion &&
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -313,6 +313,16 @@
     /*! Records that a poll was answered; to be called once for it, after apply_inventory(). */
     void poll_answered(std::string const &worker, completion_acknowledgement const &sent);
 
+    /*!
+     * Records that a poll was not answered. The worker may have restarted as another kind: it gets no new runs until it
+     * has answered a poll that was sent later.
+     * @param sent_at Time at which the poll was sent.
+     */
+    void poll_failed(std::string const &worker, instant sent_at);
+
+    /*! Returns true if no poll was answered that was sent after the latest one without an answer. */
+    [[nodiscard]] bool has_failed_poll(std::string const &worker) const;
+
     /*! Returns true if a worker has completions that cannot be acknowledged yet. It answers polls at once then. */
     [[nodiscard]] bool withholds_acknowledgement(std::string const &worker) const;
 
--- a/test/workflow/simulated_leader.cpp
+++ b/test/workflow/simulated_leader.cpp
@@ -123,7 +123,8 @@
         return;
     }
     auto const seen_before = dispatcher_.seen_end(name);
-    poll_worker(name, was_answered ? poll_mode::long_poll : poll_mode::first,
+    auto const is_answering = was_answered && !dispatcher_.has_failed_poll(name);
+    poll_worker(name, is_answering ? poll_mode::long_poll : poll_mode::first,
         [self = shared_from_this(), name, seen_before](bool const answered) {
             auto const has_pending_ends = self->dispatcher_.has_unpersisted_completions(name) ||
                 self->dispatcher_.withholds_acknowledgement(name);
@@ -167,6 +168,7 @@
                 self->fenced();
             }
             if(answer == nullptr || answer->is_fenced) {
+                self->dispatcher_.poll_failed(name, sent_at);
                 return done(false);
             }
             self->apply_poll_answer(name, *answer, sent_at);
--- a/test/workflow/stale_boot_test.cpp
+++ b/test/workflow/stale_boot_test.cpp
@@ -18,6 +18,15 @@
     fleet.leader->apply_inventory(worker, inventory, fleet.now, fleet.now);
 }
 
+/*! Returns the settings of a fleet of one worker. */
+scripted_fleet_options options_with(bool const has_advice) {
+    scripted_fleet_options options{.workers = 1u};
+    if(has_advice) {
+        options.advice = advice_terms{millis{10}, 0, millis{2'000}};
+    }
+    return options;
+}
+
 /*! Plans one round, in which the adviser approves all workers, and returns its batch for the log. */
 progress_batch plan_intent(scripted_fleet &fleet) {
     // A step with advice is queried in the first pass and placed in the second.
@@ -119,8 +128,7 @@
     }};
     for(auto const &item: rows) {
         CAPTURE(item.name);
-        scripted_fleet fleet{{.workers = 1u,
-            .advice = item.has_advice ? std::optional{advice_terms{millis{10}, 0, millis{2'000}}} : std::nullopt}};
+        scripted_fleet fleet{options_with(item.has_advice)};
         fleet.rules->evacuated.insert("evacuated");
         auto entry = fleet.workers.front().entry;
         entry.labels = {"kind"};
@@ -168,8 +176,7 @@
     }};
     for(auto const &item: rows) {
         CAPTURE(item.name);
-        scripted_fleet fleet{{.workers = 1u,
-            .advice = item.has_advice ? std::optional{advice_terms{millis{10}, 0, millis{2'000}}} : std::nullopt}};
+        scripted_fleet fleet{options_with(item.has_advice)};
         auto entry = fleet.workers.front().entry;
         entry.labels = {"kind"};
         fleet.leader->register_worker(entry, fleet.now);
@@ -201,6 +208,39 @@
     }
 }
 
+// A worker crashed and came back as another kind. Its poll had failed, but it counted as responsive for 2.5 s after its
+// last answer, and the new boot executed a start before a poll had shown it.
+TEST_CASE("a worker gets no tasks after a poll without an answer until it has answered a later one") {
+    struct row {
+        std::string_view name;
+        bool has_advice;
+        /*! Time at which the answered poll was sent, relative to the failed one. */
+        millis answered_after;
+        bool is_used;
+    };
+    std::array<row, 5u> const rows{{
+        {"no answer", false, millis{-round_interval}, false},
+        {"no answer, with advice", true, millis{-round_interval}, false},
+        {"an answer to a poll that was sent at the same time", false, millis{}, false},
+        {"an answer to a later poll", false, millis{1}, true},
+        {"an answer to a later poll, with advice", true, millis{1}, true},
+    }};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        scripted_fleet fleet{options_with(item.has_advice)};
+        report_inventory(fleet, "w0", 1u, {});
+        fleet.now += round_interval;
+        auto const sent_at = fleet.now;
+        fleet.now += round_interval;
+        fleet.leader->poll_failed("w0", sent_at);
+        CHECK(fleet.leader->has_failed_poll("w0"));
+        fleet.leader->apply_inventory("w0", {1u, {}, {}}, sent_at + item.answered_after, fleet.now);
+        CHECK(fleet.leader->has_failed_poll("w0") != item.is_used);
+        fleet.submit(scripted_fleet::job("a", single_task_step()));
+        CHECK(count_starts(fleet) == (item.is_used ? 1u : 0u));
+    }
+}
+
 // A run whose size is not known was charged the capacity of the boot before, and the worker was filled beside it.
 TEST_CASE("a worker with a run of unknown size stays full when its registration changes") {
     scripted_fleet fleet{{.workers = 1u}};
