The wait for lapsed leases does not start again with each leader

Cause: a new leader does not know when leases were last extended and counts the longest one from its own beginning (17.2 s), also for workers that the former one knew to be silent or leaving. Each change of leaders starts the wait again.

Ruled out: counting from the fence of the claim (it orders appends, not the extensions that a cut leader still sends); ending runs with the withdrawal of a registration (the worker may still execute them); leases that are extended for workers that are gone (they answer nothing).

Change: the leader records in the log when all runs of a worker that is silent for 2.5 s, or leaves, will have ended. While the record stands no run starts there and no lease is extended beyond it, whoever leads; it is removed before the worker is used again. A new leader counts by the record. When a worker begins to leave it is polled at once, so that its runs are known. Claims say whether a leader observes records; one that does not voids them.

The simulation of faults carries the records.

--- a/src/kingcuplink/core/decision_log.hpp
+++ b/src/kingcuplink/core/decision_log.hpp
@@ -54,6 +54,7 @@
     worker_boot_unregistered,
     worker_replaced,
     worker_changed,
+    worker_lapse_recorded,
     registration_rejected,
     count
 };
--- a/src/kingcuplink/site/fleet_leader.cpp
+++ b/src/kingcuplink/site/fleet_leader.cpp
@@ -114,6 +114,10 @@
     plan_wakeup_.notify();
 }
 
+void fleet_leader::adopt_lapse(std::string const &worker, std::optional<instant> const at) {
+    dispatcher_.adopt_lapse(worker, at);
+}
+
 void fleet_leader::add_job(job_entry const &entry) {
     uncommitted_jobs_.erase(entry.definition.id);
     dispatcher_.add_job(entry);
@@ -208,6 +212,8 @@
         auto const name = entry->name;
         auto const *known = dispatcher_.find_worker(name);
         auto const was_held = dispatcher_.is_reconciled(name);
+        // The next list tells which runs the record of their lapse has to wait for.
+        auto const begins_to_leave = known != nullptr && !known->leaving && entry->leaving;
         if(known == nullptr || known->leaving != entry->leaving || known->boot != entry->boot) {
             parts_.decisions.write(decision::worker_changed,
                 {{"worker", name}, {"address", entry->address}, {"domain", entry->domain}, {"boot", entry->boot},
@@ -218,7 +224,7 @@
         dispatcher_.register_worker(std::move(*entry), now);
         if(watched_.insert(name).second) {
             boost::asio::co_spawn(parts_.context, watch_worker(shared_from_this(), name), fail_fast);
-        } else if(was_held && !dispatcher_.is_reconciled(name)) {
+        } else if(begins_to_leave || (was_held && !dispatcher_.is_reconciled(name))) {
             boost::asio::co_spawn(parts_.context, poll_immediately(shared_from_this(), name), fail_fast);
         }
     }
@@ -279,7 +285,7 @@
     if(is_long) {
         request.wait = dispatcher_.is_leaving(name) ? timing::leaving_poll_wait : timing::poll_wait;
         if(auto const lease = clocks_.request(name, boot, sent_at, lease_for(name));
-            lease && may_extend_leases(sent_at)) {
+            lease && may_extend_leases(sent_at) && dispatcher_.may_extend_lease(name, lease->lapses_at)) {
             request.expires_at = lease->expires_at;
             dispatcher_.record_lease_extension(name, lease->lapses_at);
         }
@@ -439,6 +445,13 @@
     for(auto const &[id, part]: batch.obsolete_parts) {
         records.push_back(encode_part_removal(id, part));
     }
+    for(auto const &change: batch.lapses) {
+        auto const now = current_time();
+        records.push_back(encode_lapse(change.name, change.at ? std::optional{*change.at - now} : std::nullopt));
+        parts_.decisions.write(decision::worker_lapse_recorded,
+            {{"worker", change.name}, {"removed", !change.at},
+                {"remaining_ms", change.at ? (*change.at - now).count() : 0}});
+    }
     records.insert(records.end(), removals_.begin(), removals_.end());
     removals_.clear();
     auto const has_records = !records.empty() || !caller_records_.empty();
--- a/src/kingcuplink/site/fleet_leader.hpp
+++ b/src/kingcuplink/site/fleet_leader.hpp
@@ -59,6 +59,9 @@
     /*! Replaces the operators' rules. */
     void set_rules(std::shared_ptr<site_rules const> rules);
 
+    /*! Adopts a record of the time at which all runs on a worker will have ended; see dispatcher::adopt_lapse(). */
+    void adopt_lapse(std::string const &worker, std::optional<instant> at);
+
     /*! Adds a job that was read from the log. */
     void add_job(job_entry const &entry);
 
--- a/src/kingcuplink/site/record_codec.cpp
+++ b/src/kingcuplink/site/record_codec.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <kingcuplink/site/record_codec.hpp>
@@ -12,7 +13,7 @@
 /*! Precedes the key of claims, and no other key is between the two. */
 constexpr std::string_view key_before_leader{"leade"};
 /*! Key prefixes, indexed by record_kind. */
-constexpr std::array<std::string_view, 3u> key_prefixes{"job/", "progress/", "cancel/"};
+constexpr std::array<std::string_view, 4u> key_prefixes{"job/", "progress/", "cancel/", "lapse/"};
 /*! Value of a cancellation that earlier versions wrote. */
 constexpr std::int64_t untimed_cancellation{1};
 /*! Separates the identifier of a job and the number of a part in a key. */
@@ -183,6 +184,7 @@
     record.set_peer_address(claim.peer_address);
     record.set_resigned(claim.resigned);
     record.set_processor_millicores(claim.processor_millicores);
+    record.set_observes_lapses(claim.observes_lapses);
     return {std::string{internal::leader_key}, record.SerializeAsString()};
 }
 
@@ -194,6 +196,16 @@
     return {internal::key_of(record_kind::cancellation, id), std::to_string(requested_at.time_since_epoch().count())};
 }
 
+keyed_record encode_lapse(std::string const &worker, std::optional<millis> const remaining) {
+    keyed_record result{internal::key_of(record_kind::lapse, worker), std::nullopt};
+    if(remaining) {
+        wire::lapse_record record;
+        record.set_remaining_ms(static_cast<std::uint64_t>(std::max(millis{}, *remaining).count()));
+        result.value = record.SerializeAsString();
+    }
+    return result;
+}
+
 keyed_record encode_part_removal(std::string const &id, std::uint32_t const part) {
     return {internal::part_key_of(id, part), std::nullopt};
 }
@@ -246,13 +258,21 @@
     return is_time ? std::optional{instant{millis{ms}}} : std::nullopt;
 }
 
+std::optional<millis> decode_lapse(std::string_view const bytes) {
+    auto const record = internal::parse<wire::lapse_record>(bytes);
+    if(!record || record->remaining_ms() > static_cast<std::uint64_t>(internal::max_duration)) {
+        return std::nullopt;
+    }
+    return millis{static_cast<std::int64_t>(record->remaining_ms())};
+}
+
 std::optional<leader_claim> decode_leader(std::string_view const bytes) {
     auto const record = internal::parse<wire::leader_record>(bytes);
     if(!record) {
         return std::nullopt;
     }
-    return leader_claim{
-        record->term(), record->name(), record->peer_address(), record->resigned(), record->processor_millicores()};
+    return leader_claim{record->term(), record->name(), record->peer_address(), record->resigned(),
+        record->processor_millicores(), record->observes_lapses()};
 }
 
 } // namespace kingcuplink
--- a/src/kingcuplink/site/record_codec.hpp
+++ b/src/kingcuplink/site/record_codec.hpp
@@ -10,7 +10,7 @@
 namespace kingcuplink {
 
 /*! Kinds of records in the stream `log_stream::jobs`. */
-enum class record_kind : std::uint8_t { job, progress, cancellation, leader };
+enum class record_kind : std::uint8_t { job, progress, cancellation, lapse, leader };
 
 /*! Record of the log that claims or resigns leadership of the fleet. */
 struct leader_claim {
@@ -20,12 +20,14 @@
     bool resigned{};
     /*! Processor time of the leader's entry VM, in thousandths of a core; zero if unknown. */
     std::uint32_t processor_millicores{};
+    /*! True if the leader extends no lease beyond the times in records of lapses, unlike those of earlier versions. */
+    bool observes_lapses{true};
 };
 
 /*! Components of a record's key. */
 struct parsed_record_key {
     record_kind kind{record_kind::job};
-    /*! Identifier of the job; empty for a record of the leader. */
+    /*! Identifier of the job, or name of the worker for a record of a lapse; empty for a record of the leader. */
     std::string id;
     /*! Part of the job's tasks, for a record of the progress of one part. */
     std::optional<std::uint32_t> part{};
@@ -49,6 +51,9 @@
 /*! Encodes the request to cancel a job, which arrived at a time by the clock of the entry VM that received it. */
 [[nodiscard]] keyed_record encode_cancellation(std::string const &id, instant requested_at);
 
+/*! Encodes the time after which all runs on a worker will have ended, or nothing to remove that record. */
+[[nodiscard]] keyed_record encode_lapse(std::string const &worker, std::optional<millis> remaining);
+
 /*! Encodes the record that removes the progress of a part of a job's tasks. */
 [[nodiscard]] keyed_record encode_part_removal(std::string const &id, std::uint32_t part);
 
@@ -64,6 +69,9 @@
 /*! Decodes the time of a cancellation; returns nothing if the record does not tell it, as that of earlier versions. */
 [[nodiscard]] std::optional<instant> decode_cancellation(std::string_view bytes) noexcept;
 
+/*! Decodes the time after which all runs on a worker will have ended; returns nothing if the bytes are malformed. */
+[[nodiscard]] std::optional<millis> decode_lapse(std::string_view bytes);
+
 /*! Decodes a leadership claim; returns nothing if the bytes are malformed. */
 [[nodiscard]] std::optional<leader_claim> decode_leader(std::string_view bytes);
 
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -403,6 +403,7 @@
 void site_node::apply_jobs(keyed_batch batch) {
     work_timer const timer{parts_.stats, activity::log_records};
     if(batch.is_snapshot) {
+        known_lapses_.clear();
         // Snapshots are ordered by key, but jobs must be defined before records that refer to them are applied.
         std::stable_sort(batch.records.begin(), batch.records.end(), [](auto const &lhs, auto const &rhs) {
             auto const kind_of = [](auto const &record) {
@@ -434,6 +435,8 @@
     if(!record.value) {
         if(name->kind == record_kind::job) {
             known_jobs_.forget(name->id);
+        } else if(name->kind == record_kind::lapse) {
+            known_lapses_.erase(name->id);
         }
         return;
     }
@@ -454,6 +457,12 @@
     case record_kind::cancellation:
         apply_cancellation(name->id, decode_cancellation(*record.value), way);
         break;
+    case record_kind::lapse:
+        known_lapses_[name->id].reset();
+        if(auto const remaining = decode_lapse(*record.value)) {
+            known_lapses_[name->id] = now + *remaining;
+        }
+        break;
     case record_kind::leader:
         if(auto claim = decode_leader(*record.value)) {
             handle_claim(std::move(*claim));
@@ -498,6 +507,12 @@
 }
 
 void site_node::handle_claim(leader_claim claim) {
+    if(!claim.observes_lapses && claim.term >= watch_.claim().term) {
+        // A leader of an earlier version may extend any lease.
+        for(auto &[worker, at]: known_lapses_) {
+            at.reset();
+        }
+    }
     if(watch_.apply_claim(std::move(claim), current_time())) {
         auto const &latest = watch_.claim();
         parts_.decisions.write(
@@ -648,6 +663,9 @@
     }
     std::sort(entries.begin(), entries.end(),
         [](auto const *lhs, auto const *rhs) { return lhs->definition.accepted_at < rhs->definition.accepted_at; });
+    for(auto const &[worker, at]: known_lapses_) {
+        leader_->adopt_lapse(worker, at);
+    }
     for(auto const *entry: entries) {
         leader_->add_job(*entry);
     }
--- a/src/kingcuplink/site/site_node.hpp
+++ b/src/kingcuplink/site/site_node.hpp
@@ -172,6 +172,8 @@
     keyed_reader jobs_reader_;
     keyed_reader rules_reader_;
     job_table known_jobs_;
+    /*! Times at which all runs on workers will have ended, as recorded; nothing for records that do not hold. */
+    std::map<std::string, std::optional<instant>> known_lapses_;
     std::shared_ptr<site_rules const> rules_;
     leader_watch watch_;
     /*! True after a claim of this entry VM was appended until it is read back from the log. */
--- a/src/kingcuplink/workflow/dispatch_state.cpp
+++ b/src/kingcuplink/workflow/dispatch_state.cpp
@@ -85,15 +85,40 @@
 }
 
 instant dispatch_state::lapse_time(placement const &run) const {
-    auto const leases_expire_at = workers[run.worker].leases_expire_at;
+    auto const &worker = workers[run.worker];
+    if(run.stage == placement_stage::inherited && worker.inherited_lapse) {
+        return *worker.inherited_lapse;
+    }
+    return lapse_time(run, {worker.leases_expire_at, worker.listed_leases_expire_at});
+}
+
+instant dispatch_state::lapse_time(placement const &run, lease_expiry const &leases) const {
     if(run.is_listed) {
-        return workers[run.worker].listed_leases_expire_at;
+        return leases.in_known_boot;
     }
     if(!run.may_begin_in_other_boot) {
-        return leases_expire_at;
+        return leases.in_any_boot;
     }
     // The start, or a lease extension, may be executed late by a boot that no leader has polled.
-    return std::max(leases_expire_at + limits.command_delay, run.may_begin_until + limits.longest_lease);
+    return std::max(leases.in_any_boot + limits.command_delay, run.may_begin_until + limits.longest_lease);
+}
+
+std::optional<instant> dispatch_state::last_lapse(live_worker const &worker, lease_expiry const &expiry) const {
+    lease_expiry const leases{std::max(worker.leases_expire_at, expiry.in_any_boot),
+        std::max(worker.listed_leases_expire_at, expiry.in_known_boot)};
+    instant last{};
+    for(auto const id: worker.placements) {
+        auto const &run = placements[id];
+        if(run.stage == placement_stage::awaiting_answer) {
+            return std::nullopt;
+        }
+        if(run.stage == placement_stage::inherited && worker.inherited_lapse) {
+            last = std::max(last, *worker.inherited_lapse);
+        } else if(run.stage != placement_stage::intended) {
+            last = std::max(last, lapse_time(run, leases));
+        }
+    }
+    return last;
 }
 
 bool dispatch_state::has_unknown_run(live_job const &job, std::uint32_t const step, std::uint32_t const index) const {
@@ -169,13 +194,17 @@
     return std::find(task.failed_on.begin(), task.failed_on.end(), worker) != task.failed_on.end();
 }
 
+bool is_silent(instant const seen_at, instant const now) noexcept {
+    return seen_at + max_poll_age <= now;
+}
+
 bool is_responsive(live_worker const &worker, instant const now) noexcept {
     return worker.answered_poll_sent_at > std::max(worker.unanswered_start_sent_at, worker.failed_poll_sent_at) &&
-        worker.seen_at + max_poll_age > now;
+        !is_silent(worker.seen_at, now);
 }
 
 bool is_usable(live_worker const &worker, site_rules const &rules, instant const now) noexcept {
-    return worker.is_described() && worker.is_reconciled && !worker.registration.leaving &&
+    return worker.is_described() && worker.is_reconciled && !worker.lapse.may_stand() && !worker.registration.leaving &&
         worker.quarantined_until <= now && is_responsive(worker, now) &&
         !rules.evacuated.contains(worker.registration.domain);
 }
--- a/src/kingcuplink/workflow/dispatch_state.hpp
+++ b/src/kingcuplink/workflow/dispatch_state.hpp
@@ -191,6 +191,29 @@
     job_phase persisted_phase{job_phase::queued};
 };
 
+/*!
+ * Record in the log of the time at which all runs on a worker will have ended. As long as it stands, no run starts
+ * there and no lease is extended beyond that time, so that later leaders need not wait any longer.
+ */
+struct lapse_record {
+    /*! Time in the log; nothing if there is no record. */
+    std::optional<instant> committed{};
+    /*! Time in the batch that is being committed; nothing if that removes the record. */
+    std::optional<instant> batched{};
+    bool is_batched{};
+
+    /*! Returns true if the log contains the record, or may contain it. */
+    [[nodiscard]] bool may_stand() const noexcept {
+        return committed || is_batched;
+    }
+
+    /*! Returns the time up to which leases may be extended. */
+    [[nodiscard]] instant limit() const noexcept {
+        auto const is_new = is_batched && batched;
+        return std::min(committed.value_or(instant::max()), is_new ? *batched : instant::max());
+    }
+};
+
 /*! A worker that is registered or may have runs. */
 struct live_worker {
     worker_registration registration;
@@ -228,6 +251,9 @@
     instant leases_expire_at{};
     /*! Time at which those of the runs that the present boot has listed have expired. */
     instant listed_leases_expire_at{};
+    lapse_record lapse;
+    /*! Time at which the runs of earlier leaders have ended, as the log says; nothing if it does not tell. */
+    std::optional<instant> inherited_lapse{};
     std::uint64_t last_recorded_completion{};
     std::uint64_t last_persisted_completion{};
     /*! Number up to which the current boot has confirmed acknowledgements. */
@@ -247,6 +273,11 @@
         return is_registered && registration.boot == boot;
     }
 
+    /*! Records that all leases of runs of earlier leaders may last until a time, but not beyond what the log says. */
+    void raise_inherited_expiry(instant const expiry) noexcept {
+        raise_lease_expiry(std::min(expiry, inherited_lapse.value_or(instant::max())));
+    }
+
     /*! Records that all leases, also those of listed runs, may last until a time. */
     void raise_lease_expiry(instant const expiry) noexcept {
         leases_expire_at = std::max(leases_expire_at, expiry);
@@ -296,6 +327,10 @@
     /*! Demand of the steps with a query in flight, by service. */
     std::map<std::string, resources> promised;
     dispatch_limits limits;
+    /*! Beginning of the leadership. */
+    instant begun_at{};
+    /*! Time of the latest planning round. */
+    instant planned_at{};
     /*! Highest epoch of any worker that a command without an answer has begun. */
     std::uint64_t highest_command_epoch{};
     /*! Time at which all leases granted by earlier leaders have expired. */
@@ -362,6 +397,15 @@
     /*! Returns the time at which a run is over by any clock if its worker is not heard from. */
     [[nodiscard]] instant lapse_time(placement const &run) const;
 
+    /*! Returns the time at which a run with given leases on its worker is over by any clock. */
+    [[nodiscard]] instant lapse_time(placement const &run, lease_expiry const &leases) const;
+
+    /*!
+     * Returns the time at which all runs on a worker are over if it is not heard from and leases are extended to the
+     * given expiry; nothing if a start is in flight.
+     */
+    [[nodiscard]] std::optional<instant> last_lapse(live_worker const &worker, lease_expiry const &expiry = {}) const;
+
     /*! Returns true if a worker listed an unknown run of a task that is not over. */
     [[nodiscard]] bool has_unknown_run(live_job const &job, std::uint32_t step, std::uint32_t index) const;
 
@@ -383,6 +427,9 @@
     return duration >= long_query_duration ? state.long_queries : state.short_queries;
 }
 
+/*! Returns true if a worker whose last answer came at a time has not answered lately. */
+[[nodiscard]] bool is_silent(instant seen_at, instant now) noexcept;
+
 /*! Returns true if a worker has answered lately, and since the latest start or poll without an answer. */
 [[nodiscard]] bool is_responsive(live_worker const &worker, instant now) noexcept;
 
--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -111,6 +111,7 @@
 
 dispatcher::dispatcher(dispatch_limits const &limits, instant const now) {
     state_.limits = limits;
+    state_.begun_at = now;
     state_.inherited_leases_end_at = now + limits.inherited_lease;
     state_.inherited_starts_end_at = now + limits.inherited_sending + limits.command_delay;
 }
@@ -171,6 +172,31 @@
     }
 }
 
+worker_id dispatcher::find_or_add_worker(std::string const &name) {
+    if(!state_.worker_ids.contains(name)) {
+        worker_registration former;
+        former.name = name;
+        register_worker(std::move(former), instant{});
+        unregister_worker(name);
+    }
+    return state_.worker_ids.at(name);
+}
+
+void dispatcher::adopt_lapse(std::string const &worker, std::optional<instant> const at) {
+    auto &entry = state_.workers[find_or_add_worker(worker)];
+    entry.lapse.committed = at.value_or(instant::max());
+    entry.inherited_lapse = at;
+}
+
+bool dispatcher::may_extend_lease(std::string const &worker, lease_expiry const &expiry) const {
+    auto const *found = state_.find_worker(worker);
+    if(found == nullptr || !found->lapse.may_stand()) {
+        return true;
+    }
+    auto const last = state_.last_lapse(*found, expiry);
+    return last && *last <= found->lapse.limit();
+}
+
 void dispatcher::adopt_runs(job_id const id, job_entry const &entry) {
     progress_parts const parts{entry.definition.steps};
     state_.jobs[id].persisted_parts.resize(parts.count());
@@ -199,18 +225,12 @@
             continue;
         }
         task.ended_run = row.run - 1u;
-        if(!state_.worker_ids.contains(row.worker)) {
-            // Keep the run until its lease has expired by any clock.
-            worker_registration former;
-            former.name = row.worker;
-            register_worker(std::move(former), instant{});
-            unregister_worker(row.worker);
-        }
+        // Keep the run until its lease has expired by any clock.
+        auto const worker = find_or_add_worker(row.worker);
         if(task.done) {
             continue;
         }
-        auto const worker = state_.worker_ids.at(row.worker);
-        state_.workers[worker].raise_lease_expiry(state_.inherited_leases_end_at);
+        state_.workers[worker].raise_inherited_expiry(state_.inherited_leases_end_at);
         internal::placement run;
         run.worker = worker;
         run.job = id;
@@ -219,7 +239,8 @@
         run.stage = internal::placement_stage::inherited;
         if(auto const *terms = state_.rules_of(job); terms == nullptr || !terms->advice) {
             run.may_begin_in_other_boot = true;
-            run.may_begin_until = state_.inherited_starts_end_at;
+            auto const lapse = state_.workers[worker].inherited_lapse.value_or(instant::max());
+            run.may_begin_until = std::min(state_.inherited_starts_end_at, lapse);
         }
         state_.add_placement(std::move(run));
     }
@@ -375,8 +396,8 @@
     }
     auto const &worker = state_.workers[run->worker];
     auto const &entry = worker.registration;
-    auto const accepts_runs = worker.is_described() && worker.is_reconciled && !entry.leaving &&
-        !state_.rules->evacuated.contains(entry.domain);
+    auto const accepts_runs = worker.is_described() && worker.is_reconciled && !worker.lapse.may_stand() &&
+        !entry.leaving && !state_.rules->evacuated.contains(entry.domain);
     auto const *job = state_.jobs.find(run->job);
     return accepts_runs && worker.boot == sent.boot && entry.address == sent.address && job != nullptr &&
         !is_final(job->phase) && !state_.has_unknown_run(*job, run->key.step, run->key.index);
@@ -513,6 +534,7 @@
 
 void dispatcher::plan(instant const now, dispatch_plan &out) {
     expire_leases(now);
+    state_.planned_at = now;
     internal::dispatch_planner{state_, now, out}.run();
 }
 
@@ -544,6 +566,7 @@
         state_.erase_if_finished(id);
     }
     state_.dirty_jobs.clear();
+    add_lapse_changes(batch);
     for(auto const id: state_.workers.ids()) {
         auto const &worker = state_.workers[id];
         if(worker.last_recorded_completion > worker.last_persisted_completion) {
@@ -570,6 +593,9 @@
             worker->last_persisted_completion = std::max(worker->last_persisted_completion, cursor.number);
         }
     }
+    for(auto const &change: batch.lapses) {
+        apply_committed(change);
+    }
     for(auto const id: batch.starts) {
         auto *run = state_.placements.find(id);
         if(run == nullptr || run->stage != internal::placement_stage::intended) {
--- a/src/kingcuplink/workflow/dispatcher.hpp
+++ b/src/kingcuplink/workflow/dispatcher.hpp
@@ -121,6 +121,14 @@
     std::uint64_t number{};
 };
 
+/*! Change of the record of the time at which all runs on a worker will have ended. */
+struct lapse_change {
+    worker_id worker;
+    std::string name;
+    /*! Time to record, or nothing to remove the record. */
+    std::optional<instant> at{};
+};
+
 /*! Progress to append to the log. Dependent starts and acknowledgements wait until it is committed. */
 struct progress_batch {
     std::vector<std::pair<std::string, job_progress>> records;
@@ -131,9 +139,11 @@
     std::vector<placement_id> starts;
     /*! Completions that may be acknowledged once the batch is committed. */
     std::vector<completion_cursor> ends;
+    /*! To be committed together with the records or after them. */
+    std::vector<lapse_change> lapses;
 
     [[nodiscard]] bool empty() const noexcept {
-        return records.empty() && starts.empty() && ends.empty();
+        return records.empty() && starts.empty() && ends.empty() && lapses.empty();
     }
 };
 
@@ -263,6 +273,16 @@
      */
     void record_lease_extension(std::string const &worker, lease_expiry expiry);
 
+    /*!
+     * Adopts a record of the log that all runs of earlier leaders on a worker will have ended at a time. Precondition:
+     * no job with a run there was added.
+     * @param at Recorded time, or nothing if the record does not hold and is only to be replaced or removed.
+     */
+    void adopt_lapse(std::string const &worker, std::optional<instant> at);
+
+    /*! Returns true if the leases of a worker may be extended so that they expire at a time. */
+    [[nodiscard]] bool may_extend_lease(std::string const &worker, lease_expiry const &expiry) const;
+
     /*! Returns true if a worker has announced that it leaves. */
     [[nodiscard]] bool is_leaving(std::string const &worker) const;
 
@@ -392,6 +412,8 @@
 
 private:
     void adopt_runs(job_id id, job_entry const &entry);
+    /*! Returns a worker; adds one that is not registered if there is none with this name. */
+    worker_id find_or_add_worker(std::string const &name);
     /*! Ends a job if its entry says that it is cancelled or was reported to have ended. */
     void adopt_end(job_id id, job_entry const &entry);
     /*! Ends the accounting for a query in flight. */
@@ -428,6 +450,12 @@
     void remove_lost_run(placement_id id, run_loss reason, instant now);
     /*! Removes runs whose leases have expired, and unregistered workers without runs. */
     void expire_leases(instant now);
+    /*! Adds to a batch the changes of the records of the times at which runs will have ended. */
+    void add_lapse_changes(progress_batch &batch);
+    /*! Applies a change of such a record that is committed to the log. */
+    void apply_committed(lapse_change const &change);
+    /*! Returns the time to record for a worker at which its runs will have ended, or nothing to keep the record. */
+    [[nodiscard]] std::optional<instant> lapse_to_record(internal::live_worker const &worker, instant now) const;
     /*! Returns true if the preconditions of an intended start still hold. */
     [[nodiscard]] bool may_still_start(internal::placement const &run, instant now) const;
     [[nodiscard]] placement_id find_run(worker_id worker, run_key const &key) const;
--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -16,6 +16,14 @@
 constexpr millis min_quarantine{4'000};
 /*! Maximum duration of a quarantine. */
 constexpr millis max_quarantine{30'000};
+/*! Time for which a record lets the leases of a worker that leaves be extended. */
+constexpr millis leaving_lapse{7'000};
+/*! Such a record is replaced once it ends within this time, which is longer than a lease there and an append. */
+constexpr millis lapse_renewal_margin{5'000};
+/*! A record is also replaced if it ends later than needed by more than this time. */
+constexpr millis lapse_tolerance{2'000};
+/*! Maximum number of changes of such records in a batch: after a pause of the leader, many workers seem silent. */
+constexpr std::size_t max_lapse_changes = 64u;
 
 } // namespace internal
 
@@ -122,7 +130,7 @@
         reset_for_boot(id, inventory.boot, now);
     } else if(known_boot == 0u) {
         // The boot may have executed a late extension that was meant for an earlier one.
-        state_.workers[id].raise_lease_expiry(now + state_.limits.longest_lease);
+        state_.workers[id].raise_inherited_expiry(now + state_.limits.longest_lease);
     }
     state_.workers[id].boot = inventory.boot;
     for(auto const &end: inventory.ended) {
@@ -370,6 +378,7 @@
     report_late_confirmation(run, now);
     auto const was_started_by_this_boot = run.stage == internal::placement_stage::running &&
         run.sent_to == worker.restarts;
+    auto const was_inherited = run.stage == internal::placement_stage::inherited;
     if(run.stage != internal::placement_stage::running) {
         run.stage = internal::placement_stage::running;
         run.stage_since = now;
@@ -378,7 +387,8 @@
     run.may_begin_until = {};
     if(!std::exchange(run.is_listed, true) && !was_started_by_this_boot) {
         // The run may have begun, with a lease of its own, long after its start was sent.
-        worker.raise_lease_expiry(now + state_.limits.longest_lease);
+        auto const expiry = now + state_.limits.longest_lease;
+        was_inherited ? worker.raise_inherited_expiry(expiry) : worker.raise_lease_expiry(expiry);
     }
 }
 
@@ -443,7 +453,9 @@
     auto const ids = std::vector<worker_id>{state_.workers.ids().begin(), state_.workers.ids().end()};
     for(auto const id: ids) {
         auto &worker = state_.workers[id];
-        if(worker.listed_leases_expire_at < now && !worker.placements.empty()) {
+        auto const first_lapse = std::min(
+            worker.listed_leases_expire_at, worker.inherited_lapse.value_or(instant::max()));
+        if(first_lapse < now && !worker.placements.empty()) {
             auto const runs = worker.placements;
             for(auto const pos: runs) {
                 auto const *run = state_.placements.find(pos);
@@ -455,7 +467,8 @@
                 }
             }
         }
-        if(!state_.workers[id].is_registered && state_.workers[id].placements.empty()) {
+        auto const is_gone = !state_.workers[id].is_registered && state_.workers[id].placements.empty();
+        if(is_gone && !state_.workers[id].lapse.may_stand()) {
             auto &gone = state_.workers[id];
             state_.fence_acknowledgements(gone);
             state_.former_workers[gone.registration.name] = {gone.boot, gone.command_epoch, gone.leases_expire_at};
@@ -465,4 +478,56 @@
     }
 }
 
+std::optional<instant> dispatcher::lapse_to_record(internal::live_worker const &worker, instant const now) const {
+    auto const has_leases = !internal::is_silent(worker.seen_at, now);
+    // A worker that leaves still works: its leases are extended up to the recorded time.
+    auto const lapse_after = [&](millis const time) {
+        return state_.last_lapse(
+            worker, has_leases ? lease_expiry{now + state_.limits.longest_lease + time, now + time} : lease_expiry{});
+    };
+    auto const needed = lapse_after(internal::lapse_renewal_margin);
+    auto const at = lapse_after(internal::leaving_lapse);
+    auto const &committed = worker.lapse.committed;
+    auto const is_kept = !at || (committed && *needed <= *committed && *committed <= *at + internal::lapse_tolerance);
+    return is_kept ? std::nullopt : at;
+}
+
+void dispatcher::add_lapse_changes(progress_batch &batch) {
+    auto const now = state_.planned_at;
+    // A new leader needs this time to hear from the workers.
+    auto const knows_workers = internal::is_silent(state_.begun_at, now);
+    for(auto const id: state_.workers.ids()) {
+        auto &worker = state_.workers[id];
+        auto const is_needed = !worker.placements.empty() &&
+            (worker.registration.leaving || internal::is_silent(worker.seen_at, now));
+        lapse_change change{id, worker.registration.name};
+        if(!knows_workers && !worker.is_reconciled) {
+            continue;
+        }
+        if(is_needed) {
+            change.at = lapse_to_record(worker, now);
+        }
+        if(change.at || (!is_needed && worker.lapse.committed)) {
+            worker.lapse.batched = change.at;
+            worker.lapse.is_batched = true;
+            batch.lapses.push_back(std::move(change));
+        }
+        if(batch.lapses.size() == internal::max_lapse_changes) {
+            break;
+        }
+    }
+}
+
+void dispatcher::apply_committed(lapse_change const &change) {
+    auto *worker = state_.workers.find(change.worker);
+    if(worker == nullptr) {
+        return;
+    }
+    worker->lapse = {change.at};
+    if(!change.at) {
+        // From now on, leases may be extended, also by a command that a boot executes that no leader has polled.
+        worker->inherited_lapse.reset();
+    }
+}
+
 } // namespace kingcuplink
--- a/test/workflow/fixture.cpp
+++ b/test/workflow/fixture.cpp
@@ -42,6 +42,9 @@
     pending_batch.reset();
     leader = std::make_unique<dispatcher>(options.limits, now);
     leader->set_rules(rules);
+    for(auto const &[name, at]: lapses) {
+        leader->adopt_lapse(name, at);
+    }
     for(auto const &[id, entry]: table.jobs()) {
         leader->add_job(entry);
     }
@@ -122,7 +125,10 @@
         auto const acknowledged = leader->kept_end(item.entry.name);
         std::erase_if(item.completions, [acknowledged](auto const &end) { return end.number <= acknowledged; });
         inventory.ended = item.completions;
-        leader->record_lease_extension(item.entry.name, lease_expiry::at(now + millis{9'000}));
+        auto const lease = leader->is_leaving(item.entry.name) ? millis{3'250} : millis{9'000};
+        if(auto const expiry = lease_expiry::at(now + lease); leader->may_extend_lease(item.entry.name, expiry)) {
+            leader->record_lease_extension(item.entry.name, expiry);
+        }
         leader->apply_inventory(item.entry.name, inventory, now - poll_duration, now);
         if(std::exchange(item.registered_boot, item.entry.boot) != item.entry.boot) {
             leader->register_worker(item.entry, now);
@@ -145,6 +151,13 @@
             ended_at.try_emplace(id, now);
         }
     }
+    for(auto const &change: batch.lapses) {
+        if(change.at) {
+            lapses[change.name] = *change.at;
+        } else {
+            lapses.erase(change.name);
+        }
+    }
     std::vector<run_start> commands;
     leader->batch_committed(batch, now, commands);
     for(auto const &command: commands) {
--- a/test/workflow/fixture.hpp
+++ b/test/workflow/fixture.hpp
@@ -85,6 +85,8 @@
     scripted_fleet_options options;
     std::vector<worker> workers;
     job_table table;
+    /*! Times at which all runs on workers will have ended, as recorded in the log. */
+    std::map<std::string, instant> lapses;
     std::unique_ptr<dispatcher> leader;
     std::shared_ptr<site_rules> rules{std::make_shared<site_rules>()};
     /*! Duration and outcome of the runs of a job, by its identifier; by default 1 s and run_outcome::done. */
--- a/test/workflow/simulated_fleet.hpp
+++ b/test/workflow/simulated_fleet.hpp
@@ -46,6 +46,8 @@
     millis midway_pause{};
     std::uint32_t readings_until_pause{};
     job_table table;
+    /*! Times at which all runs on workers will have ended, as recorded in the log. */
+    std::map<std::string, instant> lapses;
     /*! Number of records of the log that are applied. */
     std::size_t offset{};
     /*! Time at which the last successful read of the log was sent. */
--- a/test/workflow/simulated_leader.cpp
+++ b/test/workflow/simulated_leader.cpp
@@ -22,6 +22,10 @@
     dispatcher_.set_rules(std::move(rules));
 }
 
+void simulated_leader::adopt_lapse(std::string const &worker, instant const at) {
+    dispatcher_.adopt_lapse(worker, at);
+}
+
 void simulated_leader::add_job(job_entry const &entry) {
     dispatcher_.add_job(entry);
     notify(plan_wakeup_);
@@ -147,7 +151,7 @@
     if(is_long) {
         request.wait = dispatcher_.is_leaving(name) ? timing::leaving_poll_wait : timing::poll_wait;
         if(auto const lease = clocks_.request(name, boot, sent_at, lease_for(name));
-            lease && may_extend_leases(sent_at)) {
+            lease && may_extend_leases(sent_at) && dispatcher_.may_extend_lease(name, lease->lapses_at)) {
             request.expires_at = lease->expires_at;
             dispatcher_.record_lease_extension(name, lease->lapses_at);
         }
@@ -264,6 +268,10 @@
     for(auto const &[id, progress]: batch.records) {
         records.emplace_back(progress_record{id, progress});
     }
+    for(auto const &change: batch.lapses) {
+        auto const remaining = change.at ? std::optional{std::max(millis{}, *change.at - host_.now())} : std::nullopt;
+        records.emplace_back(lapse_record{change.name, remaining});
+    }
     if(records.empty() && appended_at_ + timing::leader_record_interval <= host_.now()) {
         records.emplace_back(claim_record{term_, name_});
     }
--- a/test/workflow/simulated_leader.hpp
+++ b/test/workflow/simulated_leader.hpp
@@ -106,6 +106,9 @@
     /*! Sets the operators' rules. */
     void set_rules(std::shared_ptr<site_rules const> rules);
 
+    /*! Adopts the record of the time at which all runs on a worker will have ended. */
+    void adopt_lapse(std::string const &worker, instant at);
+
     /*! Adds a job in the state that the log gives it. */
     void add_job(job_entry const &entry);
 
--- a/test/workflow/simulated_log.hpp
+++ b/test/workflow/simulated_log.hpp
@@ -28,7 +28,13 @@
     job_progress progress;
 };
 
-using log_record = std::variant<job_definition, progress_record, claim_record, cancellation_record>;
+/*! Time after which all runs on a worker will have ended; nothing removes the record. */
+struct lapse_record {
+    std::string worker;
+    std::optional<millis> remaining;
+};
+
+using log_record = std::variant<job_definition, progress_record, claim_record, cancellation_record, lapse_record>;
 
 /*! Outcome of an append. */
 enum class append_result : std::uint8_t { done, refused, fenced, out_of_sequence, unknown };
--- a/test/workflow/simulated_nodes.cpp
+++ b/test/workflow/simulated_nodes.cpp
@@ -32,6 +32,9 @@
         std::string operator()(cancellation_record const &item) const {
             return "cancel/" + item.job;
         }
+        std::string operator()(lapse_record const &item) const {
+            return "lapse/" + item.worker;
+        }
         std::string operator()(claim_record const &) const {
             return "leader";
         }
@@ -213,8 +216,9 @@
         nodes_[node].snapshot.reset();
         nodes_[node].offset = complete.offset;
         nodes_[node].watch.record_leader_activity(queue_.now());
+        nodes_[node].lapses.clear();
         // Jobs are defined before records that refer to them are applied.
-        for(auto const prefix: {"job/", "progress/", "cancel/", "leader"}) {
+        for(auto const prefix: {"job/", "progress/", "cancel/", "lapse/", "leader"}) {
             for(auto const &[key, record]: complete.records) {
                 if(key.starts_with(prefix)) {
                     apply(node, record);
@@ -245,6 +249,12 @@
         if(entry.table.cancel(request->job, now) && entry.leader_role != nullptr) {
             entry.leader_role->cancel_job(request->job);
         }
+    } else if(auto const *lapse = std::get_if<lapse_record>(&record); lapse != nullptr) {
+        if(lapse->remaining) {
+            entry.lapses[lapse->worker] = now + *lapse->remaining;
+        } else {
+            entry.lapses.erase(lapse->worker);
+        }
     }
 }
 
@@ -322,6 +332,9 @@
     }
     std::sort(entries.begin(), entries.end(),
         [](auto const *lhs, auto const *rhs) { return lhs->definition.accepted_at < rhs->definition.accepted_at; });
+    for(auto const &[worker, at]: entry.lapses) {
+        entry.leader_role->adopt_lapse(worker, at);
+    }
     for(auto const *job: entries) {
         entry.leader_role->add_job(*job);
     }
