--- a/src/kingcuplink/core/counters.cpp
+++ b/src/kingcuplink/core/counters.cpp
@@ -12,11 +12,12 @@
     "peer_bytes_sent", "peer_bytes_received", "control_bytes_sent", "control_bytes_received",
     "document_records_applied", "document_edits_appended", "documents_from_peers", "log_reads_failed",
     "log_appends_failed", "journal_appends", "connections_accepted", "connections_discarded", "handovers_sent",
-    "handovers_received", "jobs_adopted", "registrations_rejected", "worker_boots_unregistered", "unknown_runs_listed",
-    "concurrent_runs_listed", "starts_confirmed_late", "starts_relayed", "start_relays_failed", "relayed_starts_sent",
-    "log_end_reads", "plan_rounds", "plan_steps_examined", "advice_answers_unused", "tasks_retried_where_failed",
-    "commit_notices_sent", "cancellations_own_append", "cancellations_relayed", "cancellations_noticed",
-    "cancellations_read_from_log", "cancellations_before_definition", "job_questions_sent"};
+    "handovers_received", "jobs_adopted", "registrations_rejected", "worker_boots_unregistered",
+    "jobs_absent_from_snapshot", "unknown_runs_listed", "concurrent_runs_listed", "starts_confirmed_late",
+    "starts_relayed", "start_relays_failed", "relayed_starts_sent", "log_end_reads", "plan_rounds",
+    "plan_steps_examined", "advice_answers_unused", "tasks_retried_where_failed", "commit_notices_sent",
+    "cancellations_own_append", "cancellations_relayed", "cancellations_noticed", "cancellations_read_from_log",
+    "cancellations_before_definition", "job_questions_sent"};
 
 constexpr std::array<std::string_view, traffic_count> traffic_names{
     "other", "log_append", "log_read", "worker_poll", "worker_start", "worker_stop", "advice"};
--- a/src/kingcuplink/core/counters.hpp
+++ b/src/kingcuplink/core/counters.hpp
@@ -53,6 +53,7 @@
     job_adopted,
     registration_rejected,
     worker_boot_unregistered,
+    job_absent_from_snapshot,
     unknown_run_listed,
     concurrent_run_listed,
     start_confirmed_late,
--- a/src/kingcuplink/core/decision_log.cpp
+++ b/src/kingcuplink/core/decision_log.cpp
@@ -14,10 +14,10 @@
     "settings_reloaded", "dependency_lost", "dependency_regained", "log_read_slow", "log_append_slow", "ready_changed",
     "rules_applied", "leadership_claimed", "leadership_begun", "leadership_ended", "leader_load", "leader_seen",
     "job_accepted", "job_refused", "job_outcome_unknown", "job_cancelled", "question_refused", "job_answer_outdated",
-    "cancellation_applied", "job_defined_cancelled", "job_ended", "checkpoints_dropped", "advice_given", "run_started",
-    "run_start_refused", "run_start_unanswered", "start_relay_declined", "run_stopped", "run_ended", "run_lost",
-    "run_unknown", "run_confirmed_late", "worker_seen", "worker_silent", "worker_restarted", "worker_boot_unregistered",
-    "worker_replaced", "worker_changed", "worker_lapse_recorded", "registration_rejected"};
+    "cancellation_applied", "jobs_absent_from_snapshot", "job_defined_cancelled", "job_ended", "checkpoints_dropped",
+    "advice_given", "run_started", "run_start_refused", "run_start_unanswered", "start_relay_declined", "run_stopped",
+    "run_ended", "run_lost", "run_unknown", "run_confirmed_late", "worker_seen", "worker_silent", "worker_restarted",
+    "worker_boot_unregistered", "worker_replaced", "worker_changed", "worker_lapse_recorded", "registration_rejected"};
 
 /*! Maximum lines per second of one kind: about twice the rate that the planned peak of starts causes on one leader. */
 constexpr std::uint32_t lines_per_second = 2'000u;
--- a/src/kingcuplink/core/decision_log.hpp
+++ b/src/kingcuplink/core/decision_log.hpp
@@ -35,6 +35,7 @@
     question_refused,
     job_answer_outdated,
     cancellation_applied,
+    jobs_absent_from_snapshot,
     job_defined_cancelled,
     job_ended,
     checkpoints_dropped,
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -402,7 +402,14 @@
 
 void site_node::apply_jobs(keyed_batch batch) {
     work_timer const timer{parts_.stats, activity::log_records};
+    job_table former;
     if(batch.is_snapshot) {
+        // A later claim ends the leadership of this entry VM.
+        apply_claims(batch.records);
+        if(leader_ == nullptr) {
+            // The records that removed jobs may be gone from the log: what the snapshot does not name is no more.
+            former = std::exchange(known_jobs_, {});
+        }
         known_lapses_.clear();
         // Snapshots are ordered by key, but jobs must be defined before records that refer to them are applied.
         std::stable_sort(batch.records.begin(), batch.records.end(), [](auto const &lhs, auto const &rhs) {
@@ -417,6 +424,11 @@
     for(auto const &record: batch.records) {
         apply(record, record_way::log);
     }
+    if(auto const dropped = known_jobs_.inherit_local_state(former); dropped > 0u) {
+        parts_.stats.add(event::job_absent_from_snapshot, dropped);
+        parts_.decisions.write(
+            decision::jobs_absent_from_snapshot, {{"jobs", dropped}, {"remaining", known_jobs_.jobs().size()}});
+    }
 }
 
 void site_node::apply_own(
--- a/src/kingcuplink/workflow/job_table.cpp
+++ b/src/kingcuplink/workflow/job_table.cpp
@@ -91,6 +91,30 @@
     early_cancellations_.erase(id);
 }
 
+std::size_t job_table::inherit_local_state(job_table const &former) {
+    std::size_t dropped{};
+    for(auto const &[id, known]: former.jobs_) {
+        auto const found = jobs_.find(id);
+        // An identifier may have been used again after the job was removed.
+        if(found == jobs_.end() || found->second.definition.accepted_at != known.definition.accepted_at) {
+            ++dropped;
+            continue;
+        }
+        if(known.reported_phase) {
+            set_reported_phase(id, *known.reported_phase);
+        }
+        if(is_final(known.progress.phase) && is_final(found->second.progress.phase)) {
+            found->second.ended_at = known.ended_at;
+        }
+    }
+    for(auto &[id, read_at]: early_cancellations_) {
+        if(auto const known = former.early_cancellations_.find(id); known != former.early_cancellations_.end()) {
+            read_at = known->second;
+        }
+    }
+    return dropped;
+}
+
 job_entry const *job_table::find(std::string const &id) const {
     auto const found = jobs_.find(id);
     return found == jobs_.end() ? nullptr : &found->second;
--- a/src/kingcuplink/workflow/job_table.hpp
+++ b/src/kingcuplink/workflow/job_table.hpp
@@ -55,6 +55,12 @@
     /*! Removes a job and its cancellation. */
     void forget(std::string const &id);
 
+    /*!
+     * Adopts what a former table knew beyond the log of the jobs that both contain: final phases that the leader
+     * reported, and when ends and cancellations were read. Returns the number of jobs that only the former one had.
+     */
+    std::size_t inherit_local_state(job_table const &former);
+
     /*! Returns a job, or null. */
     [[nodiscard]] job_entry const *find(std::string const &id) const;
 
--- a/test/workflow/job_table_test.cpp
+++ b/test/workflow/job_table_test.cpp
@@ -161,6 +161,52 @@
     }
 }
 
+// Guards against jobs that are kept for longer, or go back from ended to running, whenever a snapshot is read.
+TEST_CASE("a table that is built again keeps reported phases and the times of ends of the jobs that are still there") {
+    using enum record;
+    struct row {
+        std::string_view name;
+        std::vector<record> former;
+        std::vector<record> records;
+        std::size_t dropped;
+        std::size_t expired;
+    };
+    std::array<row, 6u> const rows{{
+        {"ended job", {definition, end}, {definition, end}, 0u, 1u},
+        {"live job", {definition, start}, {definition, start}, 0u, 0u},
+        {"job that has ended since", {definition, start}, {definition, end}, 0u, 0u},
+        {"removed job", {definition, end}, {}, 1u, 0u},
+        {"cancellation of an unknown job", {cancellation}, {cancellation}, 0u, 1u},
+        {"removed cancellation", {cancellation}, {}, 0u, 0u},
+    }};
+    instant const first{millis{1'000}};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        job_table former;
+        for(auto const next: item.former) {
+            apply(former, next, first);
+        }
+        job_table table;
+        for(auto const next: item.records) {
+            apply(table, next, first + millis{500});
+        }
+        CHECK(table.inherit_local_state(former) == item.dropped);
+        CHECK(table.expired_before(first + millis{1}).size() == item.expired);
+    }
+    job_table former;
+    former.define(make_job());
+    former.set_reported_phase("job", job_phase::done);
+    for(auto const is_same: {true, false}) {
+        CAPTURE(is_same);
+        job_table table;
+        auto job = make_job();
+        job.accepted_at += millis{is_same ? 0 : 1};
+        table.define(job);
+        CHECK(table.inherit_local_state(former) == (is_same ? 0u : 1u));
+        CHECK(table.pending("queue") == (is_same ? 0u : 1u));
+    }
+}
+
 namespace {
 
 job_definition wide_job() {
