Site test: a submission during a restart is followed by runs of both jobs

Cause: the test counted one run for each job, but the job of scripted_site has two tasks. Its wait for 1 run was never met and cost 5 s; its wait for 2 runs was met by the first job alone. If the two tasks of the second job started before the check, there were 4 runs, as there should be: the checks of the same case that each run is a first one and had one command passed. Ruled out: a second start of a task, which these checks would have shown.

The replacement is stricter: 2 runs before the restart, and 4 afterwards, so that the job submitted to the restarted entry VM has to run.

--- a/test/site/site_test.cpp
+++ b/test/site/site_test.cpp
@@ -778,7 +778,8 @@
     site.run_until([&]() { return site.leader() != nullptr; });
     auto const restarted = site.follower();
     REQUIRE_FALSE(site.ask(restarted, caller_operation::submit, "00000000000000f2").refused);
-    site.run_until([&]() { return site.workers.runs() == 1u; });
+    site.run_until([&]() { return site.workers.runs() == 2u; });
+    REQUIRE(site.workers.runs() == 2u);
     site.restart_vm(restarted);
     site.vms[restarted]->log.holds_snapshot = true;
     site.run_for(millis{200});
@@ -791,8 +792,8 @@
     auto const cancelled = site.ask(restarted, caller_operation::cancel, "00000000000000f2");
     REQUIRE(cancelled.refused);
     CHECK(cancelled.refused->reason == refusal::no_configuration);
-    site.run_until([&]() { return site.workers.runs() == 2u; });
-    CHECK(site.workers.runs() == 2u);
+    site.run_until([&]() { return site.workers.runs() == 4u; });
+    CHECK(site.workers.runs() == 4u);
     site.vms[restarted]->log.holds_snapshot = false;
     site.run_until([&]() { return site.vms[restarted]->node->is_ready(); });
     REQUIRE(site.vms[restarted]->node->is_ready());
