--- a/src/kingcuplink/core/counters.cpp
+++ b/src/kingcuplink/core/counters.cpp
@@ -14,7 +14,7 @@
     "log_appends_failed", "journal_appends", "connections_accepted", "connections_discarded", "handovers_sent",
     "handovers_received", "jobs_adopted", "registrations_rejected", "worker_boots_unregistered",
     "jobs_absent_from_snapshot", "unknown_runs_listed", "concurrent_runs_listed", "starts_confirmed_late",
-    "starts_relayed", "start_relays_failed", "relayed_starts_sent", "log_end_reads", "plan_rounds",
+    "starts_relayed", "start_relays_failed", "relayed_starts_sent", "log_end_reads", "log_probes", "plan_rounds",
     "plan_steps_examined", "advice_answers_unused", "tasks_retried_where_failed", "commit_notices_sent",
     "cancellations_own_append", "cancellations_relayed", "cancellations_noticed", "cancellations_read_from_log",
     "cancellations_before_definition", "job_questions_sent"};
--- a/src/kingcuplink/core/counters.hpp
+++ b/src/kingcuplink/core/counters.hpp
@@ -61,6 +61,7 @@
     start_relay_failed,
     relayed_start_sent,
     log_end_read,
+    log_probed,
     plan_round,
     plan_step_examined,
     advice_answer_unused,
--- a/src/kingcuplink/site/fleet_leader.cpp
+++ b/src/kingcuplink/site/fleet_leader.cpp
@@ -99,6 +99,10 @@
                            : std::nullopt;
 }
 
+bool fleet_leader::has_stalled(instant const now) const noexcept {
+    return appended_at_ + timing::replaceable_leader_timeout < now;
+}
+
 boost::asio::awaitable<void> fleet_leader::resign(std::string_view const reason) {
     auto const self = shared_from_this();
     end();
@@ -831,7 +835,7 @@
 void fleet_leader::add_peer(std::string const &peer, wire::introduction const &introduction) {
     peers_.connect(peer, introduction.peer_address());
     peer_introduction entry{introduction.failure_domain(), introduction.processor_millicores(), introduction.process(),
-        introduction.sent_at_ms(), introduction.peer_address()};
+        introduction.sent_at_ms(), introduction.peer_address(), introduction.misses_log()};
     if(known_peers_.introduce(peer, std::move(entry), current_time())) {
         queries_.add_vm(peer);
         dispatcher_.set_querying_vms(queries_.vms());
--- a/src/kingcuplink/site/fleet_leader.hpp
+++ b/src/kingcuplink/site/fleet_leader.hpp
@@ -56,6 +56,9 @@
     /*! Returns why another leadership should begin, or nothing: a larger entry VM, or few epochs left. */
     [[nodiscard]] std::optional<std::string_view> reason_to_resign(instant now) const noexcept;
 
+    /*! Returns whether the log has not accepted this leader's appends for so long that it is replaced. */
+    [[nodiscard]] bool has_stalled(instant now) const noexcept;
+
     /*! Replaces the operators' rules. */
     void set_rules(std::shared_ptr<site_rules const> rules);
 
--- a/src/kingcuplink/site/leader_peers.cpp
+++ b/src/kingcuplink/site/leader_peers.cpp
@@ -35,7 +35,9 @@
 std::uint32_t leader_peers::most_millicores() const noexcept {
     std::uint32_t most{};
     for(auto const &[name, entry]: peers_) {
-        most = std::max(most, entry.introduction.processor_millicores);
+        if(!entry.introduction.misses_log) {
+            most = std::max(most, entry.introduction.processor_millicores);
+        }
     }
     return most;
 }
@@ -54,7 +56,10 @@
 
 std::vector<leader_candidate> leader_peers::candidates() const {
     std::vector<leader_candidate> result;
-    for(auto const entry: by_size(peers_)) {
+    auto order = by_size(peers_);
+    std::stable_partition(
+        order.begin(), order.end(), [](auto const entry) { return !entry->second.introduction.misses_log; });
+    for(auto const entry: order) {
         if(result.size() == timing::max_leader_candidates) {
             break;
         }
--- a/src/kingcuplink/site/leader_peers.hpp
+++ b/src/kingcuplink/site/leader_peers.hpp
@@ -21,6 +21,8 @@
     /*! Clock of the process when it sent the introduction, in ms. */
     std::int64_t clock{};
     std::string peer_address{};
+    /*! True while the entry VM does not reach the log, or lately could not append. */
+    bool misses_log{};
 };
 
 /*! Entry VM that may lead next. */
@@ -53,7 +55,7 @@
     /*! Removes the entry VMs whose latest introduction is too old, and returns their names. */
     std::vector<std::string> remove_silent(instant now);
 
-    /*! Returns the largest processor time of an entry VM in thousandths of a core, or zero. */
+    /*! Returns the largest processor time of an entry VM that reaches the log in thousandths of a core, or zero. */
     [[nodiscard]] std::uint32_t most_millicores() const noexcept;
 
     /*!
@@ -62,7 +64,7 @@
      */
     [[nodiscard]] std::vector<heartbeat_receiver> next_heartbeat_receivers();
 
-    /*! Returns the largest entry VMs, at most timing::max_leader_candidates. */
+    /*! Returns the largest entry VMs, first those that reach the log, at most timing::max_leader_candidates. */
     [[nodiscard]] std::vector<leader_candidate> candidates() const;
 
     /*!
--- a/src/kingcuplink/site/leader_watch.cpp
+++ b/src/kingcuplink/site/leader_watch.cpp
@@ -36,9 +36,7 @@
 }
 
 void leader_watch::count_replacement(instant const now) noexcept {
-    auto const was_stalled = has_heartbeats() && !claim_.resigned &&
-        heartbeat_received_at_ + heartbeat_.interval + timing::heartbeat_timeout > now &&
-        heartbeat_.log_age > timing::replaceable_leader_timeout;
+    auto const was_stalled = hears_leader(now) && heartbeat_.log_age > timing::replaceable_leader_timeout;
     if(!was_stalled) {
         replacement_backoff_ = {};
     } else if(claim_applied_at_ + timing::max_replacement_backoff < now) {
@@ -125,8 +123,7 @@
     if(!has_heartbeats() || claim_applied_at_ + replacement_backoff_ > now) {
         return std::nullopt;
     }
-    // While the log did not answer this entry VM, the leader may not have been able to append for the same reason.
-    auto const failing_for = std::min(heartbeat_.log_age, std::chrono::duration_cast<millis>(now - log_answers_since_));
+    auto const failing_for = failing_time(now);
     // A log that is slow for this entry VM too does not justify replacing the leader.
     auto const can_append_instead = own_append_at_ + timing::own_append_age > heartbeat_received_at_ &&
         failing_for > timing::replaceable_leader_timeout + own_append_took_ * timing::relay_appends + claim_delay();
@@ -140,6 +137,22 @@
     return is_stalled ? std::optional{claim_reason::leader_stalled} : std::nullopt;
 }
 
+bool leader_watch::needs_probe(instant const now) const noexcept {
+    // Appends of a slow log are in progress for longer without a failure of the leader.
+    auto const limit = timing::probed_leader_timeout + heartbeat_.append_time * timing::relay_appends;
+    return hears_leader(now) && is_log_reached_ && failing_time(now) > limit &&
+        own_append_at_ + timing::probe_interval <= now;
+}
+
+bool leader_watch::hears_leader(instant const now) const noexcept {
+    return has_heartbeats() && !claim_.resigned &&
+        heartbeat_received_at_ + heartbeat_.interval + timing::heartbeat_timeout > now;
+}
+
+millis leader_watch::failing_time(instant const now) const noexcept {
+    return std::min(heartbeat_.log_age, std::chrono::duration_cast<millis>(now - log_answers_since_));
+}
+
 millis leader_watch::claim_delay() const noexcept {
     auto const hash = stable_hash(own_name_, claim_.term);
     auto const spread = millis{
--- a/src/kingcuplink/site/leader_watch.hpp
+++ b/src/kingcuplink/site/leader_watch.hpp
@@ -112,7 +112,20 @@
      */
     [[nodiscard]] std::optional<claim_reason> reason_to_claim(instant read_at, instant now) const noexcept;
 
+    /*!
+     * Returns whether this entry VM should append a probe: the leader sends heartbeats but does not append, and an
+     * append of this entry VM tells whether it could lead instead.
+     */
+    [[nodiscard]] bool needs_probe(instant now) const noexcept;
+
 private:
+    /*! Returns whether the latest claim's leader has not resigned and its heartbeats arrive. */
+    [[nodiscard]] bool hears_leader(instant now) const noexcept;
+    /*!
+     * Returns for how long the leader has not appended although the log answered this entry VM: while it did not, the
+     * leader may not have been able to append for the same reason.
+     */
+    [[nodiscard]] millis failing_time(instant now) const noexcept;
     /*! Returns why a leader that sends heartbeats but no longer appends has to be replaced, or nothing. */
     [[nodiscard]] std::optional<claim_reason> reason_to_replace(instant now) const noexcept;
     /*! Updates the time before the next replacement of a stalled leader for a claim of a higher term. */
--- a/src/kingcuplink/site/log_appends.cpp
+++ b/src/kingcuplink/site/log_appends.cpp
@@ -11,7 +11,7 @@
 
 namespace internal {
 
-constexpr std::array<std::string_view, 4u> append_purpose_names{"leader", "callers", "claim", "resignation"};
+constexpr std::array<std::string_view, 5u> append_purpose_names{"leader", "callers", "claim", "resignation", "probe"};
 constexpr std::array<std::string_view, 5u> append_outcome_names{
     "done", "refused", "fenced", "out_of_sequence", "unknown"};
 
--- a/src/kingcuplink/site/log_appends.hpp
+++ b/src/kingcuplink/site/log_appends.hpp
@@ -18,7 +18,9 @@
     /*! Callers' records that an entry VM appends itself. */
     callers,
     claim,
-    resignation
+    resignation,
+    /*! Record that shows whether this entry VM can append. */
+    probe
 };
 
 /*! Returns the name of a purpose. */
--- a/src/kingcuplink/site/record_codec.cpp
+++ b/src/kingcuplink/site/record_codec.cpp
@@ -10,6 +10,8 @@
 namespace internal {
 
 constexpr std::string_view leader_key{"leader"};
+/*! Key of probes; readers skip it like every key that they do not know. */
+constexpr std::string_view probe_key{"probe"};
 /*! Precedes the key of claims, and no other key is between the two. */
 constexpr std::string_view key_before_leader{"leade"};
 /*! Key prefixes, indexed by record_kind. */
@@ -206,6 +208,10 @@
     return result;
 }
 
+keyed_record encode_probe(std::string const &sender) {
+    return {std::string{internal::probe_key}, sender};
+}
+
 keyed_record encode_part_removal(std::string const &id, std::uint32_t const part) {
     return {internal::part_key_of(id, part), std::nullopt};
 }
--- a/src/kingcuplink/site/record_codec.hpp
+++ b/src/kingcuplink/site/record_codec.hpp
@@ -54,6 +54,9 @@
 /*! Encodes the time after which all runs on a worker will have ended, or nothing to remove that record. */
 [[nodiscard]] keyed_record encode_lapse(std::string const &worker, std::optional<millis> remaining);
 
+/*! Encodes a record without effect; entry VMs append it to find out whether they can. */
+[[nodiscard]] keyed_record encode_probe(std::string const &sender);
+
 /*! Encodes the record that removes the progress of a part of a job's tasks. */
 [[nodiscard]] keyed_record encode_part_removal(std::string const &id, std::uint32_t part);
 
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -612,6 +612,8 @@
             remove_expired_jobs();
         } else if(auto const reason_to_lead = reason_to_claim(current_time())) {
             co_await claim(*reason_to_lead);
+        } else if(should_probe(current_time())) {
+            co_await probe();
         }
     }
 }
@@ -642,6 +644,7 @@
         }
         // An entry VM that was cut off may hear the leader again: repeating the claim would replace it without need.
     } while(answer.outcome == append_outcome::unknown && watch_.claim().term < term && reason_to_claim(current_time()));
+    record_append_outcome(answer.outcome);
     if(answer.outcome != append_outcome::done) {
         // Another entry VM claimed the term first or the log is unavailable; the next records show which.
         watch_.record_failed_claim(current_time());
@@ -657,6 +660,29 @@
     }
 }
 
+bool site_node::should_probe(instant const now) const {
+    auto const first = std::span{candidates_}.first(std::min(candidates_.size(), timing::max_probing_candidates));
+    auto const is_own = [this](auto const &candidate) { return candidate.name == parts_.settings.name; };
+    return !draining_ && std::any_of(first.begin(), first.end(), is_own) && watch_.needs_probe(now);
+}
+
+boost::asio::awaitable<void> site_node::probe() {
+    parts_.stats.add(event::log_probed);
+    std::vector<keyed_record> records;
+    records.push_back(encode_probe(parts_.settings.name));
+    auto const sent_at = current_time();
+    auto const answer = co_await append_to_jobs(parts_, append_purpose::probe, std::move(records), std::nullopt);
+    record_append_outcome(answer.outcome);
+    if(answer.outcome == append_outcome::done) {
+        watch_.record_own_append(current_time() - sent_at, current_time());
+    }
+}
+
+void site_node::record_append_outcome(append_outcome const outcome) {
+    auto const is_answered = outcome != append_outcome::refused && outcome != append_outcome::unknown;
+    appends_doubtful_until_ = is_answered ? instant{} : current_time() + timing::append_doubt_time;
+}
+
 void site_node::begin_leadership(std::uint64_t const term, std::uint64_t const sequence, instant const claimed_at) {
     leader_ = std::make_shared<fleet_leader>(
         parts_, peers_, term, sequence, claimed_at, [this]() { end_leadership(); },
@@ -703,6 +729,9 @@
 void site_node::end_leadership() {
     parts_.stats.add(event::leadership_lost);
     watch_.record_leader_activity(current_time());
+    if(leader_->has_stalled(current_time())) {
+        appends_doubtful_until_ = current_time() + timing::append_doubt_time;
+    }
     // If the log is lost, one of them tells who leads next.
     candidates_ = leader_->candidates();
     leader_ = nullptr;
@@ -775,6 +804,7 @@
     introduction.set_failure_domain(parts_.settings.failure_domain);
     introduction.set_process(process_);
     introduction.set_sent_at_ms(current_time().time_since_epoch().count());
+    introduction.set_misses_log(!log_reachable_ || current_time() < appends_doubtful_until_);
     return peers_.send(peer, message);
 }
 
--- a/src/kingcuplink/site/site_node.hpp
+++ b/src/kingcuplink/site/site_node.hpp
@@ -144,6 +144,12 @@
     boost::asio::awaitable<void> watch_leader();
     [[nodiscard]] std::optional<claim_reason> reason_to_claim(instant now) const;
     boost::asio::awaitable<void> claim(claim_reason reason);
+    /*! Returns whether this entry VM is one of those that should find out whether they can append. */
+    [[nodiscard]] bool should_probe(instant now) const;
+    /*! Appends a record without effect: while such appends are done, this entry VM may replace a stalled leader. */
+    boost::asio::awaitable<void> probe();
+    /*! Records whether the log answered an append of this entry VM that does not depend on others' records. */
+    void record_append_outcome(append_outcome outcome);
     void begin_leadership(std::uint64_t term, std::uint64_t sequence, instant claimed_at);
     void end_leadership();
     /*! Returns the jobs that records define and that this entry VM does not know. */
@@ -184,6 +190,8 @@
     instant jobs_removed_at_{};
     bool log_reachable_{true};
     instant log_reachability_changed_at_{};
+    /*! Time until which this entry VM is not to lead, since the log did not take its appends. */
+    instant appends_doubtful_until_{};
     bool draining_{};
     std::atomic<bool> ready_{};
     std::mt19937_64 random_;
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -39,6 +39,18 @@
  * longer than leader_record_interval.
  */
 inline constexpr millis replaceable_leader_timeout{1'000};
+/*!
+ * Time without an append of the leader after which entry VMs that may lead next append probes; two times
+ * leader_record_interval and a margin, so that an idle leader causes none.
+ */
+inline constexpr millis probed_leader_timeout{1'500};
+static_assert(probed_leader_timeout > replaceable_leader_timeout);
+/*! Time between an entry VM's probes, or between another append of its own and the next probe. */
+inline constexpr millis probe_interval{400};
+/*! Most entry VMs that append probes at a time. */
+inline constexpr std::size_t max_probing_candidates{4u};
+/*! Time after a failed append during which an entry VM tells the leader that it should not lead. */
+inline constexpr millis append_doubt_time{10'000};
 /*!
  * Time after a stalled leader was replaced before its successor may be replaced for the same reason; it doubles with
  * each such change, since a successor that does no better shows that leaders are not the cause.
@@ -47,6 +59,7 @@
 inline constexpr millis max_replacement_backoff{16'000};
 /*! Age of an own append up to which an entry VM takes the log as reachable for itself, if not for the leader. */
 inline constexpr millis own_append_age{800};
+static_assert(probe_interval < own_append_age);
 /*! Age of the latest read, in addition to its wait, up to which an entry VM may claim leadership. */
 inline constexpr millis claim_freshness{400};
 /*! Range of the delays before claims; it makes simultaneous claims unlikely. */
--- a/test/site/leader_peers_test.cpp
+++ b/test/site/leader_peers_test.cpp
@@ -145,6 +145,25 @@
     CHECK(peers.relay_for("w1", "d1", later));
 }
 
+// Each successor of a leader that the log turned away resigned for it: it was the largest, and introduced itself.
+TEST_CASE("the largest entry VM counts only while it reaches the log") {
+    leader_peers peers;
+    auto large = introduction_of("d1", 500u);
+    peers.introduce("large", large, start);
+    peers.introduce("small", introduction_of("d1", 120u), start);
+    CHECK(peers.most_millicores() == 500u);
+    CHECK(peers.candidates().front().name == "large");
+    large.misses_log = true;
+    peers.introduce("large", large, start);
+    CHECK(peers.most_millicores() == 120u);
+    CHECK(peers.candidates().front().name == "small");
+    CHECK(peers.candidates().size() == 2u);
+    large.misses_log = false;
+    peers.introduce("large", large, start);
+    CHECK(peers.most_millicores() == 500u);
+    CHECK(peers.candidates().front().name == "large");
+}
+
 TEST_CASE("an entry VM without introductions is removed") {
     leader_peers peers;
     CHECK(peers.introduce("vm", introduction_of("d1", 500u), start));
--- a/test/site/leader_watch_test.cpp
+++ b/test/site/leader_watch_test.cpp
@@ -232,6 +232,39 @@
     CHECK(last_large <= timing::replaceable_leader_timeout + timing::claim_spread + millis{100});
 }
 
+// A leader that the log turned away led on for 9 s: where no caller's record came, nobody else knew that it could
+// append.
+TEST_CASE("an entry VM finds out whether it can append while the leader cannot") {
+    auto const with = [](std::string_view const description, bool const probes, auto const &change) {
+        watch_scenario row{.description = description,
+            .leader = "other",
+            .record_age = millis{1'700},
+            .heartbeat_age = millis{100},
+            .leader_log_age = millis{1'700},
+            .claims = probes};
+        change(row);
+        return row;
+    };
+    std::array<watch_scenario, 9u> const rows{{
+        with("leader cannot append", true, [](auto &) {}),
+        with("leader is idle", false, [](auto &row) { row.leader_log_age = millis{1'400}; }),
+        with("an append of this VM is recent", false, [](auto &row) { row.own_append_age = millis{300}; }),
+        with("an append of this VM is older", true, [](auto &row) { row.own_append_age = millis{500}; }),
+        with("leader resigned", false, [](auto &row) { row.resigned = true; }),
+        with("no leader", false, [](auto &row) { row.leader = ""; }),
+        with("leader is silent", false, [](auto &row) { row.heartbeat_age = millis{1'200}; }),
+        with("the leader's appends are slow", false, [](auto &row) { row.leader_append_time = millis{400}; }),
+        with("the log has just come back", false, [](auto &row) { row.log_answers_age = millis{50}; }),
+    }};
+    for(auto const &row: rows) {
+        CAPTURE(row.description);
+        CHECK(watch_of(row).needs_probe(start) == row.claims);
+    }
+    auto watch = watch_of(rows.front());
+    watch.record_log_reachability(false, start);
+    CHECK_FALSE(watch.needs_probe(start));
+}
+
 TEST_CASE("records are relayed to a leader that sends heartbeats and appends successfully") {
     std::array<watch_scenario, 4u> const rows{{
         {.description = "heartbeats and appends", .leader = "other", .heartbeat_age = millis{100}, .claims = true},
--- a/test/site/site_test.cpp
+++ b/test/site/site_test.cpp
@@ -693,6 +693,49 @@
     CHECK(site.leader() == second);
 }
 
+// For 9 s nobody replaced the largest entry VM, which led but was turned away by the log; in a longer cut each of its
+// successors resigned for it.
+TEST_CASE("smaller entry VMs replace an idle leader that the log turns away, and lead until it is served again") {
+    struct row {
+        std::string_view name;
+        /*! True if the log answers no reads either. */
+        bool loses_reads;
+    };
+    std::array<row, 2u> const rows{{{"all calls fail", true}, {"appends fail", false}}};
+    std::array<std::uint32_t, 3u> const millicores{120u, 500u, 120u};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        scripted_site site{millicores};
+        auto const large_leads = [&]() { return site.vms[1]->node->leads(); };
+        auto const small_leads = [&]() { return site.vms[0]->node->leads() || site.vms[2]->node->leads(); };
+        auto const leaderships = [&]() {
+            std::uint64_t count{};
+            for(auto const &vm: site.vms) {
+                count += vm->stats.value(event::leadership_taken);
+            }
+            return count;
+        };
+        site.run_until(large_leads);
+        REQUIRE(large_leads());
+        site.run_for(timing::introduction_interval);
+        (item.loses_reads ? site.vms[1]->log.is_open : site.vms[1]->log.refuses_appends) = !item.loses_reads;
+        site.run_until(small_leads);
+        REQUIRE(small_leads());
+        site.run_until([&]() { return !large_leads(); });
+        auto const taken = leaderships();
+        site.run_for(2 * timing::min_leadership_time);
+        CHECK(small_leads());
+        CHECK(leaderships() == taken);
+        site.vms[1]->log.is_open = true;
+        site.vms[1]->log.refuses_appends = false;
+        auto const leads_by = current_time() + timing::append_doubt_time + millis{5'000};
+        while(!large_leads() && current_time() < leads_by) {
+            site.run_until(large_leads);
+        }
+        CHECK(large_leads());
+    }
+}
+
 // An entry VM of a failure domain that was cut off repeated its claim until the cut had ended, and replaced a leader
 // that had been working all the time.
 TEST_CASE("a claim without an answer is not repeated once the leader is heard again") {
