Connections to entry VMs that are gone are closed

Cause: a connection was kept for every name that ever introduced itself, and the 1,023rd socket of a ZeroMQ context threw outside the try of peer_link::connect().

Ruled out: file descriptors, of which less than a quarter was in use.

Change: peer_link closes connections for which neither connect() nor send() was called for 10 s; a socket that cannot be made is counted and logged like a bad address, and does not end the process.

--- a/src/kingcuplink/core/counters.hpp
+++ b/src/kingcuplink/core/counters.hpp
@@ -36,6 +36,8 @@
     peer_message_dropped,
     peer_message_malformed,
     peer_address_malformed,
+    peer_connection_failed,
+    peer_connection_idle,
     peer_bytes_sent,
     peer_bytes_received,
     control_bytes_sent,
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -766,6 +766,7 @@
     instant candidates_due{};
     while(true) {
         co_await pause(timing::first_introduction_interval);
+        peers_.disconnect_idle(timing::idle_peer_time);
         auto const leader = watch_.claim();
         auto const now = current_time();
         if(draining_ || leader.name.empty()) {
--- a/src/kingcuplink/site/timing.hpp
+++ b/src/kingcuplink/site/timing.hpp
@@ -190,6 +190,12 @@
 inline constexpr millis candidate_introduction_interval{500};
 /*! Time without an introduction after which the leader sends an entry VM no more requests. */
 inline constexpr millis peer_silence{3'200};
+/*!
+ * Time without a message after which a connection to another entry VM is closed: it was removed, or neither of the two
+ * leads any more.
+ */
+inline constexpr millis idle_peer_time{10'000};
+static_assert(idle_peer_time > peer_silence + introduction_interval);
 /*! Age of the latest introduction up to which an entry VM relays starts. */
 inline constexpr millis relay_clock_age{2'200};
 /*! Time after the leader's decision for which an entry VM may send a relayed start. */
--- a/src/kingcuplink/wire/peer_link.cpp
+++ b/src/kingcuplink/wire/peer_link.cpp
@@ -1,3 +1,4 @@
+#include <cerrno>
 #include <glog/logging.h>
 #include <kingcuplink/core/config.hpp>
 #include <kingcuplink/core/json_fields.hpp>
@@ -12,7 +13,7 @@
 constexpr int reconnect_ms = 200;
 constexpr int max_reconnect_ms = 2'000;
 constexpr int no_linger = 0;
-/*! Time between warnings about malformed addresses, in seconds. */
+/*! Time between warnings about peers that cannot be connected, in seconds. */
 constexpr int warning_interval_s = 10;
 
 void set_common_options(zmq::socket_t &socket) {
@@ -44,29 +45,42 @@
     inbox_.close();
 }
 
+zmq::socket_t peer_link::open_socket(std::string const &address) {
+    zmq::socket_t socket{context_, zmq::socket_type::push};
+    internal::set_common_options(socket);
+    socket.set(zmq::sockopt::immediate, true);
+    socket.set(zmq::sockopt::reconnect_ivl, internal::reconnect_ms);
+    socket.set(zmq::sockopt::reconnect_ivl_max, internal::max_reconnect_ms);
+    socket.connect("tcp://" + address);
+    return socket;
+}
+
 void peer_link::connect(std::string const &peer, std::string const &address) {
+    auto const now = std::chrono::steady_clock::now();
     if(auto const known = peers_.find(peer); known != peers_.end()) {
         if(known->second.address == address) {
+            known->second.used_at = now;
             return;
         }
         peers_.erase(known);
     }
-    zmq::socket_t socket{context_, zmq::socket_type::push};
-    internal::set_common_options(socket);
-    socket.set(zmq::sockopt::immediate, true);
-    socket.set(zmq::sockopt::reconnect_ivl, internal::reconnect_ms);
-    socket.set(zmq::sockopt::reconnect_ivl_max, internal::max_reconnect_ms);
     try {
-        socket.connect("tcp://" + address);
+        peers_.emplace(peer, connection{address, open_socket(address), now});
     } catch(zmq::error_t const &error) {
-        // Peers name addresses in messages: one that cannot be parsed must not end this process.
-        stats_.add(event::peer_address_malformed);
+        // Peers name themselves and their addresses in messages: neither must end this process.
+        auto const is_limit_reached = error.num() == EMFILE;
+        stats_.add(is_limit_reached ? event::peer_connection_failed : event::peer_address_malformed);
         LOG_EVERY_T(WARNING, internal::warning_interval_s)
             << "peers: cannot connect to " << printable(peer) << " at '" << printable(address) << "': " << error.what()
-            << "; its messages are dropped until it names another address";
-        return;
+            << "; its messages are dropped until "
+            << (is_limit_reached ? "other connections are closed" : "it names another address");
     }
-    peers_.emplace(peer, connection{address, std::move(socket)});
+}
+
+void peer_link::disconnect_idle(millis const time) {
+    auto const limit = std::chrono::steady_clock::now() - time;
+    auto const closed = std::erase_if(peers_, [limit](auto const &entry) { return entry.second.used_at < limit; });
+    stats_.add(event::peer_connection_idle, closed);
 }
 
 void peer_link::disconnect(std::string const &peer) {
@@ -79,6 +93,7 @@
         stats_.add(event::peer_message_dropped);
         return false;
     }
+    found->second.used_at = std::chrono::steady_clock::now();
     message.set_version(config::wire_version);
     message.set_sender(self_);
     auto const text = message.SerializeAsString();
--- a/src/kingcuplink/wire/peer_link.hpp
+++ b/src/kingcuplink/wire/peer_link.hpp
@@ -1,8 +1,10 @@
 #ifndef KINGCUPLINK_WIRE_PEER_LINK_HPP_INCLUDED
 #define KINGCUPLINK_WIRE_PEER_LINK_HPP_INCLUDED
 
+#include <chrono>
 #include <functional>
 #include <kingcuplink/core/counters.hpp>
+#include <kingcuplink/core/time.hpp>
 #include <kingcuplink/wire/generated/messages.pb.h>
 #include <map>
 #include <memory>
@@ -42,11 +44,14 @@
     peer_link &operator=(peer_link const &) = delete;
 
     /*!
-     * Connects to a peer. Does nothing if the peer is already connected to this address; a malformed address is counted
-     * and closes the connection to an earlier one.
+     * Connects to a peer, or confirms that the connection to this address is needed. If the address is malformed or too
+     * many connections are open, this is counted, and the connection to an earlier address is closed all the same.
      */
     void connect(std::string const &peer, std::string const &address);
 
+    /*! Closes the connections for which neither connect() nor send() was called for a time. */
+    void disconnect_idle(millis time);
+
     /*! Closes the connection to a peer. */
     void disconnect(std::string const &peer);
 
@@ -61,8 +66,12 @@
     struct connection {
         std::string address;
         zmq::socket_t socket;
+        /*! Time of the latest call that needed the connection. */
+        std::chrono::steady_clock::time_point used_at;
     };
 
+    [[nodiscard]] zmq::socket_t open_socket(std::string const &address);
+
     void receive_loop();
     void handle(zmq::message_t const &frame);
 
--- a/test/wire/peer_link_test.cpp
+++ b/test/wire/peer_link_test.cpp
@@ -89,3 +89,59 @@
         CHECK_FALSE(link.send("b", message));
     }
 }
+
+// The process ended when the 1,023rd entry VM introduced itself: connections to those that were replaced stayed open.
+TEST_CASE("connections to peers that are gone are closed, and those in use stay open") {
+    constexpr auto peers = 1'200;
+    constexpr auto peers_at_a_time = 100;
+    address_pool addresses;
+    counters stats;
+    peer_link link{"a", addresses.take_address(), stats, [](wire::envelope const &) {}};
+    auto const gone_address = addresses.take_address();
+    for(auto pos = 0; pos < peers; ++pos) {
+        link.connect("gone-" + std::to_string(pos), gone_address);
+        if((pos + 1) % peers_at_a_time == 0) {
+            link.disconnect_idle(0ms);
+        }
+    }
+    CHECK(stats.value(event::peer_connection_failed) == 0u);
+    CHECK(stats.value(event::peer_connection_idle) == peers);
+
+    std::atomic<int> received_count{};
+    auto const used_address = addresses.take_address();
+    peer_link used{"used", used_address, stats, [&](wire::envelope const &) { ++received_count; }};
+    link.connect("used", used_address);
+    wire::envelope message;
+    message.mutable_heartbeat();
+    CHECK(eventually([&]() { return link.send("used", message); }));
+    CHECK(eventually([&]() { return received_count > 0; }));
+    link.disconnect_idle(2 * wait_limit);
+    CHECK(stats.value(event::peer_connection_idle) == peers);
+    CHECK(link.send("used", message));
+}
+
+TEST_CASE("a peer beyond the largest number of connections is not connected until others are closed") {
+    constexpr auto peers = 1'200;
+    address_pool addresses;
+    counters stats;
+    std::atomic<int> received_count{};
+    auto const last_address = addresses.take_address();
+    peer_link last{"last", last_address, stats, [&](wire::envelope const &) { ++received_count; }};
+    peer_link link{"a", addresses.take_address(), stats, [](wire::envelope const &) {}};
+    auto const gone_address = addresses.take_address();
+    for(auto pos = 0; pos < peers; ++pos) {
+        link.connect("gone-" + std::to_string(pos), gone_address);
+    }
+    CHECK(stats.value(event::peer_connection_failed) > 0u);
+    CHECK(stats.value(event::peer_address_malformed) == 0u);
+    wire::envelope message;
+    message.mutable_heartbeat();
+    link.connect("last", last_address);
+    CHECK_FALSE(link.send("last", message));
+    link.disconnect_idle(millis{});
+    CHECK(eventually([&]() {
+        link.connect("last", last_address);
+        return link.send("last", message);
+    }));
+    CHECK(eventually([&]() { return received_count > 0; }));
+}
