An entry VM that tells the end of a job after an outage accepts submissions

Cause: reads alone told whether the log is reachable, and heartbeats alone whether the leader appends; after an outage an append is done sooner than the next of either, and the end of a job is told at once.

Ruled out: a leader that cannot append yet (the end is committed).

A table for the watch.

--- a/src/kingcuplink/site/leader_watch.cpp
+++ b/src/kingcuplink/site/leader_watch.cpp
@@ -59,6 +59,12 @@
     }
 }
 
+void leader_watch::record_leader_append(std::uint64_t const term) noexcept {
+    if(term == heartbeat_.term) {
+        heartbeat_.log_age = std::min(heartbeat_.log_age, heartbeat_.append_time);
+    }
+}
+
 void leader_watch::record_own_append(millis const took, instant const now) noexcept {
     own_append_at_ = now;
     own_append_took_ = took;
--- a/src/kingcuplink/site/leader_watch.hpp
+++ b/src/kingcuplink/site/leader_watch.hpp
@@ -73,6 +73,9 @@
     /*! Records a leader's heartbeat; those of earlier terms are ignored. */
     void record_heartbeat(leader_heartbeat_info const &heartbeat, instant now) noexcept;
 
+    /*! Records that the leader of a term has told of an append that is done; its next heartbeat may come later. */
+    void record_leader_append(std::uint64_t term) noexcept;
+
     /*! Records a successful append of this entry VM and its duration. */
     void record_own_append(millis took, instant now) noexcept;
 
--- a/src/kingcuplink/site/site_node.cpp
+++ b/src/kingcuplink/site/site_node.cpp
@@ -233,13 +233,19 @@
 }
 
 boost::asio::awaitable<append_outcome> site_node::append_record(keyed_record record, millis const timeout) {
-    if(!log_reachable_ && !appender_.leader_accepts_records()) {
+    if(!may_append()) {
         // Fails fast so that the caller can try another entry VM.
         co_return append_outcome::refused;
     }
     co_return co_await appender_.append(std::move(record), timeout);
 }
 
+bool site_node::may_append() const {
+    // After an outage, appends of a leader may be done sooner than the next read of its entry VM.
+    auto const leads_with_log = leader_ != nullptr && !leader_->has_stalled(current_time());
+    return log_reachable_ || leads_with_log || appender_.leader_accepts_records();
+}
+
 boost::asio::awaitable<std::optional<caller_answer>> site_node::ask_leader_for_job(
     site_rules const &rules, queue_rules const &queue, std::string id) {
     auto const *known = known_jobs_.find(id);
@@ -859,6 +865,7 @@
     if(ends.term() < watch_.claim().term) {
         return;
     }
+    watch_.record_leader_append(ends.term());
     for(auto const &row: ends.rows()) {
         if(row.phase() <= static_cast<std::uint32_t>(job_phase::cancelled)) {
             known_jobs_.set_reported_phase(row.id(), static_cast<job_phase>(row.phase()));
--- a/src/kingcuplink/site/site_node.hpp
+++ b/src/kingcuplink/site/site_node.hpp
@@ -109,6 +109,8 @@
     /*! Appends a caller's record and waits for the outcome; `refused` at once if neither log nor leader is reachable.
      */
     boost::asio::awaitable<append_outcome> append_record(keyed_record record, millis timeout);
+    /*! Returns whether the log, or a leader that appends, is reachable as far as this entry VM knows. */
+    [[nodiscard]] bool may_append() const;
     [[nodiscard]] bool is_fresh() const;
     /*! Returns whether the jobs were read up to the end of the log of a moment ago. */
     [[nodiscard]] bool has_read_jobs() const;
--- a/test/site/leader_watch_test.cpp
+++ b/test/site/leader_watch_test.cpp
@@ -278,6 +278,27 @@
     }
 }
 
+// Records were refused until the next heartbeat of a leader that had told of an append already.
+TEST_CASE("records are relayed to a leader again once it has told of an append") {
+    constexpr auto outage = millis{3'000};
+    struct row {
+        std::string_view name;
+        std::uint64_t term;
+        bool accepts_records;
+    };
+    std::array<row, 3u> const rows{
+        {{"the leader", 7u, true}, {"an earlier one", 6u, false}, {"a later one", 8u, false}}};
+    for(auto const &item: rows) {
+        CAPTURE(item.name);
+        leader_watch watch{"self", 250u};
+        watch.apply_claim({7u, "leader", "address", false}, start);
+        watch.record_heartbeat({7u, outage, millis{10}, 250u, timing::heartbeat_interval}, start);
+        CHECK_FALSE(watch.accepts_records(start));
+        watch.record_leader_append(item.term);
+        CHECK(watch.accepts_records(start) == item.accepts_records);
+    }
+}
+
 TEST_CASE("many entry VMs that detect a stalled leader do not flood a slow log with claims") {
     // Each claim is queued by the log, which processes about ten claims per second when it is slow.
     constexpr auto vms = 32;
