Wire test: closed sockets may take a while to become free

Cause: ZeroMQ frees a closed socket on a thread of its own, and the test made 1,200 within a moment; an entry VM tries again with the next introduction. Ruled out: connections that were not closed (all 1,022 that had been made were counted as closed).

The check that no attempt fails is replaced: each of the 1,200 peers, and the one in use, has to be connected within 10 s, and exactly 1,200 connections have to be closed as idle. Without closing, the 1,023rd peer fails it.

--- a/test/wire/peer_link_test.cpp
+++ b/test/wire/peer_link_test.cpp
@@ -98,19 +98,24 @@
     counters stats;
     peer_link link{"a", addresses.take_address(), stats, [](wire::envelope const &) {}};
     auto const gone_address = addresses.take_address();
+    // The library frees closed sockets on a thread of its own.
+    auto const connects = [&](std::string const &peer, std::string const &address) {
+        auto const failed = stats.value(event::peer_connection_failed);
+        link.connect(peer, address);
+        return stats.value(event::peer_connection_failed) == failed;
+    };
     for(auto pos = 0; pos < peers; ++pos) {
-        link.connect("gone-" + std::to_string(pos), gone_address);
+        REQUIRE(eventually([&]() { return connects("gone-" + std::to_string(pos), gone_address); }));
         if((pos + 1) % peers_at_a_time == 0) {
             link.disconnect_idle(0ms);
         }
     }
-    CHECK(stats.value(event::peer_connection_failed) == 0u);
     CHECK(stats.value(event::peer_connection_idle) == peers);
 
     std::atomic<int> received_count{};
     auto const used_address = addresses.take_address();
     peer_link used{"used", used_address, stats, [&](wire::envelope const &) { ++received_count; }};
-    link.connect("used", used_address);
+    REQUIRE(eventually([&]() { return connects("used", used_address); }));
     wire::envelope message;
     message.mutable_heartbeat();
     CHECK(eventually([&]() { return link.send("used", message); }));
