A recorded lapse bounds the lease of a worker also once its runs have ended

Cause, in: a leader that was cut off from the log heard a worker again that had been silent. The worker's runs had ended, and the check that no lease is extended beyond the recorded time went over runs alone, so the lease went on. The next leader gave up the runs at the recorded time and started the task again, and later read and acknowledged the first end, on a lease that had never expired.

Ruled out: a second start by the same leader (two leaders started the two runs); a successor that waited too little for the leases of its predecessor (the start came when the recorded time had passed).

Change: while a record stands, the lease itself must expire by the recorded time, with or without runs.

Test: "no lease is extended and no run is started beyond the time in the log until the record is removed" has two rows more, which fail on the former code (may_extend_lease() is true). The nine cases of test_workflow on leases and lapses pass.

--- a/src/kingcuplink/workflow/dispatcher.cpp
+++ b/src/kingcuplink/workflow/dispatcher.cpp
@@ -193,8 +193,9 @@
     if(found == nullptr || !found->lapse.may_stand()) {
         return true;
     }
+    // Also without runs: an end that is not committed counts only while the lease has not expired.
     auto const last = state_.last_lapse(*found, expiry);
-    return last && *last <= found->lapse.limit();
+    return last && std::max(*last, expiry.in_known_boot) <= found->lapse.limit();
 }
 
 void dispatcher::adopt_runs(job_id const id, job_entry const &entry) {
--- a/test/workflow/lapse_record_test.cpp
+++ b/test/workflow/lapse_record_test.cpp
@@ -95,10 +95,18 @@
     }
 }
 
-// Guards against a run that goes on after the recorded time, while a later leader starts its task again.
+// Guards against a run that goes on after the recorded time, or ended before it and is acknowledged after it, while a
+// later leader starts its task again.
 TEST_CASE("no lease is extended and no run is started beyond the time in the log until the record is removed") {
-    for(auto const changes_leader: {false, true}) {
+    struct row {
+        bool changes_leader;
+        /*! True if the run has ended when the worker is heard again. */
+        bool has_ended;
+    };
+    std::array<row, 4u> const rows{{{false, false}, {true, false}, {false, true}, {true, true}}};
+    for(auto const &[changes_leader, has_ended]: rows) {
         CAPTURE(changes_leader);
+        CAPTURE(has_ended);
         auto fleet = fleet_with_run();
         fleet.run_for(millis{3'000});
         auto &host = host_of(fleet);
@@ -116,6 +124,9 @@
         // The worker is back, but the log cannot be told.
         fleet.is_log_available = false;
         host.reachable = true;
+        if(has_ended) {
+            host.runs.front().ends_at = fleet.now;
+        }
         fleet.submit(scripted_fleet::job("b", single_task_step()));
         for(auto &other: fleet.workers) {
             if(other.entry.name != name) {
@@ -123,15 +134,16 @@
             }
         }
         fleet.run_for(millis{500});
-        CHECK(fleet.run_count("a") == 1u);
+        CHECK(fleet.run_count("a") == (has_ended ? 0u : 1u));
         CHECK_FALSE(fleet.leader->may_extend_lease(name, lease_expiry::at(recorded + millis{1})));
         CHECK(fleet.leader->figures(fleet.now).usable_workers == 0u);
         fleet.is_log_available = true;
         fleet.run_for(millis{500});
         CHECK_FALSE(fleet.lapses.contains(name));
         CHECK(fleet.leader->may_extend_lease(name, lease_expiry::at(recorded + millis{60'000})));
-        CHECK(fleet.run_count("a") == 1u);
+        CHECK(fleet.run_count("a") == (has_ended ? 0u : 1u));
         CHECK(fleet.run_count("b") == 1u);
+        CHECK(fleet.starts == 2u);
     }
 }
 
