--- a/src/kingcuplink/workflow/dispatcher_workers.cpp
+++ b/src/kingcuplink/workflow/dispatcher_workers.cpp
@@ -388,7 +388,11 @@
     if(!std::exchange(run.is_listed, true) && !was_started_by_this_boot) {
         // The run may have begun, with a lease of its own, long after its start was sent.
         auto const expiry = now + state_.limits.longest_lease;
-        was_inherited ? worker.raise_inherited_expiry(expiry) : worker.raise_lease_expiry(expiry);
+        if(was_inherited) {
+            worker.raise_inherited_expiry(expiry);
+        } else {
+            worker.raise_lease_expiry(expiry);
+        }
     }
 }
 
@@ -498,12 +502,12 @@
     auto const knows_workers = internal::is_silent(state_.begun_at, now);
     for(auto const id: state_.workers.ids()) {
         auto &worker = state_.workers[id];
-        auto const is_needed = !worker.placements.empty() &&
-            (worker.registration.leaving || internal::is_silent(worker.seen_at, now));
-        lapse_change change{id, worker.registration.name};
         if(!knows_workers && !worker.is_reconciled) {
             continue;
         }
+        auto const is_needed = !worker.placements.empty() &&
+            (worker.registration.leaving || internal::is_silent(worker.seen_at, now));
+        lapse_change change{id, worker.registration.name};
         if(is_needed) {
             change.at = lapse_to_record(worker, now);
         }
